--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,313 @@
+// Package peer carries messages between the system's own processes.
+//
+// Each request is one QUIC stream: a wire.Call, then one or more wire.Reply
+// messages, each preceded by its length. Both sides authenticate by a
+// certificate derived from the fleet's secret. 0-RTT is off, since its data can
+// be replayed.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"oleanderstall/wire"
+)
+
+// maxMessage bounds one message, in bytes.
+const maxMessage = 8 << 20
+
+// Timeouts and limits of a connection.
+const (
+	dialTimeout   = 800 * time.Millisecond
+	idleTimeout   = 30 * time.Second
+	keepAlive     = 10 * time.Second
+	maxStreams    = 1 << 16
+)
+
+// SendError reports a call that got no answer. Sent is false if it is certain
+// that no byte of the call left this process.
+type SendError struct {
+	Address string
+	Sent    bool
+	cause   error
+}
+
+// Error names the address.
+func (e *SendError) Error() string {
+	return fmt.Sprintf("call %s (sent: %t): %v", e.Address, e.Sent, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.cause }
+
+// Stream is one request between two processes.
+type Stream interface {
+	// Recv returns the next reply.
+	Recv() (*wire.Reply, error)
+	// Send sends a reply.
+	Send(*wire.Reply) error
+	// Context ends when the other side has given up or the stream has ended.
+	Context() context.Context
+	// Cancel gives up the request.
+	Cancel()
+}
+
+// Caller opens requests to other processes.
+type Caller interface {
+	// Open sends a call and returns its stream. Errors are SendErrors.
+	Open(ctx context.Context, address string, call *wire.Call) (Stream, error)
+}
+
+// Handler answers one call. The stream is closed when it returns.
+type Handler func(ctx context.Context, call *wire.Call, s Stream)
+
+// Node listens for other processes and calls them.
+type Node struct {
+	transport *quic.Transport
+	listener  *quic.Listener
+	identity  *Identity
+	mu        sync.Mutex
+	conns     map[string]*link
+	closed    bool
+	done      chan struct{}
+	calls     sync.WaitGroup
+}
+
+// link is the connection to one address, made by the first that needs it.
+type link struct {
+	ready chan struct{}
+	conn  *quic.Conn
+	err   error
+}
+
+// New returns a node that listens on address, an IP and a port.
+func New(address string, identity *Identity) (*Node, error) {
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, eris.Wrap(err, "parse peer address")
+	}
+	socket, err := net.ListenUDP("udp", udp)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for peers")
+	}
+	n := &Node{
+		transport: &quic.Transport{Conn: socket},
+		identity:  identity,
+		conns:     map[string]*link{},
+		done:      make(chan struct{}),
+	}
+	n.listener, err = n.transport.Listen(identity.config(), settings())
+	if err != nil {
+		_ = socket.Close()
+		return nil, eris.Wrap(err, "listen for peers")
+	}
+	return n, nil
+}
+
+func settings() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout: dialTimeout,
+		MaxIdleTimeout:       idleTimeout,
+		KeepAlivePeriod:      keepAlive,
+		MaxIncomingStreams:   maxStreams,
+	}
+}
+
+// Address returns the address that the node listens on.
+func (n *Node) Address() string { return n.listener.Addr().String() }
+
+// Done is closed when the node has stopped.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// Serve answers calls until the node is closed. One task serves each connection
+// and one each stream.
+func (n *Node) Serve(ctx context.Context, h Handler) {
+	defer close(n.done)
+	for {
+		conn, err := n.listener.Accept(ctx)
+		if err != nil {
+			break
+		}
+		n.calls.Go(func() { n.serveConn(ctx, conn, h) })
+	}
+	n.calls.Wait()
+}
+
+func (n *Node) serveConn(ctx context.Context, conn *quic.Conn, h Handler) {
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	for {
+		s, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		streams.Go(func() { serveStream(s, h) })
+	}
+}
+
+func serveStream(qs *quic.Stream, h Handler) {
+	s := newStream(qs)
+	defer func() {
+		qs.CancelRead(0)
+		_ = qs.Close()
+	}()
+	call := &wire.Call{}
+	if err := options.UnmarshalFrom(s.reader, call); err != nil {
+		return
+	}
+	h(qs.Context(), call, s)
+}
+
+// Close stops the node and its connections.
+func (n *Node) Close() {
+	n.mu.Lock()
+	n.closed = true
+	links := n.conns
+	n.conns = map[string]*link{}
+	n.mu.Unlock()
+	for _, l := range links {
+		<-l.ready
+		if l.conn != nil {
+			_ = l.conn.CloseWithError(0, "closing")
+		}
+	}
+	_ = n.listener.Close()
+	_ = n.transport.Close()
+	_ = n.transport.Conn.Close()
+}
+
+// Open implements Caller.
+func (n *Node) Open(ctx context.Context, address string, call *wire.Call) (Stream, error) {
+	conn, err := n.connect(ctx, address)
+	if err != nil {
+		return nil, &SendError{Address: address, cause: err}
+	}
+	qs, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		n.forget(address, conn)
+		return nil, &SendError{Address: address, cause: err}
+	}
+	s := newStream(qs)
+	s.stop = context.AfterFunc(ctx, s.Cancel)
+	if _, err := protodelim.MarshalTo(s.writer, call); err != nil {
+		s.Cancel()
+		return nil, &SendError{Address: address, Sent: true, cause: err}
+	}
+	if err := s.writer.Flush(); err != nil {
+		s.Cancel()
+		return nil, &SendError{Address: address, Sent: true, cause: err}
+	}
+	_ = qs.Close()
+	return s, nil
+}
+
+// connect returns the live connection to address or makes one.
+func (n *Node) connect(ctx context.Context, address string) (*quic.Conn, error) {
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		return nil, net.ErrClosed
+	}
+	l := n.conns[address]
+	if l == nil {
+		l = &link{ready: make(chan struct{})}
+		n.conns[address] = l
+		go n.dial(address, l)
+	}
+	n.mu.Unlock()
+	select {
+	case <-l.ready:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	return l.conn, l.err
+}
+
+// dial makes the connection of l, not bound to the call that came first.
+func (n *Node) dial(address string, l *link) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	defer close(l.ready)
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err == nil {
+		l.conn, err = n.transport.Dial(ctx, udp, n.identity.config(), settings())
+	}
+	if err != nil {
+		l.err = err
+		n.drop(address, l)
+		return
+	}
+	go func() {
+		<-l.conn.Context().Done()
+		n.drop(address, l)
+	}()
+}
+
+func (n *Node) drop(address string, l *link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.conns[address] == l {
+		delete(n.conns, address)
+	}
+}
+
+// forget closes a connection that no longer opens streams.
+func (n *Node) forget(address string, conn *quic.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l := n.conns[address]; l != nil && l.conn == conn {
+		delete(n.conns, address)
+		_ = conn.CloseWithError(0, "stale")
+	}
+}
+
+// stream implements Stream over QUIC.
+type stream struct {
+	qs     *quic.Stream
+	reader *bufio.Reader
+	writer *bufio.Writer
+	stop   func() bool
+}
+
+var options = protodelim.UnmarshalOptions{MaxSize: maxMessage}
+
+func newStream(qs *quic.Stream) *stream {
+	return &stream{qs: qs, reader: bufio.NewReaderSize(qs, 512), writer: bufio.NewWriterSize(qs, 512)}
+}
+
+// Recv implements Stream.
+func (s *stream) Recv() (*wire.Reply, error) {
+	reply := &wire.Reply{}
+	if err := options.UnmarshalFrom(s.reader, reply); err != nil {
+		return nil, eris.Wrap(err, "receive reply")
+	}
+	return reply, nil
+}
+
+// Send implements Stream.
+func (s *stream) Send(r *wire.Reply) error {
+	if _, err := protodelim.MarshalTo(s.writer, r); err != nil {
+		return eris.Wrap(err, "send reply")
+	}
+	return eris.Wrap(s.writer.Flush(), "send reply")
+}
+
+// Context implements Stream.
+func (s *stream) Context() context.Context { return s.qs.Context() }
+
+// Cancel implements Stream.
+func (s *stream) Cancel() {
+	if s.stop != nil {
+		s.stop()
+	}
+	s.qs.CancelRead(1)
+	s.qs.CancelWrite(1)
+}
