runner, cmd: assemble entry, sidecar, stand-ins and the demo

Cause: the peers and decisions had no process around them. Change: entry (callers, operators, shard holder, dispatcher), sidecar (executor), command line, embedded demo.

--- /dev/null
+++ b/cmd/oleanderstall/demo.go
@@ -0,0 +1,15 @@
+package main
+
+import (
+	"context"
+
+	"oleanderstall/demonstrator"
+)
+
+// demoCommand runs the embedded fleet.
+type demoCommand struct{}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	return demonstrator.Run(context.Background())
+}
--- /dev/null
+++ b/cmd/oleanderstall/main.go
@@ -0,0 +1,49 @@
+// Command oleanderstall runs and operates a fleet that serves rarely called
+// language models and the plain services beside them.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// options are the commands of the binary.
+type options struct {
+	Entry   roleCommand    `command:"entry" description:"Run an entry instance."`
+	Sidecar roleCommand    `command:"sidecar" description:"Run the sidecar of a backend server."`
+	Check   checkCommand   `command:"check" description:"Check a settings file."`
+	Standin standinCommand `command:"standin" description:"Run a stand-in of an outside system."`
+	Demo    demoCommand    `command:"demo" description:"Run a whole fleet in this process and send a request."`
+	Intent  intentCommand  `command:"intent" description:"Send an intent and print the plan."`
+	Plan    planCommand    `command:"plan" description:"Print a plan."`
+	Confirm confirmCommand `command:"confirm" description:"Bring a plan into force."`
+	Key     keyCommand     `command:"key" description:"Grant or withdraw a caller's key."`
+	Status  statusCommand  `command:"status" description:"Show which version is in force where."`
+	Explain explainCommand `command:"explain" description:"Show why decisions were taken."`
+	Dump    dumpCommand    `command:"dump" description:"Show the state of a process."`
+}
+
+// main runs the command given. It exits with 2 for a wrong command line and with
+// 1 for a command that failed.
+func main() {
+	var o options
+	o.Entry.role = "entry"
+	o.Sidecar.role = "sidecar"
+	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
+	_, err := parser.Parse()
+	var usage *flags.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Println(err)
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	default:
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/dispatcher/charge.go
@@ -0,0 +1,142 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"oleanderstall/holder"
+	"oleanderstall/peer"
+	"oleanderstall/refuser"
+	"oleanderstall/timer"
+	"oleanderstall/wire"
+)
+
+// settleLimit bounds the settlement after a request.
+const settleLimit = 2 * time.Second
+
+// part is what one share granted to a request.
+type part struct {
+	share  uint32
+	grant  *wire.Grant
+	tokens float64
+}
+
+// Bill is what a request was charged, share by share.
+type Bill struct {
+	workspace string
+	parts     []part
+}
+
+// charge takes cost tokens of a workspace. It asks share after share, beginning
+// with one that depends on this entry's data centre, and gathers what each has.
+// If the sum falls short, everything goes back.
+func (d *Dispatcher) charge(ctx context.Context, w *wire.Workspace, cost float64) (*Bill, error) {
+	if cost > w.GetBurst() {
+		return nil, refuser.New(refuser.TooLarge, "the request may use more tokens than the workspace's burst")
+	}
+	bill := &Bill{workspace: w.GetName()}
+	missing, answered := cost, false
+	var retry time.Duration
+	for _, share := range d.order(w) {
+		g, err := d.chargeShare(ctx, &wire.Charge{Workspace: w.GetName(), Share: share, Want: missing})
+		if err != nil {
+			continue
+		}
+		answered = true
+		bill.parts = append(bill.parts, part{share: share, grant: g, tokens: g.GetTokens()})
+		missing -= g.GetTokens()
+		if missing <= 0 {
+			return bill, nil
+		}
+		if wait := timer.Span(g.GetRetry()); retry == 0 || wait < retry {
+			retry = wait
+		}
+	}
+	d.settle(bill, 0)
+	if !answered {
+		return nil, refuser.New(refuser.Outage, "no holder of the workspace's limit answered").After(time.Second)
+	}
+	return nil, refuser.New(refuser.Limited, "the workspace has used its rate and burst").
+		After(max(retry, 10*time.Millisecond))
+}
+
+// order returns the shares of a workspace, those held by this entry first, then
+// those in this data centre.
+func (d *Dispatcher) order(w *wire.Workspace) []uint32 {
+	var near, far []uint32
+	for i := range w.GetShares() {
+		address, self := d.holder.Address(holder.BucketShard(w.GetName(), i, d.shards))
+		if self || d.local(address) {
+			near = append(near, i)
+		} else {
+			far = append(far, i)
+		}
+	}
+	return append(near, far...)
+}
+
+// local reports whether an entry at address is in this data centre.
+func (d *Dispatcher) local(address string) bool {
+	for _, in := range d.member.Instances("entry") {
+		if in.Address == address {
+			return in.Centre == d.member.Self().Centre
+		}
+	}
+	return false
+}
+
+func (d *Dispatcher) chargeShare(ctx context.Context, c *wire.Charge) (*wire.Grant, error) {
+	address, self := d.holder.Address(holder.BucketShard(c.GetWorkspace(), c.GetShare(), d.shards))
+	if self {
+		return d.holder.Charge(c)
+	}
+	if address == "" {
+		return nil, refuser.New(refuser.Absent, "the share has no holder now")
+	}
+	limited, cancel := context.WithTimeout(ctx, holderLimit)
+	defer cancel()
+	reply, err := peer.One(limited, d.caller, address, &wire.Call{Body: &wire.Call_Charge{Charge: c}})
+	if err != nil {
+		return nil, err
+	}
+	if reply.GetGrant() == nil {
+		return nil, peer.Unexpected(reply)
+	}
+	return reply.GetGrant(), nil
+}
+
+// settle gives back what was charged beyond used tokens. The last part goes back
+// first. A settlement that is lost costs the workspace those tokens once.
+func (d *Dispatcher) settle(b *Bill, used float64) {
+	spent := used
+	for _, p := range b.parts {
+		keep := min(p.tokens, spent)
+		spent -= keep
+		if back := p.tokens - keep; back > 0 {
+			d.refund(b.workspace, p, back)
+		}
+	}
+}
+
+func (d *Dispatcher) refund(workspace string, p part, tokens float64) {
+	r := &wire.Refund{
+		Workspace: workspace,
+		Share:     p.share,
+		Epoch:     p.grant.GetEpoch(),
+		At:        p.grant.GetAt(),
+		Tokens:    tokens,
+	}
+	address, self := d.holder.Address(holder.BucketShard(workspace, p.share, d.shards))
+	if self {
+		_ = d.holder.Refund(r)
+		return
+	}
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), settleLimit)
+	go func() {
+		defer cancel()
+		_, _ = peer.One(ctx, d.caller, address, &wire.Call{Body: &wire.Call_Refund{Refund: r}})
+	}()
+}
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,277 @@
+// Package dispatcher takes an admitted request of a caller to a back end and its
+// answer back: it charges the workspace, finds the replicas, routes, retries
+// where nothing has run, and resumes a stream that was cut.
+package dispatcher
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"oleanderstall/holder"
+	"oleanderstall/member"
+	"oleanderstall/meter"
+	"oleanderstall/peer"
+	"oleanderstall/platform"
+	"oleanderstall/recorder"
+	"oleanderstall/refuser"
+	"oleanderstall/router"
+	"oleanderstall/timer"
+	"oleanderstall/wire"
+)
+
+// Limits of retries and of what is remembered.
+const (
+	// retryRatio is the part of requests that may be retried.
+	retryRatio = 0.1
+	// retryMost is the number of retries saved up.
+	retryMost = 20
+	// placeLife is how long the known replicas of a model are used unasked.
+	placeLife = 5 * time.Second
+	// holderLimit bounds one call to the holder of a shard, beside a load.
+	holderLimit = 500 * time.Millisecond
+	// leaveLife is how long a notice of leaving is remembered, longer than the
+	// platform's list lags.
+	leaveLife = time.Minute
+)
+
+// Dispatcher serves the requests of one entry. It is safe for concurrent use.
+type Dispatcher struct {
+	shards   uint32
+	clock    timer.Clock
+	caller   peer.Caller
+	member   *member.Member
+	holder   *holder.Holder
+	recorder *recorder.Recorder
+	meter    *meter.Meter
+	log      *log.Logger
+
+	mu       sync.Mutex
+	router   *router.Router
+	budget   *router.Budget
+	places   map[string]*known
+	backends map[string]*backend
+	leaving  map[string]time.Duration
+}
+
+// known are the replicas of a model as last heard.
+type known struct {
+	spots []*wire.Spot
+	at    time.Duration
+}
+
+// backend is the load of one sidecar as this entry sees it.
+type backend struct {
+	inflight int
+	queue    int
+	at       time.Duration
+}
+
+// New returns a dispatcher that knows no replica yet.
+func New(shards uint32, clock timer.Clock, caller peer.Caller, m *member.Member, h *holder.Holder, r *recorder.Recorder, mt *meter.Meter, l *log.Logger) *Dispatcher {
+	return &Dispatcher{
+		shards:   shards,
+		clock:    clock,
+		caller:   caller,
+		member:   m,
+		holder:   h,
+		recorder: r,
+		meter:    mt,
+		log:      l,
+		router:   router.New(router.Hash(m.Self().Name)),
+		budget:   router.NewBudget(retryRatio, retryMost),
+		places:   map[string]*known{},
+		backends: map[string]*backend{},
+		leaving:  map[string]time.Duration{},
+	}
+}
+
+// Leave takes note that an instance takes no new work.
+func (d *Dispatcher) Leave(l *wire.Leave) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leaving[l.GetInstance()] = d.clock()
+}
+
+// usable drops the instances that are known to leave. The caller holds the lock.
+func (d *Dispatcher) usable(name string) bool {
+	if at, ok := d.leaving[name]; ok {
+		if d.clock()-at < leaveLife {
+			return false
+		}
+		delete(d.leaving, name)
+	}
+	in, listed := d.member.Find(name)
+	return !listed || !in.Leaving
+}
+
+// find returns the replicas of a model, from memory if they are fresh.
+func (d *Dispatcher) find(ctx context.Context, model string, deadline time.Duration) ([]*wire.Spot, error) {
+	d.mu.Lock()
+	k := d.places[model]
+	fresh := k != nil && d.clock()-k.at < placeLife
+	d.mu.Unlock()
+	if fresh {
+		return k.spots, nil
+	}
+	spots, err := d.ask(ctx, &wire.Ask{Model: model}, deadline)
+	if err == nil {
+		return spots, nil
+	}
+	if k != nil && len(k.spots) > 0 && unreachable(err) {
+		return k.spots, nil
+	}
+	return nil, err
+}
+
+// unreachable reports whether the holder could not be asked, so that replicas
+// known from before are still worth a try.
+func unreachable(err error) bool {
+	r := refuser.Of(err)
+	return slices.Contains([]refuser.Kind{refuser.Absent, refuser.Outage, refuser.Lost}, r.Kind())
+}
+
+// ask asks the holder of the model's shard for the replicas, until there is one.
+// If nobody holds the shard, it tries again until the deadline.
+func (d *Dispatcher) ask(ctx context.Context, a *wire.Ask, deadline time.Duration) ([]*wire.Spot, error) {
+	for {
+		a.Left = timer.Millis(deadline - d.clock())
+		place, err := d.askOnce(ctx, a)
+		if err == nil && len(place.GetSpots()) > 0 {
+			d.remember(a.GetModel(), place.GetSpots())
+			return place.GetSpots(), nil
+		}
+		if err == nil {
+			err = refuser.New(refuser.Busy, "all replicas of the model are leaving").After(time.Second)
+		}
+		r := refuser.Of(err)
+		if !unreachable(r) || d.clock()+r.Retry() >= deadline {
+			return nil, r
+		}
+		if !sleep(ctx, max(r.Retry(), 100*time.Millisecond)) {
+			return nil, refuser.New(refuser.Canceled, "the caller has given up")
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (d *Dispatcher) askOnce(ctx context.Context, a *wire.Ask) (*wire.Place, error) {
+	address, self := d.holder.Address(holder.ModelShard(a.GetModel(), d.shards))
+	if self {
+		return d.holder.Ask(ctx, a)
+	}
+	if address == "" {
+		return nil, refuser.New(refuser.Absent, "the model's shard has no holder now").After(time.Second)
+	}
+	limited, cancel := context.WithTimeout(ctx, timer.Span(a.GetLeft())+holderLimit)
+	defer cancel()
+	reply, err := peer.One(limited, d.caller, address, &wire.Call{Body: &wire.Call_Ask{Ask: a}})
+	if err != nil {
+		return nil, d.unanswered(err)
+	}
+	if reply.GetPlace() == nil {
+		return nil, peer.Unexpected(reply)
+	}
+	return reply.GetPlace(), nil
+}
+
+// unanswered turns the failure of a call to a holder into a refusal. Asking a
+// holder runs nothing at a back end.
+func (d *Dispatcher) unanswered(err error) error {
+	r := refuser.Of(err)
+	if r.Kind() != refuser.Internal {
+		return r
+	}
+	return refuser.New(refuser.Lost, "the shard's holder did not answer").After(time.Second)
+}
+
+func (d *Dispatcher) remember(model string, spots []*wire.Spot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.places[model] = &known{spots: spots, at: d.clock()}
+}
+
+func (d *Dispatcher) forget(model string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.places, model)
+}
+
+// backendOf returns the load record of a sidecar. The caller holds the lock.
+func (d *Dispatcher) backendOf(name string) *backend {
+	b := d.backends[name]
+	if b == nil {
+		b = &backend{}
+		d.backends[name] = b
+	}
+	return b
+}
+
+// begin counts a request in at a sidecar.
+func (d *Dispatcher) begin(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.backendOf(name).inflight++
+}
+
+// end counts a request out; queue is the reported length, or -1 if none came.
+func (d *Dispatcher) end(name string, queue int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.backendOf(name)
+	b.inflight--
+	if queue >= 0 {
+		b.queue, b.at = queue, d.clock()
+	}
+}
+
+// choose picks one of the candidates that has not been tried.
+func (d *Dispatcher) choose(names []string, tried map[string]bool, prefix uint64) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	targets := make([]router.Target, len(names))
+	for i, name := range names {
+		b := d.backendOf(name)
+		targets[i] = router.Target{
+			Name:     name,
+			Inflight: b.inflight,
+			Queue:    b.queue,
+			At:       b.at,
+			Tried:    tried[name] || !d.usable(name),
+		}
+	}
+	return d.router.Pick(d.clock(), targets, prefix)
+}
+
+// spend takes one retry out of the budget.
+func (d *Dispatcher) spend() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget.Retry()
+}
+
+func (d *Dispatcher) earn() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget.Request()
+}
+
+// pool returns the listed sidecars of a pool.
+func (d *Dispatcher) pool(name string) []platform.Instance {
+	return slices.DeleteFunc(d.member.Instances("sidecar"), func(in platform.Instance) bool {
+		return in.Pool != name
+	})
+}
--- /dev/null
+++ b/executor/executor.go
@@ -0,0 +1,358 @@
+// Package executor is the sidecar's part: the only sender of orders and requests
+// to one backend server.
+//
+// It admits and queues requests, accounts for the engine's memory, fences old
+// orders, unloads idle models by itself, and drains when the instance leaves.
+package executor
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"oleanderstall/engine"
+	"oleanderstall/evictor"
+	"oleanderstall/member"
+	"oleanderstall/meter"
+	"oleanderstall/peer"
+	"oleanderstall/placer"
+	"oleanderstall/platform"
+	"oleanderstall/queuer"
+	"oleanderstall/recorder"
+	"oleanderstall/refuser"
+	"oleanderstall/service"
+	"oleanderstall/timer"
+	"oleanderstall/wire"
+)
+
+// Engine is the model engine of a sidecar.
+type Engine interface {
+	Status(ctx context.Context) (engine.Status, error)
+	Load(ctx context.Context, o engine.Order) error
+	Unload(ctx context.Context, o engine.Order) error
+	Generate(ctx context.Context, r engine.Request, token func(text string) error) (engine.Result, error)
+}
+
+// Service is the plain service of a sidecar.
+type Service interface {
+	Call(ctx context.Context, r service.Request) (*service.Answer, error)
+}
+
+// Terms are the settings of a sidecar.
+type Terms struct {
+	Concurrency int
+	Queue       int
+	Shards      uint32
+	// Flight is the longest time that an order may be on its way to the engine.
+	Flight time.Duration
+	// Fresh is the longest time that a request may wait here on the strength of
+	// the entry's check of its key.
+	Fresh time.Duration
+}
+
+// Executor serves one backend server. It is safe for concurrent use.
+type Executor struct {
+	terms    Terms
+	clock    timer.Clock
+	caller   peer.Caller
+	table    platform.Table
+	member   *member.Member
+	recorder *recorder.Recorder
+	meter    *meter.Meter
+	log      *log.Logger
+	engine   Engine
+	service  Service
+	done     chan struct{}
+	work     sync.WaitGroup
+
+	mu       sync.Mutex
+	ready    time.Duration
+	known    bool
+	draining bool
+	ledger   *placer.Ledger
+	replicas map[string]*replica
+	fences   map[string]uint64
+	caches   map[string]wire.Tier
+	queue    *queuer.Queue[*ticket]
+	next     *queuer.Item[*ticket]
+	running  int
+	pace     time.Duration
+	frees    []*wire.Slot
+}
+
+// replica is one model or adapter in the engine's memory, or on its way there.
+type replica struct {
+	model   string
+	base    string
+	bytes   uint64
+	slot    uint32
+	epoch   uint64
+	state   wire.State
+	closing bool
+	users   int
+	history evictor.History
+	last    time.Duration
+	cold    time.Duration
+	// settled is closed when the load has ended.
+	settled chan struct{}
+}
+
+// New returns an executor. Exactly one of e and s is set.
+func New(terms Terms, clock timer.Clock, caller peer.Caller, table platform.Table, m *member.Member, e Engine, s Service, r *recorder.Recorder, mt *meter.Meter, l *log.Logger) *Executor {
+	return &Executor{
+		terms:    terms,
+		clock:    clock,
+		caller:   caller,
+		table:    table,
+		member:   m,
+		recorder: r,
+		meter:    mt,
+		log:      l,
+		engine:   e,
+		service:  s,
+		done:     make(chan struct{}),
+		ledger:   placer.NewLedger(0),
+		replicas: map[string]*replica{},
+		fences:   map[string]uint64{},
+		caches:   map[string]wire.Tier{},
+		queue:    queuer.New[*ticket](terms.Queue),
+	}
+}
+
+// Done is closed when Run has returned.
+func (x *Executor) Done() <-chan struct{} { return x.done }
+
+// sweepEvery is the time between two looks at idle models.
+const sweepEvery = time.Second
+
+// Run learns the engine's state and then unloads idle models until ctx ends.
+func (x *Executor) Run(ctx context.Context) {
+	defer close(x.done)
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		x.Sweep(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// Sweep does the periodic work once.
+func (x *Executor) Sweep(ctx context.Context) {
+	if x.engine == nil {
+		return
+	}
+	x.learn(ctx)
+	x.evict(ctx)
+	x.report(ctx)
+}
+
+// learn reads the engine's state. The first answer fills the ledger; orders are
+// taken once the orders of an earlier sidecar can no longer be on their way.
+func (x *Executor) learn(ctx context.Context) {
+	st, err := x.engine.Status(ctx)
+	if err != nil {
+		x.log.Warn().Err(err).Msg("engine: no state")
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.clock()
+	if !x.known {
+		x.known = true
+		x.ready = now + x.terms.Flight
+		x.ledger = placer.NewLedger(st.Capacity)
+	}
+	x.cache(st)
+	if now < x.ready || len(x.replicas) == 0 {
+		x.adopt(st, now)
+	}
+}
+
+// cache notes where checkpoints are cached on the instance.
+func (x *Executor) cache(st engine.Status) {
+	x.caches = map[string]wire.Tier{}
+	for _, m := range st.Disk {
+		x.caches[m] = wire.Tier_TIER_DISK
+	}
+	for _, m := range st.Memory {
+		x.caches[m] = wire.Tier_TIER_MEMORY
+	}
+}
+
+// adopt takes over what an earlier sidecar had loaded.
+func (x *Executor) adopt(st engine.Status, now time.Duration) {
+	for _, l := range st.Loaded {
+		r := x.replicas[l.Model]
+		if r == nil {
+			r = &replica{model: l.Model, base: l.Base, bytes: l.Bytes, last: now, settled: make(chan struct{})}
+			close(r.settled)
+			x.replicas[l.Model] = r
+			x.ledger.Adopt(l.Model, l.Bytes)
+			x.log.Info().Str("model", l.Model).Msg("engine: adopted a replica")
+		}
+		if r.state == wire.State_STATE_RESIDENT {
+			continue
+		}
+		r.slot, r.epoch = l.Slot, l.Fence
+		r.state = wire.State_STATE_RESIDENT
+		if l.Loading {
+			r.state = wire.State_STATE_LOADING
+		}
+		x.fences[l.Model] = max(x.fences[l.Model], l.Fence)
+	}
+}
+
+// Handle answers one call of another process.
+func (x *Executor) Handle(ctx context.Context, call *wire.Call, s peer.Stream) {
+	x.work.Add(1)
+	defer x.work.Done()
+	switch b := call.GetBody().(type) {
+	case *wire.Call_Run:
+		x.reply(s, x.run(ctx, b.Run, s))
+	case *wire.Call_Invoke:
+		answer, err := x.invoke(ctx, b.Invoke)
+		if err == nil {
+			_ = s.Send(&wire.Reply{Body: &wire.Reply_Answer{Answer: answer}})
+		}
+		x.reply(s, err)
+	case *wire.Call_Load:
+		loaded, err := x.load(ctx, b.Load)
+		if err == nil {
+			_ = s.Send(&wire.Reply{Body: &wire.Reply_Loaded{Loaded: loaded}})
+		}
+		x.reply(s, err)
+	case *wire.Call_Bid:
+		_ = s.Send(x.bid(b.Bid))
+	case *wire.Call_Dump:
+		_ = s.Send(x.dump(b.Dump.GetSubject()))
+	default:
+		x.reply(s, refuser.New(refuser.Invalid, "a sidecar does not answer this call"))
+	}
+}
+
+func (x *Executor) reply(s peer.Stream, err error) {
+	if err != nil {
+		_ = s.Send(refuser.Of(err).Reply())
+	}
+}
+
+// open refuses new work on an instance that leaves.
+func (x *Executor) open() error {
+	if x.Draining() {
+		return refuser.New(refuser.Leaving, "the instance is leaving")
+	}
+	return nil
+}
+
+// admit checks what every request needs, before it waits and again before it is
+// sent: that the deadline is ahead and that the key is still granted.
+func (x *Executor) admit(ctx context.Context, key, workspace string, config uint64, arrived, deadline time.Duration) error {
+	if x.clock() >= deadline {
+		return refuser.New(refuser.Late, "the deadline has passed before the request was sent")
+	}
+	if key == "" {
+		return nil
+	}
+	return x.allow(ctx, key, workspace, config, arrived)
+}
+
+// allow checks the key by this process's configuration. A configuration older
+// than the entry's is brought up first.
+func (x *Executor) allow(ctx context.Context, key, workspace string, config uint64, arrived time.Duration) error {
+	if x.member.View().Version() < config {
+		x.member.Poll(ctx)
+	}
+	view := x.member.View()
+	if k := view.Key(key); k != nil && k.GetWorkspace() == workspace {
+		now := x.clock()
+		if now-arrived > x.terms.Fresh && !x.member.Fresh(now, x.terms.Fresh) {
+			return refuser.New(refuser.Stale, "the key could not be checked again after the wait").After(time.Second)
+		}
+		return nil
+	}
+	if view.Version() < config {
+		return refuser.New(refuser.Stale, "the configuration here is older than the key").After(time.Second)
+	}
+	return refuser.New(refuser.Unauthorized, "the key was withdrawn")
+}
+
+// Drain refuses new work, says so to all entries, and waits for the work in
+// hand. Then it unloads what is loaded and reports the slots free.
+func (x *Executor) Drain(ctx context.Context) {
+	x.mu.Lock()
+	x.draining = true
+	x.mu.Unlock()
+	x.log.Info().Msg("drain: no new work")
+	x.announce(ctx)
+	x.settle(ctx)
+	if x.engine != nil {
+		x.clear(ctx)
+		x.report(ctx)
+	}
+	x.log.Info().Msg("drain: complete")
+}
+
+// announceLimit bounds the notice to the entries.
+const announceLimit = time.Second
+
+// announce tells every entry that this instance takes no new work.
+func (x *Executor) announce(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, announceLimit)
+	defer cancel()
+	call := &wire.Call{Body: &wire.Call_Leave{Leave: &wire.Leave{Instance: x.member.Self().Name}}}
+	var wg sync.WaitGroup
+	for _, in := range x.member.Instances("entry") {
+		wg.Go(func() { _, _ = peer.One(limited, x.caller, in.Address, call) })
+	}
+	wg.Wait()
+}
+
+// settle waits until no call is in hand.
+func (x *Executor) settle(ctx context.Context) {
+	idle := make(chan struct{})
+	go func() {
+		x.work.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		x.log.Warn().Msg("drain: cut short")
+	}
+}
+
+// Draining reports whether the instance takes no new work.
+func (x *Executor) Draining() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.draining
+}
+
+// paceWeight is the weight of the newest service time in the running mean.
+const paceWeight = 0.1
+
+// record takes note of a service time. The caller holds the lock.
+func (x *Executor) record(d time.Duration) {
+	if x.pace == 0 {
+		x.pace = d
+		return
+	}
+	x.pace += time.Duration(paceWeight * float64(d-x.pace))
+}
+
+// wait estimates how long a request with n others before it waits. The caller
+// holds the lock.
+func (x *Executor) wait(n int) time.Duration {
+	if x.running < x.terms.Concurrency {
+		return 0
+	}
+	rounds := math.Ceil(float64(n+1) / float64(x.terms.Concurrency))
+	return time.Duration(rounds * float64(x.pace) / 2)
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -76,10 +76,25 @@
 	t.until = max(t.until, sent+t.terms.Lease)
 }
 
-// Seen takes note of a newer version of the row in which the holder is still
-// named. It does not extend the tenure.
+// Offer adds the candidates of a write that is about to be sent. Until its
+// outcome is known, a proof needs the pledges of the old and the new ones.
+func (t *Tenure) Offer(candidates []string) {
+	for _, c := range candidates {
+		if !slices.Contains(t.candidates, c) {
+			t.candidates = append(slices.Clip(t.candidates), c)
+		}
+	}
+}
+
+// Seen takes note of the row as read while the holder is still named in it. It
+// does not extend the tenure. At the version last known, a write of the holder's
+// own may still be under way, so the candidates it offered stay.
 func (t *Tenure) Seen(row Row) {
+	if row.Version == t.version {
+		return
+	}
 	t.version = row.Version
+	t.candidates = row.Candidates
 }
 
 // Prove extends the tenure after pledged candidates answered to requests that
@@ -141,9 +156,6 @@
 	if row.Version != w.version || row.Mark != "" {
 		return false
 	}
-	if row.Holder == "" {
-		return true
-	}
 	rest := w.terms.Lease + w.terms.Margin
 	return now >= w.since+rest && now >= w.pledged+w.terms.Margin
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -26,10 +26,10 @@
 
 // Timeouts and limits of a connection.
 const (
-	dialTimeout   = 800 * time.Millisecond
-	idleTimeout   = 30 * time.Second
-	keepAlive     = 10 * time.Second
-	maxStreams    = 1 << 16
+	dialTimeout = 800 * time.Millisecond
+	idleTimeout = 30 * time.Second
+	keepAlive   = 10 * time.Second
+	maxStreams  = 1 << 16
 )
 
 // SendError reports a call that got no answer. Sent is false if it is certain
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -100,6 +100,12 @@
 	return true
 }
 
+// Set replaces the slot with the same index.
+func (b *Book) Set(s Slot) {
+	b.Resize(max(len(b.slots), int(s.Index)+1))
+	b.slots[s.Index] = s
+}
+
 // In returns the slots in one of the phases.
 func (b *Book) In(phases ...Phase) []Slot {
 	var in []Slot
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 
+	"github.com/gorilla/mux"
+
 	"oleanderstall/configurer"
 	"oleanderstall/wire"
 )
@@ -182,6 +184,9 @@
 	if !strings.HasPrefix(r.GetPath(), "/") || strings.HasPrefix(r.GetPath(), "/v1/") {
 		e.add(field+".path", "%q must begin with / and not with /v1/", r.GetPath())
 	}
+	if err := mux.NewRouter().Path(r.GetPath()).GetError(); err != nil {
+		e.add(field+".path", "%v", err)
+	}
 	if r.GetPool() == "" {
 		e.add(field+".pool", "is missing")
 	}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -2,6 +2,8 @@
 package recorder
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -55,3 +57,13 @@
 	}
 	return found
 }
+
+// Merge joins the records of several processes by time.
+func Merge(lists [][]Record) []Record {
+	all := []Record{}
+	for _, l := range lists {
+		all = append(all, l...)
+	}
+	slices.SortStableFunc(all, func(a, b Record) int { return cmp.Compare(a.At, b.At) })
+	return all
+}
--- a/router/router.go
+++ b/router/router.go
@@ -7,7 +7,9 @@
 package router
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -114,6 +116,15 @@
 	return h
 }
 
+// Rank returns names by falling rendezvous weight for a hashed key.
+func Rank(names []string, key uint64) []string {
+	ranked := slices.Clone(names)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(Score(b, key), Score(a, key)), cmp.Compare(a, b))
+	})
+	return ranked
+}
+
 // Hash returns the key of a text for Score.
 func Hash(text string) uint64 { return xxhash.Sum64String(text) }
 
