--- a/evictor/evictor.go
+++ b/evictor/evictor.go
@@ -131,7 +131,7 @@
 // Victims returns the idle models to unload so that need more bytes are free,
 // those first whose time ends soonest. It returns nil if all of them together
 // do not free that much.
-func Victims(now time.Duration, all []Resident, need uint64) []Resident {
+func Victims(all []Resident, need uint64) []Resident {
 	idle := slices.DeleteFunc(slices.Clone(all), func(r Resident) bool { return r.Busy })
 	slices.SortStableFunc(idle, func(a, b Resident) int {
 		return int((a.Last + a.Keep) - (b.Last + b.Keep))
--- a/executor/replicas.go
+++ b/executor/replicas.go
@@ -98,7 +98,7 @@
 		return nil, false, refuser.New(refuser.Busy, "an earlier replica is still there").After(time.Second)
 	}
 	if free := x.ledger.Free(); bytes > free {
-		if evictor.Victims(x.clock(), x.residents(), bytes-free) == nil {
+		if evictor.Victims(x.residents(), bytes-free) == nil {
 			return nil, false, refuser.New(refuser.Busy, fmt.Sprintf("%d bytes are free", free)).After(time.Second)
 		}
 	}
@@ -162,7 +162,7 @@
 		err := x.ledger.Reserve(model, bytes)
 		var victims []evictor.Resident
 		if err != nil {
-			victims = evictor.Victims(x.clock(), x.residents(), bytes-x.ledger.Free())
+			victims = evictor.Victims(x.residents(), bytes-x.ledger.Free())
 		}
 		x.mu.Unlock()
 		if err == nil {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -239,13 +239,14 @@
 	}
 	var overtaken *syncer.OvertakenError
 	if eris.As(err, &overtaken) {
-		o.overtaken(w, r.Context(), plan, overtaken)
+		o.overtaken(r.Context(), w, plan, overtaken)
 		return
 	}
 	if err != nil {
 		fail(w, outage(err))
 		return
 	}
+	o.settled(r.Context(), plan.GetConfirmed())
 	reply(w, http.StatusOK, plan)
 }
 
@@ -270,7 +271,7 @@
 
 // overtaken refuses a plan that another change came before, unless that change
 // was this plan's own.
-func (o *Server) overtaken(w http.ResponseWriter, ctx context.Context, plan *wire.Plan, e *syncer.OvertakenError) {
+func (o *Server) overtaken(ctx context.Context, w http.ResponseWriter, plan *wire.Plan, e *syncer.OvertakenError) {
 	now, _, err := o.read(ctx, plan.GetId())
 	if err == nil && now.GetConfirmed() != 0 {
 		reply(w, http.StatusOK, now)
@@ -286,9 +287,9 @@
 
 // Granted is the answer to a grant. The key is shown this once.
 type Granted struct {
-	ID      string `json:"id"`
-	Key     string `json:"key"`
-	Version uint64 `json:"version"`
+	ID  string `json:"id"`
+	Key string `json:"key"`
+	Force
 }
 
 // grant makes a new key for a workspace.
@@ -313,7 +314,11 @@
 		fail(w, err)
 		return
 	}
-	reply(w, http.StatusOK, Granted{ID: key.GetId(), Key: key.GetId() + "." + secret, Version: version})
+	reply(w, http.StatusOK, Granted{
+		ID:    key.GetId(),
+		Key:   key.GetId() + "." + secret,
+		Force: o.settled(r.Context(), version),
+	})
 }
 
 // publish makes a change from the newest configuration and publishes it, again
@@ -370,8 +375,8 @@
 	reply(w, http.StatusOK, o.settled(r.Context(), version))
 }
 
-// settled waits until every entry has the version, for as long as an entry
-// without proof still accepts keys.
+// settled tells every entry of the version and waits until each has it, for as
+// long as an entry without proof still accepts keys.
 func (o *Server) settled(ctx context.Context, version uint64) Force {
 	until := o.clock() + o.fresh + o.fresh/10
 	for {
