--- a/cmd/oleanderstall/main_test.go
+++ b/cmd/oleanderstall/main_test.go
@@ -55,14 +55,14 @@
 
 // proc is a started process.
 type proc struct {
-	t       *testing.T
+	t       testing.TB
 	command *exec.Cmd
 	addr    ready
 	logs    chan string
 }
 
 // launch starts the binary and waits for its ready line.
-func launch(t *testing.T, args ...string) *proc {
+func launch(t testing.TB, args ...string) *proc {
 	t.Helper()
 	p := &proc{t: t, command: exec.Command(binary, args...), logs: make(chan string, 1<<14)}
 	stderr, err := p.command.StderrPipe()
@@ -118,7 +118,7 @@
 )
 
 // settingsFile writes a process's settings.
-func settingsFile(t *testing.T, name, platform, rest string) string {
+func settingsFile(t testing.TB, name, platform, rest string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), name+".json")
 	text := fmt.Sprintf(`{
@@ -133,7 +133,7 @@
 
 // cluster is a fleet of separate processes.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	platform *proc
 	backends map[string]*proc
 	entries  []*proc
@@ -143,7 +143,7 @@
 func (c *cluster) url(p *proc) string { return "http://" + p.addr.Listen }
 
 // startCluster starts the stand-ins, two entries and three sidecars.
-func startCluster(t *testing.T) *cluster {
+func startCluster(t testing.TB) *cluster {
 	c := &cluster{t: t, backends: map[string]*proc{}, sidecars: map[string]*proc{}}
 	c.platform = launch(t, "standin", "platform")
 	for _, name := range []string{"entry-a", "entry-b"} {
@@ -279,7 +279,7 @@
 	return result{status: res.StatusCode, header: res.Header, body: string(data)}
 }
 
-func fetch(t *testing.T, url string, into any) {
+func fetch(t testing.TB, url string, into any) {
 	t.Helper()
 	res, err := http.Get(url)
 	assert.NilError(t, err)
--- a/imitator/platform.go
+++ b/imitator/platform.go
@@ -35,6 +35,7 @@
 	loads     int
 	most      int
 	reads     int
+	lists     int
 	writes    int
 }
 
@@ -143,6 +144,7 @@
 
 func (p *Platform) roster(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
+	p.lists++
 	list := slices.SortedFunc(maps.Values(p.instances), func(a, b platform.Instance) int {
 		return strings.Compare(a.Name, b.Name)
 	})
@@ -196,6 +198,7 @@
 // Stats counts the calls of a stand-in platform.
 type Stats struct {
 	Reads  int `json:"reads"`
+	Lists  int `json:"lists"`
 	Writes int `json:"writes"`
 	// Most is the highest number of weight loads at once.
 	Most int `json:"most"`
@@ -204,7 +207,7 @@
 func (p *Platform) stats(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	answer(w, http.StatusOK, Stats{Reads: p.reads, Writes: p.writes, Most: p.most})
+	answer(w, http.StatusOK, Stats{Reads: p.reads, Lists: p.lists, Writes: p.writes, Most: p.most})
 }
 
 // variable returns a path variable without its escapes.
