member, holder: read the instance list and the shard rows by change

Cause: each poll carried the whole instance list, and each entry read all shard rows six times a lease. Ruled out: the size of the configuration head row (12 bytes); the metrics poll. Change: the list is read with its tag; an entry reads all shard rows every 5 s and only the rows that it holds or may take in between; renewals at a third of the lease; sidecars poll every 4 s; polls spread at random.

--- a/dispatcher/charge.go
+++ b/dispatcher/charge.go
@@ -7,6 +7,7 @@
 	"oleanderstall/holder"
 	"oleanderstall/peer"
 	"oleanderstall/refuser"
+	"oleanderstall/router"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -60,16 +61,18 @@
 		After(max(retry, 10*time.Millisecond))
 }
 
-// order returns the shares of a workspace, those held by this entry first, then
-// those in this data centre.
+// order returns the shares of a workspace, those held in this data centre first.
+// Entries begin at different shares, so that the load spreads.
 func (d *Dispatcher) order(w *wire.Workspace) []uint32 {
 	var near, far []uint32
+	first := uint32(router.Score(d.member.Self().Name, router.Hash(w.GetName())) % uint64(w.GetShares()))
 	for i := range w.GetShares() {
-		address, self := d.holder.Address(holder.BucketShard(w.GetName(), i, d.shards))
+		share := (first + i) % w.GetShares()
+		address, self := d.holder.Address(holder.BucketShard(w.GetName(), share, d.shards))
 		if self || d.local(address) {
-			near = append(near, i)
+			near = append(near, share)
 		} else {
-			far = append(far, i)
+			far = append(far, share)
 		}
 	}
 	return append(near, far...)
@@ -97,6 +100,7 @@
 	defer cancel()
 	reply, err := peer.One(limited, d.caller, address, &wire.Call{Body: &wire.Call_Charge{Charge: c}})
 	if err != nil {
+		d.holder.Refresh()
 		return nil, err
 	}
 	if reply.GetGrant() == nil {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -191,6 +191,7 @@
 // unanswered turns the failure of a call to a holder into a refusal. Asking a
 // holder runs nothing at a back end.
 func (d *Dispatcher) unanswered(err error) error {
+	d.holder.Refresh()
 	r := refuser.Of(err)
 	if r.Kind() != refuser.Internal {
 		return r
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -52,6 +52,7 @@
 
 	mu      sync.Mutex
 	leaving bool
+	listed  time.Duration
 	shards  []*shard
 }
 
@@ -147,22 +148,89 @@
 	}
 }
 
+// listEvery is the time between two reads of all shard rows, by which an entry
+// knows the holders. Rows that the entry holds or may take over are read at each
+// tick.
+const listEvery = 5 * time.Second
+
 // Tick reads the shard rows and acts on each shard once.
 func (h *Holder) Tick(ctx context.Context) {
-	limited, cancel := context.WithTimeout(ctx, h.terms.Lease/4)
-	defer cancel()
-	rows, err := h.table.List(limited, platform.ShardPrefix)
-	if err == nil {
-		h.observe(rows)
+	if h.listDue() {
+		h.listRows(ctx)
 	}
 	var wg sync.WaitGroup
 	for _, s := range h.shards {
-		wg.Go(func() { h.tend(ctx, s, err == nil) })
+		if h.concerns(s) {
+			wg.Go(func() { h.tend(ctx, s, h.readRow(ctx, s)) })
+		}
 	}
 	wg.Wait()
 	h.meter.Shards(h.Held())
 }
 
+// Refresh makes the next tick read all shard rows, after a holder was not found.
+func (h *Holder) Refresh() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.listed = 0
+}
+
+// listDue reports whether to read all rows now: when they are old, or when the
+// holder of a shard is not known.
+func (h *Holder) listDue() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.listed == 0 || h.clock()-h.listed >= listEvery {
+		return true
+	}
+	for _, s := range h.shards {
+		if s.row.Holder == "" {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Holder) listRows(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, h.terms.Lease/4)
+	defer cancel()
+	rows, err := h.table.List(limited, platform.ShardPrefix)
+	if err != nil {
+		return
+	}
+	h.mu.Lock()
+	h.listed = h.clock()
+	for _, s := range h.shards {
+		s.known = true
+	}
+	h.mu.Unlock()
+	for _, r := range rows {
+		h.observe(r)
+	}
+}
+
+// concerns reports whether this entry holds the shard or may take it.
+func (h *Holder) concerns(s *shard) bool {
+	h.mu.Lock()
+	row, holds := s.row, s.tenure != nil
+	h.mu.Unlock()
+	return holds || row.Holder == "" || h.eligible(row)
+}
+
+// readRow reads one shard's row and reports whether the platform answered.
+func (h *Holder) readRow(ctx context.Context, s *shard) bool {
+	limited, cancel := context.WithTimeout(ctx, h.terms.Lease/4)
+	defer cancel()
+	r, err := h.table.Get(limited, platform.ShardKey(s.index))
+	if err != nil {
+		return false
+	}
+	if r.Version != 0 {
+		h.observe(r)
+	}
+	return true
+}
+
 // Held returns the number of shards held.
 func (h *Holder) Held() int {
 	h.mu.Lock()
@@ -176,29 +244,27 @@
 	return n
 }
 
-// observe takes note of the rows as read.
-func (h *Holder) observe(rows []platform.Row) {
+// observe takes note of a row as read.
+func (h *Holder) observe(r platform.Row) {
+	t := &wire.Tenure{}
+	if platform.Decode(r.Value, t) != nil || t.GetShard() >= uint32(len(h.shards)) {
+		return
+	}
 	now := h.clock()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, s := range h.shards {
-		s.known = true
+	s := h.shards[t.GetShard()]
+	if r.Version < s.row.Version {
+		return
 	}
-	for _, r := range rows {
-		t := &wire.Tenure{}
-		if platform.Decode(r.Value, t) != nil || t.GetShard() >= uint32(len(h.shards)) {
-			continue
-		}
-		s := h.shards[t.GetShard()]
-		s.row = rowOf(t, r.Version)
-		s.watch.Observe(now, h.self, s.row)
-		switch {
-		case s.tenure == nil:
-		case s.row.Holder != h.self || s.row.Epoch != s.tenure.Epoch():
-			h.lose(s)
-		default:
-			s.tenure.Seen(s.row)
-		}
+	s.row = rowOf(t, r.Version)
+	s.watch.Observe(now, h.self, s.row)
+	switch {
+	case s.tenure == nil:
+	case s.row.Holder != h.self || s.row.Epoch != s.tenure.Epoch():
+		h.lose(s)
+	default:
+		s.tenure.Seen(s.row)
 	}
 }
 
@@ -242,9 +308,13 @@
 	}
 }
 
-// keep renews a tenure by the table, or by the pledges of all candidates.
+// keep renews a tenure by the table, or by the pledges of all candidates, once a
+// third of it has passed. A mark in the row is cleared at once.
 func (h *Holder) keep(ctx context.Context, s *shard, row leaser.Row, reachable bool) {
 	sent := h.clock()
+	if row.Mark == "" && h.left(s, sent) > h.terms.Lease*2/3 {
+		return
+	}
 	if reachable {
 		next := row.Renewed(h.pick(s.index))
 		h.offer(s, next.Candidates)
@@ -268,6 +338,16 @@
 	}
 }
 
+// left returns how long the tenure of a shard still lasts.
+func (h *Holder) left(s *shard, now time.Duration) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.tenure == nil {
+		return 0
+	}
+	return s.tenure.Until() - now
+}
+
 // offer notes the candidates of a renewal that is about to be sent.
 func (h *Holder) offer(s *shard, names []string) {
 	h.mu.Lock()
--- a/imitator/platform.go
+++ b/imitator/platform.go
@@ -1,6 +1,7 @@
 package imitator
 
 import (
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -36,6 +37,7 @@
 	most      int
 	reads     int
 	lists     int
+	listed    int
 	writes    int
 }
 
@@ -142,13 +144,20 @@
 	_, _ = w.Write(data)
 }
 
-func (p *Platform) roster(w http.ResponseWriter, _ *http.Request) {
+// roster answers with the instance list, or with 304 if the caller has it.
+func (p *Platform) roster(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	p.lists++
 	list := slices.SortedFunc(maps.Values(p.instances), func(a, b platform.Instance) int {
 		return strings.Compare(a.Name, b.Name)
 	})
+	tag := fmt.Sprintf("%q", strconv.Itoa(p.listed))
 	p.mu.Unlock()
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	if list == nil {
 		list = []platform.Instance{}
 	}
@@ -163,6 +172,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.listed++
 	if r.Method == http.MethodDelete {
 		delete(p.instances, name)
 		return
--- a/member/member.go
+++ b/member/member.go
@@ -11,24 +11,29 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
 
 	"oleanderstall/configurer"
 	"oleanderstall/peer"
 	"oleanderstall/platform"
+	"oleanderstall/router"
 	"oleanderstall/syncer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
 
-// Periods of the polls.
+// Periods of the polls; each is shortened at random by up to a fifth, so that
+// the fleet's polls spread.
 const (
 	entryPoll   = time.Second
-	sidecarPoll = 2 * time.Second
+	sidecarPoll = 4 * time.Second
+	listPeriod  = 1800 * time.Millisecond
 	probeLimit  = 700 * time.Millisecond
 	pollLimit   = 900 * time.Millisecond
 )
@@ -46,7 +51,9 @@
 	done   chan struct{}
 	mu     sync.Mutex
 	list   []platform.Instance
+	tag    string
 	begun  time.Duration
+	listed time.Duration
 	absent map[string]time.Duration
 }
 
@@ -82,16 +89,17 @@
 	if m.self.Role == "entry" {
 		period = entryPoll
 	}
-	tick := time.NewTicker(period)
-	defer tick.Stop()
 	for {
 		m.Poll(ctx)
+		wait := time.NewTimer(period - rand.N(period/5))
 		select {
 		case <-ctx.Done():
+			wait.Stop()
 			return
-		case <-tick.C:
+		case <-wait.C:
 		case <-m.kick:
 		}
+		wait.Stop()
 	}
 }
 
@@ -125,13 +133,26 @@
 
 // refresh reads the instance list.
 func (m *Member) refresh(ctx context.Context) {
-	list, err := m.lister.Instances(ctx)
-	if err != nil {
+	m.mu.Lock()
+	tag := m.tag
+	due := tag == "" || m.clock()-m.listed >= listPeriod
+	m.mu.Unlock()
+	if !due {
+		return
+	}
+	list, tag, err := m.lister.Instances(ctx, tag)
+	var same *platform.UnchangedError
+	if err != nil && !eris.As(err, &same) {
 		return
 	}
 	now := m.clock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.listed = now
+	if same != nil {
+		return
+	}
+	m.tag = tag
 	for _, in := range m.list {
 		if !named(list, in.Name) && m.absent[in.Name] == 0 {
 			m.absent[in.Name] = now
@@ -187,53 +208,106 @@
 	return ok && now-at <= bound
 }
 
-// askEntries looks for a proof at the other entries.
+// askEntries looks for a proof at the other entries. An entry asks the relay of
+// its data centre. A relay asks all entries of its centre, and the relays of the
+// other centres for theirs, so that nobody asks the whole fleet.
 func (m *Member) askEntries(ctx context.Context) {
-	others := m.others()
-	sent := m.clock()
-	news := make([]*wire.News, len(others))
 	limited, cancel := context.WithTimeout(ctx, probeLimit)
 	defer cancel()
-	var wg sync.WaitGroup
-	for i, in := range others {
-		wg.Go(func() { news[i] = m.probe(limited, in.Address) })
+	relay := m.relay(m.self.Centre)
+	sent := m.clock()
+	if relay.Name != m.self.Name {
+		m.weigh(sent, []*wire.News{m.probe(limited, relay.Address, false)}, false)
+		return
+	}
+	var relays []platform.Instance
+	for _, centre := range m.centres() {
+		if centre != m.self.Centre {
+			relays = append(relays, m.relay(centre))
+		}
 	}
+	var far []*wire.News
+	var wg sync.WaitGroup
+	wg.Go(func() { far = m.probeAll(limited, relays, true) })
+	near := m.probeAll(limited, m.neighbours(), false)
 	wg.Wait()
-	m.weigh(sent, news)
+	m.weigh(sent, append(near, far...), m.complete(near, far))
+}
+
+// complete reports whether every entry has answered.
+func (m *Member) complete(near, far []*wire.News) bool {
+	_, listed := m.Find(m.self.Name)
+	missing := func(n *wire.News) bool { return n == nil }
+	partial := func(n *wire.News) bool { return !n.GetComplete() }
+	return listed && !slices.ContainsFunc(near, missing) && !slices.ContainsFunc(far, partial)
+}
+
+// relay returns the entry that gathers the answers of a data centre. All who
+// have the same list choose the same one.
+func (m *Member) relay(centre string) platform.Instance {
+	key := router.Hash(centre)
+	var best platform.Instance
+	for _, in := range m.Instances("entry") {
+		if in.Centre == centre && (best.Name == "" || router.Score(in.Name, key) > router.Score(best.Name, key)) {
+			best = in
+		}
+	}
+	return best
+}
+
+// centres returns the data centres that have entries.
+func (m *Member) centres() []string {
+	var names []string
+	for _, in := range m.Instances("entry") {
+		if !slices.Contains(names, in.Centre) {
+			names = append(names, in.Centre)
+		}
+	}
+	return names
 }
 
-func (m *Member) others() []platform.Instance {
+// neighbours returns the other entries of this data centre.
+func (m *Member) neighbours() []platform.Instance {
 	return slices.DeleteFunc(m.Instances("entry"), func(in platform.Instance) bool {
-		return in.Name == m.self.Name
+		return in.Name == m.self.Name || in.Centre != m.self.Centre
 	})
 }
 
-func (m *Member) probe(ctx context.Context, address string) *wire.News {
-	call := &wire.Call{Body: &wire.Call_Probe{Probe: &wire.Probe{Version: m.View().Version()}}}
-	reply, err := peer.One(ctx, m.caller, address, call)
+// probeAll probes all of list at once; nil stands for silence.
+func (m *Member) probeAll(ctx context.Context, list []platform.Instance, gather bool) []*wire.News {
+	news := make([]*wire.News, len(list))
+	var wg sync.WaitGroup
+	for i, in := range list {
+		wg.Go(func() { news[i] = m.probe(ctx, in.Address, gather) })
+	}
+	wg.Wait()
+	return news
+}
+
+func (m *Member) probe(ctx context.Context, address string, gather bool) *wire.News {
+	p := &wire.Probe{Version: m.View().Version(), Gather: gather}
+	reply, err := peer.One(ctx, m.caller, address, &wire.Call{Body: &wire.Call_Probe{Probe: p}})
 	if err != nil {
 		return nil
 	}
 	return reply.GetNews()
 }
 
-// weigh applies what the other entries answered to probes sent at sent; nil
-// stands for silence.
-func (m *Member) weigh(sent time.Duration, news []*wire.News) {
+// weigh applies what others answered to probes sent at sent. If the answers are
+// of all entries and none has a newer version, they are the proof.
+func (m *Member) weigh(sent time.Duration, news []*wire.News, all bool) {
 	for _, n := range news {
 		m.take(n.GetChanges())
 	}
 	version := m.View().Version()
-	silent, behind := false, false
+	behind := false
 	for _, n := range news {
-		silent = silent || n == nil
 		behind = behind || n.GetVersion() > version
 		if n.GetProven() && n.GetVersion() <= version {
 			m.sync.Prove(sent - timer.Span(n.GetAge()))
 		}
 	}
-	_, listed := m.Find(m.self.Name)
-	if !silent && !behind && listed {
+	if all && !behind {
 		m.sync.Prove(sent)
 	}
 }
@@ -248,32 +322,44 @@
 
 // Answer answers the probe of another entry. A probe with a newer version makes
 // this process poll at once.
-func (m *Member) Answer(p *wire.Probe) *wire.Reply {
+func (m *Member) Answer(ctx context.Context, p *wire.Probe) *wire.Reply {
 	if p.GetVersion() > m.View().Version() {
 		m.Kick()
 	}
-	news := &wire.News{Version: m.View().Version(), Changes: m.copy.After(p.GetVersion())}
-	if at, ok := m.sync.Proven(); ok {
+	news := &wire.News{}
+	if p.GetGather() {
+		m.gather(ctx, news)
+	}
+	version := m.View().Version()
+	news.Version = max(news.GetVersion(), version)
+	news.Changes = m.copy.After(p.GetVersion())
+	if at, ok := m.sync.Proven(); ok && news.Version == version {
 		news.Age = timer.Millis(m.clock() - at)
 		news.Proven = true
 	}
 	return &wire.Reply{Body: &wire.Reply_News{News: news}}
 }
 
+// gatherLimit bounds the questions of a relay on behalf of another one.
+const gatherLimit = probeLimit / 2
+
+// gather asks the entries of this data centre and brings this copy up to theirs.
+func (m *Member) gather(ctx context.Context, news *wire.News) {
+	limited, cancel := context.WithTimeout(ctx, gatherLimit)
+	defer cancel()
+	near := m.probeAll(limited, m.neighbours(), false)
+	for _, n := range near {
+		m.take(n.GetChanges())
+		news.Version = max(news.GetVersion(), n.GetVersion())
+	}
+	news.Complete = m.complete(near, nil)
+}
+
 // InForce asks every listed entry whether it has the version. It returns the
 // names of those that have and of those that have not, or did not answer.
 func (m *Member) InForce(ctx context.Context, version uint64) (have, pending []string) {
 	list := m.Instances("entry")
-	news := make([]*wire.News, len(list))
-	var wg sync.WaitGroup
-	for i, in := range list {
-		if in.Name == m.self.Name {
-			news[i] = &wire.News{Version: m.View().Version()}
-			continue
-		}
-		wg.Go(func() { news[i] = m.probe(ctx, in.Address) })
-	}
-	wg.Wait()
+	news := m.probeAll(ctx, list, false)
 	for i, n := range news {
 		if n.GetVersion() >= version {
 			have = append(have, list[i].Name)
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -148,7 +148,7 @@
 	case *wire.Call_Promise:
 		return e.holder.Promise(b.Promise), nil
 	case *wire.Call_Probe:
-		return e.member.Answer(b.Probe), nil
+		return e.member.Answer(ctx, b.Probe), nil
 	case *wire.Call_Free:
 		return done, e.holder.Free(ctx, b.Free)
 	case *wire.Call_Leave:
