peer: close unused connections, and tell the other side at a stop

Cause: a connection once made was kept alive for good, so an entry would keep one to each of 600 sidecars; keep-alives of 10 s let a dead peer go unnoticed for 30 s; a stop sent no close, so a call in hand at the other side waited for the idle timeout (8.0 s in TestSentUnknown). TestCancelReachesHandler under the race detector found that Cancel read the stream's stop function while Open was still setting it. Change: a link closes after 15 s without a request; keep-alive 2.5 s, idle timeout 8 s; Close closes accepted connections; the context's end calls abort, which reads nothing that Open sets later.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -10,7 +10,9 @@
 	"bufio"
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,9 +29,12 @@
 // Timeouts and limits of a connection.
 const (
 	dialTimeout = 800 * time.Millisecond
-	idleTimeout = 30 * time.Second
-	keepAlive   = 10 * time.Second
-	maxStreams  = 1 << 16
+	// idleTimeout is how long a silent peer is waited for.
+	idleTimeout = 8 * time.Second
+	keepAlive   = 2500 * time.Millisecond
+	// linkLife is how long a connection without a request is kept.
+	linkLife   = 15 * time.Second
+	maxStreams = 1 << 16
 )
 
 // SendError reports a call that got no answer. Sent is false if it is certain
@@ -76,16 +81,21 @@
 	identity  *Identity
 	mu        sync.Mutex
 	conns     map[string]*link
+	accepted  map[*quic.Conn]struct{}
 	closed    bool
 	done      chan struct{}
 	calls     sync.WaitGroup
 }
 
-// link is the connection to one address, made by the first that needs it.
+// link is the connection to one address, made by the first that needs it and
+// closed when no request has used it for a while.
 type link struct {
 	ready chan struct{}
 	conn  *quic.Conn
 	err   error
+	// users and idle are guarded by the node's lock.
+	users int
+	idle  *time.Timer
 }
 
 // New returns a node that listens on address, an IP and a port.
@@ -102,6 +112,7 @@
 		transport: &quic.Transport{Conn: socket},
 		identity:  identity,
 		conns:     map[string]*link{},
+		accepted:  map[*quic.Conn]struct{}{},
 		done:      make(chan struct{}),
 	}
 	n.listener, err = n.transport.Listen(identity.config(), settings())
@@ -142,6 +153,10 @@
 }
 
 func (n *Node) serveConn(ctx context.Context, conn *quic.Conn, h Handler) {
+	if !n.accept(conn) {
+		return
+	}
+	defer n.leave(conn)
 	var streams sync.WaitGroup
 	defer streams.Wait()
 	for {
@@ -153,6 +168,25 @@
 	}
 }
 
+// accept keeps conn to be closed with the node. It reports false if the node is
+// closed already.
+func (n *Node) accept(conn *quic.Conn) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		_ = conn.CloseWithError(0, "closing")
+		return false
+	}
+	n.accepted[conn] = struct{}{}
+	return true
+}
+
+func (n *Node) leave(conn *quic.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.accepted, conn)
+}
+
 func serveStream(qs *quic.Stream, h Handler) {
 	s := newStream(qs)
 	defer func() {
@@ -172,7 +206,11 @@
 	n.closed = true
 	links := n.conns
 	n.conns = map[string]*link{}
+	accepted := slices.Collect(maps.Keys(n.accepted))
 	n.mu.Unlock()
+	for _, conn := range accepted {
+		_ = conn.CloseWithError(0, "closing")
+	}
 	for _, l := range links {
 		<-l.ready
 		if l.conn != nil {
@@ -186,34 +224,51 @@
 
 // Open implements Caller.
 func (n *Node) Open(ctx context.Context, address string, call *wire.Call) (Stream, error) {
-	conn, err := n.connect(ctx, address)
+	l, err := n.connect(ctx, address)
 	if err != nil {
 		return nil, &SendError{Address: address, cause: err}
 	}
-	qs, err := conn.OpenStreamSync(ctx)
+	qs, err := l.conn.OpenStreamSync(ctx)
 	if err != nil {
-		n.forget(address, conn)
+		n.release(address, l)
+		n.forget(address, l)
 		return nil, &SendError{Address: address, cause: err}
 	}
 	s := newStream(qs)
-	s.stop = context.AfterFunc(ctx, s.Cancel)
-	if _, err := protodelim.MarshalTo(s.writer, call); err != nil {
+	s.end = sync.OnceFunc(func() { n.release(address, l) })
+	s.stop = context.AfterFunc(ctx, s.abort)
+	if err := s.call(call); err != nil {
 		s.Cancel()
 		return nil, &SendError{Address: address, Sent: true, cause: err}
 	}
-	if err := s.writer.Flush(); err != nil {
-		s.Cancel()
-		return nil, &SendError{Address: address, Sent: true, cause: err}
-	}
-	_ = qs.Close()
 	return s, nil
 }
 
-// connect returns the live connection to address or makes one.
-func (n *Node) connect(ctx context.Context, address string) (*quic.Conn, error) {
+// connect returns the live connection to address or makes one. The caller
+// releases it.
+func (n *Node) connect(ctx context.Context, address string) (*link, error) {
+	l, err := n.hold(address)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-l.ready:
+		err = l.err
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
+		n.release(address, l)
+		return nil, err
+	}
+	return l, nil
+}
+
+// hold counts one more user of the link to address.
+func (n *Node) hold(address string) (*link, error) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	if n.closed {
-		n.mu.Unlock()
 		return nil, net.ErrClosed
 	}
 	l := n.conns[address]
@@ -222,13 +277,32 @@
 		n.conns[address] = l
 		go n.dial(address, l)
 	}
+	l.users++
+	if l.idle != nil {
+		l.idle.Stop()
+		l.idle = nil
+	}
+	return l, nil
+}
+
+// release counts one user less and closes the link if none comes back soon.
+func (n *Node) release(address string, l *link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l.users--
+	if l.users == 0 && !n.closed {
+		l.idle = time.AfterFunc(linkLife, func() { n.expire(address, l) })
+	}
+}
+
+// expire closes a link that is still unused.
+func (n *Node) expire(address string, l *link) {
+	n.mu.Lock()
+	unused := l.users == 0
 	n.mu.Unlock()
-	select {
-	case <-l.ready:
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	if unused {
+		n.forget(address, l)
 	}
-	return l.conn, l.err
 }
 
 // dial makes the connection of l, not bound to the call that came first.
@@ -259,13 +333,12 @@
 	}
 }
 
-// forget closes a connection that no longer opens streams.
-func (n *Node) forget(address string, conn *quic.Conn) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if l := n.conns[address]; l != nil && l.conn == conn {
-		delete(n.conns, address)
-		_ = conn.CloseWithError(0, "stale")
+// forget closes a connection that is not to be used again.
+func (n *Node) forget(address string, l *link) {
+	n.drop(address, l)
+	<-l.ready
+	if l.conn != nil {
+		_ = l.conn.CloseWithError(0, "not used")
 	}
 }
 
@@ -275,6 +348,7 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	stop   func() bool
+	end    func()
 }
 
 var options = protodelim.UnmarshalOptions{MaxSize: maxMessage}
@@ -300,6 +374,17 @@
 	return eris.Wrap(s.writer.Flush(), "send reply")
 }
 
+// call sends the call that opens the stream, and nothing after it.
+func (s *stream) call(c *wire.Call) error {
+	if _, err := protodelim.MarshalTo(s.writer, c); err != nil {
+		return eris.Wrap(err, "send call")
+	}
+	if err := s.writer.Flush(); err != nil {
+		return eris.Wrap(err, "send call")
+	}
+	return eris.Wrap(s.qs.Close(), "send call")
+}
+
 // Context implements Stream.
 func (s *stream) Context() context.Context { return s.qs.Context() }
 
@@ -308,6 +393,14 @@
 	if s.stop != nil {
 		s.stop()
 	}
+	s.abort()
+}
+
+// abort ends the stream in both directions.
+func (s *stream) abort() {
+	if s.end != nil {
+		s.end()
+	}
 	s.qs.CancelRead(1)
 	s.qs.CancelWrite(1)
 }
