evictor, executor: hold cheap models, let an order wait for an unload

Cause: at 1,000 requests a second BenchmarkLatency had refusals. The log showed the model loaded three times in three seconds: a load of 6 ms made every hold dearer than a cold start, as gaps of 1 ms counted as the class's 1 s; and an order that met the unload was refused, after which the holder refused all waiting requests for a second. Ruled out: the limiter (burst 1e12), the queue (depth 6,000). Change: gap classes keep their real sums; no hold is under 5 s; an order waits for an unload of the same model.

--- a/evictor/evictor.go
+++ b/evictor/evictor.go
@@ -14,13 +14,19 @@
 // buckets is the number of gap classes; class i ends at 2^i seconds.
 const buckets = 18
 
+// floor is the shortest hold. It keeps a model from being unloaded between the
+// requests of one conversation, however cheap its load.
+const floor = 5 * time.Second
+
 // decay is the factor by which older gaps count less at each new one.
 const decay = 0.98
 
 // History holds the gaps between the requests of one model.
 type History struct {
 	counts [buckets]float64
-	total  float64
+	// sums are the gaps of each class added up, in seconds.
+	sums  [buckets]float64
+	total float64
 	last   time.Duration
 	begun  bool
 }
@@ -40,9 +46,11 @@
 func (h *History) add(gap float64) {
 	for i := range h.counts {
 		h.counts[i] *= decay
+		h.sums[i] *= decay
 	}
 	h.total = h.total*decay + 1
 	h.counts[class(gap)]++
+	h.sums[class(gap)] += gap
 }
 
 // class returns the gap class of a gap in seconds.
@@ -68,7 +76,7 @@
 // cold start for each gap that is longer than the hold.
 func (h *History) Keep(t Terms) time.Duration {
 	if h.total < 2 {
-		return min(t.End, breakEven(t))
+		return min(t.End, max(floor, breakEven(t)))
 	}
 	best, least := time.Duration(0), h.cost(0, t)
 	for i := range buckets {
@@ -80,7 +88,7 @@
 			best, least = hold, c
 		}
 	}
-	return min(best, t.End)
+	return min(t.End, max(floor, best))
 }
 
 // breakEven is the hold whose idle cost equals one cold start. Without history
@@ -98,7 +106,7 @@
 	for i, n := range h.counts {
 		gap := time.Duration(1<<i) * time.Second
 		if gap <= hold {
-			sum += n * t.Idle * gap.Seconds()
+			sum += h.sums[i] * t.Idle
 		} else {
 			sum += n * (t.Idle*hold.Seconds() + t.Cold.Seconds())
 		}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -98,6 +98,8 @@
 	cold    time.Duration
 	// settled is closed when the load has ended.
 	settled chan struct{}
+	// closed is set while an unload is under way and closed when it has ended.
+	closed chan struct{}
 }
 
 // New returns an executor. Exactly one of e and s is set.
--- a/executor/replicas.go
+++ b/executor/replicas.go
@@ -42,6 +42,13 @@
 		x.member.Poll(ctx)
 	}
 	r, begun, err := x.begin(l)
+	var unloading *unloadingError
+	for eris.As(err, &unloading) {
+		if err := await(ctx, unloading.closed); err != nil {
+			return nil, err
+		}
+		r, begun, err = x.begin(l)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -65,8 +72,27 @@
 	return &wire.Loaded{Slot: l.GetSlot()}, nil
 }
 
+// unloadingError reports an earlier replica whose unload is under way.
+type unloadingError struct {
+	closed <-chan struct{}
+}
+
+// Error describes the failure.
+func (e *unloadingError) Error() string { return "an earlier replica is being unloaded" }
+
+// await waits for an unload to end.
+func await(ctx context.Context, closed <-chan struct{}) error {
+	select {
+	case <-closed:
+		return nil
+	case <-ctx.Done():
+		return refuser.New(refuser.Canceled, "the holder has given up before the load")
+	}
+}
+
 // begin admits an order: it checks the fence and reserves the memory. It reports
-// false for an order that is being carried out already.
+// false for an order that is being carried out already, and returns an
+// unloadingError if the order has to wait for an unload.
 func (x *Executor) begin(l *wire.Load) (*replica, bool, error) {
 	slot := l.GetSlot()
 	def := x.member.View().Model(slot.GetModel())
@@ -94,7 +120,10 @@
 // reserve takes memory for a new replica, from idle ones if need be. The caller
 // holds the lock.
 func (x *Executor) reserve(slot *wire.Slot, bytes uint64) (*replica, bool, error) {
-	if x.replicas[slot.GetModel()] != nil {
+	if r := x.replicas[slot.GetModel()]; r != nil {
+		if r.closing {
+			return nil, false, &unloadingError{closed: r.closed}
+		}
 		return nil, false, refuser.New(refuser.Busy, "an earlier replica is still there").After(time.Second)
 	}
 	if free := x.ledger.Free(); bytes > free {
@@ -321,6 +350,7 @@
 	defer x.mu.Unlock()
 	x.ledger.Release(model)
 	delete(x.replicas, model)
+	close(r.closed)
 	if r.base == "" {
 		x.frees = append(x.frees, &wire.Slot{Model: model, Index: r.slot, Instance: x.member.Self().Name, Epoch: r.epoch})
 	}
@@ -337,6 +367,7 @@
 		return nil, nil
 	}
 	r.closing = true
+	r.closed = make(chan struct{})
 	var adapters []string
 	for _, a := range x.replicas {
 		if a.base == model {
@@ -350,6 +381,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	r.closing = false
+	close(r.closed)
 }
 
 // clear unloads everything.
