--- a/dispatcher/charge.go
+++ b/dispatcher/charge.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"oleanderstall/holder"
 	"oleanderstall/peer"
 	"oleanderstall/refuser"
@@ -105,7 +107,10 @@
 	reply, err := peer.One(limited, d.caller, address, &wire.Call{Body: &wire.Call_Charge{Charge: c}})
 	if err != nil {
 		d.holder.Refresh()
-		d.hush(address)
+		var lost *peer.SendError
+		if eris.As(err, &lost) {
+			d.hush(address)
+		}
 		return nil, err
 	}
 	if reply.GetGrant() == nil {
--- a/evictor/evictor.go
+++ b/evictor/evictor.go
@@ -27,8 +27,8 @@
 	// sums are the gaps of each class added up, in seconds.
 	sums  [buckets]float64
 	total float64
-	last   time.Duration
-	begun  bool
+	last  time.Duration
+	begun bool
 }
 
 // Arrive records a request at now.
