--- /dev/null
+++ b/engine/engine_test.go
@@ -0,0 +1,81 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/rotisserie/eris"
+	"gotest.tools/v3/assert"
+)
+
+func TestEvents(t *testing.T) {
+	tests := []struct {
+		name string
+		in   string
+		text string
+		cut  bool
+	}{
+		{
+			name: "whole",
+			in:   "data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: {\"choices\":[{\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n",
+			text: "a",
+		},
+		{
+			name: "chat",
+			in:   "data: {\"choices\":[{\"delta\":{\"content\":\"b\"}}]}\n\ndata: {\"choices\":[{\"finish_reason\":\"length\"}]}\n\ndata:[DONE]\n",
+			text: "b",
+		},
+		{
+			name: "comments and other fields",
+			in:   ": hello\nevent: x\ndata: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"stop\"}]}\r\n\r\ndata: [DONE]\r\n\r\n",
+			text: "a",
+		},
+		{name: "empty", in: "", cut: true},
+		{name: "no end event", in: "data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"stop\"}]}\n\n", text: "a", cut: true},
+		{name: "no reason", in: "data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: [DONE]\n\n", text: "a", cut: true},
+		{name: "half an event", in: "data: {\"choices\":[{\"te", cut: true},
+		{name: "not JSON", in: "data: hello\n\ndata: [DONE]\n\n", cut: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var text strings.Builder
+			_, err := Events(strings.NewReader(tt.in), func(s string) error {
+				text.WriteString(s)
+				return nil
+			})
+			var cut *CutError
+			assert.Equal(t, eris.As(err, &cut), tt.cut)
+			assert.Equal(t, text.String(), tt.text)
+		})
+	}
+}
+
+// FuzzEvents checks that no stream without an end event counts as whole.
+func FuzzEvents(f *testing.F) {
+	f.Add("data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
+	f.Add("data: {}\n\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		r, err := Events(strings.NewReader(in), func(string) error { return nil })
+		if err == nil && (!strings.Contains(in, "[DONE]") || r.Reason == "") {
+			t.Fatal("a cut stream counts as whole")
+		}
+	})
+}
+
+// TestCrossedAnswer answers a request with the stream of another one.
+func TestCrossedAnswer(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Request-Id", "other")
+		_, _ = w.Write([]byte("data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"))
+	}))
+	defer s.Close()
+	_, err := New(s.URL).Generate(context.Background(), Request{ID: "mine", Body: []byte("{}")}, func(string) error {
+		t.Fatal("a token of another request was passed on")
+		return nil
+	})
+	var cut *CutError
+	assert.Assert(t, eris.As(err, &cut))
+}
--- a/holder/models.go
+++ b/holder/models.go
@@ -238,7 +238,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), loadLimit)
 	defer cancel()
 	begun := h.clock()
-	bids := h.bids(ctx, def)
+	bids := h.elsewhere(m, h.bids(ctx, def))
 	for _, bid := range placer.Rank(bids, def.GetBytes()) {
 		next, ok := h.assign(ctx, m, def, slot, bid.Instance)
 		if !ok {
@@ -271,6 +271,13 @@
 	m.notify()
 }
 
+// elsewhere drops the bids of instances that have a replica of the model.
+func (h *Holder) elsewhere(m *model, bids []placer.Bid) []placer.Bid {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.DeleteFunc(bids, func(b placer.Bid) bool { return m.book.At(b.Instance) != nil })
+}
+
 func (h *Holder) note(def *wire.Model, text string) {
 	h.recorder.Note(time.Now(), "model/"+def.GetName(), text)
 	h.log.Info().Str("model", def.GetName()).Msg("load: " + text)
