--- a/holder/holder.go
+++ b/holder/holder.go
@@ -401,7 +401,7 @@
 	given := false
 	if p.GetShard() < uint32(len(h.shards)) {
 		s := h.shards[p.GetShard()]
-		given = s.tenure == nil && s.row.Epoch <= p.GetEpoch() && s.watch.Pledge(h.clock())
+		given = s.tenure == nil && s.row.Epoch <= p.GetEpoch() && s.watch.Pledge()
 	}
 	return &wire.Reply{Body: &wire.Reply_Pledge{Pledge: &wire.Pledge{Given: given}}}
 }
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -33,6 +33,9 @@
 	Margin time.Duration
 }
 
+// rest is how long a candidate waits for an old holder to stop.
+func (t Terms) rest() time.Duration { return t.Lease + t.Margin }
+
 // Tenure is the holder's side of one shard.
 type Tenure struct {
 	terms      Terms
@@ -119,7 +122,6 @@
 	terms   Terms
 	version uint64
 	since   time.Duration
-	pledged time.Duration
 	marked  bool
 	mark    uint64
 	marking time.Duration
@@ -140,24 +142,19 @@
 	}
 }
 
-// Pledge answers a holder's request at now. A given pledge binds this candidate
-// for one lease time; a candidate that has marked, or may have, gives none.
-func (w *Watch) Pledge(now time.Duration) bool {
-	if w.marked {
-		return false
-	}
-	w.pledged = max(w.pledged, now+w.terms.Lease)
-	return true
-}
+// Pledge reports whether this candidate promises a holder not to take the shard
+// within one lease time. A candidate that has marked, or may have, promises
+// nothing. Any other keeps the promise without remembering it: it would have to
+// mark first, and then wait a lease time.
+func (w *Watch) Pledge() bool { return !w.marked }
 
 // MayMark reports whether the candidate may write its mark over row at now: the
-// row has stood unchanged for a lease time and no pledge binds.
+// row has stood unchanged for a lease time.
 func (w *Watch) MayMark(now time.Duration, row Row) bool {
 	if row.Version != w.version || row.Mark != "" {
 		return false
 	}
-	rest := w.terms.Lease + w.terms.Margin
-	return now >= w.since+rest && now >= w.pledged+w.terms.Margin
+	return now >= w.since+w.terms.rest()
 }
 
 // Marking is to be called before the write of the mark is sent. From then on
@@ -183,8 +180,7 @@
 	if row.Mark != self || row.Version != w.mark || !w.marked {
 		return false
 	}
-	rest := w.terms.Lease + w.terms.Margin
-	return now >= w.marking+rest && now >= w.pledged+w.terms.Margin
+	return now >= w.marking+w.terms.rest()
 }
 
 // WithMark returns the row to write for a mark by self.
