--- a/holder/models.go
+++ b/holder/models.go
@@ -42,8 +42,10 @@
 	checked time.Duration
 	// last is the duration of the last load, or 0.
 	last time.Duration
-	// failed is the instant of the last load that found no place, or 0.
+	// failed is the instant of the last load that found no place, or 0, and why
+	// the reason.
 	failed time.Duration
+	why    *refuser.Refusal
 }
 
 func (m *model) notify() {
@@ -162,7 +164,7 @@
 	}
 	now := h.clock()
 	if m.failed != 0 && now < m.failed+checkEvery {
-		return nil, nil, refuser.New(refuser.Busy, "no engine has room for the model").After(m.failed + checkEvery - now)
+		return nil, nil, m.why.After(m.failed + checkEvery - now)
 	}
 	if h.start(m, def) {
 		return nil, m.changed, h.hopeless(a, m, def)
@@ -238,10 +240,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), loadLimit)
 	defer cancel()
 	begun := h.clock()
+	why := refuser.New(refuser.Busy, "no engine has room for the model")
 	bids := h.elsewhere(m, h.bids(ctx, def))
 	for _, bid := range placer.Rank(bids, def.GetBytes()) {
 		next, ok := h.assign(ctx, m, def, slot, bid.Instance)
 		if !ok {
+			why = refuser.New(refuser.Outage, "the platform did not record the slot, so nothing was loaded")
 			break
 		}
 		slot = next
@@ -267,6 +271,7 @@
 		m.last = h.clock() - begun
 	case placer.Vacant:
 		m.failed = h.clock()
+		m.why = why
 	}
 	m.notify()
 }
