--- a/cmd/oleanderstall/path_test.go
+++ b/cmd/oleanderstall/path_test.go
@@ -146,7 +146,7 @@
 	for b.Loop() {
 		before, sideBefore := usageOf(b, pid).memory, usageOf(b, side).memory
 		for _, n := range []int{500, 2000, 5000} {
-			open(b, entry, key, body, n)
+			open(entry, key, body, n)
 			time.Sleep(2 * time.Second)
 			b.ReportMetric(float64(usageOf(b, pid).memory-before)/1e6, fmt.Sprintf("entry-MB/%d", n))
 			b.ReportMetric(float64(usageOf(b, side).memory-sideBefore)/1e6, fmt.Sprintf("sidecar-MB/%d", n))
@@ -158,7 +158,7 @@
 var opened int
 
 // open holds streams open until there are n.
-func open(b *testing.B, entry, key, body string, n int) {
+func open(entry, key, body string, n int) {
 	for ; opened < n; opened++ {
 		go func() { _, _ = post(entry, key, body) }()
 		if opened%50 == 0 {
--- a/executor/dump.go
+++ b/executor/dump.go
@@ -45,7 +45,7 @@
 		Capacity: x.ledger.Capacity(),
 		Used:     x.ledger.Used(),
 		Running:  x.running,
-		Waiting:  x.queue.Len(),
+		Waiting:  x.depth(),
 		Replicas: []Replica{},
 	}
 	for _, r := range x.replicas {
--- a/executor/replicas.go
+++ b/executor/replicas.go
@@ -442,7 +442,7 @@
 	if !ready {
 		return refuser.New(refuser.Busy, "the sidecar takes no orders now").After(x.terms.Flight).Reply()
 	}
-	offer := &wire.Offer{Free: x.ledger.Free(), Tier: x.caches[b.GetModel()], Queue: uint32(x.queue.Len() + x.running)}
+	offer := &wire.Offer{Free: x.ledger.Free(), Tier: x.caches[b.GetModel()], Queue: uint32(x.depth() + x.running)}
 	for _, r := range x.residents() {
 		if !r.Busy {
 			offer.Idle += r.Bytes
--- a/executor/run.go
+++ b/executor/run.go
@@ -133,7 +133,7 @@
 	if t.cache > x.ledger.Capacity()-min(x.ledger.Capacity(), use.bytes) {
 		return nil, refuser.New(refuser.TooLarge, "the request needs more KV cache than the engine has")
 	}
-	wait := x.wait(x.queue.Len())
+	wait := x.wait(x.depth())
 	if x.clock()+wait >= deadline {
 		return nil, refuser.New(refuser.Busy, "the queue is too long for the deadline").After(wait)
 	}
@@ -264,5 +264,14 @@
 func (x *Executor) waiting() int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.queue.Len() + x.running
+	return x.depth() + x.running
+}
+
+// depth returns the number of requests that wait, with the one that is next and
+// waits for memory. The caller holds the lock.
+func (x *Executor) depth() int {
+	if x.next != nil {
+		return x.queue.Len() + 1
+	}
+	return x.queue.Len()
 }
