--- a/caller/completion.go
+++ b/caller/completion.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"time"
 
@@ -127,7 +128,8 @@
 // bound returns the upper bound of the request's tokens. A token stands for at
 // least one byte, and JSON only lengthens a text.
 func (c *completion) bound(body []byte) uint32 {
-	return uint32(len(body)) + uint32(c.messages)*messageTokens + templateTokens + c.output
+	sum := uint64(len(body)) + uint64(c.messages)*messageTokens + templateTokens + uint64(c.output)
+	return uint32(min(sum, math.MaxUint32))
 }
 
 // limit sets the output limit.
--- /dev/null
+++ b/checker/checker_test.go
@@ -0,0 +1,143 @@
+package checker
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rotisserie/eris"
+	"gotest.tools/v3/assert"
+)
+
+func lookup(name string) (string, bool) {
+	value := map[string]string{"FLEET_SECRET": "from the environment"}[name]
+	return value, value != ""
+}
+
+const good = `{
+  // An entry.
+  "role": "entry", "name": "e1", "centre": "ghent", "peer": "127.0.0.1:7000",
+  "platform": "http://127.0.0.1:8000", "secret": "env:FLEET_SECRET",
+  "entry": {"callers": "127.0.0.1:8080"},
+}`
+
+func TestGood(t *testing.T) {
+	s, err := Check([]byte(good), lookup)
+	assert.NilError(t, err)
+	assert.Equal(t, s.Secret.Reveal(), "from the environment")
+	assert.Equal(t, s.Entry.Body, int64(1<<20))
+}
+
+// TestSecretsHidden prints settings in every way that logs and dumps use.
+func TestSecretsHidden(t *testing.T) {
+	s, err := Check([]byte(good), lookup)
+	assert.NilError(t, err)
+	data, err := json.Marshal(s)
+	assert.NilError(t, err)
+	for _, text := range []string{string(data), fmt.Sprint(s), fmt.Sprintf("%v %+v", *s, s.Secret)} {
+		assert.Assert(t, !strings.Contains(text, "environment"), text)
+	}
+}
+
+// TestFaults expects all faults of a file at once, with their lines.
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name string
+		in   string
+		want []string
+	}{
+		{
+			name: "meaning",
+			in: `{
+  "role": "entry", "name": "",
+  "centre": "ghent",
+  "peer": "localhost:7000",
+  "platform": "ftp://x",
+  "secret": "short",
+  "lease": "10ms",
+  "entry": {"callers": "127.0.0.1:8080", "certificate": "c.pem",
+    "accounts": [{"name": "a", "token": "env:MISSING"}]}
+}`,
+			want: []string{
+				`line 2: name: is missing`,
+				`line 4: peer: "localhost:7000" is not an IP number and a port`,
+				`line 5: platform: "ftp://x" is not an http or https URL`,
+				`line 6: secret: must have at least 16 bytes`,
+				`line 7: lease: 10ms is below 1s`,
+				`line 8: entry.key: certificate and key go together`,
+				`line 9: entry.accounts[0].token: environment variable MISSING is not set`,
+			},
+		},
+		{
+			name: "shape",
+			in: `{
+  "role": 5,
+  "colour": "red",
+  "lease": "soon",
+  "shards": "many",
+  "name": "x", "name": "y",
+  "entry": [],
+  "sidecar": {"queue": true, "fenced": "no"}
+}`,
+			want: []string{
+				`line 2: role: must be a text`,
+				`line 3: colour: is not a known field`,
+				`line 4: lease: "soon" is not a duration such as "6s"`,
+				`line 5: shards: must be a whole number`,
+				`line 6: name: is given twice`,
+				`line 7: entry: must not be a list`,
+				`line 8: sidecar.queue: must be a whole number`,
+				`line 8: sidecar.fenced: must be true or false`,
+			},
+		},
+		{
+			name: "role without its part",
+			in: `{
+  "role": "sidecar", "name": "s", "centre": "c", "peer": "127.0.0.1:1",
+  "platform": "http://p", "secret": "a long enough secret"
+}`,
+			want: []string{`line 1: sidecar: must be given for the role sidecar and only for it`},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := Check([]byte(tt.in), lookup)
+			var faults *SettingsError
+			assert.Assert(t, eris.As(err, &faults))
+			assert.Equal(t, faults.Error(), strings.Join(tt.want, "\n"))
+		})
+	}
+}
+
+// FuzzCheck looks for settings that crash the reader.
+func FuzzCheck(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{"entry": {"accounts": [{"name": 1}]}, "sidecar": null}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Check(data, lookup)
+		if err == nil && s.Name == "" {
+			t.Fatal("settings without a name were accepted")
+		}
+	})
+}
+
+// TestExamples checks every example of the repository.
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob("../examples/*/*.json")
+	assert.NilError(t, err)
+	n := 0
+	for _, file := range files {
+		if strings.HasPrefix(filepath.Base(file), "intent") {
+			continue
+		}
+		data, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		_, err = Check(data, func(string) (string, bool) { return "a secret of the environment", true })
+		assert.NilError(t, err, file)
+		n++
+	}
+	assert.Assert(t, n >= 6, "%d examples", n)
+}
--- a/checker/finder.go
+++ b/checker/finder.go
@@ -115,7 +115,7 @@
 	if t == spanType {
 		var s Span
 		if err := s.UnmarshalJSON(l); err != nil {
-			f.add(line, field, fmt.Sprintf("%s is not a duration such as \"6s\"", l))
+			f.add(line, field, fmt.Sprintf("%q is not a duration such as \"6s\"", l.String()))
 		}
 	}
 }
--- /dev/null
+++ b/configurer/configurer_test.go
@@ -0,0 +1,66 @@
+package configurer
+
+import (
+	"crypto/sha256"
+	"os"
+	"testing"
+
+	"github.com/rotisserie/eris"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"oleanderstall/faker"
+	"oleanderstall/refuser"
+	"oleanderstall/wire"
+)
+
+func TestMain(m *testing.M) {
+	faker.FixSeed()
+	os.Exit(m.Run())
+}
+
+// TestNeverBack applies changes and snapshots in any order, doubled and late.
+func TestNeverBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New()
+		last := uint64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			version := uint64(rapid.IntRange(0, 12).Draw(t, "version"))
+			if rapid.Bool().Draw(t, "snapshot") {
+				c.Restore(&wire.Change{Version: version})
+			} else {
+				_ = c.Apply(&wire.Change{Version: version})
+			}
+			if v := c.View().Version(); v < last {
+				t.Fatalf("went back from %d to %d", last, v)
+			}
+			last = c.View().Version()
+		}
+	})
+}
+
+func TestGap(t *testing.T) {
+	c := New()
+	var gap *GapError
+	assert.Assert(t, eris.As(c.Apply(&wire.Change{Version: 2}), &gap))
+	assert.NilError(t, c.Apply(&wire.Change{Version: 1}))
+	assert.NilError(t, c.Apply(&wire.Change{Version: 1}))
+	assert.Equal(t, len(c.After(0)), 1)
+	assert.Equal(t, len(c.After(1)), 0)
+}
+
+func TestAuthenticate(t *testing.T) {
+	hash := sha256.Sum256([]byte("secret"))
+	c := New()
+	assert.NilError(t, c.Apply(&wire.Change{Version: 1, Keys: []*wire.Key{{Id: "k", Hash: hash[:], Workspace: "w"}}}))
+	key, err := c.View().Authenticate("k.secret")
+	assert.NilError(t, err)
+	assert.Equal(t, key.GetWorkspace(), "w")
+	for _, wrong := range []string{"", ".", "k", "k.", "k.other", "x.secret", "k.secret.", "secret"} {
+		_, err := c.View().Authenticate(wrong)
+		assert.Assert(t, refuser.Is(err, refuser.Unauthorized), wrong)
+	}
+	assert.NilError(t, c.Apply(&wire.Change{Version: 2, Drops: []string{"key/k"}}))
+	_, err = c.View().Authenticate("k.secret")
+	assert.Assert(t, refuser.Is(err, refuser.Unauthorized))
+}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -1,28 +1,18 @@
 package limiter
 
 import (
-	"flag"
 	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"oleanderstall/faker"
 )
 
-// TestMain fixes the seed and the number of drawn schedules, unless the command
-// line gives others.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "2000"} {
-		f := flag.Lookup(name)
-		if f.Value.String() != f.DefValue {
-			continue
-		}
-		if err := f.Value.Set(value); err != nil {
-			panic(err)
-		}
-	}
+	faker.FixSeed()
 	os.Exit(m.Run())
 }
 
--- a/queuer/queuer_test.go
+++ b/queuer/queuer_test.go
@@ -1,13 +1,21 @@
 package queuer
 
 import (
+	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"oleanderstall/faker"
 )
 
+func TestMain(m *testing.M) {
+	faker.FixSeed()
+	os.Exit(m.Run())
+}
+
 func push(q *Queue[int], workspace string, value int, deadline time.Duration) bool {
 	_, ok := q.Push(Item[int]{Workspace: workspace, Weight: 1, Cost: 1, Deadline: deadline, Value: value})
 	return ok
