--- a/executor/replicas_test.go
+++ b/executor/replicas_test.go
@@ -53,6 +53,7 @@
 	_, err = x.load(context.Background(), order1("a", "m2", 1))
 	assert.Assert(t, refuser.Is(err, refuser.Busy))
 	assert.Assert(t, refuser.Of(err).Never())
+	assert.Assert(t, !x.unload(context.Background(), "m1", "test"))
 	x.unuse(use)
 	_, err = x.load(context.Background(), order1("a", "m2", 1))
 	assert.NilError(t, err)
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,92 @@
+package placer
+
+import (
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"oleanderstall/faker"
+	"oleanderstall/wire"
+)
+
+func TestMain(m *testing.M) {
+	faker.FixSeed()
+	os.Exit(m.Run())
+}
+
+func TestRank(t *testing.T) {
+	bids := []Bid{
+		{Instance: "full", Free: 10, Idle: 10},
+		{Instance: "remote", Free: 100},
+		{Instance: "disk", Free: 0, Idle: 100, Tier: wire.Tier_TIER_DISK},
+		{Instance: "memory", Free: 100, Tier: wire.Tier_TIER_MEMORY, Queue: 9},
+		{Instance: "memory, less to do", Free: 100, Tier: wire.Tier_TIER_MEMORY, Queue: 1},
+	}
+	var order []string
+	for _, b := range Rank(bids, 50) {
+		order = append(order, b.Instance)
+	}
+	assert.DeepEqual(t, order, []string{"memory, less to do", "memory", "disk", "remote"})
+}
+
+// TestLedgerNeverOver draws reservations, releases and requests and compares the
+// ledger with a plain sum.
+func TestLedgerNeverOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const capacity = 100
+		l := NewLedger(capacity)
+		weights := map[string]uint64{}
+		var caches []uint64
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "model")
+			size := uint64(rapid.IntRange(0, 70).Draw(t, "size"))
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				_, known := weights[name]
+				if l.Reserve(name, size) == nil && !known {
+					weights[name] = size
+				}
+			case 1:
+				l.Release(name)
+				delete(weights, name)
+			case 2:
+				if l.Cache(size) == nil {
+					caches = append(caches, size)
+				}
+			case 3:
+				if len(caches) > 0 {
+					l.Return(caches[0])
+					caches = caches[1:]
+				}
+			}
+			sum := uint64(0)
+			for _, w := range weights {
+				sum += w
+			}
+			for _, c := range caches {
+				sum += c
+			}
+			if sum > capacity || l.Used() != sum {
+				t.Fatalf("%d bytes are in use, the ledger says %d of %d", sum, l.Used(), capacity)
+			}
+		}
+	})
+}
+
+func TestBook(t *testing.T) {
+	b := New("m", 2)
+	b.Recall(0, &wire.Slot{Index: 0, Instance: "x", Epoch: 4}, 9)
+	assert.Equal(t, len(b.In(Doubtful)), 1)
+	assert.Equal(t, b.Vacancy(2).Index, uint32(1))
+	assert.Assert(t, b.Vacancy(1) == nil)
+	assert.Assert(t, !b.Settle(0, 0, 3, Vacant), "an old epoch settles nothing")
+	assert.Assert(t, b.Settle(0, 0, 4, Resident))
+	assert.Equal(t, b.At("x").Index, uint32(0))
+	b.Resize(0)
+	assert.Equal(t, len(b.Slots()), 1, "a taken slot stays")
+	assert.Assert(t, b.Settle(0, 0, 4, Vacant))
+	b.Resize(0)
+	assert.Equal(t, len(b.Slots()), 0)
+}
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -19,6 +19,8 @@
 	Cost     float64
 	Deadline time.Duration
 	Value    T
+	// seq orders requests with the same deadline by their arrival.
+	seq uint64
 }
 
 // Queue holds waiting requests of type T. It is not safe for concurrent use.
@@ -26,6 +28,7 @@
 	limit  int
 	length int
 	clock  float64
+	seq    uint64
 	lanes  map[string]*lane[T]
 	// Finish tags of workspaces with past service and no waiting request.
 	past map[string]float64
@@ -61,6 +64,8 @@
 			return nil, false
 		}
 	}
+	q.seq++
+	it.seq = q.seq
 	heap.Push(&l.items, it)
 	q.length++
 	return evicted, true
@@ -184,9 +189,14 @@
 // items is a heap by deadline.
 type items[T any] []Item[T]
 
-func (h items[T]) Len() int           { return len(h) }
-func (h items[T]) Less(i, j int) bool { return h[i].Deadline < h[j].Deadline }
-func (h items[T]) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h items[T]) Len() int      { return len(h) }
+func (h items[T]) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h items[T]) Less(i, j int) bool {
+	if h[i].Deadline != h[j].Deadline {
+		return h[i].Deadline < h[j].Deadline
+	}
+	return h[i].seq < h[j].seq
+}
 
 // Push appends x, an Item[T], for container/heap.
 func (h *items[T]) Push(x any) { *h = append(*h, x.(Item[T])) }
