--- a/checker/checker.go
+++ b/checker/checker.go
@@ -126,8 +126,6 @@
 	Concurrency int `json:"concurrency"`
 	// Queue is the most requests waiting for it.
 	Queue int `json:"queue"`
-	// Fenced is set if the engine checks fencing numbers.
-	Fenced bool `json:"fenced"`
 	// Flight is the longest time that an order may be on its way.
 	Flight Span `json:"flight"`
 }
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -80,7 +80,7 @@
   "shards": "many",
   "name": "x", "name": "y",
   "entry": [],
-  "sidecar": {"queue": true, "fenced": "no"}
+  "sidecar": {"queue": true, "pool": 7}
 }`,
 			want: []string{
 				`line 2: role: must be a text`,
@@ -90,7 +90,7 @@
 				`line 6: name: is given twice`,
 				`line 7: entry: must not be a list`,
 				`line 8: sidecar.queue: must be a whole number`,
-				`line 8: sidecar.fenced: must be true or false`,
+				`line 8: sidecar.pool: must be a text`,
 			},
 		},
 		{
--- a/checker/finder.go
+++ b/checker/finder.go
@@ -107,8 +107,7 @@
 		want = '"'
 	}
 	got := l.Kind()
-	boolean := t.Kind() == reflect.Bool && (got == 't' || got == 'f')
-	if got != want && !boolean {
+	if got != want {
 		f.add(line, field, "must be "+kindName(t))
 		return
 	}
@@ -130,8 +129,6 @@
 		return "a list"
 	case t.Kind() == reflect.String:
 		return "a text"
-	case t.Kind() == reflect.Bool:
-		return "true or false"
 	}
 	return "a whole number"
 }
