--- a/cmd/oleanderstall/main.go
+++ b/cmd/oleanderstall/main.go
@@ -17,6 +17,7 @@
 	Check   checkCommand   `command:"check" description:"Check a settings file."`
 	Standin standinCommand `command:"standin" description:"Run a stand-in of an outside system."`
 	Demo    demoCommand    `command:"demo" description:"Run a whole fleet in this process and send a request."`
+	Replay  replayCommand  `command:"replay" description:"Replay traces under several policies."`
 	Intent  intentCommand  `command:"intent" description:"Send an intent and print the plan."`
 	Plan    planCommand    `command:"plan" description:"Print a plan."`
 	Confirm confirmCommand `command:"confirm" description:"Bring a plan into force."`
--- /dev/null
+++ b/replayer/outcome_test.go
@@ -0,0 +1,103 @@
+package replayer
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// outcome is what was stated beside a trace before its first run.
+type outcome struct {
+	Keep struct {
+		Fixed   bool    `json:"cost_at_most_each_fixed_hold"`
+		Optimum float64 `json:"cost_over_optimum_at_most"`
+		Longest float64 `json:"longest_idle_seconds_at_most"`
+	} `json:"keep"`
+	Loads struct {
+		Wasted int  `json:"wasted_at_most"`
+		P99    bool `json:"p99_at_most_that_of_each_entry_for_itself"`
+	} `json:"loads"`
+	Share struct {
+		FIFO float64 `json:"worst_p99_wait_over_fifo_at_most"`
+	} `json:"share"`
+	Limits struct {
+		Over   float64 `json:"over_limit_tokens_at_most"`
+		Static bool    `json:"refused_inside_at_most_static_split"`
+		Owner  bool    `json:"refused_inside_at_most_one_owner"`
+	} `json:"limits"`
+	Routing struct {
+		Random float64 `json:"worst_queue_over_random_at_most"`
+	} `json:"routing"`
+}
+
+// each runs a check for both deployments.
+func each(t *testing.T, check func(f Fleet, events []Event, want outcome)) {
+	t.Helper()
+	for _, f := range []Fleet{Plooiwerk, Granite} {
+		events, err := Read("../testdata/traces/" + f.Name + ".jsonl")
+		assert.NilError(t, err)
+		data, err := os.ReadFile("../testdata/traces/" + f.Name + ".outcome.json")
+		assert.NilError(t, err)
+		var want outcome
+		assert.NilError(t, json.Unmarshal(data, &want))
+		check(f, events, want)
+	}
+}
+
+func TestOutcomeKeep(t *testing.T) {
+	each(t, func(f Fleet, events []Event, want outcome) {
+		got := ReplayKeep(f, events)
+		for _, fixed := range got[1:4] {
+			assert.Check(t, !want.Keep.Fixed || got[0].Cost <= fixed.Cost, "%s: %.0f, %s %.0f", f.Name, got[0].Cost, fixed.Policy, fixed.Cost)
+		}
+		assert.Check(t, got[0].Cost <= want.Keep.Optimum*got[4].Cost, f.Name)
+		assert.Check(t, got[0].Longest <= want.Keep.Longest, f.Name)
+	})
+}
+
+func TestOutcomeLoads(t *testing.T) {
+	each(t, func(f Fleet, events []Event, want outcome) {
+		got := ReplayLoads(f, events)
+		assert.Check(t, got[0].Wasted <= want.Loads.Wasted, f.Name)
+		assert.Check(t, !want.Loads.P99 || got[0].P99 <= got[2].P99, f.Name)
+	})
+}
+
+func TestOutcomeShare(t *testing.T) {
+	each(t, func(f Fleet, events []Event, want outcome) {
+		got := ReplayShare(f, events)
+		assert.Check(t, got[0].WorstP99 <= want.Share.FIFO*got[1].WorstP99, f.Name)
+	})
+}
+
+func TestOutcomeLimitsOver(t *testing.T) {
+	each(t, func(f Fleet, events []Event, want outcome) {
+		for _, l := range ReplayLimits(f, events) {
+			assert.Check(t, l.Over <= want.Limits.Over, "%s: %s %g", f.Name, l.Policy, l.Over)
+		}
+	})
+}
+
+func TestOutcomeLimitsStatic(t *testing.T) {
+	each(t, func(f Fleet, events []Event, want outcome) {
+		got := ReplayLimits(f, events)
+		assert.Check(t, !want.Limits.Static || got[0].Inside <= got[2].Inside, f.Name)
+	})
+}
+
+func TestOutcomeLimitsOwner(t *testing.T) {
+	each(t, func(f Fleet, events []Event, want outcome) {
+		got := ReplayLimits(f, events)
+		assert.Check(t, !want.Limits.Owner || got[0].Inside <= got[1].Inside, "%s: %d, %d", f.Name, got[0].Inside, got[1].Inside)
+	})
+}
+
+func TestOutcomeRouting(t *testing.T) {
+	each(t, func(f Fleet, _ []Event, want outcome) {
+		got := ReplayRouting(1)
+		limit := want.Routing.Random * float64(got[1].Worst)
+		assert.Check(t, float64(got[0].Worst) <= limit, "%s: %d, %d", f.Name, got[0].Worst, got[1].Worst)
+	})
+}
