router, evictor: send to a subset, begin histories with a first guess

Change: entries divide a pool of 48 or more into subsets of 24 by their place in the list; a sidecar's models share their gaps as a first guess.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -143,8 +143,7 @@
 		a.Left = timer.Millis(deadline - d.clock())
 		place, err := d.askOnce(ctx, a)
 		if err == nil && len(place.GetSpots()) > 0 {
-			d.remember(a.GetModel(), place.GetSpots())
-			return place.GetSpots(), nil
+			return d.remember(a.GetModel(), place.GetSpots()), nil
 		}
 		if err == nil {
 			err = refuser.New(refuser.Busy, "all replicas of the model are leaving").After(time.Second)
@@ -201,10 +200,13 @@
 	return refuser.New(refuser.Lost, "the shard's holder did not answer").After(time.Second)
 }
 
-func (d *Dispatcher) remember(model string, spots []*wire.Spot) {
+// remember keeps the replicas of a model that this entry sends to.
+func (d *Dispatcher) remember(model string, spots []*wire.Spot) []*wire.Spot {
+	spots = subsetOf(spots, (*wire.Spot).GetInstance, d.index())
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.places[model] = &known{spots: spots, at: d.clock()}
+	return spots
 }
 
 func (d *Dispatcher) forget(model string) {
@@ -272,9 +274,34 @@
 	d.budget.Request()
 }
 
-// pool returns the listed sidecars of a pool.
+// subset is the number of instances of a large pool that this entry sends to.
+const subset = 24
+
+// pool returns the listed sidecars of a pool that this entry sends to.
 func (d *Dispatcher) pool(name string) []platform.Instance {
-	return slices.DeleteFunc(d.member.Instances("sidecar"), func(in platform.Instance) bool {
+	list := slices.DeleteFunc(d.member.Instances("sidecar"), func(in platform.Instance) bool {
 		return in.Pool != name
 	})
+	return subsetOf(list, platform.Instance.GetName, d.index())
+}
+
+// index returns the place of this entry among the listed ones.
+func (d *Dispatcher) index() int {
+	var names []string
+	for _, in := range d.member.Instances("entry") {
+		names = append(names, in.Name)
+	}
+	slices.Sort(names)
+	return max(0, slices.Index(names, d.member.Self().Name))
+}
+
+// subsetOf returns the elements of a long list that the entry with that index
+// sends to, and all of a short one.
+func subsetOf[T any](list []T, name func(T) string, index int) []T {
+	names := make([]string, len(list))
+	for i, x := range list {
+		names[i] = name(x)
+	}
+	mine := router.Subset(names, index, subset)
+	return slices.DeleteFunc(list, func(x T) bool { return !slices.Contains(mine, name(x)) })
 }
--- a/evictor/evictor.go
+++ b/evictor/evictor.go
@@ -18,6 +18,9 @@
 // requests of one conversation, however cheap its load.
 const floor = 5 * time.Second
 
+// guessWeight is the weight of a first guess, in gaps.
+const guessWeight = 8
+
 // decay is the factor by which older gaps count less at each new one.
 const decay = 0.98
 
@@ -40,6 +43,28 @@
 	h.last = max(h.last, now)
 }
 
+// Learn takes the gaps of other models as a first guess for h, with the weight of
+// a few gaps of its own.
+func (h *History) Learn(others *History) {
+	if others.total == 0 {
+		return
+	}
+	part := min(1, guessWeight/others.total)
+	for i := range h.counts {
+		h.counts[i] += others.counts[i] * part
+		h.sums[i] += others.sums[i] * part
+	}
+	h.total += others.total * part
+}
+
+// Add counts one gap that was seen elsewhere.
+func (h *History) Add(gap time.Duration) { h.add(gap.Seconds()) }
+
+// Gap returns the time from the last request to now, and false if there was none.
+func (h *History) Gap(now time.Duration) (time.Duration, bool) {
+	return now - h.last, h.begun && now > h.last
+}
+
 // Last returns the instant of the last request.
 func (h *History) Last() time.Duration { return h.last }
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -79,6 +79,7 @@
 	queue    *queuer.Queue[*ticket]
 	next     *queuer.Item[*ticket]
 	running  int
+	gaps     evictor.History
 	pace     time.Duration
 	frees    []*wire.Slot
 }
--- a/executor/run.go
+++ b/executor/run.go
@@ -67,11 +67,23 @@
 		return nil, refuser.New(refuser.Absent, "the model is not loaded here")
 	}
 	use.users++
-	use.last = x.clock()
-	use.history.Arrive(use.last)
+	x.arrive(use)
 	return use, nil
 }
 
+// arrive records a request in the replica's history. A new history begins with
+// the gaps of the engine's other models. The caller holds the lock.
+func (x *Executor) arrive(r *replica) {
+	now := x.clock()
+	if gap, ok := r.history.Gap(now); ok {
+		x.gaps.Add(gap)
+	} else {
+		r.history.Learn(&x.gaps)
+	}
+	r.history.Arrive(now)
+	r.last = now
+}
+
 func (x *Executor) unuse(r *replica) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/replayer/keep.go
+++ b/replayer/keep.go
@@ -46,25 +46,56 @@
 
 // ReplayKeep compares the keep-alive policies on a trace.
 func ReplayKeep(f Fleet, events []Event) []Keep {
-	policies := []struct {
-		name string
-		hold hold
-	}{
-		{"by history", byHistory},
-		{"fixed 1 min", fixed(time.Minute)},
-		{"fixed 10 min", fixed(10 * time.Minute)},
-		{"fixed 60 min", fixed(time.Hour)},
-		{"offline optimum", optimum},
+	return []Keep{
+		replayKeep(f, events, "by history, with a first guess", byHistory, true),
+		replayKeep(f, events, "fixed 1 min", fixed(time.Minute), false),
+		replayKeep(f, events, "fixed 10 min", fixed(10*time.Minute), false),
+		replayKeep(f, events, "fixed 60 min", fixed(time.Hour), false),
+		replayKeep(f, events, "offline optimum", optimum, false),
+		replayKeep(f, events, "by history alone", byHistory, false),
 	}
-	var results []Keep
-	for _, p := range policies {
-		sum := Keep{Policy: p.name}
-		for i := range f.Models {
-			sum.add(f, i, arrivals(events, ModelName(i)), p.hold)
+}
+
+// kept is one model in the replay.
+type kept struct {
+	history evictor.History
+	at      []time.Duration
+	next    int
+	loaded  bool
+}
+
+// replayKeep replays all requests in their order. Model i is on engine i modulo
+// the number of engines, whose models share a first guess.
+func replayKeep(f Fleet, events []Event, name string, decide hold, guess bool) Keep {
+	sum := Keep{Policy: name}
+	models := make([]kept, f.Models)
+	guesses := make([]evictor.History, f.Engines)
+	for i := range models {
+		models[i].at = arrivals(events, ModelName(i))
+	}
+	for _, e := range events {
+		if e.K != "" {
+			continue
+		}
+		i := modelIndex(e.M)
+		m := &models[i]
+		if guess {
+			m.learn(&guesses[i%f.Engines], e.At())
 		}
-		results = append(results, sum)
+		m.history.Arrive(e.At())
+		sum.add(f, i, m, decide)
+	}
+	return sum
+}
+
+// learn exchanges gaps with the engine's other models.
+func (m *kept) learn(others *evictor.History, now time.Duration) {
+	if m.next == 0 {
+		m.history.Learn(others)
+	}
+	if gap, ok := m.history.Gap(now); ok {
+		others.Add(gap)
 	}
-	return results
 }
 
 func arrivals(events []Event, model string) []time.Duration {
@@ -77,30 +108,27 @@
 	return at
 }
 
-// add replays one model's requests.
-func (k *Keep) add(f Fleet, i int, at []time.Duration, decide hold) {
-	terms := evictor.Terms{Cold: coldOf(i), Idle: f.Idle, End: maxKeep}
-	h := &evictor.History{}
+// add replays the next request of model i.
+func (k *Keep) add(f Fleet, i int, m *kept, decide hold) {
 	const end = (daySeconds + nightSeconds) * time.Second
-	loaded := false
-	for n, now := range at {
-		h.Arrive(now)
-		if !loaded {
-			k.Colds++
-			k.Cost += terms.Cold.Seconds()
-		}
-		gap, last := end-now, n+1 == len(at)
-		if !last {
-			gap = at[n+1] - now
-		}
-		keep := decide(h, terms, gap)
-		if last && keep == gap {
-			keep = 0
-		}
-		idle := min(gap, keep).Seconds()
-		k.Hours += idle / 3600
-		k.Cost += f.Idle * idle
-		k.Longest = max(k.Longest, idle)
-		loaded = keep >= gap
+	terms := evictor.Terms{Cold: coldOf(i), Idle: f.Idle, End: maxKeep}
+	if !m.loaded {
+		k.Colds++
+		k.Cost += terms.Cold.Seconds()
+	}
+	now := m.at[m.next]
+	m.next++
+	gap, last := end-now, m.next == len(m.at)
+	if !last {
+		gap = m.at[m.next] - now
+	}
+	keep := decide(&m.history, terms, gap)
+	if last && keep == gap {
+		keep = 0
 	}
+	idle := min(gap, keep).Seconds()
+	k.Hours += idle / 3600
+	k.Cost += f.Idle * idle
+	k.Longest = max(k.Longest, idle)
+	m.loaded = keep >= gap
 }
--- a/replayer/route.go
+++ b/replayer/route.go
@@ -15,6 +15,8 @@
 	routeRate     = 4500
 	routeSeconds  = 20
 	routeLoad     = 0.7
+	// routeSubset is the number of replicas that an entry sends to.
+	routeSubset = 24
 )
 
 // Routing is what one routing policy gives.
@@ -26,11 +28,13 @@
 	P99   float64 `json:"p99_wait_ms"`
 }
 
-// leaveAt is the end of one request at a replica.
+// leaveAt is the end of one request at a replica, the target of that index at an
+// entry.
 type leaveAt struct {
 	at      float64
 	replica int
 	entry   int
+	target  int
 }
 
 type leaves []leaveAt
@@ -56,6 +60,7 @@
 	queue   []int
 	free    []float64
 	targets [][]router.Target
+	homes   [][]int
 	reports []int
 	heap    leaves
 }
@@ -63,12 +68,13 @@
 // ReplayRouting compares routing policies on requests drawn from a seed.
 func ReplayRouting(seed uint64) []Routing {
 	list := []Routing{
-		replayRouting(seed, "two choices, own counts and queue with each answer", 0, chooseTwo),
-		replayRouting(seed, "random", 0, chooseRandom),
+		replayRouting(seed, "two choices of a subset of 24", routeSubset, 0, chooseTwo),
+		replayRouting(seed, "random", routeReplicas, 0, chooseRandom),
+		replayRouting(seed, "two choices of all", routeReplicas, 0, chooseTwo),
 	}
 	for _, age := range []float64{0.1, 1, 5} {
 		name := "least reported, reports every " + time.Duration(age*float64(time.Second)).String()
-		list = append(list, replayRouting(seed, name, age, chooseLeast))
+		list = append(list, replayRouting(seed, name, routeReplicas, age, chooseLeast))
 	}
 	return list
 }
@@ -93,7 +99,7 @@
 	return best
 }
 
-func replayRouting(seed uint64, name string, age float64, choose chooser) Routing {
+func replayRouting(seed uint64, name string, subset int, age float64, choose chooser) Routing {
 	r := &routing{
 		random:  rand.New(rand.NewPCG(seed, 3)),
 		queue:   make([]int, routeReplicas),
@@ -101,13 +107,7 @@
 		reports: make([]int, routeReplicas),
 	}
 	pick := router.New(seed)
-	for range routeEntries {
-		targets := make([]router.Target, routeReplicas)
-		for i := range targets {
-			targets[i].Name = ModelName(i)
-		}
-		r.targets = append(r.targets, targets)
-	}
+	r.know(subset)
 	result := Routing{Policy: name}
 	var waits []float64
 	reported := 0.0
@@ -118,8 +118,9 @@
 			copy(r.reports, r.queue)
 		}
 		entry := r.random.IntN(routeEntries)
-		i := choose(r, pick, now, entry)
-		waits = append(waits, 1000*r.enter(now, entry, i))
+		target := choose(r, pick, now, entry)
+		i := r.homes[entry][target]
+		waits = append(waits, 1000*r.enter(now, entry, target))
 		result.Worst = max(result.Worst, r.queue[i])
 	}
 	for _, w := range waits {
@@ -129,14 +130,31 @@
 	return result
 }
 
-// enter queues a request at a replica and returns its wait in seconds.
-func (r *routing) enter(now float64, entry, i int) float64 {
+// know gives each entry its targets.
+func (r *routing) know(subset int) {
+	names := make([]string, routeReplicas)
+	for i := range names {
+		names[i] = ModelName(i)
+	}
+	for entry := range routeEntries {
+		targets, homes := []router.Target{}, []int{}
+		for _, name := range router.Subset(names, entry, subset) {
+			targets = append(targets, router.Target{Name: name})
+			homes = append(homes, modelIndex(name))
+		}
+		r.targets, r.homes = append(r.targets, targets), append(r.homes, homes)
+	}
+}
+
+// enter queues a request at an entry's target and returns its wait in seconds.
+func (r *routing) enter(now float64, entry, target int) float64 {
+	i := r.homes[entry][target]
 	mean := routeLoad * routeReplicas / routeRate
 	start := max(now, r.free[i])
 	r.free[i] = start + mean*r.random.ExpFloat64()
 	r.queue[i]++
-	r.targets[entry][i].Inflight++
-	heap.Push(&r.heap, leaveAt{at: r.free[i], replica: i, entry: entry})
+	r.targets[entry][target].Inflight++
+	heap.Push(&r.heap, leaveAt{at: r.free[i], replica: i, entry: entry, target: target})
 	return start - now
 }
 
@@ -145,7 +163,7 @@
 	for len(r.heap) > 0 && r.heap[0].at <= now {
 		x := heap.Pop(&r.heap).(leaveAt)
 		r.queue[x.replica]--
-		t := &r.targets[x.entry][x.replica]
+		t := &r.targets[x.entry][x.target]
 		t.Inflight--
 		t.Queue = r.queue[x.replica]
 		t.At = time.Duration(x.at * float64(time.Second))
--- a/router/router.go
+++ b/router/router.go
@@ -125,6 +125,26 @@
 	return ranked
 }
 
+// Subset returns the n names that the caller with that index among all callers
+// sends to. With fewer names each caller hears of each more often, so that its
+// reports are fresher. Callers with successive indices divide the names between
+// them, so that every name has the same number of callers.
+func Subset(names []string, index, n int) []string {
+	parts := len(names) / n
+	if parts < 2 {
+		return names
+	}
+	shuffled := slices.Sorted(slices.Values(names))
+	random := rand.New(rand.NewPCG(uint64(index/parts), 0))
+	random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	begin := index % parts * n
+	end := begin + n
+	if index%parts == parts-1 {
+		end = len(shuffled)
+	}
+	return shuffled[begin:end]
+}
+
 // Hash returns the key of a text for Score.
 func Hash(text string) uint64 { return xxhash.Sum64String(text) }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -66,3 +66,25 @@
 	n := testing.AllocsPerRun(1000, func() { r.Pick(time.Second, list, 5) })
 	assert.Equal(t, n, 0.0)
 }
+
+// TestSubset divides names between callers: all names are covered, and none has
+// more callers than another by more than one round.
+func TestSubset(t *testing.T) {
+	var names []string
+	for i := range 100 {
+		names = append(names, fmt.Sprintf("e%02d", i))
+	}
+	callers := map[string]int{}
+	for index := range 40 {
+		mine := Subset(names, index, 24)
+		assert.Assert(t, len(mine) >= 24 && len(mine) < 48, "%d", len(mine))
+		for _, name := range mine {
+			callers[name]++
+		}
+	}
+	assert.Equal(t, len(callers), 100)
+	for name, n := range callers {
+		assert.Equal(t, n, 10, name)
+	}
+	assert.Equal(t, len(Subset(names[:47], 3, 24)), 47)
+}
