--- a/replayer/limits.go
+++ b/replayer/limits.go
@@ -192,10 +192,10 @@
 		}
 		return false
 	}
-	real := float64(e.P + e.O)
-	l.used[e.W] = append(l.used[e.W], use{at: now, tokens: real})
+	spent := float64(e.P + e.O)
+	l.used[e.W] = append(l.used[e.W], use{at: now, tokens: spent})
 	done := now + time.Duration(e.O)*40*time.Millisecond
-	left := real
+	left := spent
 	for _, p := range parts {
 		keep := min(left, p.tokens)
 		left -= keep
--- a/replayer/share.go
+++ b/replayer/share.go
@@ -13,7 +13,7 @@
 	shareDeadline = 30 * time.Second
 )
 
-// Share of an engine that one queue policy gives during the surge.
+// Sharing is what one queue policy gives the workspaces during the surge.
 type Sharing struct {
 	Policy string `json:"policy"`
 	// WorstP99 is the p99 wait of the worst-served workspace but the surging one,
