dispatcher: let a restarted sidecar have work again

Cause: TestRollingRestart hung. The stopped entry had a request in hand that went round without a pause until its deadline: both sidecars had said that they leave, the notice was kept by name for a minute, and replicas that may not be used were offered again and again. Ruled out: the shard release and the listener's shutdown (both had not begun). Change: a notice holds for one process, told apart by its start in the instance list; an entry whose known replicas are all leaving refuses at once, with when to come back.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -54,7 +54,7 @@
 	budget   *router.Budget
 	places   map[string]*known
 	backends map[string]*backend
-	leaving  map[string]time.Duration
+	leaving  map[string]notice
 	hushed   map[string]time.Duration
 }
 
@@ -86,27 +86,35 @@
 		budget:   router.NewBudget(retryRatio, retryMost),
 		places:   map[string]*known{},
 		backends: map[string]*backend{},
-		leaving:  map[string]time.Duration{},
+		leaving:  map[string]notice{},
 		hushed:   map[string]time.Duration{},
 	}
 }
 
-// Leave takes note that an instance takes no new work.
+// notice is what a leaving process has said.
+type notice struct {
+	started int64
+	at      time.Duration
+}
+
+// Leave takes note that a process takes no new work.
 func (d *Dispatcher) Leave(l *wire.Leave) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.leaving[l.GetInstance()] = d.clock()
+	d.leaving[l.GetInstance()] = notice{started: l.GetStarted(), at: d.clock()}
 }
 
-// usable drops the instances that are known to leave. The caller holds the lock.
+// usable reports whether a sidecar may get new work. A notice holds for the
+// process that gave it, not for its successor of the same name. The caller holds
+// the lock.
 func (d *Dispatcher) usable(name string) bool {
-	if at, ok := d.leaving[name]; ok {
-		if d.clock()-at < leaveLife {
+	in, listed := d.member.Find(name)
+	if n, ok := d.leaving[name]; ok {
+		if in.Started == n.started && d.clock()-n.at < leaveLife {
 			return false
 		}
 		delete(d.leaving, name)
 	}
-	in, listed := d.member.Find(name)
 	return !listed || !in.Leaving
 }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -288,3 +288,28 @@
 	assert.Equal(t, a.count(), 0)
 	assert.Equal(t, b.count(), 50)
 }
+
+// TestSuccessorGetsWork restarts a sidecar that had said that it leaves. Its
+// successor of the same name gets work again, and until the list names it, callers
+// are refused at once.
+func TestSuccessorGetsWork(t *testing.T) {
+	f := &sidecar{scripts: []func(*wire.Call, peer.Stream){tokens(4, 4)}}
+	r := newRig(t, platform.EnginePool, 1, map[string]*sidecar{"a": f})
+	r.fill(1)
+	r.dispatcher.Leave(&wire.Leave{Instance: "a"})
+	begun := time.Now()
+	_, err := r.run(r.model())
+	assert.Assert(t, refuser.Is(err, refuser.Busy))
+	assert.Assert(t, refuser.Of(err).Never())
+	assert.Assert(t, refuser.Of(err).Retry() > 0)
+	assert.Assert(t, time.Since(begun) < 10*time.Second)
+	self := r.dispatcher.member.Self()
+	r.platform.SetInstances(self, platform.Instance{
+		Name: "a", Role: "sidecar", Pool: platform.EnginePool, Address: "a", Started: 2,
+	})
+	r.clock.Advance(2 * time.Second)
+	r.dispatcher.member.Poll(context.Background())
+	text, err := r.run(r.model())
+	assert.NilError(t, err)
+	assert.Equal(t, text, whole)
+}
--- a/dispatcher/model.go
+++ b/dispatcher/model.go
@@ -33,6 +33,9 @@
 	Deadline time.Duration
 }
 
+// againAfter is the pause before a replica is tried a second time.
+const againAfter = 50 * time.Millisecond
+
 // progress is what a caller has received so far.
 type progress struct {
 	text strings.Builder
@@ -111,7 +114,7 @@
 	for {
 		spot := d.pick(m, spots, tried)
 		if spot == nil {
-			spots, err = d.more(ctx, name, spots, tried, err, m.Deadline)
+			spots, err = d.more(ctx, m, spots, tried, err)
 			if err != nil {
 				return nil, err
 			}
@@ -157,7 +160,8 @@
 
 // more asks the holder for other replicas once all known ones were tried. It
 // gives up if there are no others.
-func (d *Dispatcher) more(ctx context.Context, name string, old []*wire.Spot, tried map[string]bool, last error, deadline time.Duration) ([]*wire.Spot, error) {
+func (d *Dispatcher) more(ctx context.Context, m *Model, old []*wire.Spot, tried map[string]bool, last error) ([]*wire.Spot, error) {
+	name, deadline := base(m.Model), m.Deadline
 	a := &wire.Ask{Model: name, Full: refuser.Is(last, refuser.Busy)}
 	for _, s := range old {
 		if tried[s.GetInstance()] && !a.Full {
@@ -169,22 +173,20 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, s := range spots {
-		if !tried[s.GetInstance()] {
-			return spots, nil
-		}
-	}
-	if refuser.Is(last, refuser.Absent) || refuser.Is(last, refuser.Lost) {
-		clear(tried)
-		if !sleep(ctx, 50*time.Millisecond) || d.clock() >= deadline {
-			return nil, last
-		}
+	if d.pick(m, spots, tried) != nil {
 		return spots, nil
 	}
 	if last == nil {
 		last = refuser.New(refuser.Busy, "no replica takes requests now").After(time.Second)
 	}
-	return nil, last
+	if !refuser.Is(last, refuser.Absent) && !refuser.Is(last, refuser.Lost) {
+		return nil, last
+	}
+	clear(tried)
+	if !sleep(ctx, againAfter) || d.clock() >= m.Deadline || d.pick(m, spots, tried) == nil {
+		return nil, last
+	}
+	return spots, nil
 }
 
 // again reports whether to try another replica after err. Only what has not run,
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -309,7 +309,8 @@
 func (x *Executor) announce(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, announceLimit)
 	defer cancel()
-	call := &wire.Call{Body: &wire.Call_Leave{Leave: &wire.Leave{Instance: x.member.Self().Name}}}
+	self := x.member.Self()
+	call := &wire.Call{Body: &wire.Call_Leave{Leave: &wire.Leave{Instance: self.Name, Started: self.Started}}}
 	var wg sync.WaitGroup
 	for _, in := range x.member.Instances("entry") {
 		wg.Go(func() { _, _ = peer.One(limited, x.caller, in.Address, call) })
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -94,7 +94,14 @@
 		meter:    meter.New(),
 	}
 	p.sync = syncer.New(p.platform, p.platform, p.copy)
-	self := platform.Instance{Name: s.Name, Role: s.Role, Centre: s.Centre, Pool: pool, Address: node.Address()}
+	self := platform.Instance{
+		Name:    s.Name,
+		Role:    s.Role,
+		Centre:  s.Centre,
+		Pool:    pool,
+		Address: node.Address(),
+		Started: time.Now().UnixNano(),
+	}
 	p.member = member.New(self, p.clock, node, p.platform, p.sync, p.copy, l)
 	return p, nil
 }
@@ -136,8 +143,9 @@
 
 // listed reports whether the platform lists this process as leaving.
 func (p *process) listed() bool {
-	in, ok := p.member.Find(p.member.Self().Name)
-	return ok && in.Leaving
+	self := p.member.Self()
+	in, ok := p.member.Find(self.Name)
+	return ok && in.Leaving && in.Started == self.Started
 }
 
 // leaveCheck is the time between two looks at the process's own line.
