executor: keep the ledger in line with the engine

Cause: reading the ledger against a restart: a load that an earlier sidecar had ordered stayed "loading" for good; a model lost by the engine stayed resident here and drew requests; after a lost order "absent" freed its memory at once, though the order might still land. Ruled out: trusting a state by the instant of its arrival; it may be older than a load that ended meanwhile (TestOldStateArrivesLate). Change: each state is compared with the replicas that nothing is being done with, if it was asked for one order flight after their last change.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -103,6 +103,16 @@
 	closed chan struct{}
 }
 
+// hasSettled reports whether no load of r is under way here.
+func (r *replica) hasSettled() bool {
+	select {
+	case <-r.settled:
+		return true
+	default:
+		return false
+	}
+}
+
 // New returns an executor. Exactly one of e and s is set.
 func New(terms Terms, clock timer.Clock, caller peer.Caller, table platform.Table, m *member.Member, e Engine, s Service, r *recorder.Recorder, mt *meter.Meter, l *log.Logger) *Executor {
 	return &Executor{
@@ -159,6 +169,7 @@
 // learn reads the engine's state. The first answer fills the ledger; orders are
 // taken once the orders of an earlier sidecar can no longer be on their way.
 func (x *Executor) learn(ctx context.Context) {
+	sent := x.clock()
 	st, err := x.engine.Status(ctx)
 	if err != nil {
 		x.log.Warn().Err(err).Msg("engine: no state")
@@ -176,6 +187,38 @@
 	if now < x.ready || len(x.replicas) == 0 {
 		x.adopt(st, now)
 	}
+	for _, r := range x.replicas {
+		x.reconcile(st, r, sent)
+	}
+}
+
+// reconcile brings a replica that nothing is being done with in line with the
+// engine's state: a load whose outcome was open, one that an earlier sidecar
+// ordered, or a model that the engine has lost. No order for it could be on its
+// way any more when the state was asked for, at sent. The caller holds the lock.
+func (x *Executor) reconcile(st engine.Status, r *replica, sent time.Duration) {
+	if !r.hasSettled() || r.closing || r.users > 0 || sent < r.last+x.terms.Flight {
+		return
+	}
+	l, found := loadedAs(st, r.model)
+	switch {
+	case !found:
+		x.remove(r, "the engine does not have it")
+	case !l.Loading:
+		r.state = wire.State_STATE_RESIDENT
+	}
+}
+
+// remove forgets a replica that is gone. The caller holds the lock.
+func (x *Executor) remove(r *replica, why string) {
+	x.ledger.Release(r.model)
+	delete(x.replicas, r.model)
+	if r.base == "" {
+		x.frees = append(x.frees, &wire.Slot{
+			Model: r.model, Index: r.slot, Instance: x.member.Self().Name, Epoch: r.epoch,
+		})
+	}
+	x.note(r.model, "unloaded: "+why)
 }
 
 // cache notes where checkpoints are cached on the instance.
--- a/executor/replicas.go
+++ b/executor/replicas.go
@@ -208,27 +208,37 @@
 	}
 }
 
+// outcomePoll is the time between two looks at a load whose outcome is open.
+const outcomePoll = 200 * time.Millisecond
+
 // outcome finds out what became of an order without a good answer. It returns
 // nil if the replica is resident after all and a StateError if that stays open.
+// Unless the engine has refused the order, it may still be on its way; that the
+// engine does not have the model counts only once it cannot be.
 func (x *Executor) outcome(ctx context.Context, r *replica, cause error) error {
-	for range 30 {
+	landed := x.clock()
+	var refused *engine.StatusError
+	if !eris.As(cause, &refused) {
+		landed += x.terms.Flight
+	}
+	for {
+		asked := x.clock()
 		st, err := x.engine.Status(ctx)
 		if err == nil {
 			l, found := loadedAs(st, r.model)
-			if !found {
-				return cause
-			}
-			if !l.Loading {
+			switch {
+			case found && !l.Loading:
 				return nil
+			case !found && asked >= landed:
+				return cause
 			}
 		}
 		select {
-		case <-time.After(time.Second):
+		case <-time.After(outcomePoll):
 		case <-ctx.Done():
 			return &StateError{cause: cause}
 		}
 	}
-	return &StateError{cause: cause}
 }
 
 func loadedAs(st engine.Status, model string) (engine.Loaded, bool) {
@@ -348,13 +358,8 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.ledger.Release(model)
-	delete(x.replicas, model)
 	close(r.closed)
-	if r.base == "" {
-		x.frees = append(x.frees, &wire.Slot{Model: model, Index: r.slot, Instance: x.member.Self().Name, Epoch: r.epoch})
-	}
-	x.note(model, "unloaded: "+why)
+	x.remove(r, why)
 	return true
 }
 
--- a/executor/replicas_test.go
+++ b/executor/replicas_test.go
@@ -316,3 +316,105 @@
 	<-drained
 	assert.Assert(t, !e.has("m1"))
 }
+
+func (r *rig) sweep(x *Executor, d time.Duration) {
+	r.clock.Advance(d)
+	x.Sweep(context.Background())
+}
+
+func stateOf(x *Executor, model string) string {
+	for _, r := range x.Dump().Replicas {
+		if r.Model == model {
+			return r.State
+		}
+	}
+	return "none"
+}
+
+// TestAdoptedLoadCompletes lets a load that an earlier sidecar ordered end long
+// after the restart.
+func TestAdoptedLoadCompletes(t *testing.T) {
+	r, e := newRig(t), newEngine(100)
+	e.loaded["m1"] = engine.Loaded{Model: "m1", Bytes: 60, Fence: 3, Loading: true}
+	x := r.sidecar("a", e, nil)
+	r.ready(x)
+	r.sweep(x, 3*flight)
+	assert.Equal(t, stateOf(x, "m1"), "STATE_LOADING")
+	e.loaded["m1"] = engine.Loaded{Model: "m1", Bytes: 60, Fence: 3}
+	r.sweep(x, time.Second)
+	assert.Equal(t, stateOf(x, "m1"), "STATE_RESIDENT")
+	assert.NilError(t, r.run(x, "m1", 1))
+}
+
+// TestAdoptedLoadFails lets such a load end without a model.
+func TestAdoptedLoadFails(t *testing.T) {
+	r, e := newRig(t), newEngine(100)
+	e.loaded["m1"] = engine.Loaded{Model: "m1", Bytes: 60, Fence: 3, Loading: true}
+	x := r.sidecar("a", e, nil)
+	r.ready(x)
+	delete(e.loaded, "m1")
+	r.sweep(x, time.Second)
+	assert.Equal(t, stateOf(x, "m1"), "none")
+	assert.Equal(t, x.Dump().Used, uint64(0))
+}
+
+// TestEngineRestart empties the engine under the sidecar. The model is not offered
+// any more, and its slot is reported free.
+func TestEngineRestart(t *testing.T) {
+	r, e := newRig(t), newEngine(100)
+	x := r.sidecar("a", e, nil)
+	r.ready(x)
+	_, err := x.load(context.Background(), order1("a", "m1", 1))
+	assert.NilError(t, err)
+	assert.NilError(t, e.Unload(context.Background(), engine.Order{Model: "m1"}))
+	r.sweep(x, time.Second)
+	assert.Equal(t, stateOf(x, "m1"), "STATE_RESIDENT", "an order may still be on its way")
+	r.sweep(x, flight)
+	assert.Equal(t, stateOf(x, "m1"), "none")
+	assert.Equal(t, len(x.frees), 1)
+}
+
+// TestOldStateArrivesLate delivers a state from before a load long after it. The
+// replica stays in the ledger.
+func TestOldStateArrivesLate(t *testing.T) {
+	r, e := newRig(t), newEngine(100)
+	x := r.sidecar("a", e, nil)
+	r.ready(x)
+	e.slow = func() {
+		e.slow = nil
+		_, err := x.load(context.Background(), order1("a", "m1", 1))
+		assert.NilError(t, err)
+		r.clock.Advance(2 * flight)
+	}
+	x.Sweep(context.Background())
+	assert.Equal(t, stateOf(x, "m1"), "STATE_RESIDENT")
+	assert.Equal(t, x.Dump().Used, uint64(60))
+}
+
+// TestLostOrderLandsLate loses the connection of an order that reaches the engine
+// later. The memory stays reserved for as long as it may be on its way, and the
+// replica is found.
+func TestLostOrderLandsLate(t *testing.T) {
+	r, e := newRig(t), newEngine(100)
+	x := r.sidecar("a", &losing{memoryEngine: e}, nil)
+	r.ready(x)
+	loaded := make(chan error, 1)
+	go func() {
+		_, err := x.load(context.Background(), order1("a", "m1", 1))
+		loaded <- err
+	}()
+	for x.Dump().Used == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	r.clock.Advance(flight / 2)
+	time.Sleep(2 * outcomePoll)
+	assert.Equal(t, x.Dump().Used, uint64(60))
+	assert.NilError(t, e.Load(context.Background(), engine.Order{Model: "m1", Bytes: 60, Fence: 1}))
+	assert.NilError(t, <-loaded)
+	assert.Equal(t, x.Dump().Used, uint64(60))
+}
+
+// losing is an engine whose orders to load get lost on the way.
+type losing struct{ *memoryEngine }
+
+func (l *losing) Load(context.Context, engine.Order) error { return &faker.OutageError{} }
--- a/executor/rig_test.go
+++ b/executor/rig_test.go
@@ -60,17 +60,27 @@
 	loads    int
 	loadErr  error
 	hang     chan struct{}
+	// slow is called between the taking of a state and its arrival.
+	slow     func()
 	generate func(ctx context.Context, r engine.Request, token func(string) error) (engine.Result, error)
 }
 
 func (e *memoryEngine) Status(context.Context) (engine.Status, error) {
+	st := e.state()
+	if e.slow != nil {
+		e.slow()
+	}
+	return st, nil
+}
+
+func (e *memoryEngine) state() engine.Status {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	st := engine.Status{Capacity: e.capacity}
 	for _, l := range e.loaded {
 		st.Loaded = append(st.Loaded, l)
 	}
-	return st, nil
+	return st
 }
 
 func (e *memoryEngine) Load(_ context.Context, o engine.Order) error {
