--- a/executor/executor.go
+++ b/executor/executor.go
@@ -66,9 +66,12 @@
 	engine   Engine
 	service  Service
 	done     chan struct{}
-	work     sync.WaitGroup
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// work counts the requests and loads in hand; quiet is closed when there are
+	// none during a drain.
+	work     int
+	quiet    chan struct{}
 	ready    time.Duration
 	known    bool
 	draining bool
@@ -127,6 +130,7 @@
 		engine:   e,
 		service:  s,
 		done:     make(chan struct{}),
+		quiet:    make(chan struct{}),
 		ledger:   placer.NewLedger(0),
 		replicas: map[string]*replica{},
 		fences:   map[string]uint64{},
@@ -257,12 +261,14 @@
 
 // Handle answers one call of another process.
 func (x *Executor) Handle(ctx context.Context, call *wire.Call, s peer.Stream) {
-	x.work.Add(1)
-	defer x.work.Done()
 	switch b := call.GetBody().(type) {
 	case *wire.Call_Run:
+		x.take()
+		defer x.drop()
 		x.reply(s, x.run(ctx, b.Run, s))
 	case *wire.Call_Invoke:
+		x.take()
+		defer x.drop()
 		answer, err := x.invoke(ctx, b.Invoke)
 		if err == nil {
 			_ = s.Send(&wire.Reply{Body: &wire.Reply_Answer{Answer: answer}})
@@ -283,6 +289,34 @@
 	}
 }
 
+// take counts a request or a load in.
+func (x *Executor) take() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.work++
+}
+
+// drop counts a request or a load out.
+func (x *Executor) drop() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.work--
+	x.hush()
+}
+
+// hush closes quiet when a drain has nothing more to wait for. The caller holds
+// the lock.
+func (x *Executor) hush() {
+	if !x.draining || x.work > 0 {
+		return
+	}
+	select {
+	case <-x.quiet:
+	default:
+		close(x.quiet)
+	}
+}
+
 func (x *Executor) reply(s peer.Stream, err error) {
 	if err != nil {
 		_ = s.Send(refuser.Of(err).Reply())
@@ -361,15 +395,13 @@
 	wg.Wait()
 }
 
-// settle waits until no call is in hand.
+// settle waits until no request and no load is in hand.
 func (x *Executor) settle(ctx context.Context) {
-	idle := make(chan struct{})
-	go func() {
-		x.work.Wait()
-		close(idle)
-	}()
+	x.mu.Lock()
+	x.hush()
+	x.mu.Unlock()
 	select {
-	case <-idle:
+	case <-x.quiet:
 	case <-ctx.Done():
 		x.log.Warn().Msg("drain: cut short")
 	}
--- a/executor/replicas.go
+++ b/executor/replicas.go
@@ -53,11 +53,8 @@
 		return nil, err
 	}
 	if begun {
-		x.work.Add(1)
-		go func() {
-			defer x.work.Done()
-			x.bring(r)
-		}()
+		x.take()
+		go x.bring(r)
 	}
 	select {
 	case <-r.settled:
@@ -144,8 +141,9 @@
 	return r, true, nil
 }
 
-// bring makes room for a replica and loads it.
+// bring makes room for a replica and loads it. It was counted in before.
 func (x *Executor) bring(r *replica) {
+	defer x.drop()
 	defer close(r.settled)
 	ctx, cancel := context.WithTimeout(context.Background(), loadLimit)
 	defer cancel()
--- a/executor/run.go
+++ b/executor/run.go
@@ -110,11 +110,8 @@
 			settled: make(chan struct{}),
 		}
 		x.replicas[def.GetName()] = r
-		x.work.Add(1)
-		go func() {
-			defer x.work.Done()
-			x.bring(r)
-		}()
+		x.work++
+		go x.bring(r)
 	}
 	x.mu.Unlock()
 	wait := time.NewTimer(deadline - x.clock())
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -68,6 +68,17 @@
 
 var three = []string{"entry-a", "entry-b", "entry-c"}
 
+// except returns the other two of the three entries.
+func except(name string) []string {
+	var rest []string
+	for _, other := range three {
+		if other != name {
+			rest = append(rest, other)
+		}
+	}
+	return rest
+}
+
 // TestEveryShardIsHeldOnce starts three entries.
 func TestEveryShardIsHeldOnce(t *testing.T) {
 	r := newRig(t, testChange(1, 1), three...)
@@ -82,12 +93,7 @@
 	r := newRig(t, testChange(1, 1), three...)
 	r.run(10*time.Second, three...)
 	frozen := r.owner(0)
-	var rest []string
-	for _, name := range three {
-		if name != frozen.self {
-			rest = append(rest, name)
-		}
-	}
+	rest := except(frozen.self)
 	for range 40 {
 		r.run(time.Second, rest...)
 		for _, n := range r.holders() {
@@ -146,12 +152,7 @@
 	r.run(10*time.Second, three...)
 	leaving := r.owner(0)
 	leaving.release()
-	var rest []string
-	for _, name := range three {
-		if name != leaving.self {
-			rest = append(rest, name)
-		}
-	}
+	rest := except(leaving.self)
 	r.list(rest...)
 	r.run(3*time.Second, rest...)
 	assert.DeepEqual(t, r.holders(), []int{1, 1, 1, 1})
@@ -258,12 +259,7 @@
 	_, err := old.Ask(context.Background(), &wire.Ask{Model: "m0", Left: 60000})
 	assert.NilError(t, err)
 	old.release()
-	var rest []string
-	for _, name := range three {
-		if name != old.self {
-			rest = append(rest, name)
-		}
-	}
+	rest := except(old.self)
 	r.list(rest...)
 	r.run(4*time.Second, rest...)
 	next := r.owner(index)
@@ -313,12 +309,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, g.GetTokens(), 400.0)
 	old.release()
-	var rest []string
-	for _, name := range three {
-		if name != old.self {
-			rest = append(rest, name)
-		}
-	}
+	rest := except(old.self)
 	r.list(rest...)
 	r.run(2*time.Second, rest...)
 	next := r.owner(index)
