executor: let a keyed order go on when its caller leaves

Cause: reading the path of a cancellation: a caller that closed its connection cut the call to the service, so the claim never got its answer and every repetition of the key got unknown. Ruled out: giving the key back (the order may have run). Change: the call of a claimed order ends with its own deadline only. Tests with processes: entry and sidecar killed while an order runs, notice from the list alone. Seen failing: TestOnceAfterCallerLeft with the call cut.

--- a/cmd/oleanderstall/failure_test.go
+++ b/cmd/oleanderstall/failure_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/imitator"
+	"oleanderstall/platform"
 )
 
 const failureIntent = `{
@@ -212,3 +213,35 @@
 	assert.NilError(c.t, err)
 	_ = res.Body.Close()
 }
+
+// TestNoticeFromListAlone lets the platform name an instance as leaving, with a
+// request in hand there. The process drains by itself, gets no new work, and ends.
+func TestNoticeFromListAlone(t *testing.T) {
+	t.Parallel()
+	c, key := failureCluster(t)
+	before := c.runs()
+	res := c.background(c.entries[0], key)
+	leaving := c.serving(before)
+	c.markLeaving(leaving)
+	assert.Equal(t, answerOf(t, <-res), expected())
+	assert.NilError(t, c.sidecars[leaving].command.Wait())
+	served := c.tally(leaving).Runs
+	for range 5 {
+		answerOf(t, c.send(c.entries[1], key, "/v1/completions", `{"model":"drafter","prompt":"x","max_tokens":1}`))
+	}
+	assert.Equal(t, c.tally(leaving).Runs, served)
+}
+
+// markLeaving sets the leaving flag of an instance in the platform's list.
+func (c *cluster) markLeaving(name string) {
+	c.t.Helper()
+	p := platform.New(c.url(c.platform))
+	list, _, err := p.Instances(c.t.Context(), "")
+	assert.NilError(c.t, err)
+	for _, in := range list {
+		if in.Name == name {
+			in.Leaving = true
+			assert.NilError(c.t, p.Register(c.t.Context(), in))
+		}
+	}
+}
--- a/cmd/oleanderstall/main_test.go
+++ b/cmd/oleanderstall/main_test.go
@@ -263,8 +263,17 @@
 // send sends a caller's request through an entry.
 func (c *cluster) send(entry *proc, key, path, body string, header ...string) result {
 	c.t.Helper()
-	req, err := http.NewRequest(http.MethodPost, "http://"+entry.addr.Callers+path, bytes.NewBufferString(body))
+	r, err := c.attempt(entry, key, path, body, header...)
 	assert.NilError(c.t, err)
+	return r
+}
+
+// attempt sends a caller's request through an entry that may go away meanwhile.
+func (c *cluster) attempt(entry *proc, key, path, body string, header ...string) (result, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+entry.addr.Callers+path, bytes.NewBufferString(body))
+	if err != nil {
+		return result{}, err
+	}
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
@@ -272,11 +281,12 @@
 		req.Header.Set(header[i], header[i+1])
 	}
 	res, err := http.DefaultClient.Do(req)
-	assert.NilError(c.t, err)
+	if err != nil {
+		return result{}, err
+	}
 	defer func() { _ = res.Body.Close() }()
 	data, err := io.ReadAll(res.Body)
-	assert.NilError(c.t, err)
-	return result{status: res.StatusCode, header: res.Header, body: string(data)}
+	return result{status: res.StatusCode, header: res.Header, body: string(data)}, err
 }
 
 func fetch(t testing.TB, url string, into any) {
--- /dev/null
+++ b/cmd/oleanderstall/order_test.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"net/http"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const orderIntent = `{
+  "workspaces": [{"name": "tourism", "rate": 1000, "burst": 1000}],
+  "routes": [{"name": "reserve", "method": "POST", "path": "/orders", "pool": "orders", "workspaces": ["tourism"]}]
+}`
+
+// orderCluster starts two entries and two sidecars before one order service that
+// works for two seconds on an order.
+func orderCluster(t *testing.T) (c *cluster, key string) {
+	c = &cluster{t: t, backends: map[string]*proc{}, sidecars: map[string]*proc{}}
+	c.platform = launch(t, "standin", "platform")
+	c.startEntry("entry-a")
+	c.startEntry("entry-b")
+	service := launch(t, "standin", "service", "--work", "2s")
+	for _, name := range []string{"orders-a", "orders-b"} {
+		c.backends[name] = service
+		c.startSidecar(name, "service", "orders")
+	}
+	c.setUp(orderIntent)
+	key = c.grant("tourism").Key
+	c.eventually("an order is placed", func() bool {
+		return c.send(c.entries[0], key, "/orders", "first").status == http.StatusCreated &&
+			c.send(c.entries[1], key, "/orders", "second").status == http.StatusCreated
+	})
+	return c, key
+}
+
+// place sends an order in the background and waits until the service runs it.
+func (c *cluster) place(entry *proc, key, body, once string) <-chan result {
+	res := make(chan result, 1)
+	go func() {
+		r, err := c.attempt(entry, key, "/orders", body, "Idempotency-Key", once)
+		if err != nil {
+			r = result{}
+		}
+		res <- r
+	}()
+	c.eventually("the service has the order", func() bool { return c.orders().Runs[body] == 1 })
+	return res
+}
+
+// TestEntryKilledDuringOrder kills the entry of an order that runs. Sent again
+// with its key through the other entry, it gives the answer and has run once.
+func TestEntryKilledDuringOrder(t *testing.T) {
+	t.Parallel()
+	c, key := orderCluster(t)
+	res := c.place(c.entries[0], key, "500 maps", "k1")
+	c.entries[0].signal(syscall.SIGKILL)
+	assert.Equal(t, (<-res).status, 0)
+	again := c.send(c.entries[1], key, "/orders", "500 maps", "Idempotency-Key", "k1")
+	assert.Equal(t, again.status, http.StatusCreated, again.body)
+	assert.Equal(t, c.orders().Runs["500 maps"], 1)
+}
+
+// TestSidecarKilledDuringOrder kills the sidecar of an order that runs. The caller
+// is told that it may have run, and so is each repetition; it has run once.
+func TestSidecarKilledDuringOrder(t *testing.T) {
+	t.Parallel()
+	c, key := orderCluster(t)
+	res := c.place(c.entries[0], key, "500 maps", "k1")
+	for _, p := range c.sidecars {
+		p.signal(syscall.SIGKILL)
+	}
+	lost := <-res
+	assert.Assert(t, lost.status >= http.StatusInternalServerError, lost.body)
+	assert.Equal(t, lost.run(), "unknown")
+	assert.Equal(t, lost.header.Get("X-Should-Retry"), "false")
+	c.backends["orders-c"] = c.backends["orders-a"]
+	c.startSidecar("orders-c", "service", "orders")
+	var again result
+	c.eventually("a new sidecar answers", func() bool {
+		again = c.send(c.entries[1], key, "/orders", "500 maps", "Idempotency-Key", "k1", "X-Deadline-Ms", "2000")
+		return again.run() == "unknown"
+	})
+	assert.Equal(t, c.orders().Runs["500 maps"], 1)
+}
--- a/executor/invoke.go
+++ b/executor/invoke.go
@@ -112,7 +112,8 @@
 
 // once makes a call with an idempotency key. The claim in the table is written
 // before the call, so that of all sidecars that get the key one makes the call;
-// the others give its answer.
+// the others give its answer. The call goes on when its caller leaves, so that a
+// repetition finds the answer.
 func (x *Executor) once(ctx context.Context, route *wire.Route, v *wire.Invoke, deadline time.Duration, check func() error) (*wire.Answer, error) {
 	key := platform.ClaimKey(v.GetWorkspace(), v.GetRoute(), v.GetOnce())
 	mine := &wire.Claim{Token: rand.Text(), Digest: digest(v)}
@@ -123,7 +124,7 @@
 	if version == 0 {
 		return x.follow(ctx, key, v, deadline)
 	}
-	answer, err := x.send(ctx, route, v, deadline, check)
+	answer, err := x.send(context.WithoutCancel(ctx), route, v, deadline, check)
 	x.conclude(key, version, mine, answer, err)
 	return answer, err
 }
--- a/executor/once_test.go
+++ b/executor/once_test.go
@@ -98,6 +98,22 @@
 	assert.Equal(t, o.count("500 maps"), 1)
 }
 
+// TestOnceAfterCallerLeft lets the caller leave while its order runs. A repetition
+// gets the answer.
+func TestOnceAfterCallerLeft(t *testing.T) {
+	r, o := newRig(t), newOrders()
+	x := r.sidecar("a", nil, o)
+	ctx, leave := context.WithCancel(context.Background())
+	o.before = leave
+	_, _ = x.invoke(ctx, invocation("500 maps", "key"))
+	again := invocation("500 maps", "key")
+	again.Left = 50
+	answer, err := x.invoke(context.Background(), again)
+	assert.NilError(t, err)
+	assert.Equal(t, string(answer.GetBody()), "500 maps")
+	assert.Equal(t, o.count("500 maps"), 1)
+}
+
 // TestOncePausedBeforeSend pauses the sidecar between the claim and the send for
 // longer than the caller waits.
 func TestOncePausedBeforeSend(t *testing.T) {
--- a/executor/rig_test.go
+++ b/executor/rig_test.go
@@ -30,7 +30,7 @@
 	after  func() error
 }
 
-func (o *orders) Call(_ context.Context, r service.Request) (*service.Answer, error) {
+func (o *orders) Call(ctx context.Context, r service.Request) (*service.Answer, error) {
 	if o.before != nil {
 		o.before()
 	}
@@ -42,6 +42,9 @@
 			return nil, err
 		}
 	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	return &service.Answer{Status: 201, Body: r.Body}, nil
 }
 
