runner: give each listener TLS settings of its own

Cause: the race detector in a first test of the reloaded certificate: the listeners for callers and operators shared one TLS configuration, which net/http changes when it begins to serve. Ruled out: the reload itself (it holds its lock). Change: each listener has a copy; tests of the reload, of health, metrics and dumps, and of a stop while the platform never answers.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -224,7 +224,7 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeader,
-			TLSConfig:         config,
+			TLSConfig:         config.Clone(),
 		},
 		listener: l,
 		done:     make(chan struct{}),
--- /dev/null
+++ b/runner/runner_test.go
@@ -0,0 +1,139 @@
+package runner
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"oleanderstall/checker"
+	"oleanderstall/imitator"
+)
+
+// writePair writes a certificate for a name and its key.
+func writePair(t *testing.T, dir, name string) (certificate, key string) {
+	t.Helper()
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		Subject:      pkix.Name{CommonName: name},
+		NotAfter:     time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, private.Public(), private)
+	assert.NilError(t, err)
+	data, err := x509.MarshalPKCS8PrivateKey(private)
+	assert.NilError(t, err)
+	certificate, key = filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+	writePEM(t, key, "PRIVATE KEY", data)
+	writePEM(t, certificate, "CERTIFICATE", der)
+	return certificate, key
+}
+
+func writePEM(t *testing.T, path, kind string, data []byte) {
+	t.Helper()
+	assert.NilError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600))
+}
+
+// entrySettings are those of an entry before a stand-in platform.
+func entrySettings(t *testing.T) *checker.Settings {
+	p := httptest.NewServer(imitator.NewPlatform())
+	t.Cleanup(p.Close)
+	certificate, key := writePair(t, t.TempDir(), "first")
+	return &checker.Settings{
+		Role: "entry", Name: "e", Centre: "c", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0", Platform: p.URL,
+		Secret: "a secret for tests", Lease: checker.Span(time.Second), Shards: 2,
+		Entry: &checker.Entry{
+			Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Certificate: certificate, Key: key,
+			Accounts: []checker.Account{{Name: "a", Token: "an operator's token"}},
+			Body:     1024, Longest: checker.Span(time.Second), Fresh: checker.Span(time.Second),
+		},
+	}
+}
+
+func startEntry(t *testing.T, s *checker.Settings) *Entry {
+	t.Helper()
+	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	e, err := StartEntry(s, l)
+	assert.NilError(t, err)
+	return e
+}
+
+// presented returns the name in the certificate that a listener presents.
+func presented(t *testing.T, address string) string {
+	t.Helper()
+	conn, err := tls.Dial("tcp", address, &tls.Config{InsecureSkipVerify: true})
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	return conn.ConnectionState().PeerCertificates[0].Subject.CommonName
+}
+
+// TestCertificateIsReloaded replaces the certificate of a running entry, first by
+// a broken one.
+func TestCertificateIsReloaded(t *testing.T) {
+	s := entrySettings(t)
+	e := startEntry(t, s)
+	defer e.Stop()
+	address := e.Addresses().Callers
+	assert.Equal(t, presented(t, address), "first")
+	later := time.Now().Add(time.Minute)
+	assert.NilError(t, os.WriteFile(s.Entry.Certificate, []byte("broken"), 0o600))
+	assert.NilError(t, os.Chtimes(s.Entry.Certificate, later, later))
+	assert.Equal(t, presented(t, address), "first")
+	writePair(t, filepath.Dir(s.Entry.Certificate), "second")
+	later = later.Add(time.Minute)
+	assert.NilError(t, os.Chtimes(s.Entry.Certificate, later, later))
+	assert.Equal(t, presented(t, address), "second")
+}
+
+func get(t *testing.T, address, path string) (int, string) {
+	t.Helper()
+	res, err := http.Get("http://" + address + path)
+	assert.NilError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	return res.StatusCode, string(data)
+}
+
+// TestAdmin reads health, readiness and metrics, and a dump, which hides secrets.
+func TestAdmin(t *testing.T) {
+	e := startEntry(t, entrySettings(t))
+	defer e.Stop()
+	for _, path := range []string{"/healthz", "/readyz"} {
+		status, _ := get(t, e.Addresses().Admin, path)
+		assert.Equal(t, status, http.StatusOK, path)
+	}
+	_, text := get(t, e.Addresses().Admin, "/metrics")
+	for _, name := range []string{"oleanderstall_cold_start_seconds", "oleanderstall_idle_seconds_total", "oleanderstall_shards_held"} {
+		assert.Assert(t, strings.Contains(text, name), name)
+	}
+	e.ready.Store(false)
+	status, _ := get(t, e.Addresses().Admin, "/readyz")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	dump := string(e.dump(""))
+	assert.Assert(t, strings.Contains(dump, `"hidden"`))
+	assert.Assert(t, !strings.Contains(dump, "a secret for tests") && !strings.Contains(dump, "operator's token"), dump)
+}
+
+// TestStopBeforePlatform stops an entry whose platform never answers.
+func TestStopBeforePlatform(t *testing.T) {
+	s := entrySettings(t)
+	s.Platform = "http://127.0.0.1:1"
+	startEntry(t, s).Stop()
+}
