dispatcher: end an answer whose key was withdrawn

Cause: a stream that had begun went on for up to its longest deadline after its key was withdrawn, against the promise of seconds. Ruled out: cutting streams of an entry without proof of freshness; a platform outage with one silent entry would then cut every stream. Change: the key is looked up at each token (one map access); the engine's side is given up, the caller is told unauthorized with run unknown. Seen failing: TestKeyWithdrawnMidStream without the look-up.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -64,6 +64,7 @@
 	platform   *faker.Platform
 	network    *faker.Network
 	dispatcher *Dispatcher
+	syncer     *syncer.Syncer
 	view       *configurer.View
 }
 
@@ -74,6 +75,7 @@
 	s := syncer.New(r.platform, r.platform, c)
 	assert.NilError(t, s.Publish(context.Background(), 0, 0, &wire.Change{
 		Workspaces: []*wire.Workspace{{Name: "w", Rate: 1e9, Burst: 1e9, Weight: 1, Shares: 2}},
+		Keys:       []*wire.Key{{Id: "k", Workspace: "w"}},
 		Models:     []*wire.Model{{Name: "m", Bytes: 1, Replicas: replicas, Workspaces: []string{"w"}, Context: 100}},
 	}, platform.Transaction{}))
 	self := platform.Instance{Name: "entry", Role: "entry", Centre: "c", Address: "entry"}
@@ -90,7 +92,7 @@
 	h.Tick(context.Background())
 	r.clock.Advance(time.Second)
 	r.dispatcher = New(1, r.clock.Now, r.network, m, h, rec, mt, l)
-	r.view = c.View()
+	r.view, r.syncer = c.View(), s
 	return r
 }
 
@@ -313,3 +315,35 @@
 	assert.NilError(t, err)
 	assert.Equal(t, text, whole)
 }
+
+// TestKeyWithdrawnMidStream withdraws the key of a request between two tokens of
+// its answer. The stream ends there, and the sidecar's side is given up.
+func TestKeyWithdrawnMidStream(t *testing.T) {
+	var r *rig
+	ended := make(chan struct{})
+	f := &sidecar{scripts: []func(*wire.Call, peer.Stream){func(call *wire.Call, s peer.Stream) {
+		defer close(ended)
+		tokens(2, 4)(call, s)
+		for r.dispatcher.member.View().Key("k") != nil {
+			time.Sleep(time.Millisecond)
+		}
+		_ = s.Send(piece("r1", 2))
+		<-s.Context().Done()
+	}}}
+	r = newRig(t, platform.EnginePool, 1, map[string]*sidecar{"a": f})
+	m := r.model()
+	var text strings.Builder
+	_, err := r.dispatcher.Run(context.Background(), m, func(s string) error {
+		text.WriteString(s)
+		if text.String() != "t0 t1 " {
+			return nil
+		}
+		change := &wire.Change{Drops: []string{"key/k"}, Token: "t"}
+		return r.syncer.Publish(context.Background(), r.clock.Now(), 1, change, platform.Transaction{})
+	})
+	assert.Assert(t, refuser.Is(err, refuser.Unauthorized))
+	assert.Assert(t, !refuser.Of(err).Never())
+	assert.Equal(t, text.String(), "t0 t1 ")
+	<-ended
+	assert.Equal(t, f.count(), 1)
+}
--- a/dispatcher/model.go
+++ b/dispatcher/model.go
@@ -267,6 +267,14 @@
 	return refuser.New(kind, text).After(time.Second)
 }
 
+// granted refuses to go on with a request whose key was withdrawn meanwhile.
+func (d *Dispatcher) granted(m *Model) error {
+	if d.member.View().Key(m.Key.GetId()) != nil {
+		return nil
+	}
+	return refuser.Unknown(refuser.Unauthorized, "the key was withdrawn during the answer")
+}
+
 // take handles one message of a stream. Tokens have to follow one another
 // without a gap, and belong to this request.
 func (d *Dispatcher) take(m *Model, p *progress, reply *wire.Reply, token func(string) error) (*wire.Finish, error) {
@@ -277,6 +285,9 @@
 		if piece.GetId() != m.ID || piece.GetIndex() != p.sent {
 			return nil, refuser.Unknown(refuser.Lost, "a token of another request or place arrived")
 		}
+		if err := d.granted(m); err != nil {
+			return nil, err
+		}
 		if err := token(piece.GetText()); err != nil {
 			return nil, refuser.Unknown(refuser.Canceled, "the caller has given up")
 		}
