dispatcher: say never only if no attempt may have run

Cause: reading the retries: after an attempt whose stream was lost, the refusal of a later attempt, or of the shard's holder, went to the caller with its own never, although the earlier attempt may have run; the same for repeatable calls of plain services. Ruled out: non-idempotent calls (they are not tried again after unknown). Change: a request remembers that an attempt may have run, and its outcome is unknown from then on. Before: TestNeverAfterUnknown failed at the sidecar, the holder and the service; after: passes.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -347,3 +347,33 @@
 	<-ended
 	assert.Equal(t, f.count(), 1)
 }
+
+// TestNeverAfterUnknown refuses a request with never after an attempt that may
+// have run, at a sidecar, at the holder, and at a plain service. The caller is
+// told unknown.
+func TestNeverAfterUnknown(t *testing.T) {
+	busy := send(refuser.New(refuser.Busy, "full").After(time.Second).Reply())
+	t.Run("sidecar", func(t *testing.T) {
+		f := &sidecar{scripts: []func(*wire.Call, peer.Stream){send(), busy}}
+		r := newRig(t, platform.EnginePool, 1, map[string]*sidecar{"a": f})
+		_, err := r.run(r.model())
+		assert.Assert(t, refuser.Is(err, refuser.Busy))
+		assert.Assert(t, !refuser.Of(err).Never())
+		assert.Equal(t, f.count(), 2)
+	})
+	t.Run("holder", func(t *testing.T) {
+		f := &sidecar{scripts: []func(*wire.Call, peer.Stream){send()}}
+		r := newRig(t, platform.EnginePool, 1, map[string]*sidecar{"a": f})
+		f.scripts[0] = func(*wire.Call, peer.Stream) { r.clock.Advance(59500 * time.Millisecond) }
+		_, err := r.run(r.model())
+		assert.Assert(t, err != nil)
+		assert.Assert(t, !refuser.Of(err).Never(), err.Error())
+	})
+	t.Run("service", func(t *testing.T) {
+		f := &sidecar{scripts: []func(*wire.Call, peer.Stream){send(), busy}}
+		r := newRig(t, "orders", 1, map[string]*sidecar{"a": f, "b": f})
+		_, err := r.dispatcher.Invoke(context.Background(), order("o1", true))
+		assert.Assert(t, refuser.Is(err, refuser.Busy))
+		assert.Assert(t, !refuser.Of(err).Never())
+	})
+}
--- a/dispatcher/model.go
+++ b/dispatcher/model.go
@@ -40,6 +40,13 @@
 type progress struct {
 	text strings.Builder
 	sent uint32
+	// open is set once an attempt has ended that may have run.
+	open bool
+}
+
+// note takes note of an attempt that failed.
+func (p *progress) note(err error) {
+	p.open = p.open || !refuser.Of(err).Never()
 }
 
 // Run serves a model request and passes each token's text to token. A stream that
@@ -116,7 +123,7 @@
 		if spot == nil {
 			spots, err = d.more(ctx, m, spots, tried, err)
 			if err != nil {
-				return nil, err
+				return nil, outcome(err, p.open)
 			}
 			continue
 		}
@@ -126,17 +133,18 @@
 			return finish, nil
 		}
 		tried[spot.GetInstance()] = true
+		p.note(err)
 		if !d.again(m, spot, p, err) {
-			return nil, outcome(p, err)
+			return nil, outcome(err, p.open)
 		}
 	}
 }
 
-// outcome is what the caller is told: once tokens were passed on, a refusal of
-// the last attempt does not mean that nothing ran.
-func outcome(p *progress, err error) error {
+// outcome is what the caller is told. If an earlier attempt may have run, that
+// the last one has not does not mean that nothing ran.
+func outcome(err error, open bool) error {
 	r := refuser.Of(err)
-	if p.sent > 0 && r.Never() {
+	if open && r.Never() {
 		return refuser.Unknown(r.Kind(), r.Text()).After(r.Retry())
 	}
 	return r
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -52,21 +52,21 @@
 	for i, in := range list {
 		names[i] = in.Name
 	}
-	tried := map[string]bool{}
+	tried, open := map[string]bool{}, false
 	var last error = refuser.New(refuser.Busy, "no instance of the pool takes calls now").After(time.Second)
 	for {
 		i := d.choose(names, tried, 0)
 		if i < 0 {
-			return nil, last
+			return nil, outcome(last, open)
 		}
 		tried[names[i]] = true
 		answer, err := d.invoke(ctx, v, names[i], list[i].Address)
 		if err == nil {
 			return answer, nil
 		}
-		last = err
+		last, open = err, open || !refuser.Of(err).Never()
 		if !d.repeatable(v, err) {
-			return nil, err
+			return nil, outcome(err, open)
 		}
 	}
 }
