holder: name new candidates at once

The log shows the only other entry being listed half a second before the outage: rows written before had no candidate, the next renewal was up to a third of a lease away, and without candidates no pledge extends a tenure. Seen failing: TestOutageAfterNewEntry with candidates at the next renewal only.

--- a/cmd/oleanderstall/failure_test.go
+++ b/cmd/oleanderstall/failure_test.go
@@ -80,9 +80,31 @@
 		}
 		return c.tally("engine-a").Loads > 0 && c.tally("engine-b").Loads > 0
 	})
+	c.eventually("every shard has a candidate", c.candidates)
 	return c, key
 }
 
+// candidates reports whether another entry may take over each shard.
+func (c *cluster) candidates() bool {
+	for _, name := range []string{"entry-a", "entry-b"} {
+		var state struct {
+			Shards []struct {
+				Held       bool     `json:"held"`
+				Candidates []string `json:"candidates"`
+			} `json:"shards"`
+		}
+		if json.Unmarshal([]byte(c.operate("", nil, "dump", name)), &state) != nil {
+			return false
+		}
+		for _, s := range state.Shards {
+			if s.Held && len(s.Candidates) == 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // background sends long through an entry and delivers the result.
 func (c *cluster) background(entry *proc, key string) <-chan result {
 	res := make(chan result, 1)
--- a/holder/dump.go
+++ b/holder/dump.go
@@ -22,11 +22,13 @@
 
 // Shard is a shard in a dump.
 type Shard struct {
-	Index  uint32        `json:"index"`
-	Holder string        `json:"holder"`
-	Epoch  uint64        `json:"epoch"`
-	Held   bool          `json:"held"`
-	Left   time.Duration `json:"left,omitempty"`
+	Index  uint32 `json:"index"`
+	Holder string `json:"holder"`
+	Epoch  uint64 `json:"epoch"`
+	Held   bool   `json:"held"`
+	// Candidates are the entries that may take the shard over.
+	Candidates []string      `json:"candidates"`
+	Left       time.Duration `json:"left,omitempty"`
 }
 
 // Shards lists all shards as this entry sees them, for a dump.
@@ -36,7 +38,7 @@
 	now := h.clock()
 	list := make([]Shard, len(h.shards))
 	for i, s := range h.shards {
-		list[i] = Shard{Index: s.index, Holder: s.row.Holder, Epoch: s.row.Epoch}
+		list[i] = Shard{Index: s.index, Holder: s.row.Holder, Epoch: s.row.Epoch, Candidates: s.row.Candidates}
 		if s.tenure != nil && s.tenure.Held(now) {
 			list[i].Held = true
 			list[i].Left = s.tenure.Until() - now
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -309,14 +310,17 @@
 }
 
 // keep renews a tenure by the table, or by the pledges of all candidates, once a
-// third of it has passed. A mark in the row is cleared at once.
+// third of it has passed. A mark in the row is cleared at once, and so are other
+// candidates named than the list gives.
 func (h *Holder) keep(ctx context.Context, s *shard, row leaser.Row, reachable bool) {
 	sent := h.clock()
-	if row.Mark == "" && h.left(s, sent) > h.terms.Lease*2/3 {
+	wanted := h.pick(s.index)
+	named := row.Mark == "" && slices.Equal(row.Candidates, wanted)
+	if named && h.left(s, sent) > h.terms.Lease*2/3 {
 		return
 	}
 	if reachable {
-		next := row.Renewed(h.pick(s.index))
+		next := row.Renewed(wanted)
 		h.offer(s, next.Candidates)
 		if version, ok := h.write(ctx, s.index, next, row.Version); ok {
 			next.Version = version
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -120,6 +121,28 @@
 	assert.DeepEqual(t, r.holders(), []int{1, 1, 1, 1})
 }
 
+// TestOutageAfterNewEntry starts an entry beside a single one, and takes the
+// platform away as soon as the list has named it. The shards go on by its pledges.
+func TestOutageAfterNewEntry(t *testing.T) {
+	both := []string{"entry-a", "entry-b"}
+	for phase := range 4 {
+		r := newRig(t, testChange(1, 1), "entry-a")
+		r.run(10*time.Second+time.Duration(phase)*time.Second, "entry-a")
+		r.list(both...)
+		r.start("entry-b")
+		for !named(r.members["entry-a"].Instances("entry"), "entry-b") {
+			r.run(time.Second, both...)
+		}
+		r.platform.Down(true)
+		r.run(30*time.Second, both...)
+		assert.DeepEqual(t, r.holders(), []int{1, 1, 1, 1})
+	}
+}
+
+func named(list []platform.Instance, name string) bool {
+	return slices.ContainsFunc(list, func(in platform.Instance) bool { return in.Name == name })
+}
+
 // TestCutOffHolder cuts a holder off from everything, and nobody else.
 func TestCutOffHolder(t *testing.T) {
 	r := newRig(t, testChange(1, 1), three...)
