caller: tell when to come back in every refusal that passes

Ruled out: the entry's own refusals (they had times). Change: where callers are answered, a refusal whose reason passes has a time. Seen failing: TestRefusalTellsWhen before the change.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -160,9 +160,28 @@
 	}}
 }
 
+// usualRetry is when to come back after a refusal that gives no time of its own
+// and whose reason passes.
+const usualRetry = time.Second
+
+// timed returns err as a refusal that tells when to come back, if its reason
+// passes.
+func timed(err error) *refuser.Refusal {
+	r := refuser.Of(err)
+	if r.Retry() > 0 {
+		return r
+	}
+	switch r.Kind() {
+	case refuser.Limited, refuser.Busy, refuser.Late, refuser.Leaving, refuser.Absent, refuser.Stale,
+		refuser.Outage, refuser.Lost:
+		return r.After(usualRetry)
+	}
+	return r
+}
+
 // refuse answers with err. A client must not repeat by itself what may have run.
 func refuse(w http.ResponseWriter, err error) {
-	r := refuser.Of(err)
+	r := timed(err)
 	if r.Retry() > 0 {
 		seconds := (r.Retry() + time.Second - 1) / time.Second
 		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -156,6 +156,23 @@
 	}
 }
 
+// TestRefusalTellsWhen refuses without a time, for reasons that pass. The caller is
+// told when to come back all the same.
+func TestRefusalTellsWhen(t *testing.T) {
+	for _, kind := range []refuser.Kind{
+		refuser.Busy, refuser.Late, refuser.Leaving, refuser.Absent, refuser.Stale, refuser.Outage, refuser.Lost, refuser.Limited,
+	} {
+		f, s := newFleet(t)
+		f.words = nil
+		f.err = refuser.New(kind, "no")
+		c := client(s, "k.secret")
+		_, err := c.Chat.Completions.New(context.Background(), chat("m"))
+		var e *openai.Error
+		assert.Assert(t, errors.As(err, &e), kind)
+		assert.Equal(t, e.Response.Header.Get("Retry-After"), "1", kind)
+	}
+}
+
 // TestClientStreamFails refuses after the first tokens. The client sees an error
 // and no end of the stream.
 func TestClientStreamFails(t *testing.T) {
--- a/caller/writer.go
+++ b/caller/writer.go
@@ -7,7 +7,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"oleanderstall/refuser"
 	"oleanderstall/wire"
 )
 
@@ -152,5 +151,5 @@
 		refuse(o.w, err)
 		return
 	}
-	_ = o.event(describe(refuser.Of(err)))
+	_ = o.event(describe(timed(err)))
 }
