holder, executor: ask the book for a slot, drop two unread fields

Cause: reading the whole change once more: the holder copied all slots of a model and searched them for one that the book finds by its index, and a queued request carried its replica and its key, which nothing reads. Change: Book.Slot serves both; the fields are gone. Behaviour and tests are the same; executor, holder, placer and dispatcher pass under the race detector.

--- a/executor/run.go
+++ b/executor/run.go
@@ -14,9 +14,8 @@
 
 // ticket is a request that waits for its turn.
 type ticket struct {
-	replica *replica
-	cache   uint64
-	key     string
+	// cache is the KV cache memory that the request needs, in bytes.
+	cache uint64
 	// turn receives nil when the request may run, or why it may not.
 	turn chan error
 }
@@ -132,10 +131,8 @@
 	view := x.member.View()
 	def := view.Model(r.GetModel())
 	t := &ticket{
-		replica: use,
-		cache:   uint64(r.GetCost()) * def.GetKv(),
-		key:     r.GetKey(),
-		turn:    make(chan error, 1),
+		cache: uint64(r.GetCost()) * def.GetKv(),
+		turn:  make(chan error, 1),
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/holder/loads.go
+++ b/holder/loads.go
@@ -48,7 +48,7 @@
 	defer h.mu.Unlock()
 	m.loading = false
 	m.failed = 0
-	switch h.slotOf(m, slot.Index).Phase {
+	switch m.book.Slot(slot.Index).Phase {
 	case placer.Resident:
 		m.last = h.clock() - begun
 	case placer.Vacant:
--- a/holder/slots.go
+++ b/holder/slots.go
@@ -12,16 +12,7 @@
 func (h *Holder) slot(m *model, index uint32) placer.Slot {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.slotOf(m, index)
-}
-
-func (h *Holder) slotOf(m *model, index uint32) placer.Slot {
-	for _, s := range m.book.Slots() {
-		if s.Index == index {
-			return s
-		}
-	}
-	return placer.Slot{}
+	return m.book.Slot(index)
 }
 
 // assign records in the table that a slot belongs to an instance, before any
@@ -92,7 +83,7 @@
 		if platform.Decode(r.Value, row) != nil {
 			continue
 		}
-		if h.slotOf(m, row.GetIndex()).Version != r.Version {
+		if m.book.Slot(row.GetIndex()).Version != r.Version {
 			m.book.Recall(h.clock(), row, r.Version)
 		}
 	}
@@ -166,7 +157,7 @@
 	m, err := h.find(name)
 	var slot placer.Slot
 	if err == nil {
-		slot = h.slotOf(m, f.GetSlot().GetIndex())
+		slot = m.book.Slot(f.GetSlot().GetIndex())
 	}
 	h.mu.Unlock()
 	if err != nil || slot.Epoch != f.GetSlot().GetEpoch() || slot.Phase == placer.Vacant {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -127,6 +127,14 @@
 	return nil
 }
 
+// Slot returns the slot with that index, or a zero Slot if there is none.
+func (b *Book) Slot(index uint32) Slot {
+	if int(index) >= len(b.slots) {
+		return Slot{}
+	}
+	return b.slots[index]
+}
+
 // Slots returns a copy of all slots.
 func (b *Book) Slots() []Slot { return slices.Clone(b.slots) }
 
