--- a/cmd/oleanderstall/failure_test.go
+++ b/cmd/oleanderstall/failure_test.go
@@ -12,7 +12,6 @@
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/imitator"
-	"oleanderstall/platform"
 )
 
 const failureIntent = `{
@@ -257,7 +256,7 @@
 // markLeaving sets the leaving flag of an instance in the platform's list.
 func (c *cluster) markLeaving(name string) {
 	c.t.Helper()
-	p := platform.New(c.url(c.platform))
+	p := imitator.NewClient(c.url(c.platform))
 	list, _, err := p.Instances(c.t.Context(), "")
 	assert.NilError(c.t, err)
 	for _, in := range list {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -15,10 +15,10 @@
 	"oleanderstall/member"
 	"oleanderstall/meter"
 	"oleanderstall/peer"
-	"oleanderstall/platform"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
 	"oleanderstall/router"
+	"oleanderstall/storer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -286,11 +286,11 @@
 const subset = 24
 
 // pool returns the listed sidecars of a pool that this entry sends to.
-func (d *Dispatcher) pool(name string) []platform.Instance {
-	list := slices.DeleteFunc(d.member.Instances("sidecar"), func(in platform.Instance) bool {
+func (d *Dispatcher) pool(name string) []storer.Instance {
+	list := slices.DeleteFunc(d.member.Instances("sidecar"), func(in storer.Instance) bool {
 		return in.Pool != name
 	})
-	return subsetOf(list, platform.Instance.GetName, d.index())
+	return subsetOf(list, storer.Instance.GetName, d.index())
 }
 
 // index returns the place of this entry among the listed ones.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -18,9 +18,9 @@
 	"oleanderstall/member"
 	"oleanderstall/meter"
 	"oleanderstall/peer"
-	"oleanderstall/platform"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
+	"oleanderstall/storer"
 	"oleanderstall/syncer"
 	"oleanderstall/wire"
 )
@@ -77,11 +77,11 @@
 		Workspaces: []*wire.Workspace{{Name: "w", Rate: 1e9, Burst: 1e9, Weight: 1, Shares: 2}},
 		Keys:       []*wire.Key{{Id: "k", Workspace: "w"}},
 		Models:     []*wire.Model{{Name: "m", Bytes: 1, Replicas: replicas, Workspaces: []string{"w"}, Context: 100}},
-	}, platform.Transaction{}))
-	self := platform.Instance{Name: "entry", Role: "entry", Centre: "c", Address: "entry"}
-	list := []platform.Instance{self}
+	}, storer.Transaction{}))
+	self := storer.Instance{Name: "entry", Role: "entry", Centre: "c", Address: "entry"}
+	list := []storer.Instance{self}
 	for name, f := range sidecars {
-		list = append(list, platform.Instance{Name: name, Role: "sidecar", Pool: pool, Address: name})
+		list = append(list, storer.Instance{Name: name, Role: "sidecar", Pool: pool, Address: name})
 		r.network.Attach(name, f.handle)
 	}
 	r.platform.SetInstances(list...)
@@ -164,7 +164,7 @@
 func TestResume(t *testing.T) {
 	a := &sidecar{scripts: []func(*wire.Call, peer.Stream){tokens(2, 4), tokens(4, 4)}}
 	b := &sidecar{scripts: a.scripts}
-	r := newRig(t, platform.EnginePool, 2, map[string]*sidecar{"a": a, "b": b})
+	r := newRig(t, storer.EnginePool, 2, map[string]*sidecar{"a": a, "b": b})
 	r.fill(2)
 	text, err := r.run(r.model())
 	assert.NilError(t, err)
@@ -188,7 +188,7 @@
 	for name, first := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := &sidecar{scripts: []func(*wire.Call, peer.Stream){first, tokens(4, 4)}}
-			r := newRig(t, platform.EnginePool, 1, map[string]*sidecar{"a": f})
+			r := newRig(t, storer.EnginePool, 1, map[string]*sidecar{"a": f})
 			text, err := r.run(r.model())
 			assert.NilError(t, err)
 			assert.Equal(t, text, whole)
@@ -203,7 +203,7 @@
 		tokens(2, 4),
 		send(refuser.New(refuser.Unauthorized, "withdrawn").Reply()),
 	}}
-	r := newRig(t, platform.EnginePool, 1, map[string]*sidecar{"a": f})
+	r := newRig(t, storer.EnginePool, 1, map[string]*sidecar{"a": f})
 	text, err := r.run(r.model())
 	assert.Equal(t, text, "t0 t1 ")
 	assert.Assert(t, refuser.Is(err, refuser.Unauthorized))
@@ -213,7 +213,7 @@
 // TestRetryBudget fails every attempt. The load on the sidecars stays bounded.
 func TestRetryBudget(t *testing.T) {
 	busy := &sidecar{scripts: []func(*wire.Call, peer.Stream){send(refuser.New(refuser.Busy, "full").After(time.Second).Reply())}}
-	r := newRig(t, platform.EnginePool, 2, map[string]*sidecar{"a": busy, "b": busy})
+	r := newRig(t, storer.EnginePool, 2, map[string]*sidecar{"a": busy, "b": busy})
 	r.fill(2)
 	const requests = 1000
 	for range requests {
@@ -296,7 +296,7 @@
 // are refused at once.
 func TestSuccessorGetsWork(t *testing.T) {
 	f := &sidecar{scripts: []func(*wire.Call, peer.Stream){tokens(4, 4)}}
-	r := newRig(t, platform.EnginePool, 1, map[string]*sidecar{"a": f})
+	r := newRig(t, storer.EnginePool, 1, map[string]*sidecar{"a": f})
 	r.fill(1)
 	r.dispatcher.Leave(&wire.Leave{Instance: "a"})
 	begun := time.Now()
@@ -306,8 +306,8 @@
 	assert.Assert(t, refuser.Of(err).Retry() > 0)
 	assert.Assert(t, time.Since(begun) < 10*time.Second)
 	self := r.dispatcher.member.Self()
-	r.platform.SetInstances(self, platform.Instance{
-		Name: "a", Role: "sidecar", Pool: platform.EnginePool, Address: "a", Started: 2,
+	r.platform.SetInstances(self, storer.Instance{
+		Name: "a", Role: "sidecar", Pool: storer.EnginePool, Address: "a", Started: 2,
 	})
 	r.clock.Advance(2 * time.Second)
 	r.dispatcher.member.Poll(context.Background())
@@ -330,7 +330,7 @@
 		_ = s.Send(piece("r1", 2))
 		<-s.Context().Done()
 	}}}
-	r = newRig(t, platform.EnginePool, 1, map[string]*sidecar{"a": f})
+	r = newRig(t, storer.EnginePool, 1, map[string]*sidecar{"a": f})
 	m := r.model()
 	var text strings.Builder
 	_, err := r.dispatcher.Run(context.Background(), m, func(s string) error {
@@ -339,7 +339,7 @@
 			return nil
 		}
 		change := &wire.Change{Drops: []string{"key/k"}, Token: "t"}
-		return r.syncer.Publish(context.Background(), r.clock.Now(), 1, change, platform.Transaction{})
+		return r.syncer.Publish(context.Background(), r.clock.Now(), 1, change, storer.Transaction{})
 	})
 	assert.Assert(t, refuser.Is(err, refuser.Unauthorized))
 	assert.Assert(t, !refuser.Of(err).Never())
@@ -355,7 +355,7 @@
 	busy := send(refuser.New(refuser.Busy, "full").After(time.Second).Reply())
 	t.Run("sidecar", func(t *testing.T) {
 		f := &sidecar{scripts: []func(*wire.Call, peer.Stream){send(), busy}}
-		r := newRig(t, platform.EnginePool, 1, map[string]*sidecar{"a": f})
+		r := newRig(t, storer.EnginePool, 1, map[string]*sidecar{"a": f})
 		_, err := r.run(r.model())
 		assert.Assert(t, refuser.Is(err, refuser.Busy))
 		assert.Assert(t, !refuser.Of(err).Never())
@@ -363,7 +363,7 @@
 	})
 	t.Run("holder", func(t *testing.T) {
 		f := &sidecar{scripts: []func(*wire.Call, peer.Stream){send()}}
-		r := newRig(t, platform.EnginePool, 1, map[string]*sidecar{"a": f})
+		r := newRig(t, storer.EnginePool, 1, map[string]*sidecar{"a": f})
 		f.scripts[0] = func(*wire.Call, peer.Stream) { r.clock.Advance(59500 * time.Millisecond) }
 		_, err := r.run(r.model())
 		assert.Assert(t, err != nil)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -19,11 +19,11 @@
 	"oleanderstall/meter"
 	"oleanderstall/peer"
 	"oleanderstall/placer"
-	"oleanderstall/platform"
 	"oleanderstall/queuer"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
 	"oleanderstall/service"
+	"oleanderstall/storer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -58,7 +58,7 @@
 	terms    Terms
 	clock    timer.Clock
 	caller   peer.Caller
-	table    platform.Table
+	table    storer.Table
 	member   *member.Member
 	recorder *recorder.Recorder
 	meter    *meter.Meter
@@ -117,7 +117,7 @@
 }
 
 // New returns an executor. Exactly one of e and s is set.
-func New(terms Terms, clock timer.Clock, caller peer.Caller, table platform.Table, m *member.Member, e Engine, s Service, r *recorder.Recorder, mt *meter.Meter, l *log.Logger) *Executor {
+func New(terms Terms, clock timer.Clock, caller peer.Caller, table storer.Table, m *member.Member, e Engine, s Service, r *recorder.Recorder, mt *meter.Meter, l *log.Logger) *Executor {
 	return &Executor{
 		terms:    terms,
 		clock:    clock,
--- a/executor/invoke.go
+++ b/executor/invoke.go
@@ -8,9 +8,9 @@
 
 	"github.com/rotisserie/eris"
 
-	"oleanderstall/platform"
 	"oleanderstall/refuser"
 	"oleanderstall/service"
+	"oleanderstall/storer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -115,7 +115,7 @@
 // the others give its answer. The call goes on when its caller leaves, so that a
 // repetition finds the answer.
 func (x *Executor) once(ctx context.Context, route *wire.Route, v *wire.Invoke, deadline time.Duration, check func() error) (*wire.Answer, error) {
-	key := platform.ClaimKey(v.GetWorkspace(), v.GetRoute(), v.GetOnce())
+	key := storer.ClaimKey(v.GetWorkspace(), v.GetRoute(), v.GetOnce())
 	mine := &wire.Claim{Token: rand.Text(), Digest: digest(v)}
 	version, err := x.claim(ctx, key, mine)
 	if err != nil {
@@ -145,13 +145,13 @@
 func (x *Executor) claim(ctx context.Context, key string, c *wire.Claim) (uint64, error) {
 	limited, cancel := context.WithTimeout(ctx, claimLimit)
 	defer cancel()
-	value, err := platform.Encode(c)
+	value, err := storer.Encode(c)
 	if err != nil {
 		return 0, err
 	}
-	versions, err := x.table.Commit(limited, platform.Transaction{
-		Checks: []platform.Check{{Key: key}},
-		Puts:   []platform.Put{{Key: key, Value: value}},
+	versions, err := x.table.Commit(limited, storer.Transaction{
+		Checks: []storer.Check{{Key: key}},
+		Puts:   []storer.Put{{Key: key, Value: value}},
 	})
 	if err == nil {
 		return versions[0], nil
@@ -176,7 +176,7 @@
 		return nil, 0, err
 	}
 	c := &wire.Claim{}
-	return c, row.Version, platform.Decode(row.Value, c)
+	return c, row.Version, storer.Decode(row.Value, c)
 }
 
 // follow waits for the answer to a key that another request claimed.
@@ -213,15 +213,15 @@
 func (x *Executor) conclude(key string, version uint64, c *wire.Claim, answer *wire.Answer, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), claimLimit)
 	defer cancel()
-	tx := platform.Transaction{Checks: []platform.Check{{Key: key, Version: version}}}
+	tx := storer.Transaction{Checks: []storer.Check{{Key: key, Version: version}}}
 	switch {
 	case err == nil && len(answer.GetBody()) <= maxKept:
 		c.Done, c.Answer = true, answer
-		value, encodeErr := platform.Encode(c)
+		value, encodeErr := storer.Encode(c)
 		if encodeErr != nil {
 			return
 		}
-		tx.Puts = []platform.Put{{Key: key, Value: value}}
+		tx.Puts = []storer.Put{{Key: key, Value: value}}
 	case err != nil && refuser.Of(err).Never():
 		tx.Deletes = []string{key}
 	default:
--- a/executor/replicas.go
+++ b/executor/replicas.go
@@ -11,8 +11,8 @@
 	"oleanderstall/evictor"
 	"oleanderstall/holder"
 	"oleanderstall/peer"
-	"oleanderstall/platform"
 	"oleanderstall/refuser"
+	"oleanderstall/storer"
 	"oleanderstall/wire"
 )
 
@@ -420,12 +420,12 @@
 func (x *Executor) free(ctx context.Context, slot *wire.Slot) error {
 	limited, cancel := context.WithTimeout(ctx, reportLimit)
 	defer cancel()
-	row, err := x.table.Get(limited, platform.ShardKey(holder.ModelShard(slot.GetModel(), x.terms.Shards)))
+	row, err := x.table.Get(limited, storer.ShardKey(holder.ModelShard(slot.GetModel(), x.terms.Shards)))
 	if err != nil {
 		return err
 	}
 	t := &wire.Tenure{}
-	if err := platform.Decode(row.Value, t); err != nil {
+	if err := storer.Decode(row.Value, t); err != nil {
 		return err
 	}
 	in, ok := x.member.Find(t.GetHolder())
--- a/executor/replicas_test.go
+++ b/executor/replicas_test.go
@@ -11,8 +11,8 @@
 	"oleanderstall/engine"
 	"oleanderstall/faker"
 	"oleanderstall/peer"
-	"oleanderstall/platform"
 	"oleanderstall/refuser"
+	"oleanderstall/storer"
 	"oleanderstall/wire"
 )
 
@@ -227,16 +227,16 @@
 	r.t.Helper()
 	r.platform.SetInstances(entryA)
 	x.member.Poll(context.Background())
-	value, err := platform.Encode(&wire.Tenure{Holder: "entry-a", Epoch: 1})
+	value, err := storer.Encode(&wire.Tenure{Holder: "entry-a", Epoch: 1})
 	assert.NilError(r.t, err)
 	for shard := range r.terms.Shards {
-		put := platform.Put{Key: platform.ShardKey(shard), Value: value}
-		_, err := r.platform.Commit(context.Background(), platform.Transaction{Puts: []platform.Put{put}})
+		put := storer.Put{Key: storer.ShardKey(shard), Value: value}
+		_, err := r.platform.Commit(context.Background(), storer.Transaction{Puts: []storer.Put{put}})
 		assert.NilError(r.t, err, model)
 	}
 }
 
-var entryA = platform.Instance{Name: "entry-a", Role: "entry", Address: "entry-a"}
+var entryA = storer.Instance{Name: "entry-a", Role: "entry", Address: "entry-a"}
 
 // TestAdapter loads an adapter beside its base, once for two requests, and
 // unloads it before its base.
--- a/executor/rig_test.go
+++ b/executor/rig_test.go
@@ -15,9 +15,9 @@
 	"oleanderstall/faker"
 	"oleanderstall/member"
 	"oleanderstall/meter"
-	"oleanderstall/platform"
 	"oleanderstall/recorder"
 	"oleanderstall/service"
+	"oleanderstall/storer"
 	"oleanderstall/syncer"
 	"oleanderstall/wire"
 )
@@ -163,13 +163,13 @@
 func (r *rig) publish(c *wire.Change) {
 	r.t.Helper()
 	base := r.copy.View().Version()
-	assert.NilError(r.t, r.syncer.Publish(context.Background(), r.clock.Now(), base, c, platform.Transaction{}))
+	assert.NilError(r.t, r.syncer.Publish(context.Background(), r.clock.Now(), base, c, storer.Transaction{}))
 }
 
 // sidecar returns a sidecar that has just started.
 func (r *rig) sidecar(name string, e Engine, s Service) *Executor {
 	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
-	self := platform.Instance{Name: name, Role: "sidecar", Address: name}
+	self := storer.Instance{Name: name, Role: "sidecar", Address: name}
 	c := configurer.New()
 	sy := syncer.New(r.platform, r.platform, c)
 	r.member = member.New(self, r.clock.Now, r.network, r.platform, sy, c, l)
@@ -202,7 +202,7 @@
 	pause func()
 }
 
-func (p *pausing) Commit(ctx context.Context, tx platform.Transaction) ([]uint64, error) {
+func (p *pausing) Commit(ctx context.Context, tx storer.Transaction) ([]uint64, error) {
 	versions, err := p.Platform.Commit(ctx, tx)
 	if p.pause != nil {
 		pause := p.pause
--- a/faker/faker.go
+++ b/faker/faker.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"oleanderstall/peer"
-	"oleanderstall/platform"
 	"oleanderstall/refuser"
+	"oleanderstall/storer"
 	"oleanderstall/wire"
 )
 
@@ -48,9 +48,9 @@
 // for concurrent use.
 type Platform struct {
 	mu        sync.Mutex
-	rows      map[string]platform.Row
+	rows      map[string]storer.Row
 	objects   map[string][]byte
-	instances []platform.Instance
+	instances []storer.Instance
 	version   uint64
 	down      bool
 	lose      int
@@ -59,7 +59,7 @@
 
 // NewPlatform returns an empty platform that is up.
 func NewPlatform() *Platform {
-	return &Platform{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+	return &Platform{rows: map[string]storer.Row{}, objects: map[string][]byte{}}
 }
 
 // Down makes every call fail until it is set to false again.
@@ -84,43 +84,43 @@
 }
 
 // SetInstances sets the instance list.
-func (p *Platform) SetInstances(list ...platform.Instance) {
+func (p *Platform) SetInstances(list ...storer.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.instances = list
 }
 
-// Get implements platform.Table.
-func (p *Platform) Get(_ context.Context, key string) (platform.Row, error) {
+// Get implements storer.Table.
+func (p *Platform) Get(_ context.Context, key string) (storer.Row, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
-		return platform.Row{}, &OutageError{}
+		return storer.Row{}, &OutageError{}
 	}
 	row := p.rows[key]
 	row.Key = key
 	return row, nil
 }
 
-// List implements platform.Table.
-func (p *Platform) List(_ context.Context, prefix string) ([]platform.Row, error) {
+// List implements storer.Table.
+func (p *Platform) List(_ context.Context, prefix string) ([]storer.Row, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
 		return nil, &OutageError{}
 	}
-	var rows []platform.Row
+	var rows []storer.Row
 	for key, row := range p.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b storer.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows, nil
 }
 
-// Commit implements platform.Table.
-func (p *Platform) Commit(_ context.Context, tx platform.Transaction) ([]uint64, error) {
+// Commit implements storer.Table.
+func (p *Platform) Commit(_ context.Context, tx storer.Transaction) ([]uint64, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
@@ -128,13 +128,13 @@
 	}
 	for _, c := range tx.Checks {
 		if p.rows[c.Key].Version != c.Version {
-			return nil, &platform.ConflictError{Key: c.Key}
+			return nil, &storer.ConflictError{Key: c.Key}
 		}
 	}
 	var versions []uint64
 	for _, put := range tx.Puts {
 		p.version++
-		p.rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Version: p.version}
+		p.rows[put.Key] = storer.Row{Key: put.Key, Value: put.Value, Version: p.version}
 		versions = append(versions, p.version)
 	}
 	for _, key := range tx.Deletes {
@@ -148,7 +148,7 @@
 	return versions, nil
 }
 
-// Load implements platform.Store.
+// Load implements storer.Store.
 func (p *Platform) Load(_ context.Context, name string) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,12 +157,12 @@
 	}
 	data, ok := p.objects[name]
 	if !ok {
-		return nil, &platform.MissingError{Name: name}
+		return nil, &storer.MissingError{Name: name}
 	}
 	return data, nil
 }
 
-// Save implements platform.Store.
+// Save implements storer.Store.
 func (p *Platform) Save(_ context.Context, name string, data []byte) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -173,8 +173,8 @@
 	return nil
 }
 
-// Instances implements platform.Lister.
-func (p *Platform) Instances(context.Context, string) ([]platform.Instance, string, error) {
+// Instances implements storer.Lister.
+func (p *Platform) Instances(context.Context, string) ([]storer.Instance, string, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
@@ -183,10 +183,10 @@
 	return slices.Clone(p.instances), "", nil
 }
 
-// Register implements platform.Lister.
-func (p *Platform) Register(context.Context, platform.Instance) error { return nil }
+// Register implements storer.Lister.
+func (p *Platform) Register(context.Context, storer.Instance) error { return nil }
 
-// Deregister implements platform.Lister.
+// Deregister implements storer.Lister.
 func (p *Platform) Deregister(context.Context, string) error { return nil }
 
 // Network carries calls between handlers in memory. It is safe for concurrent
--- a/holder/fleet_test.go
+++ b/holder/fleet_test.go
@@ -15,9 +15,9 @@
 	"oleanderstall/member"
 	"oleanderstall/meter"
 	"oleanderstall/peer"
-	"oleanderstall/platform"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
+	"oleanderstall/storer"
 	"oleanderstall/syncer"
 	"oleanderstall/wire"
 )
@@ -48,7 +48,7 @@
 	}
 	c := configurer.New()
 	s := syncer.New(r.platform, r.platform, c)
-	assert.NilError(t, s.Publish(context.Background(), r.clock.Now(), 0, change, platform.Transaction{}))
+	assert.NilError(t, s.Publish(context.Background(), r.clock.Now(), 0, change, storer.Transaction{}))
 	r.list(names...)
 	for _, name := range names {
 		r.start(name)
@@ -56,15 +56,15 @@
 	return r
 }
 
-func entryAt(name string) platform.Instance {
-	return platform.Instance{Name: name, Role: "entry", Centre: "c1", Address: name}
+func entryAt(name string) storer.Instance {
+	return storer.Instance{Name: name, Role: "entry", Centre: "c1", Address: name}
 }
 
 // list sets the platform's list to these entries and all engines.
 func (r *rig) list(names ...string) {
-	list := []platform.Instance{
-		{Name: "engine-a", Role: "sidecar", Pool: platform.EnginePool, Address: "engine-a"},
-		{Name: "engine-b", Role: "sidecar", Pool: platform.EnginePool, Address: "engine-b"},
+	list := []storer.Instance{
+		{Name: "engine-a", Role: "sidecar", Pool: storer.EnginePool, Address: "engine-a"},
+		{Name: "engine-b", Role: "sidecar", Pool: storer.EnginePool, Address: "engine-b"},
 	}
 	for _, name := range names {
 		list = append(list, entryAt(name))
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -19,10 +19,10 @@
 	"oleanderstall/member"
 	"oleanderstall/meter"
 	"oleanderstall/peer"
-	"oleanderstall/platform"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
 	"oleanderstall/router"
+	"oleanderstall/storer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -43,7 +43,7 @@
 	self     string
 	clock    timer.Clock
 	caller   peer.Caller
-	table    platform.Table
+	table    storer.Table
 	member   *member.Member
 	recorder *recorder.Recorder
 	meter    *meter.Meter
@@ -76,7 +76,7 @@
 }
 
 // New returns a holder that holds nothing yet.
-func New(terms Terms, clock timer.Clock, caller peer.Caller, table platform.Table, m *member.Member, r *recorder.Recorder, mt *meter.Meter, l *log.Logger) *Holder {
+func New(terms Terms, clock timer.Clock, caller peer.Caller, table storer.Table, m *member.Member, r *recorder.Recorder, mt *meter.Meter, l *log.Logger) *Holder {
 	h := &Holder{
 		terms:    terms,
 		lease:    leaser.Terms{Lease: terms.Lease, Margin: terms.Lease / 10},
@@ -195,7 +195,7 @@
 func (h *Holder) listRows(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, h.terms.Lease/4)
 	defer cancel()
-	rows, err := h.table.List(limited, platform.ShardPrefix)
+	rows, err := h.table.List(limited, storer.ShardPrefix)
 	if err != nil {
 		return
 	}
@@ -222,7 +222,7 @@
 func (h *Holder) readRow(ctx context.Context, s *shard) bool {
 	limited, cancel := context.WithTimeout(ctx, h.terms.Lease/4)
 	defer cancel()
-	r, err := h.table.Get(limited, platform.ShardKey(s.index))
+	r, err := h.table.Get(limited, storer.ShardKey(s.index))
 	if err != nil {
 		return false
 	}
@@ -246,9 +246,9 @@
 }
 
 // observe takes note of a row as read.
-func (h *Holder) observe(r platform.Row) {
+func (h *Holder) observe(r storer.Row) {
 	t := &wire.Tenure{}
-	if platform.Decode(r.Value, t) != nil || t.GetShard() >= uint32(len(h.shards)) {
+	if storer.Decode(r.Value, t) != nil || t.GetShard() >= uint32(len(h.shards)) {
 		return
 	}
 	now := h.clock()
@@ -490,7 +490,7 @@
 func (h *Holder) write(ctx context.Context, index uint32, next leaser.Row, version uint64) (uint64, bool) {
 	limited, cancel := context.WithTimeout(ctx, h.terms.Lease/4)
 	defer cancel()
-	value, err := platform.Encode(&wire.Tenure{
+	value, err := storer.Encode(&wire.Tenure{
 		Shard:      index,
 		Holder:     next.Holder,
 		Epoch:      next.Epoch,
@@ -500,10 +500,10 @@
 	if err != nil {
 		return 0, false
 	}
-	key := platform.ShardKey(index)
-	versions, err := h.table.Commit(limited, platform.Transaction{
-		Checks: []platform.Check{{Key: key, Version: version}},
-		Puts:   []platform.Put{{Key: key, Value: value}},
+	key := storer.ShardKey(index)
+	versions, err := h.table.Commit(limited, storer.Transaction{
+		Checks: []storer.Check{{Key: key, Version: version}},
+		Puts:   []storer.Put{{Key: key, Value: value}},
 	})
 	if err != nil || len(versions) != 1 {
 		return 0, false
@@ -519,7 +519,7 @@
 			names = append(names, in.Name)
 		}
 	}
-	return router.Rank(names, router.Hash(platform.ShardKey(index)))
+	return router.Rank(names, router.Hash(storer.ShardKey(index)))
 }
 
 // pick returns the candidates of a shard that this entry holds.
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -12,8 +12,8 @@
 
 	"oleanderstall/peer"
 	"oleanderstall/placer"
-	"oleanderstall/platform"
 	"oleanderstall/refuser"
+	"oleanderstall/storer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -139,8 +139,8 @@
 	}
 }
 
-func named(list []platform.Instance, name string) bool {
-	return slices.ContainsFunc(list, func(in platform.Instance) bool { return in.Name == name })
+func named(list []storer.Instance, name string) bool {
+	return slices.ContainsFunc(list, func(in storer.Instance) bool { return in.Name == name })
 }
 
 // TestCutOffHolder cuts a holder off from everything, and nobody else.
@@ -260,10 +260,10 @@
 	assert.Equal(t, a.count()+b.count(), 2)
 }
 
-func drop(r *rig, name string) []platform.Instance {
+func drop(r *rig, name string) []storer.Instance {
 	list, _, err := r.platform.Instances(context.Background(), "")
 	assert.NilError(r.t, err)
-	var kept []platform.Instance
+	var kept []storer.Instance
 	for _, in := range list {
 		if in.Name != name {
 			kept = append(kept, in)
--- a/holder/loads.go
+++ b/holder/loads.go
@@ -9,9 +9,9 @@
 
 	"oleanderstall/peer"
 	"oleanderstall/placer"
-	"oleanderstall/platform"
 	"oleanderstall/refuser"
 	"oleanderstall/router"
+	"oleanderstall/storer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -149,17 +149,17 @@
 
 // engines returns the sidecars to ask, in the model's own order, so that its
 // checkpoint is cached on few instances.
-func (h *Holder) engines(name string) []platform.Instance {
-	byName := map[string]platform.Instance{}
+func (h *Holder) engines(name string) []storer.Instance {
+	byName := map[string]storer.Instance{}
 	var names []string
 	for _, in := range h.member.Instances("sidecar") {
-		if in.Pool == platform.EnginePool && !in.Leaving {
+		if in.Pool == storer.EnginePool && !in.Leaving {
 			byName[in.Name] = in
 			names = append(names, in.Name)
 		}
 	}
 	ranked := router.Rank(names, router.Hash(name))
-	var list []platform.Instance
+	var list []storer.Instance
 	for _, n := range ranked[:min(bidders, len(ranked))] {
 		list = append(list, byName[n])
 	}
--- a/holder/models.go
+++ b/holder/models.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"oleanderstall/placer"
-	"oleanderstall/platform"
 	"oleanderstall/refuser"
+	"oleanderstall/storer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -79,7 +79,7 @@
 	if err != nil || known {
 		return err
 	}
-	rows, err := h.table.List(ctx, platform.SlotPrefix(name))
+	rows, err := h.table.List(ctx, storer.SlotPrefix(name))
 	if err != nil {
 		return refuser.New(refuser.Outage, "the platform does not answer and the model's replicas are not known").
 			After(h.terms.Lease / 2)
@@ -92,7 +92,7 @@
 	m := &model{book: placer.New(name, 0), changed: make(chan struct{})}
 	for _, r := range rows {
 		slot := &wire.Slot{}
-		if err := platform.Decode(r.Value, slot); err != nil {
+		if err := storer.Decode(r.Value, slot); err != nil {
 			return err
 		}
 		m.book.Recall(h.clock(), slot, r.Version)
--- a/holder/slots.go
+++ b/holder/slots.go
@@ -4,8 +4,8 @@
 	"context"
 
 	"oleanderstall/placer"
-	"oleanderstall/platform"
 	"oleanderstall/refuser"
+	"oleanderstall/storer"
 	"oleanderstall/wire"
 )
 
@@ -53,16 +53,16 @@
 func (h *Holder) record(ctx context.Context, name string, slot placer.Slot) (uint64, error) {
 	limited, cancel := context.WithTimeout(ctx, writeLimit)
 	defer cancel()
-	value, err := platform.Encode(&wire.Slot{
+	value, err := storer.Encode(&wire.Slot{
 		Model: name, Index: slot.Index, Instance: slot.Instance, Epoch: slot.Epoch,
 	})
 	if err != nil {
 		return 0, err
 	}
-	key := platform.SlotKey(name, slot.Index)
-	versions, err := h.table.Commit(limited, platform.Transaction{
-		Checks: []platform.Check{{Key: key, Version: slot.Version}},
-		Puts:   []platform.Put{{Key: key, Value: value}},
+	key := storer.SlotKey(name, slot.Index)
+	versions, err := h.table.Commit(limited, storer.Transaction{
+		Checks: []storer.Check{{Key: key, Version: slot.Version}},
+		Puts:   []storer.Put{{Key: key, Value: value}},
 	})
 	if err != nil {
 		return 0, err
@@ -72,7 +72,7 @@
 
 // reread takes the slots from the table after a write whose outcome is open.
 func (h *Holder) reread(ctx context.Context, m *model, name string) {
-	rows, err := h.table.List(ctx, platform.SlotPrefix(name))
+	rows, err := h.table.List(ctx, storer.SlotPrefix(name))
 	if err != nil {
 		return
 	}
@@ -80,7 +80,7 @@
 	defer h.mu.Unlock()
 	for _, r := range rows {
 		row := &wire.Slot{}
-		if platform.Decode(r.Value, row) != nil {
+		if storer.Decode(r.Value, row) != nil {
 			continue
 		}
 		if m.book.Slot(row.GetIndex()).Version != r.Version {
--- a/imitator/platform.go
+++ b/imitator/platform.go
@@ -14,7 +14,7 @@
 
 	"github.com/gorilla/mux"
 
-	"oleanderstall/platform"
+	"oleanderstall/storer"
 )
 
 // Speeds of the weight store and of the caches before an engine.
@@ -29,10 +29,10 @@
 type Platform struct {
 	faults
 	mu        sync.Mutex
-	rows      map[string]platform.Row
+	rows      map[string]storer.Row
 	version   uint64
 	objects   map[string][]byte
-	instances map[string]platform.Instance
+	instances map[string]storer.Instance
 	loads     int
 	most      int
 	reads     int
@@ -44,9 +44,9 @@
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
 	p := &Platform{
-		rows:      map[string]platform.Row{},
+		rows:      map[string]storer.Row{},
 		objects:   map[string][]byte{},
-		instances: map[string]platform.Instance{},
+		instances: map[string]storer.Instance{},
 	}
 	m := mux.NewRouter().UseEncodedPath()
 	m.HandleFunc("/v1/rows", p.list).Methods(http.MethodGet)
@@ -77,7 +77,7 @@
 	prefix := r.URL.Query().Get("prefix")
 	p.mu.Lock()
 	p.reads++
-	rows := []platform.Row{}
+	rows := []storer.Row{}
 	for _, key := range slices.Sorted(maps.Keys(p.rows)) {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, p.rows[key])
@@ -88,7 +88,7 @@
 }
 
 func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
-	var tx platform.Transaction
+	var tx storer.Transaction
 	if !decode(w, r, &tx) {
 		return
 	}
@@ -100,19 +100,19 @@
 	answer(w, http.StatusOK, versions)
 }
 
-func (p *Platform) apply(tx platform.Transaction) ([]uint64, *platform.ConflictError) {
+func (p *Platform) apply(tx storer.Transaction) ([]uint64, *storer.ConflictError) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.writes++
 	for _, c := range tx.Checks {
 		if p.rows[c.Key].Version != c.Version {
-			return nil, &platform.ConflictError{Key: c.Key}
+			return nil, &storer.ConflictError{Key: c.Key}
 		}
 	}
 	versions := []uint64{}
 	for _, put := range tx.Puts {
 		p.version++
-		p.rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Version: p.version}
+		p.rows[put.Key] = storer.Row{Key: put.Key, Value: put.Value, Version: p.version}
 		versions = append(versions, p.version)
 	}
 	for _, key := range tx.Deletes {
@@ -148,7 +148,7 @@
 func (p *Platform) roster(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	p.lists++
-	list := slices.SortedFunc(maps.Values(p.instances), func(a, b platform.Instance) int {
+	list := slices.SortedFunc(maps.Values(p.instances), func(a, b storer.Instance) int {
 		return strings.Compare(a.Name, b.Name)
 	})
 	tag := fmt.Sprintf("%q", strconv.Itoa(p.listed))
@@ -159,14 +159,14 @@
 		return
 	}
 	if list == nil {
-		list = []platform.Instance{}
+		list = []storer.Instance{}
 	}
 	answer(w, http.StatusOK, list)
 }
 
 func (p *Platform) instance(w http.ResponseWriter, r *http.Request) {
 	name := variable(r, "name")
-	var in platform.Instance
+	var in storer.Instance
 	if r.Method == http.MethodPut && !decode(w, r, &in) {
 		return
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -21,8 +21,8 @@
 
 	"oleanderstall/configurer"
 	"oleanderstall/peer"
-	"oleanderstall/platform"
 	"oleanderstall/router"
+	"oleanderstall/storer"
 	"oleanderstall/syncer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
@@ -40,10 +40,10 @@
 
 // Member is a process's knowledge of the fleet. It is safe for concurrent use.
 type Member struct {
-	self   platform.Instance
+	self   storer.Instance
 	clock  timer.Clock
 	caller peer.Caller
-	lister platform.Lister
+	lister storer.Lister
 	copy   *configurer.Configurer
 	sync   *syncer.Syncer
 	log    *log.Logger
@@ -52,7 +52,7 @@
 	// polling is held by a caller of Reach or Refresh that asks the platform.
 	polling sync.Mutex
 	mu      sync.Mutex
-	list    []platform.Instance
+	list    []storer.Instance
 	tag     string
 	begun   time.Duration
 	listed  time.Duration
@@ -60,7 +60,7 @@
 }
 
 // New returns a member that has seen nothing yet.
-func New(self platform.Instance, clock timer.Clock, caller peer.Caller, lister platform.Lister, s *syncer.Syncer, c *configurer.Configurer, l *log.Logger) *Member {
+func New(self storer.Instance, clock timer.Clock, caller peer.Caller, lister storer.Lister, s *syncer.Syncer, c *configurer.Configurer, l *log.Logger) *Member {
 	return &Member{
 		self:   self,
 		clock:  clock,
@@ -76,7 +76,7 @@
 }
 
 // Self returns this process's line of the instance list.
-func (m *Member) Self() platform.Instance { return m.self }
+func (m *Member) Self() storer.Instance { return m.self }
 
 // View returns the configuration in force here.
 func (m *Member) View() *configurer.View { return m.copy.View() }
@@ -165,7 +165,7 @@
 		return
 	}
 	list, tag, err := m.lister.Instances(ctx, tag)
-	var same *platform.UnchangedError
+	var same *storer.UnchangedError
 	if err != nil && !eris.As(err, &same) {
 		return
 	}
@@ -191,19 +191,19 @@
 	}
 }
 
-func named(list []platform.Instance, name string) bool {
-	return slices.ContainsFunc(list, func(in platform.Instance) bool { return in.Name == name })
+func named(list []storer.Instance, name string) bool {
+	return slices.ContainsFunc(list, func(in storer.Instance) bool { return in.Name == name })
 }
 
 // Instances returns the listed instances of a role.
-func (m *Member) Instances(role string) []platform.Instance {
+func (m *Member) Instances(role string) []storer.Instance {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(m.list), func(in platform.Instance) bool { return in.Role != role })
+	return slices.DeleteFunc(slices.Clone(m.list), func(in storer.Instance) bool { return in.Role != role })
 }
 
 // Find returns the listed instance of that name.
-func (m *Member) Find(name string) (platform.Instance, bool) {
+func (m *Member) Find(name string) (storer.Instance, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, in := range m.list {
@@ -211,7 +211,7 @@
 			return in, true
 		}
 	}
-	return platform.Instance{}, false
+	return storer.Instance{}, false
 }
 
 // Gone reports whether the platform has not listed name for the time d. A name
@@ -244,7 +244,7 @@
 		m.weigh(sent, []*wire.News{m.probe(limited, relay.Address, false)}, false)
 		return
 	}
-	var relays []platform.Instance
+	var relays []storer.Instance
 	for _, centre := range m.centres() {
 		if centre != m.self.Centre {
 			relays = append(relays, m.relay(centre))
@@ -268,9 +268,9 @@
 
 // relay returns the entry that gathers the answers of a data centre. All who
 // have the same list choose the same one.
-func (m *Member) relay(centre string) platform.Instance {
+func (m *Member) relay(centre string) storer.Instance {
 	key := router.Hash(centre)
-	var best platform.Instance
+	var best storer.Instance
 	for _, in := range m.Instances("entry") {
 		if in.Centre == centre && (best.Name == "" || router.Score(in.Name, key) > router.Score(best.Name, key)) {
 			best = in
@@ -291,14 +291,14 @@
 }
 
 // neighbours returns the other entries of this data centre.
-func (m *Member) neighbours() []platform.Instance {
-	return slices.DeleteFunc(m.Instances("entry"), func(in platform.Instance) bool {
+func (m *Member) neighbours() []storer.Instance {
+	return slices.DeleteFunc(m.Instances("entry"), func(in storer.Instance) bool {
 		return in.Name == m.self.Name || in.Centre != m.self.Centre
 	})
 }
 
 // probeAll probes all of list at once; nil stands for silence.
-func (m *Member) probeAll(ctx context.Context, list []platform.Instance, gather bool) []*wire.News {
+func (m *Member) probeAll(ctx context.Context, list []storer.Instance, gather bool) []*wire.News {
 	news := make([]*wire.News, len(list))
 	var wg sync.WaitGroup
 	for i, in := range list {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -12,7 +12,7 @@
 	"oleanderstall/configurer"
 	"oleanderstall/faker"
 	"oleanderstall/peer"
-	"oleanderstall/platform"
+	"oleanderstall/storer"
 	"oleanderstall/syncer"
 	"oleanderstall/wire"
 )
@@ -36,14 +36,14 @@
 	cut bool
 }
 
-func (g *gate) Get(ctx context.Context, key string) (platform.Row, error) {
+func (g *gate) Get(ctx context.Context, key string) (storer.Row, error) {
 	if g.cut {
-		return platform.Row{}, &faker.OutageError{}
+		return storer.Row{}, &faker.OutageError{}
 	}
 	return g.Platform.Get(ctx, key)
 }
 
-func (g *gate) Instances(ctx context.Context, known string) ([]platform.Instance, string, error) {
+func (g *gate) Instances(ctx context.Context, known string) ([]storer.Instance, string, error) {
 	if g.cut {
 		return nil, "", &faker.OutageError{}
 	}
@@ -62,9 +62,9 @@
 		syncers:  map[string]*syncer.Syncer{},
 		members:  map[string]*Member{},
 	}
-	var list []platform.Instance
+	var list []storer.Instance
 	for _, name := range fleet {
-		list = append(list, platform.Instance{Name: name, Role: "entry", Centre: name[:1], Address: name})
+		list = append(list, storer.Instance{Name: name, Role: "entry", Centre: name[:1], Address: name})
 	}
 	r.platform.SetInstances(list...)
 	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
@@ -97,7 +97,7 @@
 	s := r.syncers[name]
 	version := r.members[name].View().Version()
 	assert.NilError(r.t, s.Publish(context.Background(), r.clock.Now(), version,
-		&wire.Change{Drops: []string{"key/k"}, Token: "t"}, platform.Transaction{}))
+		&wire.Change{Drops: []string{"key/k"}, Token: "t"}, storer.Transaction{}))
 }
 
 func (r *rig) outage() {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -25,9 +25,9 @@
 	"oleanderstall/member"
 	"oleanderstall/peer"
 	"oleanderstall/planner"
-	"oleanderstall/platform"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
+	"oleanderstall/storer"
 	"oleanderstall/syncer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
@@ -58,7 +58,7 @@
 	fresh    time.Duration
 	clock    timer.Clock
 	caller   peer.Caller
-	table    platform.Table
+	table    storer.Table
 	sync     *syncer.Syncer
 	copy     *configurer.Configurer
 	member   *member.Member
@@ -69,7 +69,7 @@
 
 // New returns the server for operators. Fresh is the time after which an entry
 // without proof of the newest configuration refuses keys.
-func New(accounts []Account, fresh time.Duration, clock timer.Clock, c peer.Caller, t platform.Table, s *syncer.Syncer, cp *configurer.Configurer, m *member.Member, d Dumper, l *log.Logger) *Server {
+func New(accounts []Account, fresh time.Duration, clock timer.Clock, c peer.Caller, t storer.Table, s *syncer.Syncer, cp *configurer.Configurer, m *member.Member, d Dumper, l *log.Logger) *Server {
 	o := &Server{
 		accounts: accounts,
 		fresh:    fresh,
@@ -191,11 +191,11 @@
 	if err != nil {
 		return nil, err
 	}
-	value, err := platform.Encode(plan)
+	value, err := storer.Encode(plan)
 	if err != nil {
 		return nil, err
 	}
-	tx := platform.Transaction{Puts: []platform.Put{{Key: platform.PlanKey(plan.GetId()), Value: value}}}
+	tx := storer.Transaction{Puts: []storer.Put{{Key: storer.PlanKey(plan.GetId()), Value: value}}}
 	if _, err := o.table.Commit(ctx, tx); err != nil {
 		return nil, outage(err)
 	}
@@ -207,7 +207,7 @@
 }
 
 func (o *Server) read(ctx context.Context, id string) (*wire.Plan, uint64, error) {
-	row, err := o.table.Get(ctx, platform.PlanKey(id))
+	row, err := o.table.Get(ctx, storer.PlanKey(id))
 	if err != nil {
 		return nil, 0, outage(err)
 	}
@@ -215,7 +215,7 @@
 		return nil, 0, refuser.New(refuser.NotFound, "no plan "+id)
 	}
 	plan := &wire.Plan{}
-	return plan, row.Version, platform.Decode(row.Value, plan)
+	return plan, row.Version, storer.Decode(row.Value, plan)
 }
 
 func (o *Server) plan(w http.ResponseWriter, r *http.Request) {
@@ -253,14 +253,14 @@
 // enforce publishes a plan's change together with the plan's confirmation.
 func (o *Server) enforce(ctx context.Context, plan *wire.Plan, version uint64, name string) error {
 	plan.Confirmed = plan.GetBase() + 1
-	value, err := platform.Encode(plan)
+	value, err := storer.Encode(plan)
 	if err != nil {
 		return err
 	}
-	key := platform.PlanKey(plan.GetId())
-	extra := platform.Transaction{
-		Checks: []platform.Check{{Key: key, Version: version}},
-		Puts:   []platform.Put{{Key: key, Value: value}},
+	key := storer.PlanKey(plan.GetId())
+	extra := storer.Transaction{
+		Checks: []storer.Check{{Key: key, Version: version}},
+		Puts:   []storer.Put{{Key: key, Value: value}},
 	}
 	change := proto.CloneOf(plan.GetChange())
 	change.Author = name
@@ -337,7 +337,7 @@
 		change.Author = name
 		change.At = time.Now().UnixMilli()
 		change.Token = rand.Text()
-		err = o.sync.Publish(ctx, o.clock(), view.Version(), change, platform.Transaction{})
+		err = o.sync.Publish(ctx, o.clock(), view.Version(), change, storer.Transaction{})
 		var overtaken *syncer.OvertakenError
 		if err == nil {
 			return change.GetVersion(), nil
@@ -394,7 +394,7 @@
 // Status is the state of the fleet.
 type Status struct {
 	Force
-	Instances []platform.Instance `json:"instances"`
+	Instances []storer.Instance `json:"instances"`
 }
 
 func (o *Server) status(w http.ResponseWriter, r *http.Request) {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -18,7 +18,7 @@
 	"oleanderstall/faker"
 	"oleanderstall/member"
 	"oleanderstall/peer"
-	"oleanderstall/platform"
+	"oleanderstall/storer"
 	"oleanderstall/syncer"
 	"oleanderstall/wire"
 )
@@ -37,9 +37,9 @@
 	network := faker.NewNetwork()
 	clock := faker.NewClock()
 	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
-	var list []platform.Instance
+	var list []storer.Instance
 	for _, name := range []string{"a", "b"} {
-		list = append(list, platform.Instance{Name: name, Role: "entry", Centre: "c", Address: name})
+		list = append(list, storer.Instance{Name: name, Role: "entry", Centre: "c", Address: name})
 	}
 	r.platform.SetInstances(list...)
 	for _, in := range list {
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -18,8 +18,8 @@
 	"oleanderstall/operator"
 	"oleanderstall/peer"
 	"oleanderstall/placer"
-	"oleanderstall/platform"
 	"oleanderstall/refuser"
+	"oleanderstall/storer"
 	"oleanderstall/wire"
 )
 
@@ -169,7 +169,7 @@
 	Fresh     bool                     `json:"fresh"`
 	Shards    []holder.Shard           `json:"shards"`
 	Replicas  map[string][]placer.Slot `json:"replicas"`
-	Instances []platform.Instance      `json:"instances"`
+	Instances []storer.Instance        `json:"instances"`
 }
 
 func (e *Entry) dump(subject string) []byte {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -20,11 +20,12 @@
 
 	"oleanderstall/checker"
 	"oleanderstall/configurer"
+	"oleanderstall/imitator"
 	"oleanderstall/member"
 	"oleanderstall/meter"
 	"oleanderstall/peer"
-	"oleanderstall/platform"
 	"oleanderstall/recorder"
+	"oleanderstall/storer"
 	"oleanderstall/syncer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
@@ -54,7 +55,7 @@
 	log      *log.Logger
 	clock    timer.Clock
 	node     *peer.Node
-	platform *platform.Client
+	platform *imitator.Client
 	copy     *configurer.Configurer
 	sync     *syncer.Syncer
 	member   *member.Member
@@ -88,13 +89,13 @@
 		log:      l,
 		clock:    timer.Now,
 		node:     node,
-		platform: platform.New(s.Platform),
+		platform: imitator.NewClient(s.Platform),
 		copy:     configurer.New(),
 		recorder: recorder.New(s.Name, records),
 		meter:    meter.New(),
 	}
 	p.sync = syncer.New(p.platform, p.platform, p.copy)
-	self := platform.Instance{
+	self := storer.Instance{
 		Name:    s.Name,
 		Role:    s.Role,
 		Centre:  s.Centre,
--- a/platform/keys.go
+++ b/storer/keys.go
@@ -1,4 +1,4 @@
-package platform
+package storer
 
 import (
 	"fmt"
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -14,7 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"oleanderstall/configurer"
-	"oleanderstall/platform"
+	"oleanderstall/storer"
 	"oleanderstall/wire"
 )
 
@@ -35,8 +35,8 @@
 
 // Syncer reads and extends the configuration. It is safe for concurrent use.
 type Syncer struct {
-	table  platform.Table
-	store  platform.Store
+	table  storer.Table
+	store  storer.Store
 	copy   *configurer.Configurer
 	mu     sync.Mutex
 	proven time.Duration
@@ -44,7 +44,7 @@
 }
 
 // New returns a syncer for a process's copy.
-func New(table platform.Table, store platform.Store, c *configurer.Configurer) *Syncer {
+func New(table storer.Table, store storer.Store, c *configurer.Configurer) *Syncer {
 	return &Syncer{table: table, store: store, copy: c}
 }
 
@@ -82,12 +82,12 @@
 }
 
 func (s *Syncer) head(ctx context.Context) (*wire.Head, uint64, error) {
-	row, err := s.table.Get(ctx, platform.HeadKey)
+	row, err := s.table.Get(ctx, storer.HeadKey)
 	if err != nil {
 		return nil, 0, err
 	}
 	head := &wire.Head{}
-	return head, row.Version, platform.Decode(row.Value, head)
+	return head, row.Version, storer.Decode(row.Value, head)
 }
 
 // fetch applies all changes up to head.
@@ -98,7 +98,7 @@
 		}
 	}
 	for v := s.copy.View().Version() + 1; v <= head.GetVersion(); v++ {
-		row, err := s.table.Get(ctx, platform.ChangeKey(v))
+		row, err := s.table.Get(ctx, storer.ChangeKey(v))
 		if err != nil {
 			return err
 		}
@@ -106,7 +106,7 @@
 			return &configurer.GapError{Have: v - 1, Got: head.GetVersion()}
 		}
 		change := &wire.Change{}
-		if err := platform.Decode(row.Value, change); err != nil {
+		if err := storer.Decode(row.Value, change); err != nil {
 			return err
 		}
 		if err := s.copy.Apply(change); err != nil {
@@ -117,12 +117,12 @@
 }
 
 func (s *Syncer) restore(ctx context.Context, version uint64) error {
-	data, err := s.store.Load(ctx, platform.SnapshotName(version))
+	data, err := s.store.Load(ctx, storer.SnapshotName(version))
 	if err != nil {
 		return err
 	}
 	snapshot := &wire.Change{}
-	if err := platform.Decode(data, snapshot); err != nil {
+	if err := storer.Decode(data, snapshot); err != nil {
 		return err
 	}
 	s.copy.Restore(snapshot)
@@ -133,7 +133,7 @@
 // writes in extra, and brings the copy up to it. It returns an OvertakenError if
 // the configuration is at another version. If the answer of the platform was
 // lost, it reads its own write back.
-func (s *Syncer) Publish(ctx context.Context, now time.Duration, base uint64, change *wire.Change, extra platform.Transaction) error {
+func (s *Syncer) Publish(ctx context.Context, now time.Duration, base uint64, change *wire.Change, extra storer.Transaction) error {
 	head, version, err := s.head(ctx)
 	if err != nil {
 		return err
@@ -161,49 +161,49 @@
 	if view.Version() > head.GetVersion() || view.Version() < head.GetSnapshot()+snapshotEvery {
 		return head.GetSnapshot()
 	}
-	data, err := platform.Encode(view.Snapshot())
+	data, err := storer.Encode(view.Snapshot())
 	if err != nil {
 		return head.GetSnapshot()
 	}
-	if err := s.store.Save(ctx, platform.SnapshotName(view.Version()), data); err != nil {
+	if err := s.store.Save(ctx, storer.SnapshotName(view.Version()), data); err != nil {
 		return head.GetSnapshot()
 	}
 	return view.Version()
 }
 
-func join(head *wire.Head, version uint64, change *wire.Change, extra platform.Transaction) (platform.Transaction, error) {
-	first, err := platform.Encode(head)
+func join(head *wire.Head, version uint64, change *wire.Change, extra storer.Transaction) (storer.Transaction, error) {
+	first, err := storer.Encode(head)
 	if err != nil {
 		return extra, err
 	}
-	second, err := platform.Encode(change)
+	second, err := storer.Encode(change)
 	if err != nil {
 		return extra, err
 	}
-	extra.Checks = append(extra.Checks, platform.Check{Key: platform.HeadKey, Version: version})
+	extra.Checks = append(extra.Checks, storer.Check{Key: storer.HeadKey, Version: version})
 	extra.Puts = append(
 		extra.Puts,
-		platform.Put{Key: platform.HeadKey, Value: first},
-		platform.Put{Key: platform.ChangeKey(head.GetVersion()), Value: second},
+		storer.Put{Key: storer.HeadKey, Value: first},
+		storer.Put{Key: storer.ChangeKey(head.GetVersion()), Value: second},
 	)
 	return extra, nil
 }
 
 // commit applies tx. After an error that leaves the outcome open it looks for
 // the change's token.
-func (s *Syncer) commit(ctx context.Context, tx platform.Transaction, change *wire.Change) error {
+func (s *Syncer) commit(ctx context.Context, tx storer.Transaction, change *wire.Change) error {
 	_, err := s.table.Commit(ctx, tx)
 	if err == nil {
 		return nil
 	}
-	var conflict *platform.ConflictError
+	var conflict *storer.ConflictError
 	certain := eris.As(err, &conflict)
-	row, readErr := s.table.Get(ctx, platform.ChangeKey(change.GetVersion()))
+	row, readErr := s.table.Get(ctx, storer.ChangeKey(change.GetVersion()))
 	if readErr != nil {
 		return err
 	}
 	found := &wire.Change{}
-	if decodeErr := platform.Decode(row.Value, found); decodeErr != nil {
+	if decodeErr := storer.Decode(row.Value, found); decodeErr != nil {
 		return err
 	}
 	switch {
--- a/syncer/syncer_test.go
+++ b/syncer/syncer_test.go
@@ -12,7 +12,7 @@
 
 	"oleanderstall/configurer"
 	"oleanderstall/faker"
-	"oleanderstall/platform"
+	"oleanderstall/storer"
 	"oleanderstall/wire"
 )
 
@@ -35,7 +35,7 @@
 	for i := range operators {
 		wg.Go(func() {
 			s, _ := newSyncer(p)
-			err := s.Publish(context.Background(), 0, 0, change(fmt.Sprint("k", i)), platform.Transaction{})
+			err := s.Publish(context.Background(), 0, 0, change(fmt.Sprint("k", i)), storer.Transaction{})
 			won[i] = err == nil
 			var overtaken *OvertakenError
 			assert.Check(t, err == nil || eris.As(err, &overtaken))
@@ -61,7 +61,7 @@
 	p := faker.NewPlatform()
 	s, c := newSyncer(p)
 	p.Lose(1)
-	assert.NilError(t, s.Publish(context.Background(), 0, 0, change("k"), platform.Transaction{}))
+	assert.NilError(t, s.Publish(context.Background(), 0, 0, change("k"), storer.Transaction{}))
 	assert.Equal(t, c.View().Version(), uint64(1))
 	assert.Equal(t, p.Commits(), 1)
 }
@@ -71,7 +71,7 @@
 	p := faker.NewPlatform()
 	s, c := newSyncer(p)
 	p.Down(true)
-	assert.Assert(t, s.Publish(context.Background(), 0, 0, change("k"), platform.Transaction{}) != nil)
+	assert.Assert(t, s.Publish(context.Background(), 0, 0, change("k"), storer.Transaction{}) != nil)
 	p.Down(false)
 	assert.NilError(t, s.Pull(context.Background(), 0))
 	assert.Equal(t, c.View().Version(), uint64(0))
@@ -83,7 +83,7 @@
 	s, c := newSyncer(p)
 	for i := range 3*snapshotEvery + 5 {
 		version := c.View().Version()
-		assert.NilError(t, s.Publish(context.Background(), 0, version, change(fmt.Sprint("k", i)), platform.Transaction{}))
+		assert.NilError(t, s.Publish(context.Background(), 0, version, change(fmt.Sprint("k", i)), storer.Transaction{}))
 	}
 	fresh, copied := newSyncer(p)
 	assert.NilError(t, fresh.Pull(context.Background(), 0))
@@ -94,11 +94,11 @@
 // stale is a platform whose reads of the head lag behind.
 type stale struct {
 	*faker.Platform
-	head *platform.Row
+	head *storer.Row
 }
 
-func (s *stale) Get(ctx context.Context, key string) (platform.Row, error) {
-	if key == platform.HeadKey && s.head != nil {
+func (s *stale) Get(ctx context.Context, key string) (storer.Row, error) {
+	if key == storer.HeadKey && s.head != nil {
 		return *s.head, nil
 	}
 	return s.Platform.Get(ctx, key)
@@ -109,10 +109,10 @@
 	p := &stale{Platform: faker.NewPlatform()}
 	c := configurer.New()
 	s := New(p, p, c)
-	assert.NilError(t, s.Publish(context.Background(), 0, 0, change("k1"), platform.Transaction{}))
-	old, err := p.Platform.Get(context.Background(), platform.HeadKey)
+	assert.NilError(t, s.Publish(context.Background(), 0, 0, change("k1"), storer.Transaction{}))
+	old, err := p.Platform.Get(context.Background(), storer.HeadKey)
 	assert.NilError(t, err)
-	assert.NilError(t, s.Publish(context.Background(), 0, 1, change("k2"), platform.Transaction{}))
+	assert.NilError(t, s.Publish(context.Background(), 0, 1, change("k2"), storer.Transaction{}))
 	p.head = &old
 	assert.NilError(t, s.Pull(context.Background(), time.Second))
 	assert.Equal(t, c.View().Version(), uint64(2))
