platform: a thin path from callers to engines on the users' platform

Cause: nothing of the system ran on the platform. Now an entry on each edge machine follows the store's tables op and servers, admits requests under the operator's configuration, and passes them on to an engine that says it has the model. Ruled out: net/http's transport towards engines, since it sends some requests again by itself and does not tell whether bytes have left.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -68,12 +68,27 @@
 	// Lease is the lease time of a shard; the same in the whole fleet.
 	Lease Span `json:"lease"`
 	// Shards is the number of shards; the same in the whole fleet.
-	Shards  uint32   `json:"shards"`
-	Log     Log      `json:"log"`
+	Shards uint32 `json:"shards"`
+	Log    Log    `json:"log"`
+	// Hosted is given on a platform that keeps the configuration, lists the
+	// backend servers and lets the processes find each other.
+	Hosted  *Hosted  `json:"hosted"`
 	Entry   *Entry   `json:"entry"`
 	Sidecar *Sidecar `json:"sidecar"`
 }
 
+// Hosted are the settings of a process on such a platform.
+type Hosted struct {
+	// Store is the IP:port of the platform's store.
+	Store string `json:"store"`
+	// Ready is the IP:port on which the platform asks whether an entry is ready.
+	Ready string `json:"ready"`
+	// Memory is the most memory of the process, in bytes.
+	Memory int64 `json:"memory"`
+	// Grace is the time between the notice to stop and the end of the process.
+	Grace Span `json:"grace"`
+}
+
 // Log sets what is logged.
 type Log struct {
 	// Level is "debug", "info", "warn" or "error".
@@ -209,6 +224,9 @@
 		fill(&e.Grace, Span(2*time.Second))
 		fill(&e.Fresh, Span(3*time.Second))
 	}
+	if s.Hosted != nil {
+		fill(&s.Hosted.Grace, Span(8*time.Second))
+	}
 	if s.Sidecar != nil {
 		c := s.Sidecar
 		fill(&c.Concurrency, 32)
@@ -231,8 +249,12 @@
 	f.present("centre", s.Centre)
 	f.address("peer", s.Peer, true)
 	f.address("admin", s.Admin, false)
-	f.link("platform", s.Platform)
-	f.secret("secret", &s.Secret, env)
+	if s.Hosted != nil {
+		f.hosted(s.Hosted)
+	} else {
+		f.link("platform", s.Platform)
+		f.secret("secret", &s.Secret, env)
+	}
 	f.atLeast("lease", time.Duration(s.Lease), time.Second)
 	if s.Shards == 0 || s.Shards > 4096 {
 		f.fault("shards", "must be from 1 to 4096")
@@ -256,6 +278,12 @@
 	}
 }
 
+func (f *finder) hosted(h *Hosted) {
+	f.address("hosted.store", h.Store, true)
+	f.address("hosted.ready", h.Ready, false)
+	f.atLeast("hosted.grace", time.Duration(h.Grace), time.Second)
+}
+
 func (f *finder) entry(e *Entry, env func(string) (string, bool)) {
 	f.address("entry.callers", e.Callers, true)
 	f.address("entry.operators", e.Operators, false)
--- a/cmd/oleanderstall/role.go
+++ b/cmd/oleanderstall/role.go
@@ -19,7 +19,7 @@
 
 // roleCommand runs an entry or a sidecar.
 type roleCommand struct {
-	Settings string `long:"settings" required:"yes" description:"Settings file, JSON with comments."`
+	Settings string `long:"settings" required:"yes" env:"OLEANDERSTALL_CONFIG" description:"Settings file, JSON with comments."`
 	role     string
 }
 
@@ -64,6 +64,9 @@
 }
 
 func start(s *checker.Settings, l *log.Logger) (process, error) {
+	if s.Hosted != nil {
+		return runner.StartHostedEntry(s, l)
+	}
 	if s.Role == "entry" {
 		return runner.StartEntry(s, l)
 	}
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -6,8 +6,10 @@
 package configurer
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"crypto/subtle"
+	"encoding/hex"
 	"fmt"
 	"maps"
 	"slices"
@@ -37,6 +39,9 @@
 	workspaces map[string]*wire.Workspace
 	keys       map[string]*wire.Key
 	routes     map[string]*wire.Route
+	pools      map[string]*wire.Pool
+	limits     *wire.Limits
+	hosts      map[string][]*wire.Route
 }
 
 // Version returns the version of the view.
@@ -54,6 +59,23 @@
 // Route returns the route of that name, or nil.
 func (v *View) Route(name string) *wire.Route { return v.routes[name] }
 
+// Pool returns the pool of that name, or nil.
+func (v *View) Pool(name string) *wire.Pool { return v.pools[name] }
+
+// Limits returns what callers may send.
+func (v *View) Limits() *wire.Limits { return v.limits }
+
+// Match returns the route of host with the longest prefix that begins path, or
+// nil.
+func (v *View) Match(host, path string) *wire.Route {
+	for _, r := range v.hosts[host] {
+		if strings.HasPrefix(path, r.GetPrefix()) {
+			return r
+		}
+	}
+	return nil
+}
+
 // Models returns all models and adapters by name.
 func (v *View) Models() []*wire.Model { return ordered(v.models) }
 
@@ -63,6 +85,9 @@
 // Routes returns all routes by name.
 func (v *View) Routes() []*wire.Route { return ordered(v.routes) }
 
+// Pools returns all pools by name.
+func (v *View) Pools() []*wire.Pool { return ordered(v.pools) }
+
 // Keys returns all keys by id.
 func (v *View) Keys() []*wire.Key { return ordered(v.keys) }
 
@@ -90,6 +115,22 @@
 	return key, nil
 }
 
+// Token returns the record of a caller's key that is one text without an id. Its
+// id is derived from its hash.
+func Token(text, workspace string) *wire.Key {
+	hash := sha256.Sum256([]byte(text))
+	return &wire.Key{Id: hex.EncodeToString(hash[:]), Hash: hash[:], Workspace: workspace}
+}
+
+// Identify returns the key that a caller presented as one text.
+func (v *View) Identify(presented string) (*wire.Key, error) {
+	key := v.keys[Token(presented, "").GetId()]
+	if key == nil {
+		return nil, refuser.New(refuser.Unauthorized, "the key is missing, unknown or withdrawn")
+	}
+	return key, nil
+}
+
 // Serves reports whether workspace may use model.
 func Serves(m *wire.Model, workspace string) bool {
 	return slices.Contains(m.GetWorkspaces(), workspace)
@@ -103,6 +144,8 @@
 		Workspaces: v.Workspaces(),
 		Keys:       v.Keys(),
 		Routes:     v.Routes(),
+		Pools:      v.Pools(),
+		Limits:     v.limits,
 	}
 }
 
@@ -114,6 +157,8 @@
 		workspaces: maps.Clone(v.workspaces),
 		keys:       maps.Clone(v.keys),
 		routes:     maps.Clone(v.routes),
+		pools:      maps.Clone(v.pools),
+		limits:     v.limits,
 	}
 	for _, name := range c.GetDrops() {
 		n.drop(name)
@@ -130,9 +175,32 @@
 	for _, r := range c.GetRoutes() {
 		n.routes[r.GetName()] = r
 	}
+	for _, p := range c.GetPools() {
+		n.pools[p.GetName()] = p
+	}
+	if c.GetLimits() != nil {
+		n.limits = c.GetLimits()
+	}
+	n.hosts = byHost(n.routes)
 	return n
 }
 
+// byHost groups the routes with a prefix by host, the longest prefix first.
+func byHost(routes map[string]*wire.Route) map[string][]*wire.Route {
+	hosts := map[string][]*wire.Route{}
+	for _, r := range routes {
+		if r.GetPrefix() != "" {
+			hosts[r.GetHost()] = append(hosts[r.GetHost()], r)
+		}
+	}
+	for _, list := range hosts {
+		slices.SortFunc(list, func(a, b *wire.Route) int {
+			return cmp.Or(len(b.GetPrefix())-len(a.GetPrefix()), cmp.Compare(a.GetName(), b.GetName()))
+		})
+	}
+	return hosts
+}
+
 func (v *View) drop(item string) {
 	kind, name, _ := strings.Cut(item, "/")
 	switch kind {
@@ -144,6 +212,8 @@
 		delete(v.keys, name)
 	case "route":
 		delete(v.routes, name)
+	case "pool":
+		delete(v.pools, name)
 	}
 }
 
@@ -170,6 +240,7 @@
 		workspaces: map[string]*wire.Workspace{},
 		keys:       map[string]*wire.Key{},
 		routes:     map[string]*wire.Route{},
+		pools:      map[string]*wire.Pool{},
 	}
 }
 
--- a/dispatcher/charge.go
+++ b/dispatcher/charge.go
@@ -34,6 +34,31 @@
 	parts     []part
 }
 
+// Charge implements Charger.
+func (d *Dispatcher) Charge(ctx context.Context, r *Request) (*Bill, error) {
+	if r.Cost == 0 {
+		return &Bill{}, nil
+	}
+	w := d.member.View().Workspace(r.Workspace)
+	if w == nil {
+		return nil, refuser.New(refuser.NotFound, "the workspace was removed")
+	}
+	return d.charge(ctx, w, r.Cost)
+}
+
+// Settle implements Charger. The last part goes back first. A settlement that is
+// lost costs the workspace those tokens once.
+func (d *Dispatcher) Settle(b *Bill, used float64) {
+	spent := used
+	for _, p := range b.parts {
+		keep := min(p.tokens, spent)
+		spent -= keep
+		if back := p.tokens - keep; back > 0 {
+			d.refund(b.workspace, p, back)
+		}
+	}
+}
+
 // charge takes cost tokens of a workspace. It asks share after share, beginning
 // with one that depends on this entry's data centre, and gathers what each has.
 // If the sum falls short, everything goes back.
@@ -59,7 +84,7 @@
 			retry = wait
 		}
 	}
-	d.settle(bill, 0)
+	d.Settle(bill, 0)
 	if !answered {
 		return nil, refuser.New(refuser.Outage, "no holder of the workspace's limit answered").After(time.Second)
 	}
@@ -138,19 +163,6 @@
 	d.hushed[address] = d.clock()
 }
 
-// settle gives back what was charged beyond used tokens. The last part goes back
-// first. A settlement that is lost costs the workspace those tokens once.
-func (d *Dispatcher) settle(b *Bill, used float64) {
-	spent := used
-	for _, p := range b.parts {
-		keep := min(p.tokens, spent)
-		spent -= keep
-		if back := p.tokens - keep; back > 0 {
-			d.refund(b.workspace, p, back)
-		}
-	}
-}
-
 func (d *Dispatcher) refund(workspace string, p part, tokens float64) {
 	r := &wire.Refund{
 		Workspace: workspace,
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -1,6 +1,8 @@
 // Package dispatcher takes an admitted request of a caller to a back end and its
-// answer back: it charges the workspace, finds the replicas, routes, retries
-// where nothing has run, and resumes a stream that was cut.
+// answer back: it charges the workspace, finds a backend server, retries where
+// nothing has run or the request may be repeated, and resumes a stream that was
+// cut. Core does so for any request; Dispatcher is the core's user for completions
+// and calls of plain services that go through sidecars.
 package dispatcher
 
 import (
@@ -48,10 +50,10 @@
 	recorder *recorder.Recorder
 	meter    *meter.Meter
 	log      *log.Logger
+	core     *Core
 
 	mu       sync.Mutex
 	router   *router.Router
-	budget   *router.Budget
 	places   map[string]*known
 	backends map[string]*backend
 	leaving  map[string]notice
@@ -73,7 +75,7 @@
 
 // New returns a dispatcher that knows no replica yet.
 func New(shards uint32, clock timer.Clock, caller peer.Caller, m *member.Member, h *holder.Holder, r *recorder.Recorder, mt *meter.Meter, l *log.Logger) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		shards:   shards,
 		clock:    clock,
 		caller:   caller,
@@ -83,14 +85,34 @@
 		meter:    mt,
 		log:      l,
 		router:   router.New(router.Hash(m.Self().Name)),
-		budget:   router.NewBudget(retryRatio, retryMost),
 		places:   map[string]*known{},
 		backends: map[string]*backend{},
 		leaving:  map[string]notice{},
 		hushed:   map[string]time.Duration{},
 	}
+	d.core = NewCore(clock, d, d, d, d, router.NewBudget(retryRatio, retryMost), r, mt, l)
+	return d
 }
 
+// Find implements Finder.
+func (d *Dispatcher) Find(ctx context.Context, r *Request, h *History) (*Place, error) {
+	if r.Model == "" {
+		return d.findInstance(r, h)
+	}
+	return d.findReplica(ctx, r, h)
+}
+
+// Send implements Sender.
+func (d *Dispatcher) Send(ctx context.Context, p *Place, r *Request, from uint64) (Answer, error) {
+	if v, ok := r.Content.(*Service); ok {
+		return d.sendService(ctx, p, r, v)
+	}
+	return d.sendModel(ctx, p, r, r.Content.(*transcript), from)
+}
+
+// Granted implements Checker: a stream ends with the withdrawal of its key.
+func (d *Dispatcher) Granted(key string) bool { return d.member.View().Key(key) != nil }
+
 // notice is what a leaving process has said.
 type notice struct {
 	started int64
@@ -269,19 +291,6 @@
 	return d.router.Pick(d.clock(), targets, prefix)
 }
 
-// spend takes one retry out of the budget.
-func (d *Dispatcher) spend() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.budget.Retry()
-}
-
-func (d *Dispatcher) earn() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.budget.Request()
-}
-
 // subset is the number of instances of a large pool that this entry sends to.
 const subset = 24
 
--- a/dispatcher/model.go
+++ b/dispatcher/model.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"strconv"
+	"io"
 	"strings"
 	"time"
 
@@ -15,7 +15,7 @@
 	"oleanderstall/wire"
 )
 
-// Model is an admitted model request.
+// Model is an admitted completion request.
 type Model struct {
 	ID        string
 	Key       *wire.Key
@@ -33,72 +33,41 @@
 	Deadline time.Duration
 }
 
-// againAfter is the pause before a replica is tried a second time.
-const againAfter = 50 * time.Millisecond
-
-// progress is what a caller has received so far.
-type progress struct {
-	text strings.Builder
-	sent uint32
-	// open is set once an attempt has ended that may have run.
-	open bool
-}
-
-// note takes note of an attempt that failed.
-func (p *progress) note(err error) {
-	p.open = p.open || !refuser.Of(err).Never()
-}
-
 // Run serves a model request and passes each token's text to token. A stream that
 // is cut goes on at another replica, after the tokens that were passed on. An
 // error is a *refuser.Refusal.
 func (d *Dispatcher) Run(ctx context.Context, m *Model, token func(text string) error) (*wire.Finish, error) {
-	begun := d.clock()
-	bill, err := d.charge(ctx, m.Workspace, float64(m.Cost))
-	if err != nil {
-		return nil, d.refused(m, err)
-	}
-	d.earn()
-	p := &progress{}
-	pass := func(text string) error {
-		if p.sent == 0 {
-			d.meter.First(m.Workspace.GetName(), d.clock()-begun)
-		}
-		p.sent++
-		p.text.WriteString(text)
-		return token(text)
-	}
-	finish, err := d.attempts(ctx, m, p, pass)
+	text := &transcript{model: m, token: token}
+	end, err := d.core.Serve(ctx, m.request(d.clock(), text), text)
 	if err != nil {
-		d.settle(bill, used(m, p, err))
-		return nil, d.refused(m, err)
+		return nil, err
 	}
-	tokens := float64(finish.GetPrompt() + finish.GetOutput())
-	d.settle(bill, tokens)
-	d.meter.Tokens(m.Workspace.GetName(), tokens)
-	d.meter.Request(m.Workspace.GetName(), "served")
-	return finish, nil
+	f := end.(completed)
+	d.meter.Tokens(m.Workspace.GetName(), f.Used())
+	return f.Finish, nil
 }
 
-// used is the upper bound of what a failed request used.
-func used(m *Model, p *progress, err error) float64 {
-	if p.sent == 0 && refuser.Of(err).Never() {
-		return 0
+// request returns what the core reads of m.
+func (m *Model) request(now time.Duration, content *transcript) *Request {
+	r := &Request{
+		ID:        m.ID,
+		Workspace: m.Workspace.GetName(),
+		Key:       m.Key.GetId(),
+		Kind:      Resumable,
+		Model:     base(m.Model),
+		Cost:      float64(m.Cost),
+		Output:    int(m.Output),
+		Config:    m.Config,
+		Begun:     now,
+		Deadline:  m.Deadline,
+		Content:   content,
 	}
-	return float64(m.Cost - m.Output + p.sent)
-}
-
-// refused counts and records a refusal and hands it back.
-func (d *Dispatcher) refused(m *Model, err error) error {
-	r := refuser.Of(err)
-	name := m.Workspace.GetName()
-	d.meter.Request(name, r.Kind().String())
-	switch r.Kind() {
-	case refuser.Limited, refuser.TooLarge, refuser.Canceled:
-	default:
-		d.meter.Wrongful(name, r.Kind().String())
+	if m.Prefix != 0 {
+		r.Prompt = []Part{{ID: m.Prefix}}
+	}
+	if m.Model.GetBase() != "" {
+		r.Adapter = m.Model.GetName()
 	}
-	d.recorder.Note(time.Now(), "request/"+m.ID, "workspace "+name+", model "+m.Model.GetName()+": "+r.Error())
 	return r
 }
 
@@ -110,56 +79,90 @@
 	return m.GetName()
 }
 
-// attempts tries replicas until one has finished the answer.
-func (d *Dispatcher) attempts(ctx context.Context, m *Model, p *progress, token func(string) error) (*wire.Finish, error) {
-	name := base(m.Model)
-	spots, err := d.find(ctx, name, m.Deadline)
-	if err != nil {
-		return nil, err
+// affinity is the hash by which requests of the same kind go to the same replica.
+func affinity(r *Request) uint64 {
+	if r.Adapter != "" {
+		return router.Hash(r.Adapter)
 	}
-	tried := map[string]bool{}
-	for {
-		spot := d.pick(m, spots, tried)
-		if spot == nil {
-			spots, err = d.more(ctx, m, spots, tried, err)
-			if err != nil {
-				return nil, outcome(err, p.open)
-			}
-			continue
-		}
-		var finish *wire.Finish
-		finish, err = d.attempt(ctx, m, spot, p, token)
-		if err == nil {
-			return finish, nil
+	if len(r.Prompt) > 0 {
+		return r.Prompt[0].ID
+	}
+	return 0
+}
+
+// transcript is a completion request with the text that was passed on.
+type transcript struct {
+	model *Model
+	token func(string) error
+	text  strings.Builder
+}
+
+// Begin implements Output.
+func (t *transcript) Begin(any) error { return nil }
+
+// Pass implements Output.
+func (t *transcript) Pass(e Event) error {
+	t.text.Write(e.Data)
+	return t.token(string(e.Data))
+}
+
+// completed is the end of a completion.
+type completed struct {
+	*wire.Finish
+}
+
+// Used implements Usage.
+func (c completed) Used() float64 { return float64(c.GetPrompt() + c.GetOutput()) }
+
+// findReplica returns a replica of the request's model.
+func (d *Dispatcher) findReplica(ctx context.Context, r *Request, h *History) (*Place, error) {
+	spots, known := h.Memo.([]*wire.Spot)
+	if !known {
+		found, err := d.find(ctx, r.Model, r.Deadline)
+		if err != nil {
+			return nil, err
 		}
-		tried[spot.GetInstance()] = true
-		p.note(err)
-		if !d.again(m, spot, p, err) {
-			return nil, outcome(err, p.open)
+		spots = found
+	}
+	spot := d.pick(r, spots, h.Tried)
+	if spot == nil {
+		found, err := d.more(ctx, r, spots, h)
+		if err != nil {
+			return nil, err
 		}
+		spots = found
+		spot = d.pick(r, spots, h.Tried)
+	}
+	h.Memo = spots
+	if spot == nil {
+		return nil, refuser.New(refuser.Busy, "no replica takes requests now").After(time.Second)
 	}
+	d.begin(spot.GetInstance())
+	return &Place{
+		Name:    spot.GetInstance(),
+		Address: spot.GetAddress(),
+		Release: func(rep Report) { d.releaseReplica(r.Model, spot.GetInstance(), rep) },
+	}, nil
 }
 
-// outcome is what the caller is told. If an earlier attempt may have run, that
-// the last one has not does not mean that nothing ran.
-func outcome(err error, open bool) error {
-	r := refuser.Of(err)
-	if open && r.Never() {
-		return refuser.Unknown(r.Kind(), r.Text()).After(r.Retry())
+// releaseReplica takes note of the end of an attempt at a replica.
+func (d *Dispatcher) releaseReplica(model, instance string, rep Report) {
+	queue := -1
+	if f, ok := rep.End.(completed); ok {
+		queue = int(f.GetQueue())
+	}
+	d.end(instance, queue)
+	if refuser.Is(rep.Err, refuser.Absent) || refuser.Is(rep.Err, refuser.Leaving) {
+		d.forget(model)
 	}
-	return r
 }
 
-func (d *Dispatcher) pick(m *Model, spots []*wire.Spot, tried map[string]bool) *wire.Spot {
+func (d *Dispatcher) pick(r *Request, spots []*wire.Spot, tried map[string]bool) *wire.Spot {
 	names := make([]string, len(spots))
 	for i, s := range spots {
 		names[i] = s.GetInstance()
 	}
-	prefix := m.Prefix
-	if m.Model.GetBase() != "" {
-		prefix = router.Hash(m.Model.GetName())
-	}
-	i := d.choose(names, tried, prefix)
+	i := d.choose(names, tried, affinity(r))
 	if i < 0 {
 		return nil
 	}
@@ -168,142 +171,114 @@
 
 // more asks the holder for other replicas once all known ones were tried. It
 // gives up if there are no others.
-func (d *Dispatcher) more(ctx context.Context, m *Model, old []*wire.Spot, tried map[string]bool, last error) ([]*wire.Spot, error) {
-	name, deadline := base(m.Model), m.Deadline
-	a := &wire.Ask{Model: name, Full: refuser.Is(last, refuser.Busy)}
+func (d *Dispatcher) more(ctx context.Context, r *Request, old []*wire.Spot, h *History) ([]*wire.Spot, error) {
+	a := &wire.Ask{Model: r.Model, Full: refuser.Is(h.Last, refuser.Busy)}
 	for _, s := range old {
-		if tried[s.GetInstance()] && !a.Full {
+		if h.Tried[s.GetInstance()] && !a.Full {
 			a.Missing = s.GetInstance()
 		}
 	}
-	d.forget(name)
-	spots, err := d.ask(ctx, a, deadline)
+	d.forget(r.Model)
+	spots, err := d.ask(ctx, a, r.Deadline)
 	if err != nil {
 		return nil, err
 	}
-	if d.pick(m, spots, tried) != nil {
+	if d.pick(r, spots, h.Tried) != nil {
 		return spots, nil
 	}
+	last := h.Last
 	if last == nil {
 		last = refuser.New(refuser.Busy, "no replica takes requests now").After(time.Second)
 	}
 	if !refuser.Is(last, refuser.Absent) && !refuser.Is(last, refuser.Lost) {
 		return nil, last
 	}
-	clear(tried)
-	if !sleep(ctx, againAfter) || d.clock() >= m.Deadline || d.pick(m, spots, tried) == nil {
+	clear(h.Tried)
+	if !sleep(ctx, againAfter) || d.clock() >= r.Deadline || d.pick(r, spots, h.Tried) == nil {
 		return nil, last
 	}
 	return spots, nil
 }
 
-// again reports whether to try another replica after err. Only what has not run,
-// or a stream whose tokens so far are known, is tried again.
-func (d *Dispatcher) again(m *Model, spot *wire.Spot, p *progress, err error) bool {
-	r := refuser.Of(err)
-	switch r.Kind() {
-	case refuser.Absent, refuser.Leaving:
-		d.forget(base(m.Model))
-		return true
-	case refuser.Busy, refuser.Stale, refuser.Lost:
-	default:
-		return false
-	}
-	if d.clock() >= m.Deadline || !d.spend() {
-		return false
-	}
-	d.recorder.Note(time.Now(), "request/"+m.ID, "attempt at "+spot.GetInstance()+" after "+
-		strconv.Itoa(int(p.sent))+" tokens: "+r.Error())
-	return true
-}
+// againAfter is the pause before a replica is tried a second time.
+const againAfter = 50 * time.Millisecond
 
-// attempt sends the request to one replica and passes its tokens on.
-func (d *Dispatcher) attempt(ctx context.Context, m *Model, spot *wire.Spot, p *progress, token func(string) error) (finish *wire.Finish, err error) {
-	d.begin(spot.GetInstance())
-	defer func() {
-		queue := -1
-		if finish != nil {
-			queue = int(finish.GetQueue())
-		}
-		d.end(spot.GetInstance(), queue)
-	}()
-	limited, cancel := context.WithTimeout(ctx, m.Deadline-d.clock())
-	defer cancel()
-	s, err := d.caller.Open(limited, spot.GetAddress(), &wire.Call{Body: &wire.Call_Run{Run: &wire.Run{
+// sendModel sends a completion request to the sidecar of a replica.
+func (d *Dispatcher) sendModel(ctx context.Context, p *Place, r *Request, t *transcript, from uint64) (Answer, error) {
+	m := t.model
+	s, err := d.caller.Open(ctx, p.Address, &wire.Call{Body: &wire.Call_Run{Run: &wire.Run{
 		Id:        m.ID,
-		Workspace: m.Workspace.GetName(),
-		Key:       m.Key.GetId(),
-		Config:    m.Config,
+		Workspace: r.Workspace,
+		Key:       r.Key,
+		Config:    r.Config,
 		Model:     m.Model.GetName(),
 		Chat:      m.Chat,
 		Body:      m.Body,
-		Left:      timer.Millis(m.Deadline - d.clock()),
+		Left:      timer.Millis(r.Deadline - d.clock()),
 		Cost:      m.Cost,
-		Resume:    p.text.String(),
-		Sent:      p.sent,
+		Resume:    t.text.String(),
+		Sent:      uint32(from),
 	}}})
 	if err != nil {
-		return nil, d.broken(ctx, limited, err)
-	}
-	defer s.Cancel()
-	for {
-		reply, err := s.Recv()
-		if err != nil {
-			return nil, d.broken(ctx, limited, err)
-		}
-		finish, err := d.take(m, p, reply, token)
-		if finish != nil || err != nil {
-			return finish, err
-		}
+		return nil, broken(err)
 	}
+	return &stream{stream: s, id: m.ID, sent: from}, nil
 }
 
-// broken turns the failure of a stream into a refusal.
-func (d *Dispatcher) broken(ctx, limited context.Context, err error) error {
-	var send *peer.SendError
-	sent := !eris.As(err, &send) || send.Sent
-	kind, text := refuser.Lost, "the connection to the sidecar was lost: "+err.Error()
-	switch {
-	case ctx.Err() != nil:
-		kind, text = refuser.Canceled, "the caller has given up"
-	case limited.Err() != nil:
-		kind, text = refuser.Late, "the deadline has passed"
+// broken turns the failure of a call to a sidecar into a refusal.
+func broken(err error) error {
+	var r *refuser.Refusal
+	if eris.As(err, &r) {
+		return r
 	}
-	if sent {
-		return refuser.Unknown(kind, text).After(time.Second)
+	text := "the connection to the sidecar was lost: " + err.Error()
+	var send *peer.SendError
+	if eris.As(err, &send) && !send.Sent {
+		return refuser.New(refuser.Lost, text).After(time.Second)
 	}
-	return refuser.New(kind, text).After(time.Second)
+	return refuser.Unknown(refuser.Lost, text).After(time.Second)
 }
 
-// granted refuses to go on with a request whose key was withdrawn meanwhile.
-func (d *Dispatcher) granted(m *Model) error {
-	if d.member.View().Key(m.Key.GetId()) != nil {
-		return nil
-	}
-	return refuser.Unknown(refuser.Unauthorized, "the key was withdrawn during the answer")
+// stream is the answer of a sidecar to a completion request.
+type stream struct {
+	stream peer.Stream
+	id     string
+	sent   uint64
+	finish completed
 }
 
-// take handles one message of a stream. Tokens have to follow one another
-// without a gap, and belong to this request.
-func (d *Dispatcher) take(m *Model, p *progress, reply *wire.Reply, token func(string) error) (*wire.Finish, error) {
+// Head implements Answer.
+func (s *stream) Head() any { return nil }
+
+// Failed implements Answer.
+func (s *stream) Failed() bool { return false }
+
+// End implements Answer.
+func (s *stream) End() any { return s.finish }
+
+// Close implements Answer.
+func (s *stream) Close() { s.stream.Cancel() }
+
+// Next implements Answer.
+func (s *stream) Next() (Event, error) {
+	reply, err := s.stream.Recv()
+	if err != nil {
+		return Event{}, broken(err)
+	}
 	if r := reply.GetRefusal(); r != nil {
-		return nil, refuser.Parse(r)
+		return Event{}, refuser.Parse(r)
 	}
 	if piece := reply.GetPiece(); piece != nil {
-		if piece.GetId() != m.ID || piece.GetIndex() != p.sent {
-			return nil, refuser.Unknown(refuser.Lost, "a token of another request or place arrived")
-		}
-		if err := d.granted(m); err != nil {
-			return nil, err
-		}
-		if err := token(piece.GetText()); err != nil {
-			return nil, refuser.Unknown(refuser.Canceled, "the caller has given up")
+		if piece.GetId() != s.id {
+			return Event{}, refuser.Unknown(refuser.Lost, "a token of another request arrived")
 		}
-		return nil, nil
+		s.sent = uint64(piece.GetIndex()) + 1
+		return Event{Index: uint64(piece.GetIndex()), Data: []byte(piece.GetText())}, nil
 	}
-	finish := reply.GetFinish()
-	if finish.GetId() != m.ID || finish.GetOutput() != p.sent {
-		return nil, refuser.Unknown(refuser.Lost, "the end of another answer arrived")
+	f := reply.GetFinish()
+	if f.GetId() != s.id || uint64(f.GetOutput()) != s.sent {
+		return Event{}, refuser.Unknown(refuser.Lost, "the end of another answer arrived")
 	}
-	return finish, nil
+	s.finish = completed{Finish: f}
+	return Event{}, io.EOF
 }
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"oleanderstall/peer"
 	"oleanderstall/refuser"
 	"oleanderstall/timer"
@@ -32,71 +31,71 @@
 // is the back end's or a refusal whose run is unknown. An error is a
 // *refuser.Refusal.
 func (d *Dispatcher) Invoke(ctx context.Context, v *Service) (*wire.Answer, error) {
-	d.earn()
-	answer, err := d.invokeAny(ctx, v)
-	name := v.Key.GetWorkspace()
+	end, err := d.core.Serve(ctx, v.request(d.clock()), nowhere{})
 	if err != nil {
-		r := refuser.Of(err)
-		d.meter.Request(name, r.Kind().String())
-		d.meter.Wrongful(name, r.Kind().String())
-		d.recorder.Note(time.Now(), "request/"+v.ID, "route "+v.Route.GetName()+": "+r.Error())
-		return nil, r
+		return nil, err
 	}
-	d.meter.Request(name, "served")
-	return answer, nil
+	return end.(*wire.Answer), nil
 }
 
-func (d *Dispatcher) invokeAny(ctx context.Context, v *Service) (*wire.Answer, error) {
-	list := d.pool(v.Route.GetPool())
-	names := make([]string, len(list))
-	for i, in := range list {
-		names[i] = in.Name
+// request returns what the core reads of v.
+func (v *Service) request(now time.Duration) *Request {
+	r := &Request{
+		ID:        v.ID,
+		Workspace: v.Key.GetWorkspace(),
+		Key:       v.Key.GetId(),
+		Route:     v.Route.GetName(),
+		Pool:      v.Route.GetPool(),
+		Config:    v.Config,
+		Begun:     now,
+		Deadline:  v.Deadline,
+		Content:   v,
 	}
-	tried, open := map[string]bool{}, false
-	var last error = refuser.New(refuser.Busy, "no instance of the pool takes calls now").After(time.Second)
-	for {
-		i := d.choose(names, tried, 0)
-		if i < 0 {
-			return nil, outcome(last, open)
-		}
-		tried[names[i]] = true
-		answer, err := d.invoke(ctx, v, names[i], list[i].Address)
-		if err == nil {
-			return answer, nil
-		}
-		last, open = err, open || !refuser.Of(err).Never()
-		if !d.repeatable(v, err) {
-			return nil, outcome(err, open)
-		}
+	if v.Route.GetIdempotent() {
+		r.Kind = Idempotent
 	}
+	return r
 }
 
-// repeatable reports whether a failed call may go to another sidecar.
-func (d *Dispatcher) repeatable(v *Service, err error) bool {
-	r := refuser.Of(err)
-	if !r.Never() && !v.Route.GetIdempotent() {
-		return false
+// nowhere is the output of a call whose answer is returned as a whole.
+type nowhere struct{}
+
+// Begin implements Output.
+func (nowhere) Begin(any) error { return nil }
+
+// Pass implements Output.
+func (nowhere) Pass(Event) error { return nil }
+
+// findInstance returns an instance of the request's pool.
+func (d *Dispatcher) findInstance(r *Request, h *History) (*Place, error) {
+	list := d.pool(r.Pool)
+	names := make([]string, len(list))
+	for i, in := range list {
+		names[i] = in.Name
 	}
-	switch r.Kind() {
-	case refuser.Leaving, refuser.Absent:
-		return true
-	case refuser.Busy, refuser.Lost, refuser.Stale:
-		return d.clock() < v.Deadline && d.spend()
+	i := d.choose(names, h.Tried, 0)
+	if i < 0 && h.Last != nil {
+		return nil, h.Last
 	}
-	return false
+	if i < 0 {
+		return nil, refuser.New(refuser.Busy, "no instance of the pool takes calls now").After(time.Second)
+	}
+	d.begin(names[i])
+	return &Place{
+		Name:    names[i],
+		Address: list[i].Address,
+		Release: func(Report) { d.end(names[i], -1) },
+	}, nil
 }
 
-func (d *Dispatcher) invoke(ctx context.Context, v *Service, name, address string) (*wire.Answer, error) {
-	d.begin(name)
-	defer d.end(name, -1)
-	limited, cancel := context.WithTimeout(ctx, v.Deadline-d.clock())
-	defer cancel()
-	reply, err := peer.One(limited, d.caller, address, &wire.Call{Body: &wire.Call_Invoke{Invoke: &wire.Invoke{
+// sendService sends a call to the sidecar of a plain service.
+func (d *Dispatcher) sendService(ctx context.Context, p *Place, r *Request, v *Service) (Answer, error) {
+	got, err := peer.One(ctx, d.caller, p.Address, &wire.Call{Body: &wire.Call_Invoke{Invoke: &wire.Invoke{
 		Id:        v.ID,
-		Workspace: v.Key.GetWorkspace(),
-		Key:       v.Key.GetId(),
-		Config:    v.Config,
-		Route:     v.Route.GetName(),
+		Workspace: r.Workspace,
+		Key:       r.Key,
+		Config:    r.Config,
+		Route:     r.Route,
 		Path:      v.Path,
 		Query:     v.Query,
 		Type:      v.Type,
@@ -104,14 +103,31 @@
 		Left:      timer.Millis(v.Deadline - d.clock()),
 		Once:      v.Once,
 	}}})
-	var r *refuser.Refusal
-	switch {
-	case eris.As(err, &r):
-		return nil, r
-	case err != nil:
-		return nil, d.broken(ctx, limited, err)
-	case reply.GetAnswer() == nil || reply.GetAnswer().GetId() != v.ID:
+	if err != nil {
+		return nil, broken(err)
+	}
+	if got.GetAnswer() == nil || got.GetAnswer().GetId() != v.ID {
 		return nil, refuser.Unknown(refuser.Lost, "the answer to another call arrived")
 	}
-	return reply.GetAnswer(), nil
+	return reply{answer: got.GetAnswer()}, nil
 }
+
+// reply is the answer of a plain service.
+type reply struct {
+	answer *wire.Answer
+}
+
+// Head implements Answer.
+func (reply) Head() any { return nil }
+
+// Failed implements Answer.
+func (reply) Failed() bool { return false }
+
+// Next implements Answer.
+func (reply) Next() (Event, error) { return Event{}, io.EOF }
+
+// End implements Answer.
+func (r reply) End() any { return r.answer }
+
+// Close implements Answer.
+func (reply) Close() {}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,207 @@
+// Package follower keeps a copy of one table of the store in step with it.
+//
+// A row never goes back to an earlier version, whatever an answer of the store
+// says: answers may be late, and a snapshot may be older than the feed.
+package follower
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"oleanderstall/storer"
+	"oleanderstall/timer"
+)
+
+// Pauses after a call that failed.
+const (
+	firstPause = 50 * time.Millisecond
+	maxPause   = 400 * time.Millisecond
+)
+
+// Terms set how a table is followed.
+type Terms struct {
+	Table string
+	// Wait is the longest time that the store holds a call without changes.
+	Wait time.Duration
+	// Period is the shortest time between two calls.
+	Period time.Duration
+}
+
+// Follower follows one table. It is safe for concurrent use.
+type Follower struct {
+	terms  Terms
+	clock  timer.Clock
+	feeder storer.Feeder
+	apply  func(now time.Duration, rows []storer.Row)
+	log    *log.Logger
+	done   chan struct{}
+
+	mu     sync.Mutex
+	rows   map[string]storer.Row
+	after  uint64
+	synced bool
+	proven time.Duration
+	// since is the instant since which the store answers again, or 0 if it does
+	// not.
+	since time.Duration
+}
+
+// New returns a follower that passes each row that changed to apply, a removed
+// one marked as deleted.
+func New(t Terms, clock timer.Clock, f storer.Feeder, apply func(now time.Duration, rows []storer.Row), l *log.Logger) *Follower {
+	return &Follower{
+		terms:  t,
+		clock:  clock,
+		feeder: f,
+		apply:  apply,
+		log:    l,
+		done:   make(chan struct{}),
+		rows:   map[string]storer.Row{},
+	}
+}
+
+// Done is closed when Run has returned.
+func (f *Follower) Done() <-chan struct{} { return f.done }
+
+// Proven returns the instant as of which the copy was complete, and false if it
+// never was.
+func (f *Follower) Proven() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.proven, f.synced
+}
+
+// Since returns the instant since which the store answers, and false if its last
+// call failed.
+func (f *Follower) Since() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.since, f.since > 0
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	defer close(f.done)
+	pause := firstPause
+	for ctx.Err() == nil {
+		begun := f.clock()
+		err := f.step(ctx, begun)
+		rest := f.terms.Period - (f.clock() - begun)
+		if err != nil {
+			f.failed(ctx, err)
+			rest = max(rest, pause)
+			pause = min(2*pause, maxPause)
+		} else {
+			pause = firstPause
+		}
+		sleep(ctx, rest)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// step makes one call, begun at now.
+func (f *Follower) step(ctx context.Context, now time.Duration) error {
+	f.mu.Lock()
+	synced, after := f.synced, f.after
+	f.mu.Unlock()
+	if !synced {
+		return f.snapshot(ctx, now)
+	}
+	c, err := f.feeder.Follow(ctx, f.terms.Table, after, f.terms.Wait)
+	var lost *storer.HistoryError
+	if errors.As(err, &lost) {
+		f.log.Warn().Str("table", f.terms.Table).Uint64("after", after).Msg("store: history is gone, reading all rows")
+		return f.snapshot(ctx, f.clock())
+	}
+	if err != nil {
+		return err
+	}
+	f.take(now, c, false)
+	return nil
+}
+
+func (f *Follower) snapshot(ctx context.Context, now time.Duration) error {
+	c, err := f.feeder.Snapshot(ctx, f.terms.Table)
+	if err != nil {
+		return err
+	}
+	f.take(now, c, true)
+	return nil
+}
+
+// take applies changes that the store held at now.
+func (f *Follower) take(now time.Duration, c storer.Changes, whole bool) {
+	changed := f.merge(now, c, whole)
+	if len(changed) > 0 {
+		f.apply(f.clock(), changed)
+	}
+}
+
+// merge brings the copy forward and returns the rows that changed.
+func (f *Follower) merge(now time.Duration, c storer.Changes, whole bool) []storer.Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.since == 0 {
+		f.since = f.clock()
+		f.log.Info().Str("table", f.terms.Table).Uint64("version", c.Version).Msg("store: answers")
+	}
+	var changed []storer.Row
+	present := map[string]bool{}
+	for _, r := range c.Rows {
+		present[r.Key] = true
+		if have, ok := f.rows[r.Key]; ok && r.Version <= have.Version {
+			continue
+		}
+		f.rows[r.Key] = r
+		changed = append(changed, r)
+	}
+	if whole {
+		changed = append(changed, f.missing(c.Version, present)...)
+	}
+	f.after = max(f.after, c.Version)
+	f.synced = true
+	f.proven = max(f.proven, now)
+	return changed
+}
+
+// missing marks the rows deleted that a snapshot of that version lacks.
+func (f *Follower) missing(version uint64, present map[string]bool) []storer.Row {
+	var gone []storer.Row
+	for key, r := range f.rows {
+		if present[key] || r.Deleted || r.Version > version {
+			continue
+		}
+		r = storer.Row{Key: key, Version: version, Deleted: true}
+		f.rows[key] = r
+		gone = append(gone, r)
+	}
+	return gone
+}
+
+// failed takes note of a call without an answer.
+func (f *Follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.since > 0 {
+		f.log.Warn().Str("table", f.terms.Table).Err(err).Msg("store: lost")
+	}
+	f.since = 0
+}
--- a/refuser/kind_string.go
+++ b/refuser/kind_string.go
@@ -23,11 +23,12 @@
 	_ = x[Lost-12]
 	_ = x[Conflict-13]
 	_ = x[Canceled-14]
+	_ = x[Failed-15]
 }
 
-const _Kind_name = "internalinvalid_requestunauthorizednot_foundtoo_largerate_limitedbusydeadline_exceededleavingnot_residentstale_configurationplatform_unavailableconnection_lostconflictcanceled"
+const _Kind_name = "internalinvalid_requestunauthorizednot_foundtoo_largerate_limitedbusydeadline_exceededleavingnot_residentstale_configurationplatform_unavailableconnection_lostconflictcanceledbackend_failed"
 
-var _Kind_index = [...]uint8{0, 8, 23, 35, 44, 53, 65, 69, 86, 93, 105, 124, 144, 159, 167, 175}
+var _Kind_index = [...]uint8{0, 8, 23, 35, 44, 53, 65, 69, 86, 93, 105, 124, 144, 159, 167, 175, 189}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -35,6 +35,7 @@
 	Lost                     // connection_lost
 	Conflict                 // conflict
 	Canceled                 // canceled
+	Failed                   // backend_failed
 )
 
 var statuses = map[Kind]int{
@@ -53,6 +54,7 @@
 	Lost:         http.StatusBadGateway,
 	Conflict:     http.StatusConflict,
 	Canceled:     499,
+	Failed:       http.StatusBadGateway,
 }
 
 // Status returns the HTTP status of k.
--- a/router/router.go
+++ b/router/router.go
@@ -165,6 +165,9 @@
 // Request earns the part of a retry that one request brings.
 func (b *Budget) Request() { b.saved = min(b.most, b.saved+b.ratio) }
 
+// Left reports whether the budget has a retry left.
+func (b *Budget) Left() bool { return b.saved >= 1 }
+
 // Retry spends one retry and reports whether the budget had it.
 func (b *Budget) Retry() bool {
 	if b.saved < 1 {
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"fmt"
+	"time"
 )
 
 // EnginePool is the pool of the model engines.
@@ -17,6 +19,8 @@
 	Key     string `json:"key"`
 	Value   []byte `json:"value"`
 	Version uint64 `json:"version"`
+	// Deleted marks a row of Changes that no longer exists.
+	Deleted bool `json:"deleted,omitempty"`
 }
 
 // GetName returns the instance's name.
@@ -69,6 +73,22 @@
 	Commit(ctx context.Context, tx Transaction) ([]uint64, error)
 }
 
+// Changes are rows of one table as of a version of the store.
+type Changes struct {
+	Rows    []Row
+	Version uint64
+}
+
+// Feeder is a store that tells what has changed in a table. The name of a table
+// is the part of its rows' keys before the first slash.
+type Feeder interface {
+	// Snapshot returns all rows of a table.
+	Snapshot(ctx context.Context, table string) (Changes, error)
+	// Follow returns the rows that changed after a version. It waits for the first
+	// one for at most wait. A HistoryError asks for a new snapshot.
+	Follow(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
+}
+
 // Store is the platform's object store.
 type Store interface {
 	// Load returns an object, or a MissingError.
@@ -108,3 +128,66 @@
 
 // Error says so.
 func (e *UnchangedError) Error() string { return "not changed" }
+
+// RefusedError reports a call that the store did not perform, and will not.
+type RefusedError struct {
+	Status int
+}
+
+// Error gives the status.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("the store refused the call with status %d", e.Status)
+}
+
+// BusyError reports a call beyond the store's rate, which was not performed.
+type BusyError struct{}
+
+// Error says so.
+func (e *BusyError) Error() string { return "the store's rate is used up" }
+
+// UnknownError reports a call without an answer. A write may have taken effect,
+// or may still do so.
+type UnknownError struct {
+	cause error
+}
+
+// NewUnknownError returns the error of a call that ended with cause.
+func NewUnknownError(cause error) *UnknownError { return &UnknownError{cause: cause} }
+
+// Error gives the cause.
+func (e *UnknownError) Error() string { return "the store did not answer: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.cause }
+
+// HistoryError reports that the changes after a version are no longer kept.
+type HistoryError struct {
+	After uint64
+}
+
+// Error names the version.
+func (e *HistoryError) Error() string {
+	return fmt.Sprintf("the store no longer has the changes after version %d", e.After)
+}
+
+// FormatError reports an answer that cannot be read.
+type FormatError struct {
+	Text  string
+	cause error
+}
+
+// NewFormatError returns the error of an answer that could not be read.
+func NewFormatError(text string, cause error) *FormatError {
+	return &FormatError{Text: text, cause: cause}
+}
+
+// Error describes the answer and the cause.
+func (e *FormatError) Error() string {
+	if e.cause == nil {
+		return e.Text
+	}
+	return e.Text + ": " + e.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *FormatError) Unwrap() error { return e.cause }
