--- a/checker/checker.go
+++ b/checker/checker.go
@@ -87,6 +87,8 @@
 	Memory int64 `json:"memory"`
 	// Grace is the time between the notice to stop and the end of the process.
 	Grace Span `json:"grace"`
+	// Lease is the time in which two instances may not order the same engine.
+	Lease Span `json:"lease"`
 }
 
 // Log sets what is logged.
@@ -226,6 +228,7 @@
 	}
 	if s.Hosted != nil {
 		fill(&s.Hosted.Grace, Span(8*time.Second))
+		fill(&s.Hosted.Lease, Span(3*time.Second))
 	}
 	if s.Sidecar != nil {
 		c := s.Sidecar
--- a/cmd/oleanderstall/role.go
+++ b/cmd/oleanderstall/role.go
@@ -64,8 +64,11 @@
 }
 
 func start(s *checker.Settings, l *log.Logger) (process, error) {
-	if s.Hosted != nil {
+	switch {
+	case s.Hosted != nil && s.Role == "entry":
 		return runner.StartHostedEntry(s, l)
+	case s.Hosted != nil:
+		return runner.StartHostedSidecar(s, l)
 	}
 	if s.Role == "entry" {
 		return runner.StartEntry(s, l)
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -1,5 +1,6 @@
 // Package locator finds the backend server for a request from what the entry
-// believes of the fleet. A request for a model that no server has waits for it.
+// believes of the fleet. A request for a model that no server has waits for it,
+// and a sidecar is told that it is wanted.
 package locator
 
 import (
@@ -9,25 +10,63 @@
 
 	"github.com/phuslu/log"
 
+	"oleanderstall/configurer"
 	"oleanderstall/dispatcher"
 	"oleanderstall/refuser"
 	"oleanderstall/timer"
 	"oleanderstall/tracker"
+	"oleanderstall/wire"
+)
+
+// Limits of the waits.
+const (
+	// shortestRun is the least time that an answer takes.
+	shortestRun = 50 * time.Millisecond
+	// farTime is what a server in another data centre counts as, in requests.
+	farLoad = 2.0
+	// retryLeast and retryMost bound the time after which a caller is to come back.
+	retryLeast = 200 * time.Millisecond
+	retryMost  = 5 * time.Second
+	// lastUrgency is the rank of the least urgent requests at an engine.
+	lastUrgency = 9
 )
 
 // Locator finds backend servers. It is safe for concurrent use.
 type Locator struct {
-	centre string
-	clock  timer.Clock
-	log    *log.Logger
+	name    string
+	started int64
+	centre  string
+	clock   timer.Clock
+	copy    *configurer.Configurer
+	log     *log.Logger
 
-	mu    sync.Mutex
-	fleet *tracker.Fleet
+	mu     sync.Mutex
+	fleet  *tracker.Fleet
+	demand *tracker.Demand
+	needs  map[string]*need
+	number uint64
+	// changed is closed when a request that waits may have got a place.
+	changed chan struct{}
+	// wanted is signalled when a sidecar has to be told something new.
+	wanted map[string]chan struct{}
 }
 
-// New returns a locator of an entry in a data centre.
-func New(centre string, clock timer.Clock, l *log.Logger) *Locator {
-	return &Locator{centre: centre, clock: clock, log: l, fleet: tracker.New()}
+// New returns a locator of an entry that was started at an instant in Unix
+// nanoseconds.
+func New(name, centre string, started int64, clock timer.Clock, c *configurer.Configurer, l *log.Logger) *Locator {
+	return &Locator{
+		name:    name,
+		started: started,
+		centre:  centre,
+		clock:   clock,
+		copy:    c,
+		log:     l,
+		fleet:   tracker.New(),
+		demand:  tracker.NewDemand(),
+		needs:   map[string]*need{},
+		changed: make(chan struct{}),
+		wanted:  map[string]chan struct{}{},
+	}
 }
 
 // List takes a server as the platform lists it now.
@@ -35,6 +74,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fleet.List(s)
+	l.wake()
 }
 
 // Drop removes a server that is listed no more.
@@ -42,50 +82,152 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fleet.Drop(id)
+	l.wake()
+}
+
+// State takes a sidecar's word on its engine.
+func (l *Locator) State(s *wire.State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fleet.Tell(l.clock(), s)
+	l.wake()
+}
+
+// wake lets the requests that wait look again. The caller holds the lock.
+func (l *Locator) wake() {
+	close(l.changed)
+	l.changed = make(chan struct{})
 }
 
 // Find implements dispatcher.Finder.
-func (l *Locator) Find(_ context.Context, r *dispatcher.Request, h *dispatcher.History) (*dispatcher.Place, error) {
+func (l *Locator) Find(ctx context.Context, r *dispatcher.Request, h *dispatcher.History) (*dispatcher.Place, error) {
+	l.arrive(r, h)
+	for {
+		now := l.clock()
+		l.mu.Lock()
+		best := l.pick(now, r, h)
+		if best != nil {
+			place := l.place(now, best, r)
+			l.mu.Unlock()
+			return place, nil
+		}
+		n, err := l.join(now, r, h)
+		changed := l.changed
+		l.mu.Unlock()
+		if err != nil {
+			return nil, err
+		}
+		waited := wait(ctx, changed, r.Deadline-shortestRun-now)
+		l.leave(r, n)
+		if !waited && ctx.Err() != nil {
+			return nil, refuser.New(refuser.Canceled, "the caller has given up")
+		}
+	}
+}
+
+// wait reports whether changed was closed within the limit.
+func wait(ctx context.Context, changed <-chan struct{}, limit time.Duration) bool {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// arrive counts the request once.
+func (l *Locator) arrive(r *dispatcher.Request, h *dispatcher.History) {
+	if h.Memo != nil || r.Model == "" {
+		return
+	}
+	h.Memo = true
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.clock()
+	l.demand.Arrive(now, r.Model)
+	if r.Adapter != "" {
+		l.demand.Arrive(now, r.Adapter)
+	}
+}
+
+// pick returns the best server that can run r now, or nil. The caller holds the
+// lock.
+func (l *Locator) pick(now time.Duration, r *dispatcher.Request, h *dispatcher.History) *tracker.Backend {
 	var best *tracker.Backend
+	least := 0.0
 	for _, b := range l.fleet.Pool(r.Pool) {
-		s := b.Server()
-		if h.Tried[s.ID] || !holds(s, r) {
+		if h.Tried[b.Server().ID] || !l.holds(now, b, r) {
 			continue
 		}
-		if best == nil || b.Inflight() < best.Inflight() {
-			best = b
+		load := float64(b.Load())
+		if b.Server().Centre != l.centre {
+			load += farLoad
+		}
+		if best == nil || load < least {
+			best, least = b, load
 		}
 	}
-	if best == nil {
-		return nil, refuser.New(refuser.Absent, "no backend server has the model").After(time.Second)
-	}
-	return l.place(best), nil
+	return best
 }
 
 // holds reports whether a server can run r now.
-func holds(s tracker.Server, r *dispatcher.Request) bool {
+func (l *Locator) holds(now time.Duration, b *tracker.Backend, r *dispatcher.Request) bool {
 	if r.Model == "" {
 		return true
 	}
-	return s.Has(r.Model) && (r.Adapter == "" || s.Has(r.Adapter))
+	held := b.Holding(now)
+	return held.Has(r.Model) && (r.Adapter == "" || held.Has(r.Adapter)) && !b.Closing(now, r.Model)
 }
 
-func (l *Locator) place(b *tracker.Backend) *dispatcher.Place {
+// place sets a place aside. The caller holds the lock.
+func (l *Locator) place(now time.Duration, b *tracker.Backend, r *dispatcher.Request) *dispatcher.Place {
 	s := b.Server()
-	l.fleet.Begin(s.ID)
+	names := names(r)
+	l.log.Info().Str("request", r.ID).Str("server", s.ID).Str("model", needed(r)).Int("inflight", b.Inflight()).
+		Int("load", b.Load()).Int64("waited", (now - r.Begun).Milliseconds()).Msg("send")
+	l.fleet.Begin(s.ID, names...)
+	l.tell(s.ID)
 	return &dispatcher.Place{
 		Name:    s.ID,
 		Address: s.Address,
 		Expect:  s.ID,
-		Urgency: 5,
-		Release: func(dispatcher.Report) { l.release(s.ID) },
+		Urgency: min(r.Priority, lastUrgency),
+		Hear:    func(load dispatcher.Load) { l.hear(s.ID, load) },
+		Release: func(rep dispatcher.Report) { l.release(s.ID, names, rep) },
 	}
 }
 
-func (l *Locator) release(id string) {
+// names returns the model and the adapter of r.
+func names(r *dispatcher.Request) []string {
+	switch {
+	case r.Model == "":
+		return nil
+	case r.Adapter == "":
+		return []string{r.Model}
+	}
+	return []string{r.Model, r.Adapter}
+}
+
+// needed returns the adapter of r, or its model.
+func needed(r *dispatcher.Request) string {
+	if r.Adapter != "" {
+		return r.Adapter
+	}
+	return r.Model
+}
+
+func (l *Locator) hear(id string, load dispatcher.Load) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fleet.Hear(l.clock(), id, load.Running+load.Waiting)
+}
+
+func (l *Locator) release(id string, names []string, _ dispatcher.Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fleet.End(id)
+	l.fleet.End(id, names...)
+	l.tell(id)
 }
--- /dev/null
+++ b/locator/need.go
@@ -0,0 +1,169 @@
+package locator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"oleanderstall/dispatcher"
+	"oleanderstall/placer"
+	"oleanderstall/refuser"
+	"oleanderstall/router"
+	"oleanderstall/timer"
+	"oleanderstall/tracker"
+	"oleanderstall/wire"
+)
+
+// chooseAgain is how long an engine may take to announce a load before another
+// one is asked.
+const chooseAgain = 600 * time.Millisecond
+
+// fetchesAtOnce is the number of loads from the weight store at full speed.
+const fetchesAtOnce = 4
+
+// need is a model or an adapter that requests wait for.
+type need struct {
+	name string
+	// waiting are the requests, with the instants of their arrival.
+	waiting map[*dispatcher.Request]struct{}
+	// server is the engine that was asked, at the instant asked, and ready the
+	// instant at which the model is expected there.
+	server string
+	asked  time.Duration
+	ready  time.Duration
+}
+
+// join makes r wait. The caller holds the lock.
+func (l *Locator) join(now time.Duration, r *dispatcher.Request, h *dispatcher.History) (*need, error) {
+	if r.Model == "" {
+		return nil, cmp.Or(h.Last, error(refuser.New(refuser.Busy, "no backend server of the pool takes requests").After(time.Second)))
+	}
+	if now >= r.Deadline-shortestRun {
+		return nil, refuser.New(refuser.Late, "the model was not there in time").After(retryLeast)
+	}
+	name := needed(r)
+	if l.copy.View().Model(name) == nil {
+		return nil, refuser.New(refuser.Absent, "no engine of the pool knows the model").After(retryMost)
+	}
+	n := l.needs[name]
+	if n == nil {
+		n = &need{name: name, waiting: map[*dispatcher.Request]struct{}{}}
+		l.needs[name] = n
+	}
+	n.waiting[r] = struct{}{}
+	l.ask(now, n, h.Tried)
+	if n.server != "" && now+(n.ready-now) > r.Deadline-shortestRun {
+		l.abandon(r, n)
+		return nil, refuser.New(refuser.Late, "the model cannot be there in time").
+			After(min(max(n.ready-now, retryLeast), retryMost))
+	}
+	return n, nil
+}
+
+// leave ends the wait of r.
+func (l *Locator) leave(r *dispatcher.Request, n *need) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.abandon(r, n)
+}
+
+// abandon ends the wait of r. The caller holds the lock.
+func (l *Locator) abandon(r *dispatcher.Request, n *need) {
+	delete(n.waiting, r)
+	if len(n.waiting) == 0 && l.needs[n.name] == n {
+		delete(l.needs, n.name)
+		l.tell(n.server)
+	}
+}
+
+// ask chooses the engine that should load what is needed, unless one that was
+// asked is still expected to. The caller holds the lock.
+func (l *Locator) ask(now time.Duration, n *need, tried map[string]bool) {
+	m := l.copy.View().Model(n.name)
+	if m.GetBase() != "" {
+		m = l.copy.View().Model(m.GetBase())
+	}
+	if b := l.fleet.Get(n.server); b != nil && !tried[n.server] {
+		s := b.State(now)
+		if i := slices.IndexFunc(s.GetTasks(), func(t *wire.Task) bool { return t.GetModel() == m.GetName() }); i >= 0 {
+			n.ready = now + timer.Span(s.GetTasks()[i].GetLeft())
+			return
+		}
+		if s != nil && !s.GetLeaving() && now-n.asked < chooseAgain {
+			return
+		}
+	}
+	sites := l.sites(now, n, m, tried)
+	i, left := placer.Pick(sites, m.GetBytes())
+	if i < 0 {
+		n.server = ""
+		return
+	}
+	n.server, n.asked, n.ready = sites[i].ID, now, now+left
+	l.log.Info().Str("model", n.name).Str("server", n.server).Int("waiting", len(n.waiting)).Int("sites", len(sites)).
+		Int64("left", left.Milliseconds()).Int64("load", sites[i].Load.Milliseconds()).
+		Int64("queue", sites[i].Queue.Milliseconds()).Msg("want")
+	l.tell(n.server)
+}
+
+// sites lists the engines whose sidecars may load a model. The caller holds the
+// lock.
+func (l *Locator) sites(now time.Duration, n *need, m *wire.Model, tried map[string]bool) []placer.Site {
+	pool := l.fleet.Pool(m.GetPool())
+	fetching := 0
+	for _, b := range pool {
+		if b.State(now).GetFetching() {
+			fetching++
+		}
+	}
+	hash := router.Hash(n.name)
+	var sites []placer.Site
+	for _, b := range pool {
+		state := b.State(now)
+		if state == nil || tried[b.Server().ID] {
+			continue
+		}
+		site := placer.Site{ID: b.Server().ID, Free: state.GetFree(), Score: router.Score(b.Server().ID, hash)}
+		held := b.Holding(now)
+		if held.Has(m.GetName()) {
+			site.Planned = true
+		}
+		for _, t := range state.GetTasks() {
+			if t.GetModel() == m.GetName() {
+				site.Planned = true
+				site.Queue = timer.Span(t.GetLeft())
+				break
+			}
+			site.Queue = max(site.Queue, timer.Span(t.GetLeft()))
+		}
+		site.Load = loadTime(held, m, fetching)
+		for _, res := range state.GetResidents() {
+			if res.GetInflight() == 0 && b.InflightOf(res.GetModel()) == 0 && l.needs[res.GetModel()] == nil {
+				site.Idle = append(site.Idle, held1(res))
+			}
+		}
+		sites = append(sites, site)
+	}
+	return sites
+}
+
+// held1 is a model in memory as a sidecar tells it. Keep comes as a whole.
+func held1(r *wire.Resident) placer.Held {
+	return placer.Held{Model: r.GetModel(), Bytes: r.GetBytes(), Rate: r.GetKeep(), Reload: time.Second}
+}
+
+// loadTime is the duration of a load by where the checkpoint is cached. Loads
+// from the weight store take longer the more of them run.
+func loadTime(h tracker.Holding, m *wire.Model, fetching int) time.Duration {
+	switch {
+	case slices.Contains(h.Memory, m.GetName()):
+		return timer.Span(m.GetMemory())
+	case slices.Contains(h.Disk, m.GetName()):
+		return timer.Span(m.GetDisk())
+	}
+	remote := timer.Span(m.GetRemote())
+	if fetching >= fetchesAtOnce {
+		remote = remote * time.Duration(fetching+1) / fetchesAtOnce
+	}
+	return remote
+}
--- /dev/null
+++ b/locator/tell.go
@@ -0,0 +1,106 @@
+package locator
+
+import (
+	"slices"
+	"time"
+
+	"oleanderstall/dispatcher"
+	"oleanderstall/wire"
+)
+
+// lateWorth is what a late answer is worth, as a part of one on time.
+const lateWorth = 0.25
+
+// Wanted returns a channel that is signalled when the sidecar of a server is to
+// be told something new.
+func (l *Locator) Wanted(server string) <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.signal(server)
+}
+
+// signal returns the channel of a server. The caller holds the lock.
+func (l *Locator) signal(server string) chan struct{} {
+	ch := l.wanted[server]
+	if ch == nil {
+		ch = make(chan struct{}, 1)
+		l.wanted[server] = ch
+	}
+	return ch
+}
+
+// tell signals that the sidecar of a server is to be told something new. The
+// caller holds the lock.
+func (l *Locator) tell(server string) {
+	if server == "" {
+		return
+	}
+	select {
+	case l.signal(server) <- struct{}{}:
+	default:
+	}
+}
+
+// Tell returns what the sidecar of a server is to know.
+func (l *Locator) Tell(server string) *wire.Tell {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	l.number++
+	t := &wire.Tell{Entry: l.name, Started: l.started, Number: l.number}
+	for _, n := range l.needs {
+		l.ask(now, n, nil)
+		if n.server == server {
+			t.Wants = append(t.Wants, n.want(now))
+		}
+	}
+	b := l.fleet.Get(server)
+	if b == nil {
+		return t
+	}
+	pool := l.fleet.Pool(b.Server().Pool)
+	for _, name := range b.Holding(now).Models {
+		u := &wire.Use{Model: name, Inflight: uint32(b.InflightOf(name)), Rate: l.demand.Rate(now, name)}
+		for _, o := range pool {
+			if o.Holding(now).Has(name) {
+				u.Copies++
+			}
+		}
+		t.Uses = append(t.Uses, u)
+	}
+	return t
+}
+
+// want is the message for what is needed.
+func (n *need) want(now time.Duration) *wire.Want {
+	w := &wire.Want{Model: n.name, Count: uint32(len(n.waiting)), Goal: 1 << 30}
+	for r := range n.waiting {
+		worth := worth(r)
+		if now > r.Goal {
+			worth *= lateWorth
+		}
+		w.Worth += worth
+		w.Goal = min(w.Goal, int32((r.Goal - now).Milliseconds()))
+		w.Age = max(w.Age, uint32((now - r.Begun).Milliseconds()))
+	}
+	return w
+}
+
+// worth weighs a request against others: each rank counts half of the one before
+// it, and a long answer more than a short one.
+func worth(r *dispatcher.Request) float64 {
+	w := 1.0
+	for range min(r.Priority, lastUrgency) {
+		w /= 2
+	}
+	return w
+}
+
+// Servers returns the ids of the servers listed, sorted.
+func (l *Locator) Servers() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ids := l.fleet.IDs()
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/orderer/orderer.go
@@ -0,0 +1,444 @@
+// Package orderer is the task of a sidecar that orders the engine on its
+// instance: it gathers what the entries want, decides the next order, and tells
+// the entries what the engine holds.
+//
+// Each order names the number of orders that the engine had accepted before it, so
+// an order without an answer has no effect once a later one was accepted.
+package orderer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"oleanderstall/configurer"
+	"oleanderstall/peer"
+	"oleanderstall/placer"
+	"oleanderstall/refuser"
+	"oleanderstall/timer"
+	"oleanderstall/wire"
+)
+
+// Periods of the looks at the engine.
+const (
+	// busyPeriod is between two looks while requests wait for a model.
+	busyPeriod = 15 * time.Millisecond
+	idlePeriod = 100 * time.Millisecond
+	// tellLife is how long an entry that is silent counts.
+	tellLife = 1500 * time.Millisecond
+	// loadPeriod is the shortest time between two states that differ in load only.
+	loadPeriod = 100 * time.Millisecond
+	// watchPeriod is the longest time between two states told to an entry.
+	watchPeriod = time.Second
+	// closingTime is between the notice that a model is about to be unloaded and the
+	// order, so that requests on their way still find it.
+	closingTime = 12 * time.Millisecond
+)
+
+// Terms are the sidecar's own properties.
+type Terms struct {
+	// Holder names this instance in its orders.
+	Holder string
+	// Pool is the pool of the engine and Address its address.
+	Pool    string
+	Address string
+}
+
+// Directory knows the id of the engine.
+type Directory interface {
+	// Server returns the id of the server at an address that was started at born,
+	// or empty if it is not known.
+	Server(ctx context.Context, address string, born int64) (string, error)
+	// Fence returns the fencing number of this process, or 0 if it has none yet.
+	Fence() uint64
+}
+
+// Orderer orders one engine. It is safe for concurrent use.
+type Orderer struct {
+	terms     Terms
+	clock     timer.Clock
+	engine    Engine
+	directory Directory
+	copy      *configurer.Configurer
+	log       *log.Logger
+	kick      chan struct{}
+	done      chan struct{}
+
+	mu       sync.Mutex
+	tells    map[string]told
+	report   Report
+	reported time.Duration
+	server   string
+	// born is the start of the engine whose id is server.
+	born int64
+	// used and since are the instants of each model's last use and load.
+	used  map[string]time.Duration
+	since map[string]time.Duration
+	// current is the order being carried out.
+	current placer.Step
+	begun   time.Duration
+	// closing is the model that is about to be unloaded, since closed.
+	closing string
+	closed  time.Duration
+	state   *wire.State
+	stated  time.Duration
+	watches map[chan struct{}]struct{}
+}
+
+// told is the last message of an entry.
+type told struct {
+	tell *wire.Tell
+	at   time.Duration
+}
+
+// New returns an orderer that has not seen its engine yet.
+func New(t Terms, clock timer.Clock, e Engine, d Directory, c *configurer.Configurer, l *log.Logger) *Orderer {
+	return &Orderer{
+		terms:     t,
+		clock:     clock,
+		engine:    e,
+		directory: d,
+		copy:      c,
+		log:       l,
+		kick:      make(chan struct{}, 1),
+		done:      make(chan struct{}),
+		tells:     map[string]told{},
+		used:      map[string]time.Duration{},
+		since:     map[string]time.Duration{},
+		state:     &wire.State{Address: t.Address},
+		watches:   map[chan struct{}]struct{}{},
+	}
+}
+
+// Done is closed when Run has returned.
+func (o *Orderer) Done() <-chan struct{} { return o.done }
+
+// Run looks at the engine and orders it until ctx ends.
+func (o *Orderer) Run(ctx context.Context) {
+	defer close(o.done)
+	for ctx.Err() == nil {
+		t := time.NewTimer(o.tick(ctx))
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		case <-o.kick:
+		}
+		t.Stop()
+	}
+}
+
+// Kick makes Run look at once.
+func (o *Orderer) Kick() {
+	select {
+	case o.kick <- struct{}{}:
+	default:
+	}
+}
+
+// tick looks at the engine once, orders what is next and returns the time until
+// the next look.
+func (o *Orderer) tick(ctx context.Context) time.Duration {
+	r, err := o.engine.Report(ctx)
+	if err != nil {
+		o.lost(ctx, err)
+		return idlePeriod
+	}
+	if err := o.meet(ctx, r); err != nil {
+		o.log.Warn().Err(err).Int64("born", r.Born).Msg("engine: id not known")
+	}
+	now := o.clock()
+	o.observe(now, r)
+	pending := o.adapters(ctx, now)
+	pending = o.models(ctx, now) || pending
+	o.publish(o.clock())
+	if pending {
+		return busyPeriod
+	}
+	return idlePeriod
+}
+
+// lost takes note that the engine did not answer.
+func (o *Orderer) lost(ctx context.Context, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if ctx.Err() == nil && o.report.Born != 0 {
+		o.log.Warn().Err(err).Str("server", o.server).Msg("engine: lost")
+	}
+	o.report = Report{}
+}
+
+// meet learns the id of an engine that was not seen before.
+func (o *Orderer) meet(ctx context.Context, r Report) error {
+	o.mu.Lock()
+	known := o.server != "" && o.born == r.Born
+	o.mu.Unlock()
+	if known {
+		return nil
+	}
+	id, err := o.directory.Server(ctx, o.terms.Address, r.Born)
+	if err != nil || id == "" {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.server, o.born = id, r.Born
+	clear(o.used)
+	clear(o.since)
+	o.current, o.closing = placer.Step{}, ""
+	o.log.Info().Str("server", id).Int64("born", r.Born).Strs("models", r.Models).Uint64("sequence", r.Sequence).
+		Msg("engine: met")
+	return nil
+}
+
+// observe takes the engine's report.
+func (o *Orderer) observe(now time.Duration, r Report) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.report.Born == 0 {
+		o.log.Info().Int64("born", r.Born).Msg("engine: answers")
+	}
+	for _, name := range r.Models {
+		if _, ok := o.since[name]; !ok {
+			o.since[name] = now
+		}
+	}
+	for name := range o.since {
+		if !r.Has(name) {
+			delete(o.since, name)
+		}
+	}
+	if o.current.Op != placer.None && !r.Busy {
+		o.log.Info().Str("server", o.server).Str("op", o.current.Op.String()).Str("model", o.current.Model).
+			Bool("there", r.Has(o.current.Model)).Int64("took", (now - o.begun).Milliseconds()).Msg("order: complete")
+		o.current = placer.Step{}
+	}
+	o.report, o.reported = r, now
+	for name, t := range o.tells {
+		if now-t.at > tellLife {
+			delete(o.tells, name)
+		}
+	}
+}
+
+// ready reports whether orders may be sent. The caller holds the lock.
+func (o *Orderer) ready() bool {
+	return o.server != "" && o.born == o.report.Born && o.directory.Fence() != 0 && !o.report.Leaving &&
+		o.copy.View().Version() > 0
+}
+
+// models orders the next load or unload of a model. It reports whether requests
+// wait for one.
+func (o *Orderer) models(ctx context.Context, now time.Duration) bool {
+	o.mu.Lock()
+	wants := o.wants(now)
+	if !o.ready() || o.report.Busy {
+		o.mu.Unlock()
+		return len(wants) > 0 || o.report.Busy
+	}
+	step := placer.Next(now, o.free(), o.held(now), wants)
+	if step.Op == placer.Unload && !o.announced(now, step.Model) {
+		o.mu.Unlock()
+		o.publish(now)
+		return true
+	}
+	if step.Op != placer.Unload {
+		o.closing = ""
+	}
+	order := o.order(step.Op, step.Model, "")
+	o.mu.Unlock()
+	if step.Op == placer.None {
+		return len(wants) > 0
+	}
+	outcome := o.send(ctx, order, step.For)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if outcome == Accepted {
+		o.current, o.begun = step, now
+		o.report.Busy = true
+	}
+	return true
+}
+
+// announced reports whether the entries were told some time ago that a model is
+// about to be unloaded. The caller holds the lock.
+func (o *Orderer) announced(now time.Duration, model string) bool {
+	if o.closing != model {
+		o.closing, o.closed = model, now
+	}
+	return now-o.closed >= closingTime
+}
+
+// order returns an order to the engine as last seen. The caller holds the lock.
+func (o *Orderer) order(op placer.Op, model, adapter string) Order {
+	return Order{
+		Op:       op,
+		Model:    model,
+		Adapter:  adapter,
+		Server:   o.server,
+		Sequence: o.report.Sequence,
+		Holder:   o.terms.Holder,
+		Fence:    o.directory.Fence(),
+	}
+}
+
+// send sends an order and records it.
+func (o *Orderer) send(ctx context.Context, order Order, cause string) Outcome {
+	outcome, err := o.engine.Order(ctx, order)
+	e := o.log.Info().Str("server", order.Server).Str("op", order.Op.String()).Str("model", order.Model).
+		Str("adapter", order.Adapter).Str("for", cause).Uint64("sequence", order.Sequence).
+		Uint64("fence", order.Fence).Str("outcome", outcome.String())
+	if err != nil {
+		e = e.Err(err)
+	}
+	e.Msg("order: sent")
+	return outcome
+}
+
+// wants gathers the models that requests wait for and that the engine lacks. The
+// caller holds the lock.
+func (o *Orderer) wants(now time.Duration) []placer.Want {
+	view := o.copy.View()
+	merged := map[string]*placer.Want{}
+	for _, t := range o.tells {
+		for _, w := range t.tell.GetWants() {
+			m := view.Model(w.GetModel())
+			if m != nil && m.GetBase() != "" {
+				m = view.Model(m.GetBase())
+			}
+			if m == nil || o.report.Has(m.GetName()) || m.GetPool() != o.terms.Pool {
+				continue
+			}
+			have := merged[m.GetName()]
+			if have == nil {
+				have = &placer.Want{Model: m.GetName(), Bytes: m.GetBytes(), Since: t.at, Goal: 1<<62 - 1, Time: o.loadTime(m)}
+				merged[m.GetName()] = have
+			}
+			have.Count += int(w.GetCount())
+			have.Worth += w.GetWorth()
+			have.Goal = min(have.Goal, t.at+time.Duration(w.GetGoal())*time.Millisecond)
+			have.Since = min(have.Since, t.at-timer.Span(w.GetAge()))
+		}
+	}
+	list := make([]placer.Want, 0, len(merged))
+	for _, w := range merged {
+		list = append(list, *w)
+	}
+	slices.SortFunc(list, func(a, b placer.Want) int { return int(a.Since - b.Since) })
+	return list
+}
+
+// loadTime is the duration of a load by where the checkpoint is cached. The
+// caller holds the lock.
+func (o *Orderer) loadTime(m *wire.Model) time.Duration {
+	ms := m.GetRemote()
+	switch {
+	case slices.Contains(o.report.Memory, m.GetName()):
+		ms = m.GetMemory()
+	case slices.Contains(o.report.Disk, m.GetName()):
+		ms = m.GetDisk()
+	}
+	return timer.Span(ms)
+}
+
+// held lists the models in memory. The caller holds the lock.
+func (o *Orderer) held(now time.Duration) []placer.Held {
+	view := o.copy.View()
+	var list []placer.Held
+	for _, name := range o.report.Models {
+		m := view.Model(name)
+		if m == nil || m.GetBase() != "" {
+			continue
+		}
+		h := placer.Held{Model: name, Bytes: m.GetBytes(), Reload: o.loadTime(m), Since: o.since[name], Last: o.used[name]}
+		for _, t := range o.tells {
+			for _, u := range t.tell.GetUses() {
+				if u.GetModel() == name {
+					h.Inflight += int(u.GetInflight())
+					h.Rate += u.GetRate()
+					h.Copies = max(h.Copies, int(u.GetCopies()))
+				}
+			}
+		}
+		if h.Inflight > 0 {
+			o.used[name] = now
+			h.Last = now
+		}
+		list = append(list, h)
+	}
+	return list
+}
+
+// free is the memory for weights that is free. The caller holds the lock.
+func (o *Orderer) free() uint64 {
+	view := o.copy.View()
+	capacity := view.Pool(o.terms.Pool).GetEngines().GetBytes()
+	used := uint64(0)
+	for _, name := range o.report.Models {
+		used += view.Model(name).GetBytes()
+	}
+	for _, name := range o.report.Coming {
+		used += view.Model(name).GetBytes()
+	}
+	return capacity - min(used, capacity)
+}
+
+// Handle answers a call of an entry.
+func (o *Orderer) Handle(ctx context.Context, call *wire.Call, s peer.Stream) {
+	switch b := call.GetBody().(type) {
+	case *wire.Call_Watch:
+		o.watch(ctx, s)
+	case *wire.Call_Tell:
+		o.take(b.Tell)
+		_ = s.Send(&wire.Reply{Body: &wire.Reply_Done{Done: &wire.Done{}}})
+	default:
+		_ = s.Send(refuser.New(refuser.Invalid, "this sidecar does not answer this call").Reply())
+	}
+}
+
+// take takes the message of an entry, unless a later one was taken already.
+func (o *Orderer) take(t *wire.Tell) {
+	now := o.clock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	have, ok := o.tells[t.GetEntry()]
+	if ok && (have.tell.GetStarted() > t.GetStarted() ||
+		have.tell.GetStarted() == t.GetStarted() && have.tell.GetNumber() >= t.GetNumber()) {
+		return
+	}
+	o.tells[t.GetEntry()] = told{tell: t, at: now}
+	if len(t.GetWants()) > 0 {
+		o.Kick()
+	}
+}
+
+// watch sends the state at each change until the entry has gone.
+func (o *Orderer) watch(ctx context.Context, s peer.Stream) {
+	changed := make(chan struct{}, 1)
+	o.mu.Lock()
+	o.watches[changed] = struct{}{}
+	o.mu.Unlock()
+	defer func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.watches, changed)
+	}()
+	for {
+		o.mu.Lock()
+		state := o.state
+		o.mu.Unlock()
+		if s.Send(&wire.Reply{Body: &wire.Reply_State{State: state}}) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Context().Done():
+			return
+		case <-changed:
+		case <-time.After(watchPeriod):
+		}
+	}
+}
--- /dev/null
+++ b/orderer/state.go
@@ -0,0 +1,195 @@
+package orderer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"oleanderstall/placer"
+	"oleanderstall/timer"
+	"oleanderstall/wire"
+)
+
+// publish tells the entries the engine's state if it has changed.
+func (o *Orderer) publish(now time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	next := o.describe(now)
+	if !o.worthTelling(now, next) {
+		return
+	}
+	next.Number = o.state.GetNumber() + 1
+	o.state, o.stated = next, now
+	for ch := range o.watches {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// worthTelling reports whether next differs from the state told last. A
+// difference in load alone waits. The caller holds the lock.
+func (o *Orderer) worthTelling(now time.Duration, next *wire.State) bool {
+	a, b := proto.Clone(o.state).(*wire.State), proto.Clone(next).(*wire.State)
+	a.Number, b.Number = 0, 0
+	for _, s := range []*wire.State{a, b} {
+		for _, t := range s.Tasks {
+			t.Left = 0
+		}
+	}
+	if now-o.stated < loadPeriod {
+		for _, s := range []*wire.State{a, b} {
+			s.Running, s.Waiting, s.Used = 0, 0, 0
+			for _, r := range s.Residents {
+				r.Inflight, r.Keep = 0, 0
+			}
+		}
+	}
+	return !proto.Equal(a, b)
+}
+
+// describe returns the state as last seen. The caller holds the lock.
+func (o *Orderer) describe(now time.Duration) *wire.State {
+	r := o.report
+	s := &wire.State{Address: o.terms.Address, Born: r.Born}
+	if r.Born == 0 || o.born != r.Born {
+		return s
+	}
+	s.Server = o.server
+	s.Sequence = r.Sequence
+	s.Models = r.Models
+	s.Coming = r.Coming
+	s.Memory, s.Disk = r.Memory, r.Disk
+	s.Leaving = r.Leaving
+	s.Running, s.Waiting = uint32(r.Running), uint32(r.Waiting)
+	s.Used, s.Cache = uint32(r.Used), uint32(r.Cache)
+	s.Free = o.free()
+	for _, h := range o.held(now) {
+		s.Residents = append(s.Residents, &wire.Resident{
+			Model:    h.Model,
+			Bytes:    h.Bytes,
+			Inflight: uint32(h.Inflight),
+			Keep:     h.Keep(),
+			Closing:  h.Model == o.closing || o.current.Op == placer.Unload && o.current.Model == h.Model,
+		})
+	}
+	o.describeTasks(now, s)
+	return s
+}
+
+// describeTasks lists the loads to come. The caller holds the lock.
+func (o *Orderer) describeTasks(now time.Duration, s *wire.State) {
+	view := o.copy.View()
+	left := time.Duration(0)
+	if o.current.Op == placer.Load {
+		m := view.Model(o.current.Model)
+		left = max(0, o.begun+o.loadTime(m)-now)
+		s.Tasks = append(s.Tasks, &wire.Task{Model: o.current.Model, Left: timer.Millis(left)})
+		s.Fetching = !slices.Contains(o.report.Memory, o.current.Model) && !slices.Contains(o.report.Disk, o.current.Model)
+	}
+	for _, w := range o.wants(now) {
+		if w.Model == o.current.Model && o.current.Op == placer.Load {
+			continue
+		}
+		left += w.Time
+		s.Tasks = append(s.Tasks, &wire.Task{Model: w.Model, Left: timer.Millis(left)})
+	}
+}
+
+// adapters loads the adapters that requests wait for. It reports whether any is
+// missing.
+func (o *Orderer) adapters(ctx context.Context, now time.Duration) bool {
+	o.mu.Lock()
+	missing, victims := o.missingAdapters(now)
+	ready := o.ready()
+	o.mu.Unlock()
+	if !ready {
+		return len(missing) > 0
+	}
+	for _, name := range victims {
+		o.orderAdapter(ctx, placer.Unload, name)
+	}
+	for _, name := range missing {
+		o.orderAdapter(ctx, placer.Load, name)
+	}
+	return len(missing) > 0
+}
+
+func (o *Orderer) orderAdapter(ctx context.Context, op placer.Op, name string) {
+	o.mu.Lock()
+	model := o.copy.View().Model(name).GetBase()
+	order := o.order(op, model, name)
+	o.mu.Unlock()
+	outcome := o.send(ctx, order, name)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch outcome {
+	case Accepted:
+		o.report.Sequence++
+		if op == placer.Load {
+			o.report.Coming = append(slices.Clone(o.report.Coming), name)
+		}
+	case Done:
+		if op == placer.Unload {
+			o.report.Sequence++
+		}
+	}
+}
+
+// adaptersMoving is the most adapters on their way to an engine at once.
+const adaptersMoving = 4
+
+// missingAdapters returns the adapters to load now and those to unload before.
+// The caller holds the lock.
+func (o *Orderer) missingAdapters(now time.Duration) (missing, victims []string) {
+	view := o.copy.View()
+	wanted, inuse := map[string]bool{}, map[string]bool{}
+	for _, t := range o.tells {
+		for _, w := range t.tell.GetWants() {
+			m := view.Model(w.GetModel())
+			if m.GetBase() != "" && o.report.Has(m.GetBase()) && m.GetPool() == o.terms.Pool {
+				wanted[m.GetName()] = true
+			}
+		}
+		for _, u := range t.tell.GetUses() {
+			if u.GetInflight() > 0 {
+				inuse[u.GetModel()] = true
+			}
+		}
+	}
+	var have, idle []string
+	for _, name := range o.report.Models {
+		if view.Model(name).GetBase() == "" {
+			continue
+		}
+		have = append(have, name)
+		if inuse[name] {
+			o.used[name] = now
+		}
+		if !wanted[name] && !inuse[name] && now-o.since[name] >= adapterSettle {
+			idle = append(idle, name)
+		}
+	}
+	slices.SortStableFunc(idle, func(a, b string) int { return int(o.used[a] - o.used[b]) })
+	room := int(view.Pool(o.terms.Pool).GetEngines().GetAdapters()) - len(have) - len(o.report.Coming)
+	for name := range wanted {
+		if !o.report.Has(name) && !slices.Contains(o.report.Coming, name) {
+			missing = append(missing, name)
+		}
+	}
+	slices.Sort(missing)
+	missing = missing[:min(len(missing), max(0, adaptersMoving-len(o.report.Coming)))]
+	need := len(missing) - room
+	if need > 0 {
+		victims = idle[:min(need, len(idle))]
+		missing = missing[:max(0, min(len(missing), room+len(victims)))]
+	}
+	return missing, victims
+}
+
+// adapterSettle is how long an adapter stays after its load, so that the requests
+// that waited for it arrive.
+const adapterSettle = 150 * time.Millisecond
--- /dev/null
+++ b/placer/site.go
@@ -0,0 +1,66 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Weights of the choice of an engine.
+const (
+	// missTime is what a request that would miss an unloaded model counts.
+	missTime = 500 * time.Millisecond
+	// fullTime is the wait at an engine that has no idle model to unload.
+	fullTime = 1500 * time.Millisecond
+)
+
+// Site is an engine that may load a model.
+type Site struct {
+	ID string
+	// Free is the memory for weights that is free, and Idle are the models that may
+	// be unloaded.
+	Free uint64
+	Idle []Held
+	// Load is the duration of the load there.
+	Load time.Duration
+	// Queue is the duration of the loads before it.
+	Queue time.Duration
+	// Planned is set if the engine is going to load the model anyway, in Queue.
+	Planned bool
+	// Score orders engines that are alike.
+	Score uint64
+}
+
+// cost is the time until the model serves and what the load displaces, in time.
+func (s Site) cost(need uint64) time.Duration {
+	if s.Planned {
+		return s.Queue
+	}
+	sum := s.Queue + s.Load
+	if s.Free >= need {
+		return sum
+	}
+	idle := slices.Clone(s.Idle)
+	slices.SortStableFunc(idle, func(a, b Held) int { return cmp.Compare(a.Keep(), b.Keep()) })
+	chosen, ok := Choose(s.Free, idle, need, 1e18)
+	if !ok {
+		return sum + fullTime
+	}
+	for _, h := range chosen {
+		sum += swapTime + time.Duration(h.Keep()*float64(missTime))
+	}
+	return sum
+}
+
+// Pick returns the engine that should load a model of need bytes and the time
+// until it serves there, or -1 if there is none.
+func Pick(sites []Site, need uint64) (int, time.Duration) {
+	best, least := -1, time.Duration(0)
+	for i, s := range sites {
+		c := s.cost(need)
+		if best < 0 || c < least || c == least && s.Score > sites[best].Score {
+			best, least = i, c
+		}
+	}
+	return best, least
+}
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -2,25 +2,19 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"runtime"
 	"runtime/debug"
 	"time"
 
 	"github.com/phuslu/log"
-	"github.com/rotisserie/eris"
 
-	"oleanderstall/admitter"
 	"oleanderstall/checker"
 	"oleanderstall/configurer"
-	"oleanderstall/dispatcher"
 	"oleanderstall/follower"
-	"oleanderstall/locator"
 	"oleanderstall/meter"
+	"oleanderstall/peer"
 	"oleanderstall/platform"
 	"oleanderstall/recorder"
-	"oleanderstall/router"
 	"oleanderstall/storer"
 	"oleanderstall/timer"
 )
@@ -42,6 +36,8 @@
 	log      *log.Logger
 	clock    timer.Clock
 	store    *platform.Store
+	node     *peer.Node
+	started  int64
 	copy     *configurer.Configurer
 	recorder *recorder.Recorder
 	meter    *meter.Meter
@@ -58,6 +54,7 @@
 		log:      l,
 		clock:    timer.Now,
 		store:    platform.NewStore(s.Hosted.Store),
+		started:  time.Now().UnixNano(),
 		copy:     configurer.New(),
 		recorder: recorder.New(s.Name, records),
 		meter:    meter.New(),
@@ -65,6 +62,31 @@
 	}
 }
 
+// join makes this process known to the others and opens its connection to them.
+func (h *hosted) join(ctx context.Context, in storer.Instance, handle peer.Handler) error {
+	var text string
+	err := insist(ctx, h.log, "reading the fleet's secret", func(ctx context.Context) (err error) {
+		text, err = secret(ctx, h.store)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	identity, err := peer.NewIdentity(text, h.settings.Name)
+	if err != nil {
+		return err
+	}
+	if h.node, err = peer.New(h.settings.Peer, identity); err != nil {
+		return err
+	}
+	h.tasks.run(func(ctx context.Context) { h.node.Serve(ctx, handle) })
+	in.Name, in.Role, in.Centre = h.settings.Name, h.settings.Role, h.settings.Centre
+	in.Address, in.Started = h.node.Address(), h.started
+	return insist(ctx, h.log, "joining the fleet", func(ctx context.Context) error {
+		return register(ctx, h.store, in)
+	})
+}
+
 // follow keeps a copy of a table in step until the process ends.
 func (h *hosted) follow(t follower.Terms, apply func(time.Duration, []storer.Row)) *follower.Follower {
 	f := follower.New(t, h.clock, h.store, apply, h.log)
@@ -89,112 +111,3 @@
 			Int("routes", len(change.GetRoutes())).Int("keys", len(change.GetKeys())).Msg("config: in force")
 	}
 }
-
-// HostedEntry is a running entry on a platform that hosts it.
-type HostedEntry struct {
-	*hosted
-	locator *locator.Locator
-	core    *dispatcher.Core
-	front   *platform.Front
-	callers *server
-	ready   *server
-}
-
-// StartHostedEntry starts an entry. It returns once all listeners are open.
-func StartHostedEntry(s *checker.Settings, l *log.Logger) (*HostedEntry, error) {
-	e := &HostedEntry{hosted: newHosted(s, l)}
-	e.locator = locator.New(s.Centre, e.clock, l)
-	backends := platform.NewBackends(e.clock)
-	e.core = dispatcher.NewCore(e.clock, unlimited{}, e.locator, backends, granted{}, router.NewBudget(0.1, 10), e.recorder, e.meter, l)
-	e.front = platform.NewFront(e)
-	var err error
-	if e.callers, err = listen(s.Entry.Callers, e.front, nil); err != nil {
-		return nil, err
-	}
-	if e.ready, err = listen(s.Hosted.Ready, platform.Ready(e.isReady), nil); err != nil {
-		return nil, err
-	}
-	e.tasks.run(backends.Run)
-	e.follow(follower.Terms{Table: platform.ConfigTable, Wait: configWait}, e.configured)
-	e.follow(follower.Terms{Table: platform.ServerTable, Wait: serverWait, Period: serverPeriod}, e.listed)
-	return e, nil
-}
-
-// unlimited charges nothing.
-type unlimited struct{}
-
-// Charge implements dispatcher.Charger.
-func (unlimited) Charge(context.Context, *dispatcher.Request) (*dispatcher.Bill, error) {
-	return &dispatcher.Bill{}, nil
-}
-
-// Settle implements dispatcher.Charger.
-func (unlimited) Settle(*dispatcher.Bill, float64) {}
-
-// granted lets every stream that has begun go on.
-type granted struct{}
-
-// Granted implements dispatcher.Checker.
-func (granted) Granted(string) bool { return true }
-
-func (e *HostedEntry) isReady() bool { return e.copy.View().Version() > 0 }
-
-// listed takes changes of the list of backend servers.
-func (e *HostedEntry) listed(_ time.Duration, rows []storer.Row) {
-	for _, r := range rows {
-		s, err := platform.Server(r)
-		if r.Deleted {
-			e.log.Info().Str("server", s.ID).Str("key", r.Key).Uint64("row", r.Version).Msg("server: gone")
-			e.locator.Drop(r.Key[len(platform.ServerTable)+1:])
-			continue
-		}
-		if err != nil {
-			e.log.Warn().Err(err).Uint64("row", r.Version).Msg("server: unreadable row")
-			continue
-		}
-		e.log.Info().Str("server", s.ID).Str("pool", s.Pool).Str("address", s.Address).Bool("leaving", s.Leaving).
-			Uint64("sequence", s.Sequence).Strs("models", s.Models).Uint64("row", r.Version).Msg("server: listed")
-		e.locator.List(s)
-	}
-}
-
-// Body implements platform.Handler.
-func (e *HostedEntry) Body() int64 { return int64(e.copy.View().Limits().GetBody()) }
-
-// Serve implements platform.Handler.
-func (e *HostedEntry) Serve(ctx context.Context, q *admitter.Inquiry, out *platform.Reply) error {
-	r, err := admitter.Admit(e.clock(), e.copy.View(), q)
-	if err != nil {
-		e.log.Info().Str("request", q.ID).Str("host", q.Host).Str("path", q.Path).Err(err).Msg("not admitted")
-		return err
-	}
-	call := q.Content.(*platform.Call)
-	call.Workspace = r.Workspace
-	_, err = e.core.Serve(ctx, r, out)
-	return err
-}
-
-// Addresses returns where the entry listens.
-func (e *HostedEntry) Addresses() Addresses { return Addresses{Callers: e.callers.address()} }
-
-// Run serves until ctx ends, and then drains.
-func (e *HostedEntry) Run(ctx context.Context) {
-	<-ctx.Done()
-	e.Stop()
-}
-
-// Stop drains the entry.
-func (e *HostedEntry) Stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Hosted.Grace))
-	defer cancel()
-	e.front.Drain()
-	e.callers.stop(ctx)
-	e.ready.stop(ctx)
-	e.tasks.stop()
-}
-
-var (
-	_ http.Handler = (*platform.Front)(nil)
-	_ net.Listener
-	_ = eris.Wrap
-)
--- /dev/null
+++ b/runner/hostedentry.go
@@ -0,0 +1,169 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"oleanderstall/admitter"
+	"oleanderstall/checker"
+	"oleanderstall/dispatcher"
+	"oleanderstall/follower"
+	"oleanderstall/locator"
+	"oleanderstall/peer"
+	"oleanderstall/platform"
+	"oleanderstall/refuser"
+	"oleanderstall/router"
+	"oleanderstall/storer"
+	"oleanderstall/watcher"
+	"oleanderstall/wire"
+)
+
+// Periods with which the processes of a fleet are followed.
+const (
+	memberWait   = 3 * time.Second
+	memberPeriod = 500 * time.Millisecond
+)
+
+// HostedEntry is a running entry on a platform that hosts it.
+type HostedEntry struct {
+	*hosted
+	locator *locator.Locator
+	watcher *watcher.Watcher
+	core    *dispatcher.Core
+	front   *platform.Front
+	callers *server
+	ready   *server
+}
+
+// StartHostedEntry starts an entry. It returns once all listeners are open.
+func StartHostedEntry(s *checker.Settings, l *log.Logger) (*HostedEntry, error) {
+	e := &HostedEntry{hosted: newHosted(s, l)}
+	e.locator = locator.New(s.Name, s.Centre, e.started, e.clock, e.copy, l)
+	backends := platform.NewBackends(e.clock)
+	e.core = dispatcher.NewCore(e.clock, unlimited{}, e.locator, backends, granted{}, router.NewBudget(0.1, 10), e.recorder, e.meter, l)
+	e.front = platform.NewFront(e)
+	var err error
+	if e.callers, err = listen(s.Entry.Callers, e.front, nil); err != nil {
+		return nil, err
+	}
+	if e.ready, err = listen(s.Hosted.Ready, platform.Ready(e.isReady), nil); err != nil {
+		return nil, err
+	}
+	e.tasks.run(backends.Run)
+	e.follow(follower.Terms{Table: platform.ConfigTable, Wait: configWait}, e.configured)
+	e.follow(follower.Terms{Table: platform.ServerTable, Wait: serverWait, Period: serverPeriod}, e.listed)
+	e.tasks.run(e.meet)
+	return e, nil
+}
+
+// meet joins the fleet and keeps in touch with the sidecars.
+func (e *HostedEntry) meet(ctx context.Context) {
+	if err := e.join(ctx, storer.Instance{}, e.handle); err != nil {
+		e.log.Error().Err(err).Msg("start: not joined")
+		return
+	}
+	e.watcher = watcher.New(e.settings.Name, e.node, e.locator, e.log)
+	e.tasks.run(e.watcher.Run)
+	e.follow(follower.Terms{Table: storer.MemberTable, Wait: memberWait, Period: memberPeriod}, e.members)
+}
+
+// members takes changes of the list of processes.
+func (e *HostedEntry) members(_ time.Duration, rows []storer.Row) {
+	for _, r := range rows {
+		name := r.Key[len(storer.MemberTable)+1:]
+		var in storer.Instance
+		if r.Deleted {
+			e.watcher.Remove(name)
+			continue
+		}
+		if err := json.Unmarshal(r.Value, &in); err != nil {
+			e.log.Warn().Err(err).Str("process", name).Msg("member: unreadable row")
+			continue
+		}
+		e.log.Info().Str("process", name).Str("role", in.Role).Str("address", in.Address).Msg("member: listed")
+		if in.Role == "sidecar" {
+			e.watcher.Add(in)
+		}
+	}
+}
+
+// handle answers a call of another process.
+func (e *HostedEntry) handle(_ context.Context, _ *wire.Call, s peer.Stream) {
+	_ = s.Send(refuser.New(refuser.Invalid, "an entry does not answer this call").Reply())
+}
+
+// unlimited charges nothing.
+type unlimited struct{}
+
+// Charge implements dispatcher.Charger.
+func (unlimited) Charge(context.Context, *dispatcher.Request) (*dispatcher.Bill, error) {
+	return &dispatcher.Bill{}, nil
+}
+
+// Settle implements dispatcher.Charger.
+func (unlimited) Settle(*dispatcher.Bill, float64) {}
+
+// granted lets every stream that has begun go on.
+type granted struct{}
+
+// Granted implements dispatcher.Checker.
+func (granted) Granted(string) bool { return true }
+
+func (e *HostedEntry) isReady() bool { return e.copy.View().Version() > 0 }
+
+// listed takes changes of the list of backend servers.
+func (e *HostedEntry) listed(_ time.Duration, rows []storer.Row) {
+	for _, r := range rows {
+		s, err := platform.Server(r)
+		if r.Deleted {
+			e.log.Info().Str("server", s.ID).Str("key", r.Key).Uint64("row", r.Version).Msg("server: gone")
+			e.locator.Drop(r.Key[len(platform.ServerTable)+1:])
+			continue
+		}
+		if err != nil {
+			e.log.Warn().Err(err).Uint64("row", r.Version).Msg("server: unreadable row")
+			continue
+		}
+		e.log.Info().Str("server", s.ID).Str("pool", s.Pool).Str("address", s.Address).Bool("leaving", s.Leaving).
+			Uint64("sequence", s.Sequence).Strs("models", s.Models).Uint64("row", r.Version).Msg("server: listed")
+		e.locator.List(s)
+	}
+}
+
+// Body implements platform.Handler.
+func (e *HostedEntry) Body() int64 { return int64(e.copy.View().Limits().GetBody()) }
+
+// Serve implements platform.Handler.
+func (e *HostedEntry) Serve(ctx context.Context, q *admitter.Inquiry, out *platform.Reply) error {
+	r, err := admitter.Admit(e.clock(), e.copy.View(), q)
+	if err != nil {
+		e.log.Info().Str("request", q.ID).Str("host", q.Host).Str("path", q.Path).Err(err).Msg("not admitted")
+		return err
+	}
+	call := q.Content.(*platform.Call)
+	call.Workspace = r.Workspace
+	_, err = e.core.Serve(ctx, r, out)
+	return err
+}
+
+// Addresses returns where the entry listens.
+func (e *HostedEntry) Addresses() Addresses { return Addresses{Callers: e.callers.address()} }
+
+// Run serves until ctx ends, and then drains.
+func (e *HostedEntry) Run(ctx context.Context) {
+	<-ctx.Done()
+	e.Stop()
+}
+
+// Stop drains the entry.
+func (e *HostedEntry) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Hosted.Grace))
+	defer cancel()
+	e.front.Drain()
+	e.callers.stop(ctx)
+	e.ready.stop(ctx)
+	e.tasks.stop()
+}
--- /dev/null
+++ b/runner/hostedsidecar.go
@@ -0,0 +1,100 @@
+package runner
+
+import (
+	"context"
+	"net/url"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"oleanderstall/checker"
+	"oleanderstall/follower"
+	"oleanderstall/orderer"
+	"oleanderstall/platform"
+	"oleanderstall/storer"
+)
+
+// Periods with which a sidecar follows the configuration.
+const (
+	sidecarWait   = 10 * time.Second
+	sidecarPeriod = time.Second
+)
+
+// HostedSidecar is a running sidecar on a platform that hosts it. It orders the
+// engine on its instance; requests do not pass through it.
+type HostedSidecar struct {
+	*hosted
+	tenure  *tenure
+	address string
+	orderer *orderer.Orderer
+}
+
+// StartHostedSidecar starts a sidecar.
+func StartHostedSidecar(s *checker.Settings, l *log.Logger) (*HostedSidecar, error) {
+	u, err := url.Parse(s.Sidecar.Backend)
+	if err != nil {
+		return nil, storer.NewFormatError("the backend's address cannot be read", err)
+	}
+	c := &HostedSidecar{hosted: newHosted(s, l), address: u.Host}
+	c.tenure = &tenure{clock: c.clock}
+	terms := orderer.Terms{Holder: s.Name, Pool: s.Sidecar.Pool, Address: c.address}
+	c.orderer = orderer.New(terms, c.clock, platform.NewEngine(c.address), c, c.copy, l)
+	c.follow(follower.Terms{Table: platform.ConfigTable, Wait: sidecarWait, Period: sidecarPeriod}, c.configured)
+	c.tasks.run(c.meet)
+	c.tasks.run(c.orderer.Run)
+	return c, nil
+}
+
+// meet joins the fleet and takes the engine.
+func (c *HostedSidecar) meet(ctx context.Context) {
+	if err := c.join(ctx, storer.Instance{Pool: c.settings.Sidecar.Pool, Backend: c.address}, c.orderer.Handle); err != nil {
+		c.log.Error().Err(err).Msg("start: not joined")
+		return
+	}
+	self := holderRow{Holder: c.settings.Name, Started: c.started}
+	err := insist(ctx, c.log, "taking the engine", func(ctx context.Context) error {
+		return c.tenure.take(ctx, c.store, c.address, self, time.Duration(c.settings.Hosted.Lease))
+	})
+	if err != nil {
+		return
+	}
+	c.log.Info().Str("address", c.address).Uint64("fence", c.tenure.fence.Load()).
+		Int64("wait", c.tenure.wait.Milliseconds()).Msg("engine: taken")
+}
+
+// Fence implements orderer.Directory.
+func (c *HostedSidecar) Fence() uint64 { return c.tenure.Fence() }
+
+// Server implements orderer.Directory.
+func (c *HostedSidecar) Server(ctx context.Context, address string, born int64) (string, error) {
+	all, err := c.store.Snapshot(ctx, platform.ServerTable)
+	if err != nil {
+		return "", err
+	}
+	for _, r := range all.Rows {
+		s, err := platform.Server(r)
+		if err == nil && s.Address == address && s.Born == born {
+			return s.ID, nil
+		}
+	}
+	return "", nil
+}
+
+// Addresses returns where the sidecar listens.
+func (c *HostedSidecar) Addresses() Addresses { return Addresses{} }
+
+// Run serves until ctx ends.
+func (c *HostedSidecar) Run(ctx context.Context) {
+	<-ctx.Done()
+	c.Stop()
+}
+
+// Stop ends the sidecar.
+func (c *HostedSidecar) Stop() {
+	c.tasks.cancel()
+	if c.node != nil {
+		c.node.Close()
+	}
+	c.tasks.stop()
+	c.log.Info().Msg("stop: complete")
+}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -60,6 +60,8 @@
 	// from an earlier one of the same name.
 	Started int64 `json:"started,omitempty"`
 	Leaving bool  `json:"leaving,omitempty"`
+	// Backend is the address of the backend server beside a sidecar, as IP:port.
+	Backend string `json:"backend,omitempty"`
 }
 
 // Table is the platform's table service.
--- /dev/null
+++ b/tracker/demand.go
@@ -0,0 +1,39 @@
+package tracker
+
+import (
+	"math"
+	"time"
+)
+
+// demandTime is the time in which a past request comes to count for a third.
+const demandTime = 6 * time.Second
+
+// Demand measures the requests a second for each model or adapter.
+type Demand struct {
+	rates map[string]rate
+}
+
+type rate struct {
+	value float64
+	at    time.Duration
+}
+
+// NewDemand returns a measure without requests.
+func NewDemand() *Demand { return &Demand{rates: map[string]rate{}} }
+
+// Arrive counts a request for name.
+func (d *Demand) Arrive(now time.Duration, name string) {
+	r := d.rates[name]
+	r.value = r.decayed(now) + 1/demandTime.Seconds()
+	r.at = now
+	d.rates[name] = r
+}
+
+// Rate returns the requests a second for name of late.
+func (d *Demand) Rate(now time.Duration, name string) float64 {
+	return d.rates[name].decayed(now)
+}
+
+func (r rate) decayed(now time.Duration) float64 {
+	return r.value * math.Exp(-float64(max(0, now-r.at))/float64(demandTime))
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -4,10 +4,16 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
+
+	"oleanderstall/wire"
 )
 
+// stateLife is how long a state counts after its sidecar has fallen silent.
+const stateLife = 2500 * time.Millisecond
+
 // Server is a backend server as the platform lists it.
 type Server struct {
 	ID      string
@@ -45,18 +51,58 @@
 
 // Backend is a backend server with this entry's view of it.
 type Backend struct {
-	server   Server
-	inflight int
-	// queue is the number of requests that others have there, as of the instant at.
+	server Server
+	// state is what the sidecar told last, at the instant told.
+	state *wire.State
+	told  time.Duration
+	// inflight counts this entry's requests there, by model.
+	inflight map[string]int
+	sum      int
+	// others is the number of other entries' requests, as of the instant heard.
 	others int
-	at     time.Duration
+	heard  time.Duration
 }
 
 // Server returns what is listed.
 func (b *Backend) Server() Server { return b.server }
 
 // Inflight returns the number of this entry's requests there.
-func (b *Backend) Inflight() int { return b.inflight }
+func (b *Backend) Inflight() int { return b.sum }
+
+// InflightOf returns the number of this entry's requests there for a model or
+// adapter.
+func (b *Backend) InflightOf(name string) int { return b.inflight[name] }
+
+// Load estimates the requests at the server.
+func (b *Backend) Load() int { return b.sum + b.others }
+
+// State returns what the sidecar told, or nil if it is silent.
+func (b *Backend) State(now time.Duration) *wire.State {
+	if b.state == nil || now-b.told > stateLife {
+		return nil
+	}
+	return b.state
+}
+
+// Holding returns what the engine holds, by the newer of the list and the
+// sidecar's word.
+func (b *Backend) Holding(now time.Duration) Holding {
+	s := b.State(now)
+	if s == nil || s.GetBorn() != b.server.Born || s.GetSequence() < b.server.Sequence {
+		return b.server.Holding
+	}
+	return Holding{Models: s.GetModels(), Coming: s.GetComing(), Memory: s.GetMemory(), Disk: s.GetDisk()}
+}
+
+// Closing reports whether a model is about to be unloaded.
+func (b *Backend) Closing(now time.Duration, model string) bool {
+	for _, r := range b.State(now).GetResidents() {
+		if r.GetModel() == model {
+			return r.GetClosing()
+		}
+	}
+	return false
+}
 
 // Fleet holds the backend servers by id. It is not safe for concurrent use.
 type Fleet struct {
@@ -70,7 +116,7 @@
 func (f *Fleet) List(s Server) {
 	b := f.backends[s.ID]
 	if b == nil {
-		b = &Backend{}
+		b = &Backend{inflight: map[string]int{}}
 		f.backends[s.ID] = b
 	}
 	b.server = s
@@ -79,17 +125,48 @@
 // Drop removes a server that is listed no more.
 func (f *Fleet) Drop(id string) { delete(f.backends, id) }
 
-// Begin counts a request of this entry in.
-func (f *Fleet) Begin(id string) {
+// Tell takes a sidecar's word on its engine.
+func (f *Fleet) Tell(now time.Duration, s *wire.State) {
+	b := f.backends[s.GetServer()]
+	if b == nil || b.server.Born != s.GetBorn() {
+		return
+	}
+	b.state, b.told = s, now
+	b.others = max(0, int(s.GetRunning()+s.GetWaiting())-b.sum)
+	b.heard = now
+}
+
+// Hear takes the load that a server told with an answer.
+func (f *Fleet) Hear(now time.Duration, id string, requests int) {
 	if b := f.backends[id]; b != nil {
-		b.inflight++
+		b.others, b.heard = max(0, requests-b.sum), now
+	}
+}
+
+// Begin counts a request of this entry in, under the names of its model and
+// adapter.
+func (f *Fleet) Begin(id string, names ...string) {
+	b := f.backends[id]
+	if b == nil {
+		return
+	}
+	b.sum++
+	for _, name := range names {
+		b.inflight[name]++
 	}
 }
 
 // End counts a request of this entry out.
-func (f *Fleet) End(id string) {
-	if b := f.backends[id]; b != nil && b.inflight > 0 {
-		b.inflight--
+func (f *Fleet) End(id string, names ...string) {
+	b := f.backends[id]
+	if b == nil || b.sum == 0 {
+		return
+	}
+	b.sum--
+	for _, name := range names {
+		if b.inflight[name]--; b.inflight[name] <= 0 {
+			delete(b.inflight, name)
+		}
 	}
 }
 
@@ -97,7 +174,7 @@
 func (f *Fleet) Pool(name string) []*Backend {
 	var list []*Backend
 	for _, b := range f.backends {
-		if b.server.Pool == name && !b.server.Leaving {
+		if b.server.Pool == name && !b.server.Leaving && !b.state.GetLeaving() {
 			list = append(list, b)
 		}
 	}
@@ -107,3 +184,16 @@
 
 // Get returns the server with that id, or nil.
 func (f *Fleet) Get(id string) *Backend { return f.backends[id] }
+
+// At returns the server at an address, or nil.
+func (f *Fleet) At(address string) *Backend {
+	for _, b := range f.backends {
+		if b.server.Address == address {
+			return b
+		}
+	}
+	return nil
+}
+
+// IDs returns the ids of all servers.
+func (f *Fleet) IDs() []string { return slices.Collect(maps.Keys(f.backends)) }
