orderer: no adapter orders while another order runs

Change: adapters wait until no other order runs, and a load that needs room waits for its unload to be carried out.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -36,7 +36,7 @@
 func (f *sidecar) handle(_ context.Context, call *wire.Call, s peer.Stream) {
 	if call.GetBid() != nil {
 		_ = s.Send(&wire.Reply{Body: &wire.Reply_Offer{Offer: &wire.Offer{
-			Free: 1 << 40, State: wire.Phase_PHASE_RESIDENT, Epoch: call.GetBid().GetFence().GetEpoch(),
+			Free: 1 << 40, State: wire.State_STATE_RESIDENT, Epoch: call.GetBid().GetFence().GetEpoch(),
 		}}})
 		return
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -94,7 +94,7 @@
 	bytes   uint64
 	slot    uint32
 	epoch   uint64
-	state   wire.Phase
+	state   wire.State
 	closing bool
 	users   int
 	history evictor.History
@@ -209,7 +209,7 @@
 	case !found:
 		x.remove(r, "the engine does not have it")
 	case !l.Loading:
-		r.state = wire.Phase_PHASE_RESIDENT
+		r.state = wire.State_STATE_RESIDENT
 	}
 }
 
@@ -247,13 +247,13 @@
 			x.ledger.Adopt(l.Model, l.Bytes)
 			x.log.Info().Str("model", l.Model).Msg("engine: adopted a replica")
 		}
-		if r.state == wire.Phase_PHASE_RESIDENT {
+		if r.state == wire.State_STATE_RESIDENT {
 			continue
 		}
 		r.slot, r.epoch = l.Slot, l.Fence
-		r.state = wire.Phase_PHASE_RESIDENT
+		r.state = wire.State_STATE_RESIDENT
 		if l.Loading {
-			r.state = wire.Phase_PHASE_LOADING
+			r.state = wire.State_STATE_LOADING
 		}
 		x.fences[l.Model] = max(x.fences[l.Model], l.Fence)
 	}
--- a/executor/replicas.go
+++ b/executor/replicas.go
@@ -63,7 +63,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.replicas[r.model] != r || r.state != wire.Phase_PHASE_RESIDENT || r.epoch != l.GetSlot().GetEpoch() {
+	if x.replicas[r.model] != r || r.state != wire.State_STATE_RESIDENT || r.epoch != l.GetSlot().GetEpoch() {
 		return nil, refuser.Unknown(refuser.Internal, "the load has failed")
 	}
 	return &wire.Loaded{Slot: l.GetSlot()}, nil
@@ -133,7 +133,7 @@
 		bytes:   bytes,
 		slot:    slot.GetIndex(),
 		epoch:   slot.GetEpoch(),
-		state:   wire.Phase_PHASE_LOADING,
+		state:   wire.State_STATE_LOADING,
 		settled: make(chan struct{}),
 	}
 	x.fences[r.model] = r.epoch
@@ -162,7 +162,7 @@
 	r.cold = now - begun
 	r.last = now
 	if err == nil {
-		r.state = wire.Phase_PHASE_RESIDENT
+		r.state = wire.State_STATE_RESIDENT
 		return
 	}
 	var open *StateError
@@ -257,7 +257,7 @@
 func (x *Executor) residents() []evictor.Resident {
 	var list []evictor.Resident
 	for _, r := range x.replicas {
-		if r.state != wire.Phase_PHASE_RESIDENT || r.closing {
+		if r.state != wire.State_STATE_RESIDENT || r.closing {
 			continue
 		}
 		list = append(list, evictor.Resident{
@@ -274,7 +274,7 @@
 
 // busy reports whether requests use r or wait for it, or for an adapter on it.
 func (x *Executor) busy(r *replica) bool {
-	if r.users > 0 || r.state == wire.Phase_PHASE_LOADING {
+	if r.users > 0 || r.state == wire.State_STATE_LOADING {
 		return true
 	}
 	for _, a := range x.replicas {
--- a/executor/run.go
+++ b/executor/run.go
@@ -62,7 +62,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	use := x.replicas[r.GetModel()]
-	if use == nil || use.closing || use.state != wire.Phase_PHASE_RESIDENT {
+	if use == nil || use.closing || use.state != wire.State_STATE_RESIDENT {
 		return nil, refuser.New(refuser.Absent, "the model is not loaded here")
 	}
 	use.users++
@@ -94,7 +94,7 @@
 func (x *Executor) adapt(ctx context.Context, def *wire.Model, deadline time.Duration) error {
 	x.mu.Lock()
 	base := x.replicas[def.GetBase()]
-	if base == nil || base.closing || base.state != wire.Phase_PHASE_RESIDENT {
+	if base == nil || base.closing || base.state != wire.State_STATE_RESIDENT {
 		x.mu.Unlock()
 		return refuser.New(refuser.Absent, "the adapter's base is not loaded here")
 	}
@@ -105,7 +105,7 @@
 			base:    def.GetBase(),
 			bytes:   def.GetBytes(),
 			epoch:   base.epoch,
-			state:   wire.Phase_PHASE_LOADING,
+			state:   wire.State_STATE_LOADING,
 			settled: make(chan struct{}),
 		}
 		x.replicas[def.GetName()] = r
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -25,7 +25,7 @@
 	free   uint64
 	fence  uint64
 	epoch  uint64
-	state  wire.Phase
+	state  wire.State
 	refuse *refuser.Refusal
 	gate   chan struct{}
 }
@@ -44,7 +44,7 @@
 			return
 		}
 		f.loads++
-		f.epoch, f.state = b.Load.GetSlot().GetEpoch(), wire.Phase_PHASE_RESIDENT
+		f.epoch, f.state = b.Load.GetSlot().GetEpoch(), wire.State_STATE_RESIDENT
 		if gate := f.gate; gate != nil {
 			f.mu.Unlock()
 			<-gate
@@ -381,7 +381,7 @@
 		resident := 0
 		for _, f := range []*fakeEngine{a, b} {
 			f.mu.Lock()
-			if f.state == wire.Phase_PHASE_RESIDENT {
+			if f.state == wire.State_STATE_RESIDENT {
 				resident++
 			}
 			f.mu.Unlock()
--- a/holder/slots.go
+++ b/holder/slots.go
@@ -123,9 +123,9 @@
 		return
 	}
 	switch {
-	case offer.GetState() == wire.Phase_PHASE_ABSENT:
+	case offer.GetState() == wire.State_STATE_ABSENT:
 		h.vacate(ctx, name, m, slot)
-	case offer.GetState() == wire.Phase_PHASE_RESIDENT && offer.GetEpoch() == slot.Epoch:
+	case offer.GetState() == wire.State_STATE_RESIDENT && offer.GetEpoch() == slot.Epoch:
 		slot.Phase = placer.Resident
 		h.store(m, slot)
 	}
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -86,7 +86,7 @@
 }
 
 // State takes a sidecar's word on its engine.
-func (l *Locator) State(s *wire.State) {
+func (l *Locator) State(s *wire.Condition) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fleet.Tell(l.clock(), s)
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -83,7 +83,7 @@
 	// closing is the model that is about to be unloaded, since closed.
 	closing string
 	closed  time.Duration
-	state   *wire.State
+	state   *wire.Condition
 	stated  time.Duration
 	watches map[chan struct{}]struct{}
 }
@@ -108,7 +108,7 @@
 		tells:     map[string]told{},
 		used:      map[string]time.Duration{},
 		since:     map[string]time.Duration{},
-		state:     &wire.State{Address: t.Address},
+		state:     &wire.Condition{Address: t.Address},
 		watches:   map[chan struct{}]struct{}{},
 	}
 }
@@ -233,7 +233,7 @@
 // wait for one.
 func (o *Orderer) models(ctx context.Context, now time.Duration) bool {
 	o.mu.Lock()
-	wants := o.wants(now)
+	wants := o.wants()
 	if !o.ready() || o.report.Busy {
 		o.mu.Unlock()
 		return len(wants) > 0 || o.report.Busy
@@ -299,7 +299,7 @@
 
 // wants gathers the models that requests wait for and that the engine lacks. The
 // caller holds the lock.
-func (o *Orderer) wants(now time.Duration) []placer.Want {
+func (o *Orderer) wants() []placer.Want {
 	view := o.copy.View()
 	merged := map[string]*placer.Want{}
 	for _, t := range o.tells {
@@ -429,7 +429,7 @@
 		o.mu.Lock()
 		state := o.state
 		o.mu.Unlock()
-		if s.Send(&wire.Reply{Body: &wire.Reply_State{State: state}}) != nil {
+		if s.Send(&wire.Reply{Body: &wire.Reply_Condition{Condition: state}}) != nil {
 			return
 		}
 		select {
--- a/orderer/state.go
+++ b/orderer/state.go
@@ -32,16 +32,16 @@
 
 // worthTelling reports whether next differs from the state told last. A
 // difference in load alone waits. The caller holds the lock.
-func (o *Orderer) worthTelling(now time.Duration, next *wire.State) bool {
-	a, b := proto.Clone(o.state).(*wire.State), proto.Clone(next).(*wire.State)
+func (o *Orderer) worthTelling(now time.Duration, next *wire.Condition) bool {
+	a, b := proto.Clone(o.state).(*wire.Condition), proto.Clone(next).(*wire.Condition)
 	a.Number, b.Number = 0, 0
-	for _, s := range []*wire.State{a, b} {
+	for _, s := range []*wire.Condition{a, b} {
 		for _, t := range s.Tasks {
 			t.Left = 0
 		}
 	}
 	if now-o.stated < loadPeriod {
-		for _, s := range []*wire.State{a, b} {
+		for _, s := range []*wire.Condition{a, b} {
 			s.Running, s.Waiting, s.Used = 0, 0, 0
 			for _, r := range s.Residents {
 				r.Inflight, r.Keep = 0, 0
@@ -52,9 +52,9 @@
 }
 
 // describe returns the state as last seen. The caller holds the lock.
-func (o *Orderer) describe(now time.Duration) *wire.State {
+func (o *Orderer) describe(now time.Duration) *wire.Condition {
 	r := o.report
-	s := &wire.State{Address: o.terms.Address, Born: r.Born}
+	s := &wire.Condition{Address: o.terms.Address, Born: r.Born}
 	if r.Born == 0 || o.born != r.Born {
 		return s
 	}
@@ -81,7 +81,7 @@
 }
 
 // describeTasks lists the loads to come. The caller holds the lock.
-func (o *Orderer) describeTasks(now time.Duration, s *wire.State) {
+func (o *Orderer) describeTasks(now time.Duration, s *wire.Condition) {
 	view := o.copy.View()
 	left := time.Duration(0)
 	if o.current.Op == placer.Load {
@@ -90,7 +90,7 @@
 		s.Tasks = append(s.Tasks, &wire.Task{Model: o.current.Model, Left: timer.Millis(left)})
 		s.Fetching = !slices.Contains(o.report.Memory, o.current.Model) && !slices.Contains(o.report.Disk, o.current.Model)
 	}
-	for _, w := range o.wants(now) {
+	for _, w := range o.wants() {
 		if w.Model == o.current.Model && o.current.Op == placer.Load {
 			continue
 		}
@@ -104,21 +104,27 @@
 func (o *Orderer) adapters(ctx context.Context, now time.Duration) bool {
 	o.mu.Lock()
 	missing, victims := o.missingAdapters(now)
-	ready := o.ready()
+	ready := o.ready() && !o.report.Busy
 	o.mu.Unlock()
 	if !ready {
 		return len(missing) > 0
 	}
 	for _, name := range victims {
-		o.orderAdapter(ctx, placer.Unload, name)
+		if !o.orderAdapter(ctx, placer.Unload, name) {
+			// Without the unload there is no room for all.
+			return true
+		}
 	}
 	for _, name := range missing {
-		o.orderAdapter(ctx, placer.Load, name)
+		if !o.orderAdapter(ctx, placer.Load, name) {
+			break
+		}
 	}
 	return len(missing) > 0
 }
 
-func (o *Orderer) orderAdapter(ctx context.Context, op placer.Op, name string) {
+// orderAdapter reports whether the engine carries the order out.
+func (o *Orderer) orderAdapter(ctx context.Context, op placer.Op, name string) bool {
 	o.mu.Lock()
 	model := o.copy.View().Model(name).GetBase()
 	order := o.order(op, model, name)
@@ -126,17 +132,17 @@
 	outcome := o.send(ctx, order, name)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	switch outcome {
-	case Accepted:
+	if outcome != Accepted && outcome != Done {
+		return false
+	}
+	// An unload of an adapter that no request uses is done at once.
+	if outcome == Accepted || op == placer.Unload {
 		o.report.Sequence++
-		if op == placer.Load {
-			o.report.Coming = append(slices.Clone(o.report.Coming), name)
-		}
-	case Done:
-		if op == placer.Unload {
-			o.report.Sequence++
-		}
 	}
+	if op == placer.Load {
+		o.report.Coming = append(slices.Clone(o.report.Coming), name)
+	}
+	return true
 }
 
 // adaptersMoving is the most adapters on their way to an engine at once.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -53,7 +53,7 @@
 type Backend struct {
 	server Server
 	// state is what the sidecar told last, at the instant told.
-	state *wire.State
+	state *wire.Condition
 	told  time.Duration
 	// inflight counts this entry's requests there, by model.
 	inflight map[string]int
@@ -77,7 +77,7 @@
 func (b *Backend) Load() int { return b.sum + b.others }
 
 // State returns what the sidecar told, or nil if it is silent.
-func (b *Backend) State(now time.Duration) *wire.State {
+func (b *Backend) State(now time.Duration) *wire.Condition {
 	if b.state == nil || now-b.told > stateLife {
 		return nil
 	}
@@ -126,7 +126,7 @@
 func (f *Fleet) Drop(id string) { delete(f.backends, id) }
 
 // Tell takes a sidecar's word on its engine.
-func (f *Fleet) Tell(now time.Duration, s *wire.State) {
+func (f *Fleet) Tell(now time.Duration, s *wire.Condition) {
 	b := f.backends[s.GetServer()]
 	if b == nil || b.server.Born != s.GetBorn() {
 		return
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -31,7 +31,7 @@
 // Desk is the entry's knowledge of the engines.
 type Desk interface {
 	// State takes a sidecar's word on its engine.
-	State(s *wire.State)
+	State(s *wire.Condition)
 	// Tell returns what the sidecar of a server is to know.
 	Tell(server string) *wire.Tell
 	// Wanted returns a channel that is signalled when there is something to tell.
@@ -152,7 +152,7 @@
 			return met, err
 		}
 		quiet.Reset(silence)
-		state := reply.GetState()
+		state := reply.GetCondition()
 		if state == nil {
 			return met, peer.Unexpected(reply)
 		}
