locator: another copy of a model whose engines are near their limits

Cause: each busy model was served by one engine (93 requests of one model in 4 s at one of nine), so that half of the drafts had a pause above their aim. Change: an answer's nearness to being late counts as the strain of its engine; if all engines of a model are strained or half full, one entry asks for another copy.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -70,6 +70,7 @@
 		Attempts:  int(route.GetAttempts()),
 		Config:    view.Version(),
 		Begun:     now,
+		Gap:       time.Duration(route.GetGap()) * time.Millisecond,
 		From:      q.From,
 		Content:   q.Content,
 	}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -71,6 +71,8 @@
 	Begun    time.Duration
 	Goal     time.Duration
 	Deadline time.Duration
+	// Gap is the longest pause between two events on time, or 0 for any.
+	Gap time.Duration
 	// From is the index of the first event that the caller wants.
 	From uint64
 	// Content is what the sender passes on.
@@ -106,6 +108,8 @@
 	Err error
 	// First is the time to the first event or the answer, if there was one.
 	First time.Duration
+	// Gap is the longest pause between two events.
+	Gap time.Duration
 	// End is what came after the last event.
 	End any
 }
@@ -209,8 +213,11 @@
 	// open is set once an attempt has ended that may have run; runs counts them.
 	open bool
 	runs int
-	// first is the time to the first event.
+	// first is the time to the first event, last the instant of the latest one, and
+	// gap the longest pause between two.
 	first time.Duration
+	last  time.Duration
+	gap   time.Duration
 	// server is the backend server of the last attempt.
 	server string
 }
@@ -333,8 +340,9 @@
 func (c *Core) attempt(ctx context.Context, p *progress, place *Place) (end any, err error) {
 	begun := c.clock()
 	var report Report
+	p.gap = 0
 	defer func() {
-		report.Err, report.End = err, end
+		report.Err, report.End, report.Gap = err, end, p.gap
 		place.Release(report)
 	}()
 	limited, cancel := context.WithTimeout(ctx, p.request.Deadline-begun)
@@ -418,20 +426,29 @@
 	if p.out.Pass(e) != nil {
 		return refuser.Unknown(refuser.Canceled, "the caller has given up")
 	}
+	c.passed(p, c.clock())
+	p.next = e.Index + 1
+	return nil
+}
+
+// passed takes note of an event that was passed on at now.
+func (c *Core) passed(p *progress, now time.Duration) {
 	if p.first == 0 {
-		p.first = c.clock() - p.request.Begun
+		p.first = now - p.request.Begun
 		c.meter.First(p.request.Workspace, p.first)
+	} else {
+		p.gap = max(p.gap, now-p.last)
 	}
-	p.next = e.Index + 1
-	return nil
+	p.last = now
 }
 
 // served counts and records a whole answer.
 func (c *Core) served(p *progress) {
 	r := p.request
 	c.meter.Request(r.Workspace, "served")
-	c.log.Info().Str("request", r.ID).Str("workspace", r.Workspace).Str("server", p.server).
-		Int64("first", p.first.Milliseconds()).Int64("took", (c.clock()-r.Begun).Milliseconds()).
+	c.log.Info().Str("request", r.ID).Str("workspace", r.Workspace).Str("route", r.Route).Str("model", r.Model).
+		Str("adapter", r.Adapter).Str("server", p.server).Uint64("events", p.next-r.From).
+		Int64("first", p.first.Milliseconds()).Int64("gap", p.gap.Milliseconds()).Int64("took", (c.clock()-r.Begun).Milliseconds()).
 		Int("tried", len(p.history.Tried)).Msg("served")
 }
 
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -107,6 +107,7 @@
 		l.mu.Lock()
 		best := l.pick(now, r, h)
 		if best != nil {
+			l.press(now, r)
 			place := l.place(now, best, r)
 			l.mu.Unlock()
 			return place, nil
@@ -196,7 +197,7 @@
 		Expect:  s.ID,
 		Urgency: min(r.Priority, lastUrgency),
 		Hear:    func(load dispatcher.Load) { l.hear(s.ID, load) },
-		Release: func(rep dispatcher.Report) { l.release(s.ID, names, rep) },
+		Release: func(rep dispatcher.Report) { l.release(s.ID, names, r, rep) },
 	}
 }
 
@@ -219,15 +220,30 @@
 	return r.Model
 }
 
+// strain is how near an answer came to being late, 1 being just so.
+func strain(r *dispatcher.Request, rep dispatcher.Report) float64 {
+	s := 0.0
+	if aim := r.Goal - r.Begun; aim > 0 {
+		s = float64(rep.First) / float64(aim)
+	}
+	if r.Gap > 0 {
+		s = max(s, float64(rep.Gap)/float64(r.Gap))
+	}
+	return s
+}
+
 func (l *Locator) hear(id string, load dispatcher.Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fleet.Hear(l.clock(), id, load.Running+load.Waiting)
 }
 
-func (l *Locator) release(id string, names []string, _ dispatcher.Report) {
+func (l *Locator) release(id string, names []string, r *dispatcher.Request, rep dispatcher.Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if b := l.fleet.Get(id); b != nil && rep.Err == nil && r.Model != "" {
+		b.Feel(l.clock(), strain(r, rep))
+	}
 	l.fleet.End(id, names...)
 	l.tell(id)
 }
--- a/locator/need.go
+++ b/locator/need.go
@@ -31,6 +31,50 @@
 	server string
 	asked  time.Duration
 	ready  time.Duration
+	// more is set if the model serves already and another copy is wanted, from the
+	// instant due until the instant until.
+	more  bool
+	due   time.Duration
+	until time.Duration
+}
+
+// Limits of the copies of a busy model.
+const (
+	// strained is the strain of an engine from which its models want more copies.
+	strained = 0.6
+	// filled is the part of an engine's slots from which they do.
+	filled = 0.5
+	// moreDelay is the longest time before an entry asks for another copy. Each
+	// entry has a delay of its own, so that mostly one asks.
+	moreDelay = 600 * time.Millisecond
+	// moreLife is how long the wish for another copy lasts without a new reason.
+	moreLife = 1500 * time.Millisecond
+)
+
+// press asks for another copy of r's model if all engines that serve it are near
+// their limits. The caller holds the lock.
+func (l *Locator) press(now time.Duration, r *dispatcher.Request) {
+	if r.Model == "" {
+		return
+	}
+	for _, b := range l.fleet.Pool(r.Pool) {
+		if !b.Holding(now).Has(r.Model) || b.Closing(now, r.Model) {
+			continue
+		}
+		if b.Strain(now) < strained && float64(b.Load()) < filled*float64(b.Server().Slots) {
+			return
+		}
+	}
+	n := l.needs[r.Model]
+	if n == nil {
+		n = &need{name: r.Model, waiting: map[*dispatcher.Request]struct{}{}, more: true}
+		n.due = now + time.Duration(router.Score(l.name, router.Hash(r.Model))%uint64(moreDelay))
+		l.needs[r.Model] = n
+	}
+	n.until = now + moreLife
+	if now >= n.due {
+		l.ask(now, n, nil)
+	}
 }
 
 // join makes r wait. The caller holds the lock.
@@ -70,7 +114,7 @@
 // abandon ends the wait of r. The caller holds the lock.
 func (l *Locator) abandon(r *dispatcher.Request, n *need) {
 	delete(n.waiting, r)
-	if len(n.waiting) == 0 && l.needs[n.name] == n {
+	if len(n.waiting) == 0 && !n.more && l.needs[n.name] == n {
 		delete(l.needs, n.name)
 		l.tell(n.server)
 	}
@@ -126,6 +170,9 @@
 		site := placer.Site{ID: b.Server().ID, Free: state.GetFree(), Score: router.Score(b.Server().ID, hash)}
 		held := b.Holding(now)
 		if held.Has(m.GetName()) {
+			if n.more {
+				continue
+			}
 			site.Planned = true
 		}
 		for _, t := range state.GetTasks() {
--- a/locator/tell.go
+++ b/locator/tell.go
@@ -8,6 +8,10 @@
 	"oleanderstall/wire"
 )
 
+// moreCount is the number of waiting requests that the wish for another copy
+// counts as.
+const moreCount = 3
+
 // lateWorth is what a late answer is worth, as a part of one on time.
 const lateWorth = 0.25
 
@@ -48,7 +52,14 @@
 	now := l.clock()
 	l.number++
 	t := &wire.Tell{Entry: l.name, Started: l.started, Number: l.number}
-	for _, n := range l.needs {
+	for name, n := range l.needs {
+		if n.more && now > n.until {
+			delete(l.needs, name)
+			continue
+		}
+		if n.more && now < n.due {
+			continue
+		}
 		l.ask(now, n, nil)
 		if n.server == server {
 			t.Wants = append(t.Wants, n.want(now))
@@ -74,6 +85,10 @@
 // want is the message for what is needed.
 func (n *need) want(now time.Duration) *wire.Want {
 	w := &wire.Want{Model: n.name, Count: uint32(len(n.waiting)), Goal: 1 << 30}
+	if n.more {
+		w.Count += moreCount
+		w.Worth += moreCount
+	}
 	for r := range n.waiting {
 		worth := worth(r)
 		if now > r.Goal {
--- a/tracker/demand.go
+++ b/tracker/demand.go
@@ -6,7 +6,7 @@
 )
 
 // demandTime is the time in which a past request comes to count for a third.
-const demandTime = 6 * time.Second
+const demandTime = 4 * time.Second
 
 // Demand measures the requests a second for each model or adapter.
 type Demand struct {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -61,6 +62,9 @@
 	// others is the number of other entries' requests, as of the instant heard.
 	others int
 	heard  time.Duration
+	// strain is how near the answers of late came to being late, 1 being just so.
+	strain float64
+	felt   time.Duration
 }
 
 // Server returns what is listed.
@@ -76,6 +80,25 @@
 // Load estimates the requests at the server.
 func (b *Backend) Load() int { return b.sum + b.others }
 
+// strainTime is the time in which a past strain comes to count for a third, and
+// strainWeight the weight of a new answer.
+const (
+	strainTime   = 3 * time.Second
+	strainWeight = 0.25
+)
+
+// Strain is how near the answers of late came to being late, 1 being just so. It
+// fades while there are none.
+func (b *Backend) Strain(now time.Duration) float64 {
+	return b.strain * math.Exp(-float64(max(0, now-b.felt))/float64(strainTime))
+}
+
+// Feel takes note of how near an answer came to being late.
+func (b *Backend) Feel(now time.Duration, strain float64) {
+	b.strain = b.Strain(now)*(1-strainWeight) + min(strain, 2)*strainWeight
+	b.felt = now
+}
+
 // State returns what the sidecar told, or nil if it is silent.
 func (b *Backend) State(now time.Duration) *wire.Condition {
 	if b.state == nil || now-b.told > stateLife {
