locator: needs last as long as their requests; the sidecar's word goes before the row

Cause: (1) each change of any engine's state dropped and made the need of a waiting request anew, so its engine changed with every look; (2) the field sequence of a server's row counts its writes, not orders, so a fresh state of the sidecar was taken for old and a loaded model was asked for again elsewhere; (3) a request stayed with an engine that had nothing to unload, for 8 s. Change: a request joins its need once; the sidecar's state counts while it is fresh; a task that no unload can make room for is marked and may go elsewhere.

--- a/locator/locator.go
+++ b/locator/locator.go
@@ -102,30 +102,39 @@
 // Find implements dispatcher.Finder.
 func (l *Locator) Find(ctx context.Context, r *dispatcher.Request, h *dispatcher.History) (*dispatcher.Place, error) {
 	l.arrive(r, h)
+	var n *need
+	defer func() { l.leave(r, n) }()
 	for {
 		now := l.clock()
-		l.mu.Lock()
-		best := l.pick(now, r, h)
-		if best != nil {
-			l.press(now, r)
-			place := l.place(now, best, r)
-			l.mu.Unlock()
-			return place, nil
+		place, changed, err := l.look(now, r, h, &n)
+		if place != nil || err != nil {
+			return place, err
 		}
-		n, err := l.join(now, r, h)
-		changed := l.changed
-		l.mu.Unlock()
-		if err != nil {
-			return nil, err
-		}
-		waited := wait(ctx, changed, r.Deadline-shortestRun-now)
-		l.leave(r, n)
-		if !waited && ctx.Err() != nil {
+		if !wait(ctx, changed, r.Deadline-shortestRun-now) && ctx.Err() != nil {
 			return nil, refuser.New(refuser.Canceled, "the caller has given up")
 		}
 	}
 }
 
+// look returns a place for r, or what is closed when to look again; r then waits
+// for the need n.
+func (l *Locator) look(now time.Duration, r *dispatcher.Request, h *dispatcher.History, n **need) (*dispatcher.Place, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if best := l.pick(now, r, h); best != nil {
+		l.press(now, r)
+		return l.place(now, best, r), nil, nil
+	}
+	if *n == nil {
+		joined, err := l.join(r, h)
+		if err != nil {
+			return nil, nil, err
+		}
+		*n = joined
+	}
+	return nil, l.changed, l.expect(now, r, *n, h)
+}
+
 // wait reports whether changed was closed within the limit.
 func wait(ctx context.Context, changed <-chan struct{}, limit time.Duration) bool {
 	t := time.NewTimer(limit)
--- a/locator/need.go
+++ b/locator/need.go
@@ -77,14 +77,11 @@
 	}
 }
 
-// join makes r wait. The caller holds the lock.
-func (l *Locator) join(now time.Duration, r *dispatcher.Request, h *dispatcher.History) (*need, error) {
+// join makes r wait for its model. The caller holds the lock.
+func (l *Locator) join(r *dispatcher.Request, h *dispatcher.History) (*need, error) {
 	if r.Model == "" {
 		return nil, cmp.Or(h.Last, error(refuser.New(refuser.Busy, "no backend server of the pool takes requests").After(time.Second)))
 	}
-	if now >= r.Deadline-shortestRun {
-		return nil, refuser.New(refuser.Late, "the model was not there in time").After(retryLeast)
-	}
 	name := needed(r)
 	if l.copy.View().Model(name) == nil {
 		return nil, refuser.New(refuser.Absent, "no engine of the pool knows the model").After(retryMost)
@@ -95,24 +92,31 @@
 		l.needs[name] = n
 	}
 	n.waiting[r] = struct{}{}
+	return n, nil
+}
+
+// expect asks an engine for the model that r waits for and refuses r if it cannot
+// be there in time. The caller holds the lock.
+func (l *Locator) expect(now time.Duration, r *dispatcher.Request, n *need, h *dispatcher.History) error {
+	last := r.Deadline - shortestRun
+	if now >= last {
+		return refuser.New(refuser.Late, "the model was not there in time").After(retryLeast)
+	}
 	l.ask(now, n, h.Tried)
-	if n.server != "" && now+(n.ready-now) > r.Deadline-shortestRun {
-		l.abandon(r, n)
-		return nil, refuser.New(refuser.Late, "the model cannot be there in time").
+	if n.server != "" && n.ready > last {
+		return refuser.New(refuser.Late, "the model cannot be there in time").
 			After(min(max(n.ready-now, retryLeast), retryMost))
 	}
-	return n, nil
+	return nil
 }
 
-// leave ends the wait of r.
+// leave ends the wait of r, if it waits.
 func (l *Locator) leave(r *dispatcher.Request, n *need) {
+	if n == nil {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.abandon(r, n)
-}
-
-// abandon ends the wait of r. The caller holds the lock.
-func (l *Locator) abandon(r *dispatcher.Request, n *need) {
 	delete(n.waiting, r)
 	if len(n.waiting) == 0 && !n.more && l.needs[n.name] == n {
 		delete(l.needs, n.name)
@@ -129,7 +133,8 @@
 	}
 	if b := l.fleet.Get(n.server); b != nil && !tried[n.server] {
 		s := b.State(now)
-		if i := slices.IndexFunc(s.GetTasks(), func(t *wire.Task) bool { return t.GetModel() == m.GetName() }); i >= 0 {
+		i := slices.IndexFunc(s.GetTasks(), func(t *wire.Task) bool { return t.GetModel() == m.GetName() })
+		if i >= 0 && (!s.GetTasks()[i].GetBlocked() || now-n.asked < chooseAgain) {
 			n.ready = now + timer.Span(s.GetTasks()[i].GetLeft())
 			return
 		}
@@ -176,7 +181,7 @@
 			site.Planned = true
 		}
 		for _, t := range state.GetTasks() {
-			if t.GetModel() == m.GetName() {
+			if t.GetModel() == m.GetName() && !t.GetBlocked() {
 				site.Planned = true
 				site.Queue = timer.Span(t.GetLeft())
 				break
--- a/orderer/state.go
+++ b/orderer/state.go
@@ -90,12 +90,18 @@
 		s.Tasks = append(s.Tasks, &wire.Task{Model: o.current.Model, Left: timer.Millis(left)})
 		s.Fetching = !slices.Contains(o.report.Memory, o.current.Model) && !slices.Contains(o.report.Disk, o.current.Model)
 	}
-	for _, w := range o.wants() {
+	wants, held, free := o.wants(), o.held(now), o.free()
+	for _, w := range wants {
 		if w.Model == o.current.Model && o.current.Op == placer.Load {
 			continue
 		}
 		left += w.Time
-		s.Tasks = append(s.Tasks, &wire.Task{Model: w.Model, Left: timer.Millis(left)})
+		blocked := false
+		if free < w.Bytes {
+			_, room := placer.Room(now, free, held, wants, w)
+			blocked = !room
+		}
+		s.Tasks = append(s.Tasks, &wire.Task{Model: w.Model, Left: timer.Millis(left), Blocked: blocked})
 	}
 }
 
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -128,7 +128,7 @@
 			continue
 		}
 		e.log.Info().Str("server", s.ID).Str("pool", s.Pool).Str("address", s.Address).Bool("leaving", s.Leaving).
-			Uint64("sequence", s.Sequence).Strs("models", s.Models).Uint64("row", r.Version).Msg("server: listed")
+			Strs("models", s.Models).Uint64("row", r.Version).Msg("server: listed")
 		e.locator.List(s)
 	}
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -28,8 +28,6 @@
 	Leaving bool
 	// Born is the start of the server's process, in Unix milliseconds.
 	Born int64
-	// Sequence is the number of orders that the engine has accepted.
-	Sequence uint64
 	Holding
 }
 
@@ -107,11 +105,11 @@
 	return b.state
 }
 
-// Holding returns what the engine holds, by the newer of the list and the
-// sidecar's word.
+// Holding returns what the engine holds, by the sidecar's word or, if it is
+// silent, by the list.
 func (b *Backend) Holding(now time.Duration) Holding {
 	s := b.State(now)
-	if s == nil || s.GetBorn() != b.server.Born || s.GetSequence() < b.server.Sequence {
+	if s == nil || s.GetBorn() != b.server.Born {
 		return b.server.Holding
 	}
 	return Holding{Models: s.GetModels(), Coming: s.GetComing(), Memory: s.GetMemory(), Disk: s.GetDisk()}
