limiter, gossiper: one bucket for a workspace, kept by every entry

Weighed: an owner for each workspace (a call for each request, and a failover); static parts (a workspace whose callers sit at one entry gets a quarter). Change: each entry keeps the whole bucket and takes out what all entries tell they have used, every 100 ms if it changed; for a silent entry its part is set aside. The same messages carry the configuration's version, and an entry that lacks one fetches it.

--- a/dispatcher/charge.go
+++ b/dispatcher/charge.go
@@ -28,33 +28,38 @@
 	tokens float64
 }
 
-// Bill is what a request was charged, share by share.
-type Bill struct {
-	workspace string
-	parts     []part
+// bill is what a request was charged, share by share.
+type bill struct {
+	dispatcher *Dispatcher
+	workspace  string
+	parts      []part
 }
 
 // Charge implements Charger.
-func (d *Dispatcher) Charge(ctx context.Context, r *Request) (*Bill, error) {
+func (d *Dispatcher) Charge(ctx context.Context, r *Request) (Bill, error) {
 	if r.Cost == 0 {
-		return &Bill{}, nil
+		return &bill{}, nil
 	}
 	w := d.member.View().Workspace(r.Workspace)
 	if w == nil {
 		return nil, refuser.New(refuser.NotFound, "the workspace was removed")
 	}
-	return d.charge(ctx, w, r.Cost)
+	b, err := d.charge(ctx, w, r.Cost)
+	if err != nil {
+		return nil, err
+	}
+	return b, nil
 }
 
-// Settle implements Charger. The last part goes back first. A settlement that is
-// lost costs the workspace those tokens once.
-func (d *Dispatcher) Settle(b *Bill, used float64) {
+// Settle implements Bill. The last part goes back first. A settlement that is lost
+// costs the workspace those tokens once.
+func (b *bill) Settle(used float64) {
 	spent := used
 	for _, p := range b.parts {
 		keep := min(p.tokens, spent)
 		spent -= keep
 		if back := p.tokens - keep; back > 0 {
-			d.refund(b.workspace, p, back)
+			b.dispatcher.refund(b.workspace, p, back)
 		}
 	}
 }
@@ -62,11 +67,11 @@
 // charge takes cost tokens of a workspace. It asks share after share, beginning
 // with one that depends on this entry's data centre, and gathers what each has.
 // If the sum falls short, everything goes back.
-func (d *Dispatcher) charge(ctx context.Context, w *wire.Workspace, cost float64) (*Bill, error) {
+func (d *Dispatcher) charge(ctx context.Context, w *wire.Workspace, cost float64) (*bill, error) {
 	if cost > w.GetBurst() {
 		return nil, refuser.New(refuser.TooLarge, "the request may use more tokens than the workspace's burst")
 	}
-	bill := &Bill{workspace: w.GetName()}
+	b := &bill{dispatcher: d, workspace: w.GetName()}
 	missing, answered := cost, false
 	var retry time.Duration
 	for _, share := range d.order(w) {
@@ -75,16 +80,16 @@
 			continue
 		}
 		answered = true
-		bill.parts = append(bill.parts, part{share: share, grant: g, tokens: g.GetTokens()})
+		b.parts = append(b.parts, part{share: share, grant: g, tokens: g.GetTokens()})
 		missing -= g.GetTokens()
 		if missing <= 0 {
-			return bill, nil
+			return b, nil
 		}
 		if wait := timer.Span(g.GetRetry()); retry == 0 || wait < retry {
 			retry = wait
 		}
 	}
-	d.Settle(bill, 0)
+	b.Settle(0)
 	if !answered {
 		return nil, refuser.New(refuser.Outage, "no holder of the workspace's limit answered").After(time.Second)
 	}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -169,9 +169,13 @@
 // Charger charges a workspace for its requests.
 type Charger interface {
 	// Charge takes the cost of r. An error is a *refuser.Refusal.
-	Charge(ctx context.Context, r *Request) (*Bill, error)
+	Charge(ctx context.Context, r *Request) (Bill, error)
+}
+
+// Bill is what a request was charged.
+type Bill interface {
 	// Settle gives back what was charged beyond used tokens.
-	Settle(b *Bill, used float64)
+	Settle(used float64)
 }
 
 // Checker tells whether a stream of a key may go on.
@@ -232,7 +236,7 @@
 	}
 	c.earn()
 	end, err := c.attempts(ctx, p)
-	c.charger.Settle(bill, c.used(p, end, err))
+	bill.Settle(c.used(p, end, err))
 	if err != nil {
 		return nil, c.refused(p, err)
 	}
--- /dev/null
+++ b/gossiper/gossiper.go
@@ -0,0 +1,276 @@
+// Package gossiper keeps the entries of a fleet in touch with each other: each
+// tells the others what the workspaces have used, and hands on a configuration
+// that another one lacks.
+package gossiper
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"oleanderstall/configurer"
+	"oleanderstall/dispatcher"
+	"oleanderstall/limiter"
+	"oleanderstall/peer"
+	"oleanderstall/refuser"
+	"oleanderstall/storer"
+	"oleanderstall/timer"
+	"oleanderstall/wire"
+)
+
+// Periods of the messages to another entry.
+const (
+	// period is between two looks for something to tell.
+	period = 100 * time.Millisecond
+	// quietPeriods is the number of looks after which an entry tells all the same.
+	quietPeriods = 3
+	greetLimit   = 400 * time.Millisecond
+	fetchLimit   = time.Second
+	// lostAfter is the number of messages without an answer after which an entry
+	// counts as lost.
+	lostAfter = 4
+)
+
+// Gossiper talks to the other entries. It is safe for concurrent use.
+type Gossiper struct {
+	name    string
+	started int64
+	clock   timer.Clock
+	caller  peer.Caller
+	copy    *configurer.Configurer
+	log     *log.Logger
+	done    chan struct{}
+
+	mu      sync.Mutex
+	ctx     context.Context
+	tasks   sync.WaitGroup
+	ledger  *limiter.Ledger
+	version uint64
+	entries map[string]entry
+}
+
+// entry is the task for one other entry.
+type entry struct {
+	in     storer.Instance
+	cancel context.CancelFunc
+}
+
+// New returns a gossiper of an entry that was started at an instant in Unix
+// nanoseconds.
+func New(name string, started int64, clock timer.Clock, c *configurer.Configurer, l *log.Logger) *Gossiper {
+	return &Gossiper{
+		name:    name,
+		started: started,
+		clock:   clock,
+		copy:    c,
+		log:     l,
+		done:    make(chan struct{}),
+		ledger:  limiter.NewLedger(),
+		entries: map[string]entry{},
+	}
+}
+
+// Done is closed when Run has returned.
+func (g *Gossiper) Done() <-chan struct{} { return g.done }
+
+// Run talks to the other entries until ctx ends.
+func (g *Gossiper) Run(ctx context.Context, c peer.Caller) {
+	defer close(g.done)
+	g.mu.Lock()
+	g.ctx, g.caller = ctx, c
+	for name, e := range g.entries {
+		g.entries[name] = g.start(e.in)
+	}
+	g.mu.Unlock()
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			g.tasks.Wait()
+			return
+		case <-tick.C:
+			g.mu.Lock()
+			g.ledger.Tick(g.clock())
+			g.mu.Unlock()
+		}
+	}
+}
+
+// Add talks to another entry, in place of an earlier process of the same name.
+func (g *Gossiper) Add(in storer.Instance) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	have, ok := g.entries[in.Name]
+	if in.Name == g.name || ok && have.in == in {
+		return
+	}
+	if have.cancel != nil {
+		have.cancel()
+	}
+	g.entries[in.Name] = entry{in: in}
+	if g.ctx != nil {
+		g.entries[in.Name] = g.start(in)
+	}
+	g.ledger.Peers(g.clock(), slices.Collect(maps.Keys(g.entries)))
+}
+
+// Remove forgets another entry.
+func (g *Gossiper) Remove(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e, ok := g.entries[name]; ok && e.cancel != nil {
+		e.cancel()
+	}
+	delete(g.entries, name)
+	g.ledger.Peers(g.clock(), slices.Collect(maps.Keys(g.entries)))
+}
+
+// start begins the task for another entry. The caller holds the lock.
+func (g *Gossiper) start(in storer.Instance) entry {
+	ctx, cancel := context.WithCancel(g.ctx)
+	g.tasks.Go(func() { g.talk(ctx, in) })
+	return entry{in: in, cancel: cancel}
+}
+
+// talk tells one other entry what is new until ctx ends.
+func (g *Gossiper) talk(ctx context.Context, in storer.Instance) {
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	var told *wire.Greet
+	quiet, missed := 0, 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		next := g.greet()
+		quiet++
+		if told != nil && quiet < quietPeriods && maps.Equal(told.GetSpent(), next.GetSpent()) && told.GetConfig() == next.GetConfig() {
+			continue
+		}
+		if err := g.exchange(ctx, in, next); err != nil {
+			missed++
+			told = nil
+			if missed == lostAfter && ctx.Err() == nil {
+				g.log.Warn().Str("entry", in.Name).Err(err).Msg("entry: lost")
+			}
+			continue
+		}
+		if missed >= lostAfter || told == nil && missed == 0 {
+			g.log.Info().Str("entry", in.Name).Msg("entry: answers")
+		}
+		told, quiet, missed = next, 0, 0
+	}
+}
+
+// greet returns what the other entries are to know.
+func (g *Gossiper) greet() *wire.Greet {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &wire.Greet{Entry: g.name, Started: g.started, Spent: g.ledger.Totals(), Config: g.copy.View().Version()}
+}
+
+// exchange sends one message and fetches a configuration that is newer there.
+func (g *Gossiper) exchange(ctx context.Context, in storer.Instance, next *wire.Greet) error {
+	limited, cancel := context.WithTimeout(ctx, greetLimit)
+	defer cancel()
+	reply, err := peer.One(limited, g.caller, in.Address, &wire.Call{Body: &wire.Call_Greet{Greet: next}})
+	if err != nil {
+		return err
+	}
+	if reply.GetGreeting() == nil {
+		return peer.Unexpected(reply)
+	}
+	if reply.GetGreeting().GetConfig() > g.copy.View().Version() {
+		return g.fetch(ctx, in)
+	}
+	return nil
+}
+
+// fetch brings the configuration up to that of another entry.
+func (g *Gossiper) fetch(ctx context.Context, in storer.Instance) error {
+	limited, cancel := context.WithTimeout(ctx, fetchLimit)
+	defer cancel()
+	version := g.copy.View().Version()
+	reply, err := peer.One(limited, g.caller, in.Address, &wire.Call{Body: &wire.Call_Probe{Probe: &wire.Probe{Version: version}}})
+	if err != nil {
+		return err
+	}
+	for _, change := range reply.GetNews().GetChanges() {
+		g.copy.Restore(change)
+	}
+	g.log.Info().Uint64("version", g.copy.View().Version()).Uint64("before", version).Str("entry", in.Name).
+		Msg("config: in force, from another entry")
+	g.Configured()
+	return nil
+}
+
+// Configured brings the limits of the configuration in force.
+func (g *Gossiper) Configured() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	view := g.copy.View()
+	if view.Version() <= g.version {
+		return
+	}
+	g.version = view.Version()
+	var limits []limiter.Limit
+	for _, w := range view.Workspaces() {
+		limits = append(limits, limiter.Limit{Workspace: w.GetName(), Rate: w.GetRate(), Burst: w.GetBurst()})
+	}
+	g.ledger.Set(g.clock(), limits)
+}
+
+// Answer answers a call of another entry. It returns nil for a call of another
+// kind.
+func (g *Gossiper) Answer(call *wire.Call) *wire.Reply {
+	switch b := call.GetBody().(type) {
+	case *wire.Call_Greet:
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.ledger.Hear(g.clock(), b.Greet.GetEntry(), b.Greet.GetStarted(), b.Greet.GetSpent())
+		return &wire.Reply{Body: &wire.Reply_Greeting{Greeting: &wire.Greeting{Config: g.copy.View().Version()}}}
+	case *wire.Call_Probe:
+		view := g.copy.View()
+		news := &wire.News{Version: view.Version()}
+		if view.Version() > b.Probe.GetVersion() {
+			news.Changes = []*wire.Change{view.Snapshot()}
+		}
+		return &wire.Reply{Body: &wire.Reply_News{News: news}}
+	}
+	return nil
+}
+
+// Charge implements dispatcher.Charger.
+func (g *Gossiper) Charge(_ context.Context, r *dispatcher.Request) (dispatcher.Bill, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	wait, ok := g.ledger.Take(g.clock(), r.Workspace, r.Cost)
+	if !ok {
+		return nil, refuser.New(refuser.Limited, "the workspace has used its rate and burst").After(wait)
+	}
+	return &bill{gossiper: g, workspace: r.Workspace, tokens: r.Cost}, nil
+}
+
+// bill is what a request was charged.
+type bill struct {
+	gossiper  *Gossiper
+	workspace string
+	tokens    float64
+}
+
+// Settle implements dispatcher.Bill. A request that has run counts as a whole.
+func (b *bill) Settle(used float64) {
+	if used > 0 {
+		return
+	}
+	b.gossiper.mu.Lock()
+	defer b.gossiper.mu.Unlock()
+	b.gossiper.ledger.Give(b.gossiper.clock(), b.workspace, b.tokens)
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -83,6 +83,15 @@
 	b.note()
 }
 
+// Spend removes tokens that were used elsewhere, also more than are present: the
+// level is below zero until they have come in. A negative number gives tokens
+// back.
+func (b *Bucket) Spend(now time.Duration, tokens float64) {
+	b.refill(now)
+	b.level = min(b.burst, b.level-tokens)
+	b.note()
+}
+
 // Wait returns the time until want tokens are present.
 func (b *Bucket) Wait(now time.Duration, want float64) time.Duration {
 	b.refill(now)
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -11,6 +11,7 @@
 	"oleanderstall/checker"
 	"oleanderstall/dispatcher"
 	"oleanderstall/follower"
+	"oleanderstall/gossiper"
 	"oleanderstall/locator"
 	"oleanderstall/peer"
 	"oleanderstall/platform"
@@ -30,20 +31,22 @@
 // HostedEntry is a running entry on a platform that hosts it.
 type HostedEntry struct {
 	*hosted
-	locator *locator.Locator
-	watcher *watcher.Watcher
-	core    *dispatcher.Core
-	front   *platform.Front
-	callers *server
-	ready   *server
+	locator  *locator.Locator
+	watcher  *watcher.Watcher
+	gossiper *gossiper.Gossiper
+	core     *dispatcher.Core
+	front    *platform.Front
+	callers  *server
+	ready    *server
 }
 
 // StartHostedEntry starts an entry. It returns once all listeners are open.
 func StartHostedEntry(s *checker.Settings, l *log.Logger) (*HostedEntry, error) {
 	e := &HostedEntry{hosted: newHosted(s, l)}
 	e.locator = locator.New(s.Name, s.Centre, e.started, e.clock, e.copy, l)
+	e.gossiper = gossiper.New(s.Name, e.started, e.clock, e.copy, l)
 	backends := platform.NewBackends(e.clock)
-	e.core = dispatcher.NewCore(e.clock, unlimited{}, e.locator, backends, granted{}, router.NewBudget(0.1, 10), e.recorder, e.meter, l)
+	e.core = dispatcher.NewCore(e.clock, e.gossiper, e.locator, backends, granted{}, router.NewBudget(0.1, 10), e.recorder, e.meter, l)
 	e.front = platform.NewFront(e)
 	var err error
 	if e.callers, err = listen(s.Entry.Callers, e.front, nil); err != nil {
@@ -53,7 +56,10 @@
 		return nil, err
 	}
 	e.tasks.run(backends.Run)
-	e.follow(follower.Terms{Table: platform.ConfigTable, Wait: configWait}, e.configured)
+	e.follow(follower.Terms{Table: platform.ConfigTable, Wait: configWait}, func(now time.Duration, rows []storer.Row) {
+		e.configured(now, rows)
+		e.gossiper.Configured()
+	})
 	e.follow(follower.Terms{Table: platform.ServerTable, Wait: serverWait, Period: serverPeriod}, e.listed)
 	e.tasks.run(e.meet)
 	return e, nil
@@ -67,6 +73,7 @@
 	}
 	e.watcher = watcher.New(e.settings.Name, e.node, e.locator, e.log)
 	e.tasks.run(e.watcher.Run)
+	e.tasks.run(func(ctx context.Context) { e.gossiper.Run(ctx, e.node) })
 	e.follow(follower.Terms{Table: storer.MemberTable, Wait: memberWait, Period: memberPeriod}, e.members)
 }
 
@@ -77,6 +84,7 @@
 		var in storer.Instance
 		if r.Deleted {
 			e.watcher.Remove(name)
+			e.gossiper.Remove(name)
 			continue
 		}
 		if err := json.Unmarshal(r.Value, &in); err != nil {
@@ -86,26 +94,21 @@
 		e.log.Info().Str("process", name).Str("role", in.Role).Str("address", in.Address).Msg("member: listed")
 		if in.Role == "sidecar" {
 			e.watcher.Add(in)
+		} else {
+			e.gossiper.Add(in)
 		}
 	}
 }
 
 // handle answers a call of another process.
-func (e *HostedEntry) handle(_ context.Context, _ *wire.Call, s peer.Stream) {
-	_ = s.Send(refuser.New(refuser.Invalid, "an entry does not answer this call").Reply())
-}
-
-// unlimited charges nothing.
-type unlimited struct{}
-
-// Charge implements dispatcher.Charger.
-func (unlimited) Charge(context.Context, *dispatcher.Request) (*dispatcher.Bill, error) {
-	return &dispatcher.Bill{}, nil
+func (e *HostedEntry) handle(_ context.Context, call *wire.Call, s peer.Stream) {
+	reply := e.gossiper.Answer(call)
+	if reply == nil {
+		reply = refuser.New(refuser.Invalid, "an entry does not answer this call").Reply()
+	}
+	_ = s.Send(reply)
 }
 
-// Settle implements dispatcher.Charger.
-func (unlimited) Settle(*dispatcher.Bill, float64) {}
-
 // granted lets every stream that has begun go on.
 type granted struct{}
 
