--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -183,6 +183,30 @@
 	return greet
 }
 
+// Leave tells the other entries that this one uses nothing more.
+func (g *Gossiper) Leave(ctx context.Context) {
+	last := g.greet(nil)
+	last.Last = true
+	g.mu.Lock()
+	caller := g.caller
+	entries := slices.Collect(maps.Values(g.entries))
+	g.mu.Unlock()
+	if caller == nil {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, greetLimit)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, e := range entries {
+		wg.Go(func() {
+			if _, err := peer.One(limited, caller, e.in.Address, &wire.Call{Body: &wire.Call_Greet{Greet: last}}); err != nil {
+				g.log.Warn().Str("entry", e.in.Name).Err(err).Msg("stop: an entry was not told")
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // exchange sends one message and fetches a configuration that is newer there.
 func (g *Gossiper) exchange(ctx context.Context, in storer.Instance, next *wire.Greet) (*wire.Greeting, error) {
 	limited, cancel := context.WithTimeout(ctx, greetLimit)
@@ -257,7 +281,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock()
-	g.ledger.Hear(now, limiter.Word{Entry: w.GetEntry(), Started: w.GetStarted(), Totals: w.GetSpent()})
+	g.ledger.Hear(now, limiter.Word{Entry: w.GetEntry(), Started: w.GetStarted(), Totals: w.GetSpent(), Last: w.GetLast()})
 	for _, r := range w.GetRelayed() {
 		g.ledger.Learn(now, limiter.Word{Entry: r.GetEntry(), Started: r.GetStarted(), Totals: r.GetSpent()})
 	}
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -60,6 +60,7 @@
 	rates  map[string]float64
 	// reserved are the tokens set aside while it is silent, up to the instant until.
 	silent   bool
+	last     bool
 	reserved map[string]float64
 	until    time.Duration
 }
@@ -113,6 +114,8 @@
 	Entry   string
 	Started int64
 	Totals  map[string]float64
+	// Last is set if the entry uses nothing more.
+	Last bool
 }
 
 // Silent returns the entries that are silent, by name.
@@ -156,6 +159,7 @@
 		p.started = w.Started
 		clear(p.totals)
 	}
+	p.last = w.Last
 	back := p.silent
 	p.silent = false
 	if back {
@@ -179,7 +183,7 @@
 	part := 1 / float64(len(l.peers)+1)
 	changed := false
 	for _, p := range l.peers {
-		silent := now-p.heard >= silentAfter && now-p.heard < reservedFor
+		silent := now-p.heard >= silentAfter && now-p.heard < reservedFor && !p.last
 		if silent && !p.silent {
 			p.until = now
 			for name, a := range l.accounts {
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -45,6 +45,8 @@
 	demand *tracker.Demand
 	needs  map[string]*need
 	number uint64
+	// stopping is set when nothing may wait any more.
+	stopping bool
 	// changed is closed when a request that waits may have got a place.
 	changed chan struct{}
 	// wanted is signalled when a sidecar has to be told something new.
@@ -93,6 +95,14 @@
 	l.wake()
 }
 
+// Stop refuses the requests that wait, now and later.
+func (l *Locator) Stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopping = true
+	l.wake()
+}
+
 // wake lets the requests that wait look again. The caller holds the lock.
 func (l *Locator) wake() {
 	close(l.changed)
--- a/locator/need.go
+++ b/locator/need.go
@@ -99,6 +99,9 @@
 // be there in time. The caller holds the lock.
 func (l *Locator) expect(now time.Duration, r *dispatcher.Request, n *need, h *dispatcher.History) error {
 	last := r.Deadline - shortestRun
+	if l.stopping {
+		return refuser.New(refuser.Leaving, "the entry stops before the model can be there").After(retryLeast)
+	}
 	if now >= last {
 		return refuser.New(refuser.Late, "the model was not there in time").After(retryLeast)
 	}
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -38,6 +39,9 @@
 	front    *platform.Front
 	callers  *server
 	ready    *server
+	// servers is set once the backend servers are known.
+	servers  atomic.Bool
+	stopping atomic.Bool
 }
 
 // StartHostedEntry starts an entry. It returns once all listeners are open.
@@ -115,19 +119,26 @@
 // Granted implements dispatcher.Checker.
 func (granted) Granted(string) bool { return true }
 
-func (e *HostedEntry) isReady() bool { return e.copy.View().Version() > 0 }
+// isReady reports whether the entry takes new connections: it knows how to serve
+// and is not about to stop.
+func (e *HostedEntry) isReady() bool {
+	return !e.stopping.Load() && e.copy.View().Version() > 0 && e.servers.Load()
+}
 
 // listed takes changes of the list of backend servers.
 func (e *HostedEntry) listed(_ time.Duration, rows []storer.Row) {
+	e.servers.Store(true)
 	for _, r := range rows {
-		s, err := platform.Server(r)
+		id := r.Key[len(platform.ServerTable)+1:]
 		if r.Deleted {
-			e.log.Info().Str("server", s.ID).Str("key", r.Key).Uint64("row", r.Version).Msg("server: gone")
-			e.locator.Drop(r.Key[len(platform.ServerTable)+1:])
+			e.log.Info().Str("server", id).Uint64("row", r.Version).Msg("server: gone")
+			e.locator.Drop(id)
 			continue
 		}
+		s, err := platform.Server(r)
 		if err != nil {
-			e.log.Warn().Err(err).Uint64("row", r.Version).Msg("server: unreadable row")
+			e.log.Warn().Err(err).Str("server", id).Uint64("row", r.Version).Msg("server: unreadable row, not used")
+			e.locator.Drop(id)
 			continue
 		}
 		e.log.Info().Str("server", s.ID).Str("pool", s.Pool).Str("address", s.Address).Bool("leaving", s.Leaving).
@@ -161,12 +172,33 @@
 	e.Stop()
 }
 
-// Stop drains the entry.
+// stopMargin is left of the grace period when the last request is given up.
+const stopMargin = 800 * time.Millisecond
+
+// Stop drains the entry: the platform is told first, then the listener ends, then
+// the requests in hand are finished, for as long as the grace period allows.
 func (e *HostedEntry) Stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.settings.Hosted.Grace))
-	defer cancel()
+	begun := e.clock()
+	e.log.Info().Msg("stop: draining")
+	e.stopping.Store(true)
 	e.front.Drain()
+	time.Sleep(time.Duration(e.settings.Entry.Grace))
+	last := time.Duration(e.settings.Hosted.Grace) - stopMargin - (e.clock() - begun)
+	waiting := time.AfterFunc(last-waitMargin, e.locator.Stop)
+	defer waiting.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), last)
+	defer cancel()
 	e.callers.stop(ctx)
-	e.ready.stop(ctx)
+	e.gossiper.Leave(context.Background())
+	e.tasks.cancel()
+	if e.node != nil {
+		e.node.Close()
+	}
 	e.tasks.stop()
+	e.ready.stop(ctx)
+	e.log.Info().Int64("took", (e.clock() - begun).Milliseconds()).Msg("stop: complete")
 }
+
+// waitMargin is the time before the end at which the requests that still wait for
+// a model are refused.
+const waitMargin = 600 * time.Millisecond
