runner: settings are read again at SIGHUP and when their file changes

Change: every role reads its settings again at the signal and when the file's time has changed; an unreadable file leaves the settings in force; names and addresses need a new start, which is logged.

--- a/cmd/oleanderstall/role.go
+++ b/cmd/oleanderstall/role.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -38,6 +39,8 @@
 type process interface {
 	Addresses() runner.Addresses
 	Run(ctx context.Context)
+	// Reload takes settings that were changed.
+	Reload(s *checker.Settings)
 }
 
 // Execute implements flags.Commander.
@@ -59,7 +62,12 @@
 		Str("operators", a.Operators).Msg("start: ready")
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	r := runner.NewReloader(c.Settings, s, p.Reload, l)
+	go r.Run(ctx, reload)
 	p.Run(ctx)
+	<-r.Done()
 	return nil
 }
 
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -4,6 +4,7 @@
 	"context"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -32,7 +33,7 @@
 
 // hosted is what both roles have in common on a platform that hosts them.
 type hosted struct {
-	settings *checker.Settings
+	settings atomic.Pointer[checker.Settings]
 	log      *log.Logger
 	clock    timer.Clock
 	store    *platform.Store
@@ -49,8 +50,7 @@
 		debug.SetMemoryLimit(int64(float64(s.Hosted.Memory) * memoryPart))
 	}
 	runtime.GOMAXPROCS(1)
-	return &hosted{
-		settings: s,
+	h := &hosted{
 		log:      l,
 		clock:    timer.Now,
 		store:    platform.NewStore(s.Hosted.Store),
@@ -60,8 +60,13 @@
 		meter:    meter.New(),
 		tasks:    newGroup(),
 	}
+	h.settings.Store(s)
+	return h
 }
 
+// Reload takes settings that were changed. A stop that comes later goes by them.
+func (h *hosted) Reload(s *checker.Settings) { h.settings.Store(s) }
+
 // join makes this process known to the others and opens its connection to them.
 func (h *hosted) join(ctx context.Context, in storer.Instance, handle peer.Handler) error {
 	var text string
@@ -72,15 +77,16 @@
 	if err != nil {
 		return err
 	}
-	identity, err := peer.NewIdentity(text, h.settings.Name)
+	s := h.settings.Load()
+	identity, err := peer.NewIdentity(text, s.Name)
 	if err != nil {
 		return err
 	}
-	if h.node, err = peer.New(h.settings.Peer, identity); err != nil {
+	if h.node, err = peer.New(s.Peer, identity); err != nil {
 		return err
 	}
 	h.tasks.run(func(ctx context.Context) { h.node.Serve(ctx, handle) })
-	in.Name, in.Role, in.Centre = h.settings.Name, h.settings.Role, h.settings.Centre
+	in.Name, in.Role, in.Centre = s.Name, s.Role, s.Centre
 	in.Address, in.Started = h.node.Address(), h.started
 	return insist(ctx, h.log, "joining the fleet", func(ctx context.Context) error {
 		return register(ctx, h.store, in)
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -75,7 +75,7 @@
 		e.log.Error().Err(err).Msg("start: not joined")
 		return
 	}
-	e.watcher = watcher.New(e.settings.Name, e.node, e.locator, e.log)
+	e.watcher = watcher.New(e.settings.Load().Name, e.node, e.locator, e.log)
 	e.tasks.run(e.watcher.Run)
 	e.tasks.run(func(ctx context.Context) { e.gossiper.Run(ctx, e.node) })
 	e.follow(follower.Terms{Table: storer.MemberTable, Wait: memberWait, Period: memberPeriod}, e.members)
@@ -182,8 +182,8 @@
 	e.log.Info().Msg("stop: draining")
 	e.stopping.Store(true)
 	e.front.Drain()
-	time.Sleep(time.Duration(e.settings.Entry.Grace))
-	last := time.Duration(e.settings.Hosted.Grace) - stopMargin - (e.clock() - begun)
+	time.Sleep(time.Duration(e.settings.Load().Entry.Grace))
+	last := time.Duration(e.settings.Load().Hosted.Grace) - stopMargin - (e.clock() - begun)
 	waiting := time.AfterFunc(last-waitMargin, e.locator.Stop)
 	defer waiting.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), last)
--- a/runner/hostedsidecar.go
+++ b/runner/hostedsidecar.go
@@ -47,13 +47,13 @@
 
 // meet joins the fleet and takes the engine.
 func (c *HostedSidecar) meet(ctx context.Context) {
-	if err := c.join(ctx, storer.Instance{Pool: c.settings.Sidecar.Pool, Backend: c.address}, c.orderer.Handle); err != nil {
+	if err := c.join(ctx, storer.Instance{Pool: c.settings.Load().Sidecar.Pool, Backend: c.address}, c.orderer.Handle); err != nil {
 		c.log.Error().Err(err).Msg("start: not joined")
 		return
 	}
-	self := holderRow{Holder: c.settings.Name, Started: c.started}
+	self := holderRow{Holder: c.settings.Load().Name, Started: c.started}
 	err := insist(ctx, c.log, "taking the engine", func(ctx context.Context) error {
-		return c.tenure.take(ctx, c.store, c.address, self, time.Duration(c.settings.Hosted.Lease))
+		return c.tenure.take(ctx, c.store, c.address, self, time.Duration(c.settings.Load().Hosted.Lease))
 	})
 	if err != nil {
 		return
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -107,6 +107,10 @@
 	return p, nil
 }
 
+// Reload implements the reaction to changed settings; the log level is all that a
+// running process changes.
+func (p *process) Reload(*checker.Settings) {}
+
 // register announces the process until the platform has taken it.
 func (p *process) register(ctx context.Context) {
 	for {
