--- a/cmd/oleanderstall/role.go
+++ b/cmd/oleanderstall/role.go
@@ -52,6 +52,7 @@
 	if s.Role != c.role {
 		return &RoleError{Want: c.role, Got: s.Role}
 	}
+	runner.Fit(s)
 	l := runner.Logger(s.Log.Level, s.Name)
 	p, err := start(s, l)
 	if err != nil {
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -62,9 +62,14 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	f.store(fault)
+}
+
+// store makes the stand-in misbehave from now on.
+func (f *faults) store(fault Fault) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.fault = fault
-	f.mu.Unlock()
 }
 
 // cut spends one stream cut.
--- a/locator/tell.go
+++ b/locator/tell.go
@@ -1,7 +1,6 @@
 package locator
 
 import (
-	"slices"
 	"time"
 
 	"oleanderstall/dispatcher"
@@ -111,11 +110,16 @@
 	return w
 }
 
-// Servers returns the ids of the servers listed, sorted.
-func (l *Locator) Servers() []string {
+// Serving returns the number of servers of a pool that take new work.
+func (l *Locator) Serving(pool string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ids := l.fleet.IDs()
-	slices.Sort(ids)
-	return ids
+	return len(l.fleet.Pool(pool))
+}
+
+// Watched returns the number of engines whose sidecars are heard.
+func (l *Locator) Watched() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fleet.Watched(l.clock())
 }
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"runtime"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -20,10 +18,6 @@
 	"oleanderstall/timer"
 )
 
-// memoryPart is the part of a process's memory that the garbage collector may
-// let the heap grow to.
-const memoryPart = 0.7
-
 // Periods with which a hosted entry follows the store.
 const (
 	configWait   = time.Second
@@ -46,10 +40,6 @@
 }
 
 func newHosted(s *checker.Settings, l *log.Logger) *hosted {
-	if s.Hosted.Memory > 0 {
-		debug.SetMemoryLimit(int64(float64(s.Hosted.Memory) * memoryPart))
-	}
-	runtime.GOMAXPROCS(1)
 	h := &hosted{
 		log:      l,
 		clock:    timer.Now,
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -216,5 +215,13 @@
 	return nil
 }
 
-// IDs returns the ids of all servers.
-func (f *Fleet) IDs() []string { return slices.Collect(maps.Keys(f.backends)) }
+// Watched returns the number of engines whose sidecars are heard.
+func (f *Fleet) Watched(now time.Duration) int {
+	n := 0
+	for _, b := range f.backends {
+		if b.State(now) != nil {
+			n++
+		}
+	}
+	return n
+}
