--- /dev/null
+++ b/admitter/admitter_test.go
@@ -0,0 +1,136 @@
+package admitter
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"oleanderstall/configurer"
+	"oleanderstall/dispatcher"
+	"oleanderstall/refuser"
+	"oleanderstall/wire"
+)
+
+const begun = time.Hour
+
+func view(change *wire.Change) *configurer.View {
+	c := configurer.New()
+	c.Restore(change)
+	return c.View()
+}
+
+func site() *configurer.View {
+	first := uint32(0)
+	return view(&wire.Change{
+		Version:    7,
+		Workspaces: []*wire.Workspace{{Name: "w", Rate: 10, Burst: 10, Plain: 200}, {Name: "first", Priority: &first}},
+		Keys:       []*wire.Key{configurer.Token("key", "w"), configurer.Token("first key", "first")},
+		Routes: []*wire.Route{
+			{Name: "draft", Host: "h", Prefix: "/a/", Pool: "p", Stream: true, Timeout: 2000, Goal: 400, Gap: 250, Priority: 2, Attempts: 1},
+			{Name: "brief", Host: "h", Prefix: "/a/b/", Pool: "p", Stream: true, Resumable: true, Timeout: 9000},
+			{Name: "status", Host: "h", Prefix: "/s/", Pool: "q", Idempotent: true},
+			{Name: "open", Host: "h", Prefix: "/o/", Pool: "q", Open: true},
+			{Name: "split", Host: "h", Prefix: "/x/", Splits: []*wire.Split{{Pool: "p", Weight: 9}, {Pool: "q", Weight: 1}}},
+		},
+	})
+}
+
+func inquiry(path, key string) *Inquiry {
+	return &Inquiry{ID: "1", Host: "h", Path: path, Key: key}
+}
+
+// TestAdmit takes what the configuration allows.
+func TestAdmit(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		inquiry *Inquiry
+		check   func(t *testing.T, r *dispatcher.Request)
+	}{
+		{"stream", inquiry("/a/1", "key"), func(t *testing.T, r *dispatcher.Request) {
+			assert.Equal(t, r.Kind, dispatcher.Single)
+			assert.Equal(t, r.Route, "draft")
+			assert.Equal(t, r.Workspace, "w")
+			assert.Equal(t, r.Goal, begun+400*time.Millisecond)
+			assert.Equal(t, r.Deadline, begun+2*time.Second)
+			assert.Equal(t, r.Priority, 2)
+			assert.Equal(t, r.Attempts, 1)
+			assert.Equal(t, r.Cost, 200.0)
+			assert.Equal(t, r.Config, uint64(7))
+		}},
+		{"longest prefix", inquiry("/a/b/1", "key"), func(t *testing.T, r *dispatcher.Request) {
+			assert.Equal(t, r.Route, "brief")
+			assert.Equal(t, r.Kind, dispatcher.Resumable)
+		}},
+		{"idempotent without a timeout", inquiry("/s/1", "key"), func(t *testing.T, r *dispatcher.Request) {
+			assert.Equal(t, r.Kind, dispatcher.Idempotent)
+			assert.Equal(t, r.Deadline, begun+longestWait)
+		}},
+		{"open", inquiry("/o/1", "whatever"), func(t *testing.T, r *dispatcher.Request) {
+			assert.Equal(t, r.Workspace, "")
+			assert.Equal(t, r.Key, "")
+		}},
+		{"the workspace's rank goes first", inquiry("/a/1", "first key"), func(t *testing.T, r *dispatcher.Request) {
+			assert.Equal(t, r.Priority, 0)
+		}},
+		{
+			"the caller's deadline is earlier", &Inquiry{ID: "1", Host: "h", Path: "/a/1", Key: "key", Left: time.Second},
+			func(t *testing.T, r *dispatcher.Request) { assert.Equal(t, r.Deadline, begun+time.Second) },
+		},
+		{
+			"the route's timeout is earlier", &Inquiry{ID: "1", Host: "h", Path: "/a/1", Key: "key", Left: time.Minute},
+			func(t *testing.T, r *dispatcher.Request) { assert.Equal(t, r.Deadline, begun+2*time.Second) },
+		},
+		{
+			"counted", &Inquiry{ID: "1", Host: "h", Path: "/a/1", Key: "key", Counted: true, Input: 30, Output: 4, Model: "m/a1"},
+			func(t *testing.T, r *dispatcher.Request) {
+				assert.Equal(t, r.Cost, 34.0)
+				assert.Equal(t, r.Model, "m")
+				assert.Equal(t, r.Adapter, "m/a1")
+			},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, err := Admit(begun, site(), c.inquiry)
+			assert.NilError(t, err)
+			c.check(t, r)
+		})
+	}
+}
+
+// TestAdmitRefuses refuses what it does not allow, and says that nothing ran. A
+// process without a configuration refuses for now, not for good.
+func TestAdmitRefuses(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		view    *configurer.View
+		inquiry *Inquiry
+		kind    refuser.Kind
+	}{
+		{"no route", site(), inquiry("/z/1", "key"), refuser.NotFound},
+		{"other host", site(), &Inquiry{Host: "g", Path: "/a/1", Key: "key"}, refuser.NotFound},
+		{"prefix without its slash", site(), inquiry("/a", "key"), refuser.NotFound},
+		{"no key", site(), inquiry("/a/1", ""), refuser.Unauthorized},
+		{"unknown key", site(), inquiry("/a/1", "kez"), refuser.Unauthorized},
+		{"no configuration", view(&wire.Change{}), inquiry("/a/1", "key"), refuser.Stale},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Admit(begun, c.view, c.inquiry)
+			assert.Assert(t, refuser.Is(err, c.kind), "%v", err)
+			assert.Assert(t, refuser.Of(err).Never())
+		})
+	}
+}
+
+// TestSplit shares the requests of a route out by weight.
+func TestSplit(t *testing.T) {
+	count := map[string]int{}
+	for i := range 1000 {
+		q := inquiry("/x/1", "key")
+		q.ID = time.Duration(i).String()
+		r, err := Admit(begun, site(), q)
+		assert.NilError(t, err)
+		count[r.Pool]++
+	}
+	assert.Assert(t, count["p"] > 850 && count["q"] > 50, "%v", count)
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -164,10 +164,12 @@
 	present := map[string]bool{}
 	for _, r := range c.Rows {
 		present[r.Key] = true
-		if have, ok := f.rows[r.Key]; ok && r.Version <= have.Version {
+		have, ok := f.rows[r.Key]
+		// A row that the complete copy lacks, though it is no newer, was removed.
+		if ok && r.Version <= have.Version || !ok && f.synced && r.Version <= f.after {
 			continue
 		}
-		f.rows[r.Key] = r
+		f.keep(r)
 		changed = append(changed, r)
 	}
 	if whole {
@@ -179,20 +181,28 @@
 	return changed
 }
 
-// missing marks the rows deleted that a snapshot of that version lacks.
+// missing removes the rows that a snapshot of that version lacks.
 func (f *Follower) missing(version uint64, present map[string]bool) []storer.Row {
 	var gone []storer.Row
 	for key, r := range f.rows {
-		if present[key] || r.Deleted || r.Version > version {
+		if present[key] || r.Version > version {
 			continue
 		}
-		r = storer.Row{Key: key, Version: version, Deleted: true}
-		f.rows[key] = r
-		gone = append(gone, r)
+		gone = append(gone, storer.Row{Key: key, Version: version, Deleted: true})
+		delete(f.rows, key)
 	}
 	return gone
 }
 
+// keep stores a row, or forgets one that was removed. The caller holds the lock.
+func (f *Follower) keep(r storer.Row) {
+	if r.Deleted {
+		delete(f.rows, r.Key)
+		return
+	}
+	f.rows[r.Key] = r
+}
+
 // failed takes note of a call without an answer.
 func (f *Follower) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
