--- /dev/null
+++ b/locator/locator_test.go
@@ -0,0 +1,309 @@
+package locator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"oleanderstall/configurer"
+	"oleanderstall/dispatcher"
+	"oleanderstall/refuser"
+	"oleanderstall/tracker"
+	"oleanderstall/wire"
+)
+
+// rig is a locator before engines that the test speaks for.
+type rig struct {
+	t       *testing.T
+	locator *Locator
+	clock   func() time.Duration
+	copy    *configurer.Configurer
+	number  int
+}
+
+func newRig(t *testing.T, engines int) *rig {
+	begun := time.Now()
+	r := &rig{t: t, clock: func() time.Duration { return time.Hour + time.Since(begun) }, copy: configurer.New()}
+	change := &wire.Change{Version: 1, Pools: []*wire.Pool{{Name: "p", Engines: &wire.Engines{Bytes: 100, Slots: 32}}}}
+	for _, name := range []string{"m", "n", "o"} {
+		change.Models = append(change.Models, &wire.Model{Name: name, Pool: "p", Bytes: 40, Remote: 6000, Disk: 800, Memory: 400})
+		change.Models = append(change.Models, &wire.Model{Name: name + "/a1", Base: name, Pool: "p"})
+	}
+	r.copy.Restore(change)
+	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	r.locator = New("entry", "z", 1, r.clock, r.copy, l)
+	for i := range engines {
+		r.locator.List(tracker.Server{ID: engine(i), Pool: "p", Address: engine(i), Centre: "z", Slots: 32, Born: 1})
+		r.state(i, nil)
+	}
+	return r
+}
+
+func engine(i int) string { return fmt.Sprint("e", i) }
+
+// state is a sidecar's word: the engine serves those models, and has all models on
+// its disk.
+func (r *rig) state(i int, change func(*wire.Condition), models ...string) {
+	s := &wire.Condition{Server: engine(i), Born: 1, Free: 100, Models: models, Disk: []string{"m", "n", "o"}}
+	for _, m := range models {
+		s.Free -= 40
+		s.Residents = append(s.Residents, &wire.Resident{Model: m, Bytes: 40})
+	}
+	if change != nil {
+		change(s)
+	}
+	r.locator.State(s)
+}
+
+func (r *rig) request(model string, deadline time.Duration) *dispatcher.Request {
+	r.number++
+	now := r.clock()
+	return &dispatcher.Request{
+		ID: fmt.Sprint(r.number), Pool: "p", Model: model, Begun: now, Goal: now + 400*time.Millisecond, Deadline: now + deadline,
+		Gap: 250 * time.Millisecond, Input: 800,
+	}
+}
+
+// found is the outcome of a search.
+type found struct {
+	place *dispatcher.Place
+	err   error
+	at    time.Duration
+}
+
+// find looks for a place in a task of its own.
+func (r *rig) find(ctx context.Context, q *dispatcher.Request) <-chan found {
+	out := make(chan found, 1)
+	go func() {
+		p, err := r.locator.Find(ctx, q, &dispatcher.History{Tried: map[string]bool{}})
+		out <- found{p, err, r.clock()}
+	}()
+	synctest.Wait()
+	return out
+}
+
+// wants returns what the sidecar of an engine is told to load.
+func (r *rig) wants(i int) []string {
+	var names []string
+	for _, w := range r.locator.Tell(engine(i)).GetWants() {
+		names = append(names, w.GetModel())
+	}
+	return names
+}
+
+// wanted returns the engine that is told to load a model, or -1.
+func (r *rig) wanted(model string, engines int) int {
+	for i := range engines {
+		for _, name := range r.wants(i) {
+			if name == model {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// TestWaitsForItsModel lets a request wait until one engine has loaded its model.
+func TestWaitsForItsModel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 3)
+		got := r.find(context.Background(), r.request("m", 5*time.Second))
+		i := r.wanted("m", 3)
+		assert.Assert(t, i >= 0)
+		time.Sleep(800 * time.Millisecond)
+		assert.Equal(t, len(got), 0)
+		r.state(i, nil, "m")
+		f := <-got
+		assert.NilError(t, f.err)
+		assert.Equal(t, f.place.Name, engine(i))
+		assert.Equal(t, r.wanted("m", 3), -1)
+	})
+}
+
+// TestOneEngineForOneModel asks one engine however many requests wait.
+func TestOneEngineForOneModel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 3)
+		for range 5 {
+			r.find(context.Background(), r.request("m", time.Second))
+		}
+		n := 0
+		for i := range 3 {
+			n += len(r.wants(i))
+		}
+		assert.Equal(t, n, 1)
+		assert.Equal(t, r.locator.Tell(engine(r.wanted("m", 3))).GetWants()[0].GetCount(), uint32(5))
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// TestHopeless refuses at once what no engine can load in time, and says that it
+// has not run and when to come back.
+func TestHopeless(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		for i := range 2 {
+			r.state(i, func(s *wire.Condition) { s.Disk = nil })
+		}
+		begun := r.clock()
+		f := <-r.find(context.Background(), r.request("m", 3*time.Second))
+		assert.Assert(t, refuser.Is(f.err, refuser.Late), "%v", f.err)
+		assert.Assert(t, refuser.Of(f.err).Never())
+		assert.Assert(t, refuser.Of(f.err).Retry() > 0)
+		assert.Equal(t, f.at, begun)
+	})
+}
+
+// TestEndsInTime refuses a request whose model has not come shortly before its
+// deadline.
+func TestEndsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		begun := r.clock()
+		f := <-r.find(context.Background(), r.request("m", 3*time.Second))
+		assert.Assert(t, refuser.Of(f.err).Never())
+		assert.Assert(t, f.at-begun <= 3*time.Second && f.at-begun > 2*time.Second)
+	})
+}
+
+// TestCallerLeaves takes the want back when nobody waits any more.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		ctx, cancel := context.WithCancel(context.Background())
+		got := r.find(ctx, r.request("m", 5*time.Second))
+		assert.Assert(t, r.wanted("m", 2) >= 0)
+		cancel()
+		f := <-got
+		assert.Assert(t, refuser.Is(f.err, refuser.Canceled))
+		assert.Equal(t, r.wanted("m", 2), -1)
+	})
+}
+
+// TestMovesOn asks another engine when the one that was asked falls silent, or
+// has nothing that it can unload.
+func TestMovesOn(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*wire.Condition)
+	}{
+		{"silent", nil},
+		{"blocked", func(s *wire.Condition) {
+			s.Tasks = []*wire.Task{{Model: "m", Left: 800, Blocked: true}}
+			s.Free = 0
+		}},
+		{"leaving", func(s *wire.Condition) { s.Leaving = true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, 2)
+				got := r.find(context.Background(), r.request("m", 10*time.Second))
+				first := r.wanted("m", 2)
+				for range 30 {
+					time.Sleep(100 * time.Millisecond)
+					r.state(1-first, nil)
+					if c.change != nil {
+						r.state(first, c.change)
+					}
+				}
+				assert.Equal(t, r.wanted("m", 2), 1-first)
+				r.state(1-first, nil, "m")
+				assert.NilError(t, (<-got).err)
+			})
+		})
+	}
+}
+
+// TestNotSentToClosing sends nothing for a model that is about to be unloaded, nor
+// to a server that leaves or was tried.
+func TestNotSentToClosing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 3)
+		r.state(0, func(s *wire.Condition) { s.Residents[0].Closing = true }, "m")
+		r.state(1, func(s *wire.Condition) { s.Leaving = true }, "m")
+		r.state(2, nil, "m")
+		for range 5 {
+			f := <-r.find(context.Background(), r.request("m", time.Second))
+			assert.NilError(t, f.err)
+			assert.Equal(t, f.place.Name, engine(2))
+		}
+	})
+}
+
+// TestClumpIsSpread sends a clump of requests of one model to all of its copies.
+func TestClumpIsSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 3)
+		for i := range 3 {
+			r.state(i, nil, "m")
+		}
+		count := map[string]int{}
+		for range 6 {
+			f := <-r.find(context.Background(), r.request("m", time.Second))
+			assert.NilError(t, f.err)
+			count[f.place.Name]++
+		}
+		assert.DeepEqual(t, count, map[string]int{"e0": 2, "e1": 2, "e2": 2})
+	})
+}
+
+// TestAnotherCopy wants another copy of a model whose only engine is near its
+// limits, and of none that has room.
+func TestAnotherCopy(t *testing.T) {
+	for _, strained := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, 3)
+			r.state(0, nil, "m")
+			gap := 20 * time.Millisecond
+			if strained {
+				gap = 240 * time.Millisecond
+			}
+			for range 20 {
+				f := <-r.find(context.Background(), r.request("m", time.Second))
+				assert.NilError(t, f.err)
+				time.Sleep(100 * time.Millisecond)
+				f.place.Release(dispatcher.Report{First: 50 * time.Millisecond, Gap: gap})
+				for i := range 3 {
+					r.state(i, nil, map[bool][]string{true: {"m"}}[i == 0]...)
+				}
+			}
+			i := r.wanted("m", 3)
+			assert.Equal(t, i > 0, strained, "engine %d", i)
+		})
+	}
+}
+
+// TestAdapterGoesToItsBase asks an engine that has the base model for an adapter
+// of it.
+func TestAdapterGoesToItsBase(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 3)
+		r.state(1, nil, "n")
+		q := r.request("n", 2*time.Second)
+		q.Adapter = "n/a1"
+		got := r.find(context.Background(), q)
+		assert.Equal(t, r.wanted("n/a1", 3), 1)
+		r.state(1, nil, "n", "n/a1")
+		f := <-got
+		assert.NilError(t, f.err)
+		assert.Equal(t, f.place.Name, engine(1))
+	})
+}
+
+// TestStop refuses the requests that wait when the entry stops.
+func TestStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		got := r.find(context.Background(), r.request("m", 10*time.Second))
+		r.locator.Stop()
+		f := <-got
+		assert.Assert(t, refuser.Is(f.err, refuser.Leaving))
+		assert.Assert(t, refuser.Of(f.err).Never())
+	})
+}
