tracker: lapsed servers stay until they had time to come back; the newest at an address

Change: a row that vanishes within 2.5 s of the store's return drops its server only then; of several servers at one address only the one started last is used.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -46,8 +46,9 @@
 	synced bool
 	proven time.Duration
 	// since is the instant since which the store answers again, or 0 if it does
-	// not.
+	// not, and first that of its first answer.
 	since time.Duration
+	first time.Duration
 }
 
 // New returns a follower that passes each row that changed to apply, a removed
@@ -83,6 +84,14 @@
 	return f.since, f.since > 0
 }
 
+// First returns the instant of the store's first answer, and false if there was
+// none.
+func (f *Follower) First() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.first, f.first > 0
+}
+
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	defer close(f.done)
@@ -158,6 +167,9 @@
 	defer f.mu.Unlock()
 	if f.since == 0 {
 		f.since = f.clock()
+		if f.first == 0 {
+			f.first = f.since
+		}
 		f.log.Info().Str("table", f.terms.Table).Uint64("version", c.Version).Msg("store: answers")
 	}
 	var changed []storer.Row
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -87,6 +87,23 @@
 	l.wake()
 }
 
+// Doubt drops a server at an instant unless it is listed again until then.
+func (l *Locator) Doubt(id string, until time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fleet.Doubt(id, until)
+}
+
+// Sweep drops the servers that were doubted for long enough.
+func (l *Locator) Sweep() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range l.fleet.Sweep(l.clock()) {
+		l.log.Info().Str("server", id).Msg("server: not listed again")
+		l.wake()
+	}
+}
+
 // State takes a sidecar's word on its engine.
 func (l *Locator) State(s *wire.Condition) {
 	l.mu.Lock()
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -296,6 +296,38 @@
 	})
 }
 
+// TestListLapses keeps using servers whose rows have lapsed with the store, until
+// they had time to come back.
+func TestListLapses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		r.state(0, nil, "m")
+		r.locator.Doubt(engine(0), r.clock()+time.Second)
+		r.locator.Doubt(engine(1), r.clock()+time.Second)
+		f := <-r.find(context.Background(), r.request("m", time.Second))
+		assert.NilError(t, f.err)
+		r.locator.List(tracker.Server{ID: engine(1), Pool: "p", Address: engine(1), Centre: "z", Slots: 32, Born: 1})
+		time.Sleep(1100 * time.Millisecond)
+		r.locator.Sweep()
+		assert.Equal(t, r.locator.Serving("p"), 1)
+	})
+}
+
+// TestNewestAtAddress uses only the server that was started last of those that are
+// listed at one address.
+func TestNewestAtAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		r.locator.List(tracker.Server{ID: "old", Pool: "p", Address: engine(0), Born: 0, Holding: tracker.Holding{Models: []string{"m"}}})
+		r.state(0, nil, "m")
+		for range 4 {
+			f := <-r.find(context.Background(), r.request("m", time.Second))
+			assert.NilError(t, f.err)
+			assert.Equal(t, f.place.Name, engine(0))
+		}
+	})
+}
+
 // TestStop refuses the requests that wait when the entry stops.
 func TestStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -39,6 +39,7 @@
 	front    *platform.Front
 	callers  *server
 	ready    *server
+	list     *follower.Follower
 	// servers is set once the backend servers are known.
 	servers  atomic.Bool
 	stopping atomic.Bool
@@ -64,7 +65,9 @@
 		e.configured(now, rows)
 		e.gossiper.Configured()
 	})
-	e.follow(follower.Terms{Table: platform.ServerTable, Wait: serverWait, Period: serverPeriod}, e.listed)
+	e.list = follower.New(follower.Terms{Table: platform.ServerTable, Wait: serverWait, Period: serverPeriod}, e.clock, e.store, e.listed, l)
+	e.tasks.run(e.list.Run)
+	e.tasks.run(e.sweep)
 	e.tasks.run(e.meet)
 	return e, nil
 }
@@ -126,13 +129,12 @@
 }
 
 // listed takes changes of the list of backend servers.
-func (e *HostedEntry) listed(_ time.Duration, rows []storer.Row) {
+func (e *HostedEntry) listed(now time.Duration, rows []storer.Row) {
 	e.servers.Store(true)
 	for _, r := range rows {
 		id := r.Key[len(platform.ServerTable)+1:]
 		if r.Deleted {
-			e.log.Info().Str("server", id).Uint64("row", r.Version).Msg("server: gone")
-			e.locator.Drop(id)
+			e.gone(now, id, r.Version)
 			continue
 		}
 		s, err := platform.Server(r)
@@ -147,6 +149,40 @@
 	}
 }
 
+// returnTime is how long after an outage of the store the rows of the servers that
+// live are back.
+const returnTime = 2500 * time.Millisecond
+
+// gone takes the end of a server's row. While the store was away rows may have
+// lapsed, and come back shortly after it.
+func (e *HostedEntry) gone(now time.Duration, id string, row uint64) {
+	since, _ := e.list.Since()
+	if first, _ := e.list.First(); now-since < returnTime && since > first {
+		e.log.Info().Str("server", id).Uint64("row", row).Int64("since", (now - since).Milliseconds()).Msg("server: doubted")
+		e.locator.Doubt(id, since+returnTime)
+		return
+	}
+	e.log.Info().Str("server", id).Uint64("row", row).Msg("server: gone")
+	e.locator.Drop(id)
+}
+
+// sweepPeriod is between two looks for servers that did not come back.
+const sweepPeriod = 250 * time.Millisecond
+
+// sweep drops the servers that did not come back after an outage of the store.
+func (e *HostedEntry) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			e.locator.Sweep()
+		}
+	}
+}
+
 // Body implements platform.Handler.
 func (e *HostedEntry) Body() int64 { return int64(e.copy.View().Limits().GetBody()) }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -62,6 +62,9 @@
 	// strain is how near the answers of late came to being late, 1 being just so.
 	strain float64
 	felt   time.Duration
+	// doubted is the instant at which a server is dropped unless it is listed again,
+	// or 0.
+	doubted time.Duration
 }
 
 // Server returns what is listed.
@@ -139,7 +142,28 @@
 		b = &Backend{inflight: map[string]int{}}
 		f.backends[s.ID] = b
 	}
-	b.server = s
+	b.server, b.doubted = s, 0
+}
+
+// Doubt keeps a server until an instant though it is listed no more, since the
+// platform's list may lack it for a while.
+func (f *Fleet) Doubt(id string, until time.Duration) {
+	if b := f.backends[id]; b != nil {
+		b.doubted = until
+	}
+}
+
+// Sweep drops the servers that were doubted for long enough and returns their
+// ids.
+func (f *Fleet) Sweep(now time.Duration) []string {
+	var gone []string
+	for id, b := range f.backends {
+		if b.doubted > 0 && now >= b.doubted {
+			delete(f.backends, id)
+			gone = append(gone, id)
+		}
+	}
+	return gone
 }
 
 // Drop removes a server that is listed no more.
@@ -190,10 +214,17 @@
 	}
 }
 
-// Pool returns the servers of a pool that take new work, by id.
+// Pool returns the servers of a pool that take new work, by id. Of several at one
+// address, only the one that was started last can be there.
 func (f *Fleet) Pool(name string) []*Backend {
-	var list []*Backend
+	newest := map[string]*Backend{}
 	for _, b := range f.backends {
+		if n := newest[b.server.Address]; n == nil || b.server.Born > n.server.Born {
+			newest[b.server.Address] = b
+		}
+	}
+	var list []*Backend
+	for _, b := range newest {
 		if b.server.Pool == name && !b.server.Leaving && !b.state.GetLeaving() {
 			list = append(list, b)
 		}
