--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -82,9 +82,27 @@
 		}
 	}
 	r.Goal, r.Deadline = bounds(now, route, q.Left)
+	r.First = r.Deadline
+	if route.GetStream() {
+		r.First = min(r.Deadline, now+patience(route))
+	}
 	return r, nil
 }
 
+// Callers give a stream up after a pause of patienceLeast, or of so many times the
+// route's goal or longest pause, whichever is longest.
+const (
+	patienceLeast = 2 * time.Second
+	patienceGoals = 4
+	patienceGaps  = 8
+)
+
+// patience is how long a caller waits for the first event of a stream.
+func patience(r *wire.Route) time.Duration {
+	goal, gap := time.Duration(r.GetGoal())*time.Millisecond, time.Duration(r.GetGap())*time.Millisecond
+	return max(patienceLeast, patienceGoals*goal, patienceGaps*gap)
+}
+
 func authenticate(view *configurer.View, route *wire.Route, q *Inquiry) (*wire.Key, error) {
 	if route.GetOpen() || len(view.Workspaces()) == 0 {
 		return nil, nil
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -28,7 +28,7 @@
 		Keys:       []*wire.Key{configurer.Token("key", "w"), configurer.Token("first key", "first")},
 		Routes: []*wire.Route{
 			{Name: "draft", Host: "h", Prefix: "/a/", Pool: "p", Stream: true, Timeout: 2000, Goal: 400, Gap: 250, Priority: 2, Attempts: 1},
-			{Name: "brief", Host: "h", Prefix: "/a/b/", Pool: "p", Stream: true, Resumable: true, Timeout: 9000},
+			{Name: "brief", Host: "h", Prefix: "/a/b/", Pool: "p", Stream: true, Resumable: true, Timeout: 9000, Goal: 1000},
 			{Name: "status", Host: "h", Prefix: "/s/", Pool: "q", Idempotent: true},
 			{Name: "open", Host: "h", Prefix: "/o/", Pool: "q", Open: true},
 			{Name: "split", Host: "h", Prefix: "/x/", Splits: []*wire.Split{{Pool: "p", Weight: 9}, {Pool: "q", Weight: 1}}},
@@ -55,12 +55,14 @@
 			assert.Equal(t, r.Deadline, begun+2*time.Second)
 			assert.Equal(t, r.Priority, 2)
 			assert.Equal(t, r.Attempts, 1)
+			assert.Equal(t, r.First, begun+2*time.Second)
 			assert.Equal(t, r.Cost, 200.0)
 			assert.Equal(t, r.Config, uint64(7))
 		}},
 		{"longest prefix", inquiry("/a/b/1", "key"), func(t *testing.T, r *dispatcher.Request) {
 			assert.Equal(t, r.Route, "brief")
 			assert.Equal(t, r.Kind, dispatcher.Resumable)
+			assert.Equal(t, r.First, begun+4*time.Second)
 		}},
 		{"idempotent without a timeout", inquiry("/s/1", "key"), func(t *testing.T, r *dispatcher.Request) {
 			assert.Equal(t, r.Kind, dispatcher.Idempotent)
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -71,6 +71,8 @@
 	Begun    time.Duration
 	Goal     time.Duration
 	Deadline time.Duration
+	// First is the instant by which the caller has given up if no event has come.
+	First time.Duration
 	// Gap is the longest pause between two events on time, or 0 for any.
 	Gap time.Duration
 	// From is the index of the first event that the caller wants.
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -137,7 +137,7 @@
 		if place != nil || err != nil {
 			return place, err
 		}
-		if !wait(ctx, changed, r.Deadline-shortestRun-now) && ctx.Err() != nil {
+		if !wait(ctx, changed, last(r)-now) && ctx.Err() != nil {
 			return nil, refuser.New(refuser.Canceled, "the caller has given up")
 		}
 	}
@@ -162,6 +162,9 @@
 	return nil, l.changed, l.expect(now, r, *n, h)
 }
 
+// last is the instant until which r may wait for its model.
+func last(r *dispatcher.Request) time.Duration { return min(r.First, r.Deadline) - shortestRun }
+
 // wait reports whether changed was closed within the limit.
 func wait(ctx context.Context, changed <-chan struct{}, limit time.Duration) bool {
 	t := time.NewTimer(limit)
--- a/locator/need.go
+++ b/locator/need.go
@@ -98,7 +98,7 @@
 // expect asks an engine for the model that r waits for and refuses r if it cannot
 // be there in time. The caller holds the lock.
 func (l *Locator) expect(now time.Duration, r *dispatcher.Request, n *need, h *dispatcher.History) error {
-	last := r.Deadline - shortestRun
+	last := last(r)
 	if l.stopping {
 		return refuser.New(refuser.Leaving, "the entry stops before the model can be there").After(retryLeast)
 	}
