locator: one prompt of an entry at a time at an engine; failing servers are left

Engines that lose or break answers kept getting them. Ruled out: loads of models (streams beside one: 16% late, without: 10%, explained by the number of sends). Change: an engine has one unread prompt of an entry at a time; others wait for it, by rank and goal, for at most 0.35 of the time to their goal. The part of the attempts of late that failed counts against a server.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -93,6 +93,8 @@
 	Urgency int
 	// Hear takes the load that the backend server tells, unless it is nil.
 	Hear func(Load)
+	// Begun is called at the first event, unless it is nil.
+	Begun func()
 	// Release gives the place back, with how the attempt ended.
 	Release func(Report)
 }
@@ -362,6 +364,9 @@
 		e, err := answer.Next()
 		if report.First == 0 {
 			report.First = c.clock() - begun
+			if place.Begun != nil {
+				place.Begun()
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return answer.End(), c.begin(p, answer)
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -13,6 +13,7 @@
 	"oleanderstall/configurer"
 	"oleanderstall/dispatcher"
 	"oleanderstall/refuser"
+	"oleanderstall/router"
 	"oleanderstall/timer"
 	"oleanderstall/tracker"
 	"oleanderstall/wire"
@@ -22,8 +23,6 @@
 const (
 	// shortestRun is the least time that an answer takes.
 	shortestRun = 50 * time.Millisecond
-	// farTime is what a server in another data centre counts as, in requests.
-	farLoad = 2.0
 	// retryLeast and retryMost bound the time after which a caller is to come back.
 	retryLeast = 200 * time.Millisecond
 	retryMost  = 5 * time.Second
@@ -47,6 +46,8 @@
 	number uint64
 	// stopping is set when nothing may wait any more.
 	stopping bool
+	// queued are the requests whose model serves, but whose prompts wait.
+	queued []*dispatcher.Request
 	// changed is closed when a request that waits may have got a place.
 	changed chan struct{}
 	// wanted is signalled when a sidecar has to be told something new.
@@ -131,13 +132,14 @@
 	l.arrive(r, h)
 	var n *need
 	defer func() { l.leave(r, n) }()
+	defer l.unqueue(r)
 	for {
 		now := l.clock()
 		place, changed, err := l.look(now, r, h, &n)
 		if place != nil || err != nil {
 			return place, err
 		}
-		if !wait(ctx, changed, last(r)-now) && ctx.Err() != nil {
+		if !wait(ctx, changed, l.limit(now, r)) && ctx.Err() != nil {
 			return nil, refuser.New(refuser.Canceled, "the caller has given up")
 		}
 	}
@@ -148,10 +150,15 @@
 func (l *Locator) look(now time.Duration, r *dispatcher.Request, h *dispatcher.History, n **need) (*dispatcher.Place, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if best := l.pick(now, r, h); best != nil {
+	best := l.pick(now, r, h)
+	if best != nil && l.admits(now, best, r) {
 		l.press(now, r)
 		return l.place(now, best, r), nil, nil
 	}
+	if best != nil {
+		l.queue(r)
+		return nil, l.changed, nil
+	}
 	if *n == nil {
 		joined, err := l.join(r, h)
 		if err != nil {
@@ -202,12 +209,15 @@
 		if h.Tried[b.Server().ID] || !l.holds(now, b, r) {
 			continue
 		}
-		load := float64(b.Load())
-		if b.Server().Centre != l.centre {
-			load += farLoad
+		cost := router.Cost{
+			Load:    b.Load(),
+			Pending: b.Pending(),
+			Far:     b.Server().Centre != l.centre,
+			Trouble: b.Trouble(now),
+			Strain:  b.Strain(now),
 		}
-		if best == nil || load < least {
-			best, least = b, load
+		if v := cost.Value(); best == nil || v < least {
+			best, least = b, v
 		}
 	}
 	return best
@@ -229,14 +239,16 @@
 	l.log.Info().Str("request", r.ID).Str("server", s.ID).Str("model", needed(r)).Int("inflight", b.Inflight()).
 		Int("load", b.Load()).Int64("waited", (now - r.Begun).Milliseconds()).Msg("send")
 	l.fleet.Begin(s.ID, names...)
-	l.tell(s.ID)
+	l.used(b, names, 1)
+	begun := false
 	return &dispatcher.Place{
 		Name:    s.ID,
 		Address: s.Address,
 		Expect:  s.ID,
 		Urgency: min(r.Priority, lastUrgency),
 		Hear:    func(load dispatcher.Load) { l.hear(s.ID, load) },
-		Release: func(rep dispatcher.Report) { l.release(s.ID, names, r, rep) },
+		Begun:   func() { begun = true; l.begun(s.ID) },
+		Release: func(rep dispatcher.Report) { l.release(s.ID, names, begun, r, rep) },
 	}
 }
 
@@ -277,12 +289,59 @@
 	l.fleet.Hear(l.clock(), id, load.Running+load.Waiting)
 }
 
-func (l *Locator) release(id string, names []string, r *dispatcher.Request, rep dispatcher.Report) {
+// begun takes note that a server has read the prompt of a request.
+func (l *Locator) begun(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b := l.fleet.Get(id); b != nil && rep.Err == nil && r.Model != "" {
-		b.Feel(l.clock(), strain(r, rep))
+	l.fleet.Begun(id)
+	if len(l.queued) > 0 {
+		l.wake()
+	}
+}
+
+// release takes note of the end of an attempt.
+func (l *Locator) release(id string, names []string, begun bool, r *dispatcher.Request, rep dispatcher.Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	if b := l.fleet.Get(id); b != nil {
+		l.judge(now, b, r, rep)
+		l.fleet.End(id, begun, names...)
+		l.used(b, names, 0)
+	}
+	if len(l.queued) > 0 {
+		l.wake()
+	}
+}
+
+// hangTime is how long an attempt may have been without an event when its caller
+// leaves before it counts as failed.
+const hangTime = time.Second
+
+// judge learns from the end of an attempt. The caller holds the lock.
+func (l *Locator) judge(now time.Duration, b *tracker.Backend, r *dispatcher.Request, rep dispatcher.Report) {
+	if rep.Err == nil {
+		b.Try(now, false)
+		if r.Model != "" {
+			b.Feel(now, strain(r, rep))
+		}
+		return
+	}
+	f := refuser.Of(rep.Err)
+	switch {
+	case f.Kind() == refuser.Lost, f.Kind() == refuser.Failed:
+		b.Try(now, true)
+	case rep.First == 0 && !f.Never() && now-r.Begun > hangTime:
+		b.Try(now, true)
+	}
+}
+
+// used tells the sidecar of a server that its models have come into use or out of
+// it. The caller holds the lock.
+func (l *Locator) used(b *tracker.Backend, names []string, edge int) {
+	for _, name := range names {
+		if b.InflightOf(name) == edge {
+			l.tell(b.Server().ID)
+		}
 	}
-	l.fleet.End(id, names...)
-	l.tell(id)
 }
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -67,7 +67,7 @@
 	return &dispatcher.Request{
 		ID: fmt.Sprint(r.number), Pool: "p", Model: model, Begun: now, Goal: now + 400*time.Millisecond, Deadline: now + deadline,
 		First: now + deadline,
-		Gap: 250 * time.Millisecond, Input: 800,
+		Gap:   250 * time.Millisecond, Input: 800,
 	}
 }
 
--- /dev/null
+++ b/locator/queue.go
@@ -0,0 +1,75 @@
+package locator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"oleanderstall/dispatcher"
+	"oleanderstall/tracker"
+)
+
+// promptsAtOnce is the number of prompts of one entry that an engine may have to
+// read at a time. Prompts are read between the tokens of running answers: several
+// at once pause all answers there.
+const promptsAtOnce = 1
+
+// queuePart is the part of the time to its goal that a request waits for the
+// prompts before it.
+const queuePart = 0.35
+
+// admits reports whether r may be sent to the best server now. The caller holds
+// the lock.
+func (l *Locator) admits(now time.Duration, b *tracker.Backend, r *dispatcher.Request) bool {
+	if r.Model == "" || now >= queueEnd(r) {
+		return true
+	}
+	if b.Pending() >= promptsAtOnce {
+		return false
+	}
+	for _, o := range l.queued {
+		if o != r && o.Model == r.Model && before(o, r) {
+			return false
+		}
+	}
+	return true
+}
+
+// queueEnd is the instant until which r waits for the prompts before it.
+func queueEnd(r *dispatcher.Request) time.Duration {
+	return r.Begun + time.Duration(queuePart*float64(r.Goal-r.Begun))
+}
+
+// before reports whether a is served before b: by rank, then by goal.
+func before(a, b *dispatcher.Request) bool {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Goal, b.Goal), cmp.Compare(a.ID, b.ID)) < 0
+}
+
+// queue makes r wait for the prompts before it. The caller holds the lock.
+func (l *Locator) queue(r *dispatcher.Request) {
+	if !slices.Contains(l.queued, r) {
+		l.queued = append(l.queued, r)
+	}
+}
+
+// unqueue ends the wait of r, and lets those behind it look again.
+func (l *Locator) unqueue(r *dispatcher.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if i := slices.Index(l.queued, r); i >= 0 {
+		l.queued = slices.Delete(l.queued, i, i+1)
+		if len(l.queued) > 0 {
+			l.wake()
+		}
+	}
+}
+
+// limit is how long r waits before it looks again by itself.
+func (l *Locator) limit(now time.Duration, r *dispatcher.Request) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if slices.Contains(l.queued, r) {
+		return queueEnd(r) - now
+	}
+	return last(r) - now
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -56,6 +56,12 @@
 	// inflight counts this entry's requests there, by model.
 	inflight map[string]int
 	sum      int
+	// pending counts those whose prompts were not read yet.
+	pending int
+	// trouble is the part of the attempts of late that failed, as of the instant
+	// failed.
+	trouble float64
+	failed  time.Duration
 	// others is the number of other entries' requests, as of the instant heard.
 	others int
 	heard  time.Duration
@@ -77,6 +83,32 @@
 // adapter.
 func (b *Backend) InflightOf(name string) int { return b.inflight[name] }
 
+// Pending returns the number of this entry's requests whose prompts the server has
+// not read yet.
+func (b *Backend) Pending() int { return b.pending }
+
+// troubleTime is the time in which past failures come to count for a third, and
+// troubleWeight the weight of a new attempt.
+const (
+	troubleTime   = 3 * time.Second
+	troubleWeight = 0.3
+)
+
+// Trouble is the part of the attempts of late that failed. It fades while there are
+// none, so that the server is tried again.
+func (b *Backend) Trouble(now time.Duration) float64 {
+	return b.trouble * math.Exp(-float64(max(0, now-b.failed))/float64(troubleTime))
+}
+
+// Try takes note of the end of an attempt.
+func (b *Backend) Try(now time.Duration, failed bool) {
+	next := b.Trouble(now) * (1 - troubleWeight)
+	if failed {
+		next += troubleWeight
+	}
+	b.trouble, b.failed = next, now
+}
+
 // Load estimates the requests at the server.
 func (b *Backend) Load() int { return b.sum + b.others }
 
@@ -195,18 +227,29 @@
 		return
 	}
 	b.sum++
+	b.pending++
 	for _, name := range names {
 		b.inflight[name]++
 	}
 }
 
-// End counts a request of this entry out.
-func (f *Fleet) End(id string, names ...string) {
+// Begun takes note that a server has read the prompt of a request.
+func (f *Fleet) Begun(id string) {
+	if b := f.backends[id]; b != nil && b.pending > 0 {
+		b.pending--
+	}
+}
+
+// End counts a request of this entry out that had begun or not.
+func (f *Fleet) End(id string, begun bool, names ...string) {
 	b := f.backends[id]
 	if b == nil || b.sum == 0 {
 		return
 	}
 	b.sum--
+	if !begun {
+		f.Begun(id)
+	}
 	for _, name := range names {
 		if b.inflight[name]--; b.inflight[name] <= 0 {
 			delete(b.inflight, name)
