gossiper: a request waits a little for tokens of its workspace

Change: a request whose tokens come in within 0.35 of the time to its goal waits for them, by rank and goal; the margin for use that was not told yet begins beyond the slack that the settings allow. The settings of hosted processes leave out what the platform does not give.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -83,12 +83,15 @@
 	Store string `json:"store"`
 	// Ready is the IP:port on which the platform asks whether an entry is ready.
 	Ready string `json:"ready"`
-	// Memory is the most memory of the process, in bytes.
-	Memory int64 `json:"memory"`
+	// Memory is the most memory of the process, in megabytes, or 0 for no limit.
+	Memory float64 `json:"memory"`
 	// Grace is the time between the notice to stop and the end of the process.
 	Grace Span `json:"grace"`
 	// Lease is the time in which two instances may not order the same engine.
 	Lease Span `json:"lease"`
+	// Slack are the tokens of a workspace that all entries together may use beyond
+	// its limit because they have not told each other yet.
+	Slack float64 `json:"slack"`
 }
 
 // Log sets what is logged.
@@ -284,6 +287,12 @@
 func (f *finder) hosted(h *Hosted) {
 	f.address("hosted.store", h.Store, true)
 	f.address("hosted.ready", h.Ready, false)
+	if h.Memory < 0 {
+		f.fault("hosted.memory", "must not be negative")
+	}
+	if h.Slack < 0 {
+		f.fault("hosted.slack", "must not be negative")
+	}
 	f.atLeast("hosted.grace", time.Duration(h.Grace), time.Second)
 }
 
--- a/checker/finder.go
+++ b/checker/finder.go
@@ -98,10 +98,11 @@
 
 func (f *finder) literal(l hujson.Literal, field string, t reflect.Type, line int) {
 	want := map[reflect.Kind]hujson.Kind{
-		reflect.String: '"',
-		reflect.Int:    '0',
-		reflect.Int64:  '0',
-		reflect.Uint32: '0',
+		reflect.String:  '"',
+		reflect.Int:     '0',
+		reflect.Int64:   '0',
+		reflect.Uint32:  '0',
+		reflect.Float64: '0',
 	}[t.Kind()]
 	if t == spanType {
 		want = '"'
@@ -129,6 +130,8 @@
 		return "a list"
 	case t.Kind() == reflect.String:
 		return "a text"
+	case t.Kind() == reflect.Float64:
+		return "a number"
 	}
 	return "a whole number"
 }
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -81,6 +82,11 @@
 	Content any
 }
 
+// Compare orders requests by who is served first: by rank, then by goal.
+func Compare(a, b *Request) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Goal, b.Goal), cmp.Compare(a.ID, b.ID))
+}
+
 // Place is a place for one request at a backend server.
 type Place struct {
 	// Name is the backend server, or the instance beside it.
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -16,7 +16,6 @@
 	"oleanderstall/dispatcher"
 	"oleanderstall/limiter"
 	"oleanderstall/peer"
-	"oleanderstall/refuser"
 	"oleanderstall/storer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
@@ -51,6 +50,10 @@
 	ledger  *limiter.Ledger
 	version uint64
 	entries map[string]entry
+	// waiting are the requests that wait for tokens, by workspace; changed is closed
+	// when one of them may look again.
+	waiting map[string][]*dispatcher.Request
+	changed chan struct{}
 }
 
 // entry is the task for one other entry.
@@ -60,8 +63,9 @@
 }
 
 // New returns a gossiper of an entry that was started at an instant in Unix
-// nanoseconds.
-func New(name string, started int64, clock timer.Clock, c *configurer.Configurer, l *log.Logger) *Gossiper {
+// nanoseconds. The entries together may use slack tokens of a workspace beyond its
+// limit because they have not told each other yet.
+func New(name string, started int64, slack float64, clock timer.Clock, c *configurer.Configurer, l *log.Logger) *Gossiper {
 	return &Gossiper{
 		name:    name,
 		started: started,
@@ -69,8 +73,10 @@
 		copy:    c,
 		log:     l,
 		done:    make(chan struct{}),
-		ledger:  limiter.NewLedger(),
+		ledger:  limiter.NewLedger(slack),
 		entries: map[string]entry{},
+		waiting: map[string][]*dispatcher.Request{},
+		changed: make(chan struct{}),
 	}
 }
 
@@ -257,6 +263,7 @@
 		limits = append(limits, limiter.Limit{Workspace: w.GetName(), Rate: w.GetRate(), Burst: w.GetBurst()})
 	}
 	g.ledger.Set(g.clock(), limits)
+	g.wake()
 }
 
 // Answer answers a call of another entry. It returns nil for a call of another
@@ -285,20 +292,10 @@
 	for _, r := range w.GetRelayed() {
 		g.ledger.Learn(now, limiter.Word{Entry: r.GetEntry(), Started: r.GetStarted(), Totals: r.GetSpent()})
 	}
+	g.wake()
 	return &wire.Greeting{Config: g.copy.View().Version(), Silent: g.ledger.Silent()}
 }
 
-// Charge implements dispatcher.Charger.
-func (g *Gossiper) Charge(_ context.Context, r *dispatcher.Request) (dispatcher.Bill, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	wait, ok := g.ledger.Take(g.clock(), r.Workspace, r.Cost)
-	if !ok {
-		return nil, refuser.New(refuser.Limited, "the workspace has used its rate and burst").After(wait)
-	}
-	return &bill{gossiper: g, workspace: r.Workspace, tokens: r.Cost}, nil
-}
-
 // bill is what a request was charged.
 type bill struct {
 	gossiper  *Gossiper
@@ -314,4 +311,5 @@
 	b.gossiper.mu.Lock()
 	defer b.gossiper.mu.Unlock()
 	b.gossiper.ledger.Give(b.gossiper.clock(), b.workspace, b.tokens)
+	b.gossiper.wake()
 }
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -37,7 +37,7 @@
 	for i := range n {
 		c := configurer.New()
 		c.Restore(config(1, 1000))
-		g := New(fmt.Sprint(i), 1, clock, c, l)
+		g := New(fmt.Sprint(i), 1, 0, clock, c, l)
 		g.Configured()
 		f.entries, f.copies = append(f.entries, g), append(f.copies, c)
 		f.network.Attach(fmt.Sprint(i), func(_ context.Context, call *wire.Call, s peer.Stream) { _ = s.Send(g.Answer(call)) })
@@ -160,3 +160,37 @@
 		assert.NilError(t, err)
 	})
 }
+
+// TestWaitsForTokens lets a request wait for tokens that come in soon, the one of
+// the first rank first, and refuses at once what would wait for longer.
+func TestWaitsForTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1)
+		defer f.stop()
+		time.Sleep(3 * time.Second)
+		g := f.entries[0]
+		_, err := f.charge(0, 1000)
+		assert.NilError(t, err)
+		now := g.clock()
+		request := func(id string, rank int) *dispatcher.Request {
+			return &dispatcher.Request{ID: id, Workspace: "w", Cost: 100, Priority: rank, Begun: now, Goal: now + time.Second}
+		}
+		var order []string
+		done := make(chan string, 3)
+		for i, id := range []string{"c", "b", "a"} {
+			go func() {
+				_, err := g.Charge(context.Background(), request(id, 2-i))
+				assert.Check(t, err)
+				done <- id
+			}()
+			synctest.Wait()
+		}
+		_, err = g.Charge(context.Background(), request("d", 3))
+		assert.Assert(t, refuser.Is(err, refuser.Limited), "%v", err)
+		for range 3 {
+			order = append(order, <-done)
+		}
+		assert.DeepEqual(t, order, []string{"a", "b", "c"})
+		assert.Equal(t, g.clock()-now, 300*time.Millisecond)
+	})
+}
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -32,6 +32,9 @@
 // an entry that is silent its part of burst and rate is set aside. A Ledger is not
 // safe for concurrent use.
 type Ledger struct {
+	// slack are the tokens that may be used beyond a bucket because they were not
+	// told yet, over all entries.
+	slack    float64
 	accounts map[string]*account
 	peers    map[string]*other
 }
@@ -65,9 +68,10 @@
 	until    time.Duration
 }
 
-// NewLedger returns a ledger without workspaces.
-func NewLedger() *Ledger {
-	return &Ledger{accounts: map[string]*account{}, peers: map[string]*other{}}
+// NewLedger returns a ledger without workspaces. The entries together may use that
+// many tokens beyond a bucket because they have not told each other yet.
+func NewLedger(slack float64) *Ledger {
+	return &Ledger{slack: slack, accounts: map[string]*account{}, peers: map[string]*other{}}
 }
 
 // Set brings the limits into force. A new workspace begins with an empty bucket,
@@ -231,33 +235,49 @@
 	return sum
 }
 
-// Take charges a workspace. It reports false and the time after which to come
-// back if the tokens are not there. A request for more than the burst is served
-// from a full bucket.
-func (l *Ledger) Take(now time.Duration, workspace string, tokens float64) (time.Duration, bool) {
+// Missing returns the time until a workspace has that many tokens, or 0 if they are
+// there. More than a full bucket holds is there with a full bucket.
+func (l *Ledger) Missing(now time.Duration, workspace string, tokens float64) time.Duration {
 	a := l.accounts[workspace]
-	if a == nil {
-		return 0, true
+	if a == nil || a.limit.Rate <= 0 {
+		return 0
 	}
-	if a.limit.Rate <= 0 {
-		a.spent += tokens
-		return 0, true
+	level := a.bucket.Level(now)
+	need := tokens + l.margin(now, workspace)
+	if level >= min(need, a.bucket.Burst()) {
+		return 0
+	}
+	return time.Duration((need - level) / a.limit.Rate * float64(time.Second))
+}
+
+// margin is what is kept back for the use of other entries that they have not told
+// yet.
+func (l *Ledger) margin(now time.Duration, workspace string) float64 {
+	return max(0, l.unheard(now, workspace)-l.slack/float64(len(l.peers)+1))
+}
+
+// Take charges a workspace and reports whether the tokens were there.
+func (l *Ledger) Take(now time.Duration, workspace string, tokens float64) bool {
+	if l.Missing(now, workspace, tokens) > 0 {
+		return false
 	}
-	need := min(tokens, a.bucket.Burst()) + l.unheard(now, workspace)
-	if level := a.bucket.Level(now); level < min(need, a.bucket.Burst()) {
-		return a.refuse(now, need-level), false
+	if a := l.accounts[workspace]; a != nil {
+		a.bucket.Spend(now, tokens)
+		a.spent += tokens
 	}
-	a.bucket.Spend(now, tokens)
-	a.spent += tokens
-	return 0, true
+	return true
 }
 
-// refuse returns when a request that lacks that many tokens is to come back: after
-// those that were refused before it.
-func (a *account) refuse(now time.Duration, missing float64) time.Duration {
+// Later returns the time after which a request for tokens that are not there is to
+// come back: when those that were refused before it have had theirs.
+func (l *Ledger) Later(now time.Duration, workspace string, tokens float64) time.Duration {
+	a := l.accounts[workspace]
+	if a == nil || a.limit.Rate <= 0 {
+		return 0
+	}
 	a.promised = max(0, a.promised-a.limit.Rate*(now-a.at).Seconds())
 	a.at = now
-	a.promised += missing
+	a.promised += max(0, tokens-a.bucket.Level(now))
 	return time.Duration(a.promised / a.limit.Rate * float64(time.Second))
 }
 
--- a/limiter/ledger_test.go
+++ b/limiter/ledger_test.go
@@ -27,7 +27,7 @@
 func newDesk(now time.Duration, entries int) *desk {
 	d := &desk{}
 	for i := range entries {
-		l := NewLedger()
+		l := NewLedger(0)
 		l.Set(now, []Limit{{Workspace: "w", Rate: deskRate, Burst: deskBurst}})
 		var names []string
 		for j := range entries {
@@ -60,7 +60,7 @@
 
 // take charges an entry and records what it granted.
 func (d *desk) take(now time.Duration, entry int, tokens float64) bool {
-	_, ok := d.ledgers[entry].Take(now, "w", tokens)
+	ok := d.ledgers[entry].Take(now, "w", tokens)
 	if ok {
 		d.uses = append(d.uses, use{at: now, tokens: tokens})
 	}
@@ -176,9 +176,7 @@
 	l := d.ledgers[0]
 	var waits []time.Duration
 	for range 3 {
-		wait, ok := l.Take(start, "w", 1000)
-		assert.Assert(t, !ok)
-		waits = append(waits, wait)
+		waits = append(waits, l.Later(start, "w", 1000))
 	}
-	assert.DeepEqual(t, waits, []time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond})
+	assert.DeepEqual(t, waits, []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond})
 }
--- a/locator/queue.go
+++ b/locator/queue.go
@@ -1,7 +1,6 @@
 package locator
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -28,7 +27,7 @@
 		return false
 	}
 	for _, o := range l.queued {
-		if o != r && o.Model == r.Model && before(o, r) {
+		if o != r && o.Model == r.Model && dispatcher.Compare(o, r) < 0 {
 			return false
 		}
 	}
@@ -40,11 +39,6 @@
 	return r.Begun + time.Duration(queuePart*float64(r.Goal-r.Begun))
 }
 
-// before reports whether a is served before b: by rank, then by goal.
-func before(a, b *dispatcher.Request) bool {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Goal, b.Goal), cmp.Compare(a.ID, b.ID)) < 0
-}
-
 // queue makes r wait for the prompts before it. The caller holds the lock.
 func (l *Locator) queue(r *dispatcher.Request) {
 	if !slices.Contains(l.queued, r) {
--- a/runner/fit.go
+++ b/runner/fit.go
@@ -11,6 +11,9 @@
 // let the heap grow to.
 const memoryPart = 0.7
 
+// bytesPerMB is a megabyte, in bytes.
+const bytesPerMB = 1e6
+
 // Fit bounds the Go runtime of a hosted process to its instance: one processor and
 // the memory of the settings.
 func Fit(s *checker.Settings) {
@@ -19,6 +22,6 @@
 	}
 	runtime.GOMAXPROCS(1)
 	if s.Hosted.Memory > 0 {
-		debug.SetMemoryLimit(int64(float64(s.Hosted.Memory) * memoryPart))
+		debug.SetMemoryLimit(int64(s.Hosted.Memory * bytesPerMB * memoryPart))
 	}
 }
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -45,11 +45,15 @@
 	stopping atomic.Bool
 }
 
+// slackPart is the part of the slack that the entries use on purpose; the rest is
+// for messages that come late.
+const slackPart = 0.5
+
 // StartHostedEntry starts an entry. It returns once all listeners are open.
 func StartHostedEntry(s *checker.Settings, l *log.Logger) (*HostedEntry, error) {
 	e := &HostedEntry{hosted: newHosted(s, l)}
 	e.locator = locator.New(s.Name, s.Centre, e.started, e.clock, e.copy, l)
-	e.gossiper = gossiper.New(s.Name, e.started, e.clock, e.copy, l)
+	e.gossiper = gossiper.New(s.Name, e.started, slackPart*s.Hosted.Slack, e.clock, e.copy, l)
 	backends := platform.NewBackends(e.clock)
 	e.core = dispatcher.NewCore(e.clock, e.gossiper, e.locator, backends, granted{}, router.NewBudget(0.1, 10), e.recorder, e.meter, l)
 	e.front = platform.NewFront(e)
