--- a/checker/checker.go
+++ b/checker/checker.go
@@ -89,6 +89,9 @@
 	Grace Span `json:"grace"`
 	// Lease is the time in which two instances may not order the same engine.
 	Lease Span `json:"lease"`
+	// Window is the length of the windows over which the workspaces' limits hold, or
+	// 0 if they hold over any.
+	Window Span `json:"window"`
 	// Slack are the tokens of a workspace that all entries together may use beyond
 	// its limit because they have not told each other yet.
 	Slack float64 `json:"slack"`
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -38,6 +38,7 @@
 type Gossiper struct {
 	name    string
 	started int64
+	terms   Terms
 	clock   timer.Clock
 	caller  peer.Caller
 	copy    *configurer.Configurer
@@ -62,18 +63,27 @@
 	cancel context.CancelFunc
 }
 
+// Terms say how limits are kept.
+type Terms struct {
+	// Window is the length of the windows over which a limit holds, or 0 for any.
+	Window time.Duration
+	// Slack are the tokens of a workspace that the entries together may use beyond
+	// its limit because they have not told each other yet.
+	Slack float64
+}
+
 // New returns a gossiper of an entry that was started at an instant in Unix
-// nanoseconds. The entries together may use slack tokens of a workspace beyond its
-// limit because they have not told each other yet.
-func New(name string, started int64, slack float64, clock timer.Clock, c *configurer.Configurer, l *log.Logger) *Gossiper {
+// nanoseconds.
+func New(name string, started int64, t Terms, clock timer.Clock, c *configurer.Configurer, l *log.Logger) *Gossiper {
 	return &Gossiper{
 		name:    name,
 		started: started,
+		terms:   t,
 		clock:   clock,
 		copy:    c,
 		log:     l,
 		done:    make(chan struct{}),
-		ledger:  limiter.NewLedger(slack),
+		ledger:  limiter.NewLedger(t.Slack),
 		entries: map[string]entry{},
 		waiting: map[string][]*dispatcher.Request{},
 		changed: make(chan struct{}),
@@ -260,9 +270,12 @@
 	g.version = view.Version()
 	var limits []limiter.Limit
 	for _, w := range view.Workspaces() {
-		limits = append(limits, limiter.Limit{Workspace: w.GetName(), Rate: w.GetRate(), Burst: w.GetBurst()})
+		limits = append(limits, limiter.Limit{Workspace: w.GetName(), Rate: w.GetRate(), Burst: w.GetBurst()}.Even(g.terms.Window))
+	}
+	for _, limit := range g.ledger.Set(g.clock(), limits) {
+		g.log.Info().Str("workspace", limit.Workspace).Float64("rate", limit.Rate).Float64("burst", limit.Burst).
+			Uint64("config", g.version).Msg("limit: in force")
 	}
-	g.ledger.Set(g.clock(), limits)
 	g.wake()
 }
 
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -37,7 +37,7 @@
 	for i := range n {
 		c := configurer.New()
 		c.Restore(config(1, 1000))
-		g := New(fmt.Sprint(i), 1, 0, clock, c, l)
+		g := New(fmt.Sprint(i), 1, Terms{}, clock, c, l)
 		g.Configured()
 		f.entries, f.copies = append(f.entries, g), append(f.copies, c)
 		f.network.Attach(fmt.Sprint(i), func(_ context.Context, call *wire.Call, s peer.Stream) { _ = s.Send(g.Answer(call)) })
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -25,6 +25,19 @@
 	Burst     float64
 }
 
+// Even returns the limit with half of its burst paid out as rate over windows of
+// that length. In no such window it allows more than before, and a workspace that
+// sends steadily above its rate is refused less.
+func (l Limit) Even(window time.Duration) Limit {
+	if window <= 0 || l.Rate <= 0 {
+		return l
+	}
+	half := l.Burst / 2
+	l.Rate += half / window.Seconds()
+	l.Burst -= half
+	return l
+}
+
 // Ledger is one entry's account of the workspaces' tokens. Every entry keeps the
 // whole bucket of each workspace and takes out what all entries have used, so that
 // no request needs a call to another process. What others have used arrives late;
@@ -75,19 +88,24 @@
 }
 
 // Set brings the limits into force. A new workspace begins with an empty bucket,
-// since other entries may have used it up.
-func (l *Ledger) Set(now time.Duration, limits []Limit) {
+// since other entries may have used it up. Set returns the limits that have changed.
+func (l *Ledger) Set(now time.Duration, limits []Limit) []Limit {
+	var changed []Limit
 	kept := map[string]*account{}
 	for _, limit := range limits {
 		a := l.accounts[limit.Workspace]
 		if a == nil {
 			a = &account{bucket: New(now, limit.Rate, limit.Burst)}
 		}
-		a.limit = limit
+		if a.limit != limit {
+			a.limit = limit
+			changed = append(changed, limit)
+		}
 		kept[limit.Workspace] = a
 	}
 	l.accounts = kept
 	l.scale(now)
+	return changed
 }
 
 // Peers sets the other entries by name. A new one counts as silent.
--- a/limiter/ledger_test.go
+++ b/limiter/ledger_test.go
@@ -167,6 +167,26 @@
 	assert.Assert(t, d.take(now, 0, 4000))
 }
 
+// TestEvenLimit allows no more in a window than before, and more in the long run.
+func TestEvenLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{Workspace: "w", Rate: rapid.Float64Range(1, 1000).Draw(t, "rate"), Burst: rapid.Float64Range(1, 4000).Draw(t, "burst")}
+		const window = 8 * time.Second
+		even := limit.Even(window)
+		l := NewLedger(0)
+		start := time.Hour
+		l.Set(start, []Limit{even})
+		d := &desk{ledgers: []*Ledger{l}}
+		now := start + time.Minute
+		for range 200 {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
+			d.take(now, 0, rapid.Float64Range(0, even.Burst).Draw(t, "tokens"))
+		}
+		assert.Assert(t, d.most(window) <= (limit.Rate*window.Seconds()+limit.Burst)*(1+1e-9))
+		assert.Assert(t, even.Rate > limit.Rate)
+	})
+}
+
 // TestLedgerTellsWhen spreads the requests that were refused over the time in
 // which their tokens come in.
 func TestLedgerTellsWhen(t *testing.T) {
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -52,8 +52,9 @@
 // StartHostedEntry starts an entry. It returns once all listeners are open.
 func StartHostedEntry(s *checker.Settings, l *log.Logger) (*HostedEntry, error) {
 	e := &HostedEntry{hosted: newHosted(s, l)}
+	terms := gossiper.Terms{Window: time.Duration(s.Hosted.Window), Slack: slackPart * s.Hosted.Slack}
 	e.locator = locator.New(s.Name, s.Centre, e.started, e.clock, e.copy, l)
-	e.gossiper = gossiper.New(s.Name, e.started, slackPart*s.Hosted.Slack, e.clock, e.copy, l)
+	e.gossiper = gossiper.New(s.Name, e.started, terms, e.clock, e.copy, l)
 	backends := platform.NewBackends(e.clock)
 	e.core = dispatcher.NewCore(e.clock, e.gossiper, e.locator, backends, granted{}, router.NewBudget(0.1, 10), e.recorder, e.meter, l)
 	e.front = platform.NewFront(e)
