locator: copies by rate; pauses are felt at once

Change: the sidecars add up the rate of each model over all entries; a model has a copy for each 6 requests a second; a pause of over half of the aim counts when it is seen.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -99,8 +99,10 @@
 	Urgency int
 	// Hear takes the load that the backend server tells, unless it is nil.
 	Hear func(Load)
-	// Begun is called at the first event, unless it is nil.
+	// Begun is called at the first event, and Slow at a pause between two that is
+	// longer than any before it; both may be nil.
 	Begun func()
+	Slow  func(gap time.Duration)
 	// Release gives the place back, with how the attempt ended.
 	Release func(Report)
 }
@@ -380,7 +382,7 @@
 		if err != nil {
 			return nil, c.given(ctx, limited, err)
 		}
-		if err := c.pass(p, answer, e); err != nil {
+		if err := c.pass(p, place, answer, e); err != nil {
 			return nil, err
 		}
 	}
@@ -430,7 +432,7 @@
 }
 
 // pass passes one event on. Events have to follow one another without a gap.
-func (c *Core) pass(p *progress, answer Answer, e Event) error {
+func (c *Core) pass(p *progress, place *Place, answer Answer, e Event) error {
 	if e.Index != p.next {
 		return refuser.Unknown(refuser.Lost, "an event of another answer or place arrived")
 	}
@@ -443,18 +445,21 @@
 	if p.out.Pass(e) != nil {
 		return refuser.Unknown(refuser.Canceled, "the caller has given up")
 	}
-	c.passed(p, c.clock())
+	c.passed(p, place, c.clock())
 	p.next = e.Index + 1
 	return nil
 }
 
 // passed takes note of an event that was passed on at now.
-func (c *Core) passed(p *progress, now time.Duration) {
+func (c *Core) passed(p *progress, place *Place, now time.Duration) {
 	if p.first == 0 {
 		p.first = now - p.request.Begun
 		c.meter.First(p.request.Workspace, p.first)
-	} else {
-		p.gap = max(p.gap, now-p.last)
+	} else if gap := now - p.last; gap > p.gap {
+		p.gap = gap
+		if place.Slow != nil {
+			place.Slow(gap)
+		}
 	}
 	p.last = now
 }
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -248,6 +248,7 @@
 		Urgency: min(r.Priority, lastUrgency),
 		Hear:    func(load dispatcher.Load) { l.hear(s.ID, load) },
 		Begun:   func() { begun = true; l.begun(s.ID) },
+		Slow:    func(gap time.Duration) { l.slow(s.ID, r, gap) },
 		Release: func(rep dispatcher.Report) { l.release(s.ID, names, begun, r, rep) },
 	}
 }
@@ -299,6 +300,23 @@
 	}
 }
 
+// slowPart is the part of the longest pause on time from which a pause is felt at
+// once.
+const slowPart = 0.5
+
+// slow takes note of a pause between two events.
+func (l *Locator) slow(id string, r *dispatcher.Request, gap time.Duration) {
+	strain := float64(gap) / float64(r.Gap)
+	if r.Gap <= 0 || strain < slowPart {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b := l.fleet.Get(id); b != nil {
+		b.Feel(l.clock(), strain)
+	}
+}
+
 // release takes note of the end of an attempt.
 func (l *Locator) release(id string, names []string, begun bool, r *dispatcher.Request, rep dispatcher.Report) {
 	l.mu.Lock()
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -280,6 +280,29 @@
 	}
 }
 
+// TestCopiesByRate wants as many copies of a model as its requests need.
+func TestCopiesByRate(t *testing.T) {
+	for _, c := range []struct {
+		rate   float64
+		copies int
+		more   bool
+	}{{1, 1, false}, {7, 1, true}, {11, 2, false}, {14, 2, true}, {30, 5, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, 6)
+			for range 10 {
+				for i := range c.copies {
+					r.state(i, func(s *wire.Condition) { s.Residents[0].Rate = c.rate }, "m")
+				}
+				f := <-r.find(context.Background(), r.request("m", time.Second))
+				assert.NilError(t, f.err)
+				f.place.Release(dispatcher.Report{})
+				time.Sleep(100 * time.Millisecond)
+			}
+			assert.Equal(t, r.wanted("m", 6) >= 0, c.more, "%+v", c)
+		})
+	}
+}
+
 // TestAdapterGoesToItsBase asks an engine that has the base model for an adapter
 // of it.
 func TestAdapterGoesToItsBase(t *testing.T) {
--- a/locator/need.go
+++ b/locator/need.go
@@ -44,26 +44,39 @@
 	strained = 0.6
 	// filled is the part of an engine's slots from which they do.
 	filled = 0.5
+	// copyRate is the number of requests a second for a model that one engine is to
+	// serve.
+	copyRate = 6.0
 	// moreDelay is the longest time before an entry asks for another copy. Each
 	// entry has a delay of its own, so that mostly one asks.
-	moreDelay = 600 * time.Millisecond
+	moreDelay = 300 * time.Millisecond
 	// moreLife is how long the wish for another copy lasts without a new reason.
 	moreLife = 1500 * time.Millisecond
 )
 
-// press asks for another copy of r's model if all engines that serve it are near
-// their limits. The caller holds the lock.
-func (l *Locator) press(now time.Duration, r *dispatcher.Request) {
-	if r.Model == "" {
-		return
-	}
+// crowded reports whether the engines that serve r's model are too few. The caller
+// holds the lock.
+func (l *Locator) crowded(now time.Duration, r *dispatcher.Request) bool {
+	copies, rate, room := 0, 0.0, false
 	for _, b := range l.fleet.Pool(r.Pool) {
 		if !b.Holding(now).Has(r.Model) || b.Closing(now, r.Model) {
 			continue
 		}
-		if b.Strain(now) < strained && float64(b.Load()) < filled*float64(b.Server().Slots) {
-			return
-		}
+		copies++
+		rate = max(rate, b.Rate(now, r.Model))
+		room = room || b.Strain(now) < strained && float64(b.Load()) < filled*float64(b.Server().Slots)
+	}
+	return !room || float64(copies)*copyRate < rate
+}
+
+// press asks for another copy of r's model if the engines that serve it are too
+// few. The caller holds the lock.
+func (l *Locator) press(now time.Duration, r *dispatcher.Request) {
+	if r.Model == "" {
+		return
+	}
+	if !l.crowded(now, r) {
+		return
 	}
 	n := l.needs[r.Model]
 	if n == nil {
--- a/orderer/state.go
+++ b/orderer/state.go
@@ -44,7 +44,7 @@
 		for _, s := range []*wire.Condition{a, b} {
 			s.Running, s.Waiting, s.Used = 0, 0, 0
 			for _, r := range s.Residents {
-				r.Inflight, r.Keep = 0, 0
+				r.Inflight, r.Keep, r.Rate = 0, 0, 0
 			}
 		}
 	}
@@ -73,6 +73,7 @@
 			Bytes:    h.Bytes,
 			Inflight: uint32(h.Inflight),
 			Keep:     h.Keep(),
+			Rate:     h.Rate,
 			Closing:  h.Model == o.closing || o.current.Op == placer.Unload && o.current.Model == h.Model,
 		})
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -149,6 +149,16 @@
 	return Holding{Models: s.GetModels(), Coming: s.GetComing(), Memory: s.GetMemory(), Disk: s.GetDisk()}
 }
 
+// Rate returns the requests a second for a model of late, through all entries.
+func (b *Backend) Rate(now time.Duration, model string) float64 {
+	for _, r := range b.State(now).GetResidents() {
+		if r.GetModel() == model {
+			return r.GetRate()
+		}
+	}
+	return 0
+}
+
 // Closing reports whether a model is about to be unloaded.
 func (b *Backend) Closing(now time.Duration, model string) bool {
 	for _, r := range b.State(now).GetResidents() {
