--- /dev/null
+++ b/locator/growth.go
@@ -0,0 +1,136 @@
+package locator
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"oleanderstall/dispatcher"
+	"oleanderstall/placer"
+	"oleanderstall/router"
+	"oleanderstall/wire"
+)
+
+// Limits of the copies of a busy model.
+const (
+	// strained is the strain of an engine from which its models want more copies.
+	strained = 0.6
+	// filled is the part of an engine's slots from which they do.
+	filled = 0.5
+	// copyRate is the number of requests a second for a model that one engine is to
+	// serve.
+	copyRate = 6.0
+	// growthDelay is the longest time before an entry asks for another copy. Each
+	// entry has a delay of its own, so that mostly one asks.
+	growthDelay = 300 * time.Millisecond
+	// growthLife is how long the wish for more copies lasts without a new reason.
+	growthLife = 1500 * time.Millisecond
+)
+
+// growth is the wish for more copies of a model that serves already.
+type growth struct {
+	// copies is the number wanted, from the instant due until the instant until.
+	copies int
+	due    time.Duration
+	until  time.Duration
+	// asked holds the instants at which engines were asked.
+	asked map[string]time.Duration
+}
+
+// wantedCopies returns the number of copies that a model serves with and that it
+// should have. The caller holds the lock.
+func (l *Locator) wantedCopies(now time.Duration, pool, model string) (have, want int) {
+	rate, room := 0.0, false
+	for _, b := range l.fleet.Pool(pool) {
+		if !b.Holding(now).Has(model) || b.Closing(now, model) {
+			continue
+		}
+		have++
+		rate = max(rate, b.Rate(now, model))
+		room = room || b.Strain(now) < strained && float64(b.Load()) < filled*float64(b.Server().Slots)
+	}
+	want = int(math.Ceil(rate / copyRate))
+	if !room {
+		want = max(want, have+1)
+	}
+	return have, want
+}
+
+// press asks for more copies of r's model if the engines that serve it are too few.
+// The caller holds the lock.
+func (l *Locator) press(now time.Duration, r *dispatcher.Request) {
+	if r.Model == "" {
+		return
+	}
+	have, want := l.wantedCopies(now, r.Pool, r.Model)
+	if have >= want {
+		return
+	}
+	g := l.growing[r.Model]
+	if g == nil {
+		delay := time.Duration(router.Score(l.name, router.Hash(r.Model)) % uint64(growthDelay))
+		g = &growth{due: now + delay, asked: map[string]time.Duration{}}
+		l.growing[r.Model] = g
+	}
+	g.copies, g.until = want-have, now+growthLife
+	if now >= g.due {
+		l.grow(now, r.Model, g)
+	}
+}
+
+// grow asks engines for the copies that none is going to load yet. The caller holds
+// the lock.
+func (l *Locator) grow(now time.Duration, model string, g *growth) {
+	m := l.copy.View().Model(model)
+	skip := map[string]bool{}
+	planned := 0
+	for _, b := range l.fleet.Pool(m.GetPool()) {
+		id := b.Server().ID
+		loads := slices.ContainsFunc(b.State(now).GetTasks(), func(t *wire.Task) bool { return t.GetModel() == model && !t.GetBlocked() })
+		at, asked := g.asked[id]
+		switch {
+		case b.Holding(now).Has(model):
+			skip[id] = true
+		case loads, asked && now-at < chooseAgain:
+			skip[id] = true
+			planned++
+		}
+	}
+	for ; planned < g.copies; planned++ {
+		sites := l.sites(now, model, m, skip)
+		i, left := placer.Pick(sites, m.GetBytes())
+		if i < 0 {
+			return
+		}
+		id := sites[i].ID
+		g.asked[id], skip[id] = now, true
+		l.log.Info().Str("model", model).Str("server", id).Int("copies", g.copies).Int("planned", planned).
+			Int64("left", left.Milliseconds()).Int64("load", sites[i].Load.Milliseconds()).Msg("want: another copy")
+		l.tell(id)
+	}
+}
+
+// growthWants appends the copies that an engine was asked for. The caller holds the
+// lock.
+func (l *Locator) growthWants(now time.Duration, server string, wants []*wire.Want) []*wire.Want {
+	for model, g := range l.growing {
+		if now > g.until {
+			delete(l.growing, model)
+			continue
+		}
+		if now >= g.due {
+			l.grow(now, model, g)
+		}
+		if _, ok := g.asked[server]; ok {
+			wants = append(wants, &wire.Want{Model: model, Count: growthCount, Worth: growthWorth, Goal: math.MaxInt32})
+		}
+	}
+	return wants
+}
+
+// The wish for another copy counts as growthCount requests that wait, worth
+// growthWorth of one together.
+const (
+	growthCount = 2
+	growthWorth = 0.5
+)
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -43,7 +43,9 @@
 	fleet  *tracker.Fleet
 	demand *tracker.Demand
 	needs  map[string]*need
-	number uint64
+	// growing holds the models that want more copies.
+	growing map[string]*growth
+	number  uint64
 	// stopping is set when nothing may wait any more.
 	stopping bool
 	// queued are the requests whose model serves, but whose prompts wait.
@@ -67,6 +69,7 @@
 		fleet:   tracker.New(),
 		demand:  tracker.NewDemand(),
 		needs:   map[string]*need{},
+		growing: map[string]*growth{},
 		changed: make(chan struct{}),
 		wanted:  map[string]chan struct{}{},
 	}
--- a/locator/need.go
+++ b/locator/need.go
@@ -31,64 +31,13 @@
 	server string
 	asked  time.Duration
 	ready  time.Duration
-	// more is set if the model serves already and another copy is wanted, from the
-	// instant due until the instant until.
-	more  bool
-	due   time.Duration
-	until time.Duration
+	// promised is the instant until which requests that were refused are expected
+	// back.
+	promised time.Duration
 }
 
-// Limits of the copies of a busy model.
-const (
-	// strained is the strain of an engine from which its models want more copies.
-	strained = 0.6
-	// filled is the part of an engine's slots from which they do.
-	filled = 0.5
-	// copyRate is the number of requests a second for a model that one engine is to
-	// serve.
-	copyRate = 6.0
-	// moreDelay is the longest time before an entry asks for another copy. Each
-	// entry has a delay of its own, so that mostly one asks.
-	moreDelay = 300 * time.Millisecond
-	// moreLife is how long the wish for another copy lasts without a new reason.
-	moreLife = 1500 * time.Millisecond
-)
-
-// crowded reports whether the engines that serve r's model are too few. The caller
-// holds the lock.
-func (l *Locator) crowded(now time.Duration, r *dispatcher.Request) bool {
-	copies, rate, room := 0, 0.0, false
-	for _, b := range l.fleet.Pool(r.Pool) {
-		if !b.Holding(now).Has(r.Model) || b.Closing(now, r.Model) {
-			continue
-		}
-		copies++
-		rate = max(rate, b.Rate(now, r.Model))
-		room = room || b.Strain(now) < strained && float64(b.Load()) < filled*float64(b.Server().Slots)
-	}
-	return !room || float64(copies)*copyRate < rate
-}
-
-// press asks for another copy of r's model if the engines that serve it are too
-// few. The caller holds the lock.
-func (l *Locator) press(now time.Duration, r *dispatcher.Request) {
-	if r.Model == "" {
-		return
-	}
-	if !l.crowded(now, r) {
-		return
-	}
-	n := l.needs[r.Model]
-	if n == nil {
-		n = &need{name: r.Model, waiting: map[*dispatcher.Request]struct{}{}, more: true}
-		n.due = now + time.Duration(router.Score(l.name, router.Hash(r.Model))%uint64(moreDelay))
-		l.needs[r.Model] = n
-	}
-	n.until = now + moreLife
-	if now >= n.due {
-		l.ask(now, n, nil)
-	}
-}
+// over reports whether nobody waits for what is needed, nor is expected back.
+func (n *need) over(now time.Duration) bool { return len(n.waiting) == 0 && now >= n.promised }
 
 // join makes r wait for its model. The caller holds the lock.
 func (l *Locator) join(r *dispatcher.Request, h *dispatcher.History) (*need, error) {
@@ -116,16 +65,26 @@
 		return refuser.New(refuser.Leaving, "the entry stops before the model can be there").After(retryLeast)
 	}
 	if now >= last {
-		return refuser.New(refuser.Late, "the model was not there in time").After(retryLeast)
+		return n.refuse(now, "the model was not there in time")
 	}
 	l.ask(now, n, h.Tried)
 	if n.server != "" && n.ready > last {
-		return refuser.New(refuser.Late, "the model cannot be there in time").
-			After(min(max(n.ready-now, retryLeast), retryMost))
+		return n.refuse(now, "the model cannot be there in time")
 	}
 	return nil
 }
 
+// backTime is how long after the time told a caller may come back.
+const backTime = time.Second
+
+// refuse tells a caller to come back when the model is expected. The model stays
+// wanted until then.
+func (n *need) refuse(now time.Duration, text string) error {
+	retry := min(max(n.ready-now, retryLeast), retryMost)
+	n.promised = max(n.promised, now+retry+backTime)
+	return refuser.New(refuser.Late, text).After(retry)
+}
+
 // leave ends the wait of r, if it waits.
 func (l *Locator) leave(r *dispatcher.Request, n *need) {
 	if n == nil {
@@ -134,7 +93,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(n.waiting, r)
-	if len(n.waiting) == 0 && !n.more && l.needs[n.name] == n {
+	if n.over(l.clock()) && l.needs[n.name] == n {
 		delete(l.needs, n.name)
 		l.tell(n.server)
 	}
@@ -158,7 +117,7 @@
 			return
 		}
 	}
-	sites := l.sites(now, n, m, tried)
+	sites := l.sites(now, n.name, m, tried)
 	i, left := placer.Pick(sites, m.GetBytes())
 	if i < 0 {
 		n.server = ""
@@ -171,9 +130,9 @@
 	l.tell(n.server)
 }
 
-// sites lists the engines whose sidecars may load a model. The caller holds the
-// lock.
-func (l *Locator) sites(now time.Duration, n *need, m *wire.Model, tried map[string]bool) []placer.Site {
+// sites lists the engines whose sidecars may load a model, or an adapter of it. The
+// caller holds the lock.
+func (l *Locator) sites(now time.Duration, name string, m *wire.Model, tried map[string]bool) []placer.Site {
 	pool := l.fleet.Pool(m.GetPool())
 	fetching := 0
 	for _, b := range pool {
@@ -181,7 +140,7 @@
 			fetching++
 		}
 	}
-	hash := router.Hash(n.name)
+	hash := router.Hash(name)
 	var sites []placer.Site
 	for _, b := range pool {
 		state := b.State(now)
@@ -190,12 +149,7 @@
 		}
 		site := placer.Site{ID: b.Server().ID, Free: state.GetFree(), Score: router.Score(b.Server().ID, hash)}
 		held := b.Holding(now)
-		if held.Has(m.GetName()) {
-			if n.more {
-				continue
-			}
-			site.Planned = true
-		}
+		site.Planned = held.Has(m.GetName())
 		for _, t := range state.GetTasks() {
 			if t.GetModel() == m.GetName() && !t.GetBlocked() {
 				site.Planned = true
--- a/locator/tell.go
+++ b/locator/tell.go
@@ -7,9 +7,9 @@
 	"oleanderstall/wire"
 )
 
-// moreCount is the number of waiting requests that the wish for another copy
-// counts as.
-const moreCount = 3
+// promisedWorth is what a request that is expected back is worth, as a part of one
+// that waits.
+const promisedWorth = 0.5
 
 // lateWorth is what a late answer is worth, as a part of one on time.
 const lateWorth = 0.25
@@ -52,18 +52,16 @@
 	l.number++
 	t := &wire.Tell{Entry: l.name, Started: l.started, Number: l.number}
 	for name, n := range l.needs {
-		if n.more && now > n.until {
+		if n.over(now) {
 			delete(l.needs, name)
 			continue
 		}
-		if n.more && now < n.due {
-			continue
-		}
 		l.ask(now, n, nil)
 		if n.server == server {
 			t.Wants = append(t.Wants, n.want(now))
 		}
 	}
+	t.Wants = l.growthWants(now, server, t.Wants)
 	b := l.fleet.Get(server)
 	if b == nil {
 		return t
@@ -84,9 +82,9 @@
 // want is the message for what is needed.
 func (n *need) want(now time.Duration) *wire.Want {
 	w := &wire.Want{Model: n.name, Count: uint32(len(n.waiting)), Goal: 1 << 30}
-	if n.more {
-		w.Count += moreCount
-		w.Worth += moreCount
+	if now < n.promised {
+		w.Count++
+		w.Worth += promisedWorth
 	}
 	for r := range n.waiting {
 		worth := worth(r)
--- a/placer/site.go
+++ b/placer/site.go
@@ -11,7 +11,7 @@
 	// missTime is what a request that would miss an unloaded model counts.
 	missTime = 500 * time.Millisecond
 	// fullTime is the wait at an engine that has no idle model to unload.
-	fullTime = 1500 * time.Millisecond
+	fullTime = 800 * time.Millisecond
 )
 
 // Site is an engine that may load a model.
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -20,9 +20,9 @@
 
 // Periods with which a hosted entry follows the store.
 const (
-	configWait   = time.Second
-	serverWait   = time.Second
-	serverPeriod = 500 * time.Millisecond
+	configWait   = 4 * time.Second
+	serverWait   = 2 * time.Second
+	serverPeriod = 900 * time.Millisecond
 )
 
 // hosted is what both roles have in common on a platform that hosts them.
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -25,7 +25,7 @@
 
 // Periods with which the processes of a fleet are followed.
 const (
-	memberWait   = 3 * time.Second
+	memberWait   = 10 * time.Second
 	memberPeriod = 500 * time.Millisecond
 )
 
