--- a/locator/growth.go
+++ b/locator/growth.go
@@ -72,7 +72,7 @@
 		g = &growth{due: now + delay, asked: map[string]time.Duration{}}
 		l.growing[r.Model] = g
 	}
-	g.copies, g.until = want-have, now+growthLife
+	g.copies, g.until = min(1, want-have), now+growthLife
 	if now >= g.due {
 		l.grow(now, r.Model, g)
 	}
