logger: a queue of lines that never blocks; metrics of hosted processes; copies one at a time, worth a waiting batch

Cause (role): a process that ended without a signal waited for its reloader for ever (TestNoticeFromListAlone hung); the reloader ends with the process now. Logs go to standard output through a queue of 4096 lines; lines over it or over 2000 a second are dropped, counted, and told. Metrics are served on port 9464 of each process: ports of the site differ, the deploy file names one.

--- a/cmd/oleanderstall/role.go
+++ b/cmd/oleanderstall/role.go
@@ -15,7 +15,10 @@
 
 	"oleanderstall/checker"
 	"oleanderstall/imitator"
+	"oleanderstall/logger"
+	"oleanderstall/meter"
 	"oleanderstall/runner"
+	"oleanderstall/timer"
 )
 
 // roleCommand runs an entry or a sidecar.
@@ -38,6 +41,7 @@
 // process is a started entry or sidecar.
 type process interface {
 	Addresses() runner.Addresses
+	Meter() *meter.Meter
 	Run(ctx context.Context)
 	// Reload takes settings that were changed.
 	Reload(s *checker.Settings)
@@ -53,11 +57,14 @@
 		return &RoleError{Want: c.role, Got: s.Role}
 	}
 	runner.Fit(s)
-	l := runner.Logger(s.Log.Level, s.Name)
+	lines := logger.New(logger.Usual(s.Log.Level), s.Name, os.Stdout, timer.Now)
+	defer lines.Close()
+	l := lines.Log()
 	p, err := start(s, l)
 	if err != nil {
 		return err
 	}
+	p.Meter().Dropped(lines.Dropped)
 	a := p.Addresses()
 	l.Info().Str("peer", a.Peer).Str("admin", a.Admin).Str("callers", a.Callers).
 		Str("operators", a.Operators).Msg("start: ready")
@@ -68,6 +75,8 @@
 	r := runner.NewReloader(c.Settings, s, p.Reload, l)
 	go r.Run(ctx, reload)
 	p.Run(ctx)
+	// A process that was listed as leaving ends without a signal.
+	stop()
 	<-r.Done()
 	return nil
 }
@@ -124,8 +133,9 @@
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
-	lg := runner.Logger("info", "standin-"+c.Args.Kind)
-	lg.Info().Str("listen", l.Addr().String()).Msg("start: ready")
+	lines := logger.New(logger.Usual("info"), "standin-"+c.Args.Kind, os.Stdout, timer.Now)
+	defer lines.Close()
+	lines.Log().Info().Str("listen", l.Addr().String()).Msg("start: ready")
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -20,9 +20,11 @@
 
 	"oleanderstall/checker"
 	"oleanderstall/imitator"
+	"oleanderstall/logger"
 	"oleanderstall/operator"
 	"oleanderstall/recorder"
 	"oleanderstall/runner"
+	"oleanderstall/timer"
 )
 
 // Sizes of the embedded fleet.
@@ -61,7 +63,7 @@
 // Run starts the fleet, sets it up as an operator would, sends a request and
 // prints what happened.
 func Run(ctx context.Context) error {
-	f := &fleet{token: rand.Text(), secret: checker.Secret(rand.Text()), logger: runner.Logger("error", "demo")}
+	f := &fleet{token: rand.Text(), secret: checker.Secret(rand.Text()), logger: logger.New(logger.Usual("error"), "demo", os.Stderr, timer.Now).Log()}
 	defer f.stop()
 	if err := f.start(); err != nil {
 		return &StepError{Step: "start the fleet", cause: err}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -279,7 +279,9 @@
 // attempts tries backend servers until one has finished the answer.
 func (c *Core) attempts(ctx context.Context, p *progress) (any, error) {
 	for {
+		asked := c.clock()
 		place, err := c.finder.Find(ctx, p.request, &p.history)
+		c.meter.Waited(c.clock() - asked)
 		if err != nil {
 			return nil, outcome(err, p.open)
 		}
@@ -332,6 +334,7 @@
 	if c.clock() >= r.Deadline || !c.spend() {
 		return false
 	}
+	c.meter.Retry(f.Kind().String())
 	c.recorder.Note(time.Now(), "request/"+r.ID, "attempt at "+p.server+" ended: "+f.Error())
 	c.log.Info().Str("request", r.ID).Str("server", p.server).Str("kind", f.Kind().String()).
 		Bool("never", f.Never()).Uint64("next", p.next).Str("cause", f.Text()).Msg("retry")
@@ -468,6 +471,7 @@
 func (c *Core) served(p *progress) {
 	r := p.request
 	c.meter.Request(r.Workspace, "served")
+	c.meter.Took("served", c.clock()-r.Begun)
 	c.log.Info().Str("request", r.ID).Str("workspace", r.Workspace).Str("route", r.Route).Str("model", r.Model).
 		Str("adapter", r.Adapter).Str("server", p.server).Uint64("events", p.next-r.From).
 		Int64("first", p.first.Milliseconds()).Int64("gap", p.gap.Milliseconds()).Int64("took", (c.clock()-r.Begun).Milliseconds()).
@@ -478,6 +482,7 @@
 func (c *Core) refused(p *progress, err error) error {
 	f, r := refuser.Of(err), p.request
 	c.meter.Request(r.Workspace, f.Kind().String())
+	c.meter.Took(f.Kind().String(), c.clock()-r.Begun)
 	switch f.Kind() {
 	case refuser.Limited, refuser.TooLarge, refuser.Canceled:
 	default:
--- a/locator/growth.go
+++ b/locator/growth.go
@@ -27,12 +27,11 @@
 	growthLife = 1500 * time.Millisecond
 )
 
-// growth is the wish for more copies of a model that serves already.
+// growth is the wish for another copy of a model that serves already, from the
+// instant due until the instant until.
 type growth struct {
-	// copies is the number wanted, from the instant due until the instant until.
-	copies int
-	due    time.Duration
-	until  time.Duration
+	due   time.Duration
+	until time.Duration
 	// asked holds the instants at which engines were asked.
 	asked map[string]time.Duration
 }
@@ -72,18 +71,17 @@
 		g = &growth{due: now + delay, asked: map[string]time.Duration{}}
 		l.growing[r.Model] = g
 	}
-	g.copies, g.until = min(1, want-have), now+growthLife
+	g.until = now + growthLife
 	if now >= g.due {
 		l.grow(now, r.Model, g)
 	}
 }
 
-// grow asks engines for the copies that none is going to load yet. The caller holds
+// grow asks an engine for a copy unless one is going to load it. The caller holds
 // the lock.
 func (l *Locator) grow(now time.Duration, model string, g *growth) {
 	m := l.copy.View().Model(model)
 	skip := map[string]bool{}
-	planned := 0
 	for _, b := range l.fleet.Pool(m.GetPool()) {
 		id := b.Server().ID
 		loads := slices.ContainsFunc(b.State(now).GetTasks(), func(t *wire.Task) bool { return t.GetModel() == model && !t.GetBlocked() })
@@ -92,22 +90,19 @@
 		case b.Holding(now).Has(model):
 			skip[id] = true
 		case loads, asked && now-at < chooseAgain:
-			skip[id] = true
-			planned++
-		}
-	}
-	for ; planned < g.copies; planned++ {
-		sites := l.sites(now, model, m, skip)
-		i, left := placer.Pick(sites, m.GetBytes())
-		if i < 0 {
 			return
 		}
-		id := sites[i].ID
-		g.asked[id], skip[id] = now, true
-		l.log.Info().Str("model", model).Str("server", id).Int("copies", g.copies).Int("planned", planned).
-			Int64("left", left.Milliseconds()).Int64("load", sites[i].Load.Milliseconds()).Msg("want: another copy")
-		l.tell(id)
 	}
+	sites := l.sites(now, model, m, skip)
+	i, left := placer.Pick(sites, m.GetBytes())
+	if i < 0 {
+		return
+	}
+	id := sites[i].ID
+	g.asked[id] = now
+	l.log.Info().Str("model", model).Str("server", id).Int("sites", len(sites)).
+		Int64("left", left.Milliseconds()).Int64("load", sites[i].Load.Milliseconds()).Msg("want: another copy")
+	l.tell(id)
 }
 
 // growthWants appends the copies that an engine was asked for. The caller holds the
@@ -131,6 +126,6 @@
 // The wish for another copy counts as growthCount requests that wait, worth
 // growthWorth of one together.
 const (
-	growthCount = 2
-	growthWorth = 0.5
+	growthCount = 3
+	growthWorth = 3.0
 )
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -22,6 +22,11 @@
 	idle     prometheus.Counter
 	config   prometheus.Gauge
 	shards   prometheus.Gauge
+	took     *prometheus.HistogramVec
+	waited   prometheus.Histogram
+	retries  *prometheus.CounterVec
+	orders   *prometheus.CounterVec
+	calls    *prometheus.HistogramVec
 }
 
 // New returns metrics that all start at zero.
@@ -56,7 +61,26 @@
 			Name: "oleanderstall_shards_held", Help: "Shards held by this process.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.tokens, m.wrongful, m.first, m.cold, m.idle, m.config, m.shards)
+	m.took = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "oleanderstall_request_seconds", Help: "Time from the arrival of a request to its end, by outcome.",
+		Buckets: prometheus.ExponentialBuckets(0.005, 2, 14),
+	}, []string{"outcome"})
+	m.waited = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "oleanderstall_place_wait_seconds", Help: "Time that an attempt waited for a backend server.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+	})
+	m.retries = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "oleanderstall_retries_total", Help: "Attempts that ended and were followed by another, by cause.",
+	}, []string{"kind"})
+	m.orders = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "oleanderstall_orders_total", Help: "Orders to the engine, by kind and outcome.",
+	}, []string{"op", "outcome"})
+	m.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "oleanderstall_store_call_seconds", Help: "Calls to the store, by kind and outcome.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+	}, []string{"call", "outcome"})
+	m.registry.MustRegister(m.requests, m.tokens, m.wrongful, m.first, m.cold, m.idle, m.config, m.shards,
+		m.took, m.waited, m.retries, m.orders, m.calls)
 	return m
 }
 
@@ -65,6 +89,33 @@
 	m.requests.WithLabelValues(workspace, outcome).Inc()
 }
 
+// Took records the time that a request took until its outcome.
+func (m *Meter) Took(outcome string, d time.Duration) {
+	m.took.WithLabelValues(outcome).Observe(d.Seconds())
+}
+
+// Waited records the time that an attempt waited for a backend server.
+func (m *Meter) Waited(d time.Duration) { m.waited.Observe(d.Seconds()) }
+
+// Retry counts an attempt that ended with a refusal kind and was followed by
+// another.
+func (m *Meter) Retry(kind string) { m.retries.WithLabelValues(kind).Inc() }
+
+// Order counts an order to the engine.
+func (m *Meter) Order(op, outcome string) { m.orders.WithLabelValues(op, outcome).Inc() }
+
+// Call records a call to the store.
+func (m *Meter) Call(call, outcome string, d time.Duration) {
+	m.calls.WithLabelValues(call, outcome).Observe(d.Seconds())
+}
+
+// Dropped adds the number of log lines that were dropped, as f tells it.
+func (m *Meter) Dropped(f func() uint64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "oleanderstall_log_lines_dropped_total", Help: "Log lines dropped because there were too many.",
+	}, func() float64 { return float64(f()) }))
+}
+
 // Wrongful counts a request refused although inside its workspace's rate.
 func (m *Meter) Wrongful(workspace, kind string) {
 	m.wrongful.WithLabelValues(workspace, kind).Inc()
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 
 	"oleanderstall/configurer"
+	"oleanderstall/meter"
 	"oleanderstall/peer"
 	"oleanderstall/placer"
 	"oleanderstall/refuser"
@@ -63,6 +64,7 @@
 	engine    Engine
 	directory Directory
 	copy      *configurer.Configurer
+	meter     *meter.Meter
 	log       *log.Logger
 	kick      chan struct{}
 	done      chan struct{}
@@ -95,13 +97,14 @@
 }
 
 // New returns an orderer that has not seen its engine yet.
-func New(t Terms, clock timer.Clock, e Engine, d Directory, c *configurer.Configurer, l *log.Logger) *Orderer {
+func New(t Terms, clock timer.Clock, e Engine, d Directory, c *configurer.Configurer, m *meter.Meter, l *log.Logger) *Orderer {
 	return &Orderer{
 		terms:     t,
 		clock:     clock,
 		engine:    e,
 		directory: d,
 		copy:      c,
+		meter:     m,
 		log:       l,
 		kick:      make(chan struct{}, 1),
 		done:      make(chan struct{}),
@@ -213,6 +216,9 @@
 	if o.current.Op != placer.None && !r.Busy {
 		o.log.Info().Str("server", o.server).Str("op", o.current.Op.String()).Str("model", o.current.Model).
 			Bool("there", r.Has(o.current.Model)).Int64("took", (now - o.begun).Milliseconds()).Msg("order: complete")
+		if o.current.Op == placer.Load {
+			o.meter.Cold(now - o.begun)
+		}
 		o.current = placer.Step{}
 	}
 	o.report, o.reported = r, now
@@ -287,6 +293,7 @@
 // send sends an order and records it.
 func (o *Orderer) send(ctx context.Context, order Order, cause string) Outcome {
 	outcome, err := o.engine.Order(ctx, order)
+	o.meter.Order(order.Op.String(), outcome.String())
 	e := o.log.Info().Str("server", order.Server).Str("op", order.Op.String()).Str("model", order.Model).
 		Str("adapter", order.Adapter).Str("for", cause).Uint64("sequence", order.Sequence).
 		Uint64("fence", order.Fence).Str("outcome", outcome.String())
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -37,23 +37,41 @@
 	recorder *recorder.Recorder
 	meter    *meter.Meter
 	tasks    *group
+	admin    *server
 }
 
 func newHosted(s *checker.Settings, l *log.Logger) *hosted {
 	h := &hosted{
 		log:      l,
 		clock:    timer.Now,
-		store:    platform.NewStore(s.Hosted.Store),
 		started:  time.Now().UnixNano(),
 		copy:     configurer.New(),
 		recorder: recorder.New(s.Name, records),
 		meter:    meter.New(),
 		tasks:    newGroup(),
 	}
+	h.store = platform.NewStore(s.Hosted.Store, h.called)
 	h.settings.Store(s)
 	return h
 }
 
+// startAdmin serves metrics and health. A process whose address for them is taken
+// serves without them.
+func (h *hosted) startAdmin(ready func() bool) {
+	var err error
+	if h.admin, err = listenAdmin(h.settings.Load().Admin, h.meter, ready); err != nil {
+		h.log.Error().Err(err).Msg("start: no metrics")
+	}
+}
+
+// called counts a call to the store.
+func (h *hosted) called(call string, took time.Duration, err error) {
+	h.meter.Call(call, storer.Outcome(err), took)
+}
+
+// Meter returns the metrics of the process.
+func (h *hosted) Meter() *meter.Meter { return h.meter }
+
 // Reload takes settings that were changed. A stop that comes later goes by them.
 func (h *hosted) Reload(s *checker.Settings) { h.settings.Store(s) }
 
@@ -103,6 +121,7 @@
 		}
 		before := h.copy.View().Version()
 		h.copy.Restore(change)
+		h.meter.Config(change.GetVersion())
 		h.log.Info().Uint64("version", change.GetVersion()).Uint64("before", before).Uint64("row", r.Version).
 			Int("routes", len(change.GetRoutes())).Int("keys", len(change.GetKeys())).Msg("config: in force")
 	}
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -65,6 +65,7 @@
 	if e.ready, err = listen(s.Hosted.Ready, platform.Ready(e.isReady), nil); err != nil {
 		return nil, err
 	}
+	e.startAdmin(e.isReady)
 	e.tasks.run(backends.Run)
 	e.follow(follower.Terms{Table: platform.ConfigTable, Wait: configWait}, func(now time.Duration, rows []storer.Row) {
 		e.configured(now, rows)
@@ -205,7 +206,9 @@
 }
 
 // Addresses returns where the entry listens.
-func (e *HostedEntry) Addresses() Addresses { return Addresses{Callers: e.callers.address()} }
+func (e *HostedEntry) Addresses() Addresses {
+	return Addresses{Callers: e.callers.address(), Admin: e.admin.address()}
+}
 
 // Run serves until ctx ends, and then drains.
 func (e *HostedEntry) Run(ctx context.Context) {
@@ -237,6 +240,7 @@
 	}
 	e.tasks.stop()
 	e.ready.stop(ctx)
+	e.admin.stop(ctx)
 	e.log.Info().Int64("took", (e.clock() - begun).Milliseconds()).Msg("stop: complete")
 }
 
--- a/runner/hostedsidecar.go
+++ b/runner/hostedsidecar.go
@@ -20,6 +20,9 @@
 	sidecarPeriod = time.Second
 )
 
+// adminStop bounds the end of the listener for metrics.
+const adminStop = 200 * time.Millisecond
+
 // HostedSidecar is a running sidecar on a platform that hosts it. It orders the
 // engine on its instance; requests do not pass through it.
 type HostedSidecar struct {
@@ -38,7 +41,8 @@
 	c := &HostedSidecar{hosted: newHosted(s, l), address: u.Host}
 	c.tenure = &tenure{clock: c.clock}
 	terms := orderer.Terms{Holder: s.Name, Pool: s.Sidecar.Pool, Address: c.address}
-	c.orderer = orderer.New(terms, c.clock, platform.NewEngine(c.address), c, c.copy, l)
+	c.orderer = orderer.New(terms, c.clock, platform.NewEngine(c.address), c, c.copy, c.meter, l)
+	c.startAdmin(c.isReady)
 	c.follow(follower.Terms{Table: platform.ConfigTable, Wait: sidecarWait, Period: sidecarPeriod}, c.configured)
 	c.tasks.run(c.meet)
 	c.tasks.run(c.orderer.Run)
@@ -81,7 +85,10 @@
 }
 
 // Addresses returns where the sidecar listens.
-func (c *HostedSidecar) Addresses() Addresses { return Addresses{} }
+func (c *HostedSidecar) Addresses() Addresses { return Addresses{Admin: c.admin.address()} }
+
+// isReady reports whether the sidecar may order its engine.
+func (c *HostedSidecar) isReady() bool { return c.Fence() != 0 }
 
 // Run serves until ctx ends.
 func (c *HostedSidecar) Run(ctx context.Context) {
@@ -96,5 +103,8 @@
 		c.node.Close()
 	}
 	c.tasks.stop()
+	ctx, cancel := context.WithTimeout(context.Background(), adminStop)
+	defer cancel()
+	c.admin.stop(ctx)
 	c.log.Info().Msg("stop: complete")
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -9,12 +9,10 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/gorilla/mux"
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 
@@ -65,15 +63,6 @@
 	admin    *server
 }
 
-// Logger returns the logger of a process at a level such as "info".
-func Logger(level, instance string) *log.Logger {
-	return &log.Logger{
-		Level:   log.ParseLevel(level),
-		Writer:  &log.IOWriter{Writer: os.Stderr},
-		Context: log.NewContext(nil).Str("instance", instance).Value(),
-	}
-}
-
 // newProcess opens the peer listener and builds the common parts.
 func newProcess(s *checker.Settings, l *log.Logger, pool string) (*process, error) {
 	identity, err := peer.NewIdentity(s.Secret.Reveal(), s.Name)
@@ -107,6 +96,9 @@
 	return p, nil
 }
 
+// Meter returns the metrics of the process.
+func (p *process) Meter() *meter.Meter { return p.meter }
+
 // Reload implements the reaction to changed settings; the log level is all that a
 // running process changes.
 func (p *process) Reload(*checker.Settings) {}
@@ -175,20 +167,8 @@
 }
 
 // startAdmin serves metrics and health.
-func (p *process) startAdmin() error {
-	if p.settings.Admin == "" {
-		return nil
-	}
-	m := mux.NewRouter()
-	m.Handle("/metrics", p.meter.Handler())
-	m.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
-	m.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !p.ready.Load() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-		}
-	})
-	var err error
-	p.admin, err = listen(p.settings.Admin, m, nil)
+func (p *process) startAdmin() (err error) {
+	p.admin, err = listenAdmin(p.settings.Admin, p.meter, p.ready.Load)
 	return err
 }
 
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -7,7 +7,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"strconv"
 	"time"
 )
 
@@ -172,6 +174,26 @@
 	return fmt.Sprintf("the store no longer has the changes after version %d", e.After)
 }
 
+// Outcome is a short word for how a call ended, for metrics.
+func Outcome(err error) string {
+	var (
+		refused *RefusedError
+		busy    *BusyError
+		unknown *UnknownError
+	)
+	switch {
+	case err == nil:
+		return "done"
+	case errors.As(err, &refused):
+		return "refused " + strconv.Itoa(refused.Status)
+	case errors.As(err, &busy):
+		return "busy"
+	case errors.As(err, &unknown):
+		return "unknown"
+	}
+	return "unreadable"
+}
+
 // FormatError reports an answer that cannot be read.
 type FormatError struct {
 	Text  string
