locator: an entry that starts hears the sidecars before it lets an engine fetch; copies beside a fetch

Ruled out: late sidecars (all heard within 0.6 s of their start when the store answers). Tests of both loads without network: locator/meet_test.go, failing before.

--- a/cmd/oleanderstall/role.go
+++ b/cmd/oleanderstall/role.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -60,6 +61,9 @@
 	lines := logger.New(logger.Usual(s.Log.Level), s.Name, os.Stdout, timer.Now)
 	defer lines.Close()
 	l := lines.Log()
+	// Libraries that write to the standard log write to this one.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(l.Std("", 0).Writer())
 	p, err := start(s, l)
 	if err != nil {
 		return err
--- a/locator/growth.go
+++ b/locator/growth.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"oleanderstall/dispatcher"
@@ -77,25 +76,24 @@
 	}
 }
 
-// grow asks an engine for a copy unless one is going to load it. The caller holds
-// the lock.
+// grow asks the engine that can serve another copy first, unless that one loads it
+// already or one was asked just now. The caller holds the lock.
 func (l *Locator) grow(now time.Duration, model string, g *growth) {
 	m := l.copy.View().Model(model)
 	skip := map[string]bool{}
 	for _, b := range l.fleet.Pool(m.GetPool()) {
 		id := b.Server().ID
-		loads := slices.ContainsFunc(b.State(now).GetTasks(), func(t *wire.Task) bool { return t.GetModel() == model && !t.GetBlocked() })
 		at, asked := g.asked[id]
 		switch {
 		case b.Holding(now).Has(model):
 			skip[id] = true
-		case loads, asked && now-at < chooseAgain:
+		case asked && now-at < chooseAgain:
 			return
 		}
 	}
 	sites := l.sites(now, model, m, skip)
 	i, left := placer.Pick(sites, m.GetBytes())
-	if i < 0 {
+	if i < 0 || sites[i].Planned || l.early(now, m.GetPool(), sites[i]) {
 		return
 	}
 	id := sites[i].ID
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -46,6 +46,8 @@
 	// growing holds the models that want more copies.
 	growing map[string]*growth
 	number  uint64
+	// met is the instant of a sidecar's first word.
+	met time.Duration
 	// stopping is set when nothing may wait any more.
 	stopping bool
 	// queued are the requests whose model serves, but whose prompts wait.
@@ -112,7 +114,11 @@
 func (l *Locator) State(s *wire.Condition) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fleet.Tell(l.clock(), s)
+	now := l.clock()
+	if l.met == 0 {
+		l.met = now
+	}
+	l.fleet.Tell(now, s)
 	l.wake()
 }
 
--- /dev/null
+++ b/locator/meet_test.go
@@ -0,0 +1,82 @@
+package locator
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"oleanderstall/dispatcher"
+	"oleanderstall/tracker"
+	"oleanderstall/wire"
+)
+
+// busy is a sidecar's word that its engine serves m at 10 requests a second.
+func busy(s *wire.Condition) { s.Residents[0].Rate = 10 }
+
+// bare is a sidecar's word that its engine has no checkpoint on its disk.
+func bare(s *wire.Condition) { s.Disk = nil }
+
+// TestMeetsFirst is the load after all processes were started at once: requests
+// wait, the first sidecar that an entry hears of has no copy, the second one has.
+// No checkpoint is fetched that an engine has on its disk.
+func TestMeetsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 0)
+		for i := range 2 {
+			r.locator.List(tracker.Server{ID: engine(i), Pool: "p", Address: engine(i), Centre: "z", Slots: 32, Born: 1})
+		}
+		got := r.find(context.Background(), r.request("m", 3*time.Second))
+		r.state(0, bare)
+		assert.Equal(t, r.wanted("m", 2), -1)
+		time.Sleep(300 * time.Millisecond)
+		r.state(1, nil)
+		assert.Equal(t, r.wanted("m", 2), 1)
+		r.state(1, nil, "m")
+		assert.NilError(t, (<-got).err)
+	})
+}
+
+// TestMeetsNotForLong fetches a checkpoint once the missing sidecar has had its
+// time.
+func TestMeetsNotForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		r.state(0, bare)
+		r.locator.List(tracker.Server{ID: engine(1), Pool: "p", Address: engine(1), Centre: "z", Slots: 32, Born: 1})
+		got := r.find(context.Background(), r.request("m", 20*time.Second))
+		assert.Equal(t, r.wanted("m", 2), -1)
+		time.Sleep(meetTime)
+		r.state(0, bare)
+		assert.Equal(t, r.wanted("m", 2), 0)
+		r.state(0, nil, "m")
+		assert.NilError(t, (<-got).err)
+	})
+}
+
+// TestCopyBesideFetch is a busy model whose next copy is being fetched from the
+// weight store: an engine that has it on its disk is asked meanwhile.
+func TestCopyBesideFetch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 3)
+		tell := func() {
+			r.state(0, busy, "m")
+			r.state(1, func(s *wire.Condition) {
+				s.Disk = nil
+				s.Tasks = []*wire.Task{{Model: "m", Left: 5000}}
+			})
+			r.state(2, nil)
+		}
+		for range 10 {
+			tell()
+			f := <-r.find(context.Background(), r.request("m", time.Second))
+			assert.NilError(t, f.err)
+			f.place.Release(dispatcher.Report{})
+			time.Sleep(100 * time.Millisecond)
+		}
+		tell()
+		assert.Equal(t, r.wanted("m", 3), 2)
+	})
+}
--- a/locator/need.go
+++ b/locator/need.go
@@ -119,7 +119,7 @@
 	}
 	sites := l.sites(now, n.name, m, tried)
 	i, left := placer.Pick(sites, m.GetBytes())
-	if i < 0 {
+	if i < 0 || l.early(now, m.GetPool(), sites[i]) {
 		n.server = ""
 		return
 	}
@@ -130,6 +130,20 @@
 	l.tell(n.server)
 }
 
+// meetTime is how long an entry that has just started waits for the word of all
+// sidecars before it lets an engine fetch a checkpoint that another may have.
+const meetTime = 800 * time.Millisecond
+
+// early reports whether a site would fetch a checkpoint although sidecars of the
+// pool that may know a nearer copy have not been heard yet. The caller holds the
+// lock.
+func (l *Locator) early(now time.Duration, pool string, s placer.Site) bool {
+	if s.Planned || !s.Fetch || now-l.met >= meetTime {
+		return false
+	}
+	return slices.ContainsFunc(l.fleet.Pool(pool), func(b *tracker.Backend) bool { return b.State(now) == nil })
+}
+
 // sites lists the engines whose sidecars may load a model, or an adapter of it. The
 // caller holds the lock.
 func (l *Locator) sites(now time.Duration, name string, m *wire.Model, tried map[string]bool) []placer.Site {
@@ -158,7 +172,7 @@
 			}
 			site.Queue = max(site.Queue, timer.Span(t.GetLeft()))
 		}
-		site.Load = loadTime(held, m, fetching)
+		site.Load, site.Fetch = loadTime(held, m, fetching)
 		for _, res := range state.GetResidents() {
 			if res.GetInflight() == 0 && b.InflightOf(res.GetModel()) == 0 && l.needs[res.GetModel()] == nil {
 				site.Idle = append(site.Idle, held1(res))
@@ -174,18 +188,19 @@
 	return placer.Held{Model: r.GetModel(), Bytes: r.GetBytes(), Rate: r.GetKeep(), Reload: time.Second}
 }
 
-// loadTime is the duration of a load by where the checkpoint is cached. Loads
-// from the weight store take longer the more of them run.
-func loadTime(h tracker.Holding, m *wire.Model, fetching int) time.Duration {
+// loadTime is the duration of a load by where the checkpoint is cached, and
+// whether it comes from the weight store. Loads from there take longer the more of
+// them run.
+func loadTime(h tracker.Holding, m *wire.Model, fetching int) (took time.Duration, fetch bool) {
 	switch {
 	case slices.Contains(h.Memory, m.GetName()):
-		return timer.Span(m.GetMemory())
+		return timer.Span(m.GetMemory()), false
 	case slices.Contains(h.Disk, m.GetName()):
-		return timer.Span(m.GetDisk())
+		return timer.Span(m.GetDisk()), false
 	}
 	remote := timer.Span(m.GetRemote())
 	if fetching >= fetchesAtOnce {
 		remote = remote * time.Duration(fetching+1) / fetchesAtOnce
 	}
-	return remote
+	return remote, true
 }
--- a/placer/site.go
+++ b/placer/site.go
@@ -23,6 +23,8 @@
 	Idle []Held
 	// Load is the duration of the load there.
 	Load time.Duration
+	// Fetch is set if the load is from the weight store.
+	Fetch bool
 	// Queue is the duration of the loads before it.
 	Queue time.Duration
 	// Planned is set if the engine is going to load the model anyway, in Queue.
