--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -38,13 +38,20 @@
 	r.copy.Restore(change)
 	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
 	r.locator = New("entry", "z", 1, r.clock, r.copy, l)
+	r.list(engines)
 	for i := range engines {
-		r.locator.List(tracker.Server{ID: engine(i), Pool: "p", Address: engine(i), Centre: "z", Slots: 32, Born: 1})
 		r.state(i, nil)
 	}
 	return r
 }
 
+// list lists the first engines.
+func (r *rig) list(engines int) {
+	for i := range engines {
+		r.locator.List(tracker.Server{ID: engine(i), Pool: "p", Address: engine(i), Centre: "z", Slots: 32, Born: 1})
+	}
+}
+
 func engine(i int) string { return fmt.Sprint("e", i) }
 
 // state is a sidecar's word: the engine serves those models, and has all models on
--- a/locator/meet_test.go
+++ b/locator/meet_test.go
@@ -9,7 +9,6 @@
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/dispatcher"
-	"oleanderstall/tracker"
 	"oleanderstall/wire"
 )
 
@@ -25,9 +24,7 @@
 func TestMeetsFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 0)
-		for i := range 2 {
-			r.locator.List(tracker.Server{ID: engine(i), Pool: "p", Address: engine(i), Centre: "z", Slots: 32, Born: 1})
-		}
+		r.list(2)
 		got := r.find(context.Background(), r.request("m", 3*time.Second))
 		r.state(0, bare)
 		assert.Equal(t, r.wanted("m", 2), -1)
@@ -45,7 +42,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 1)
 		r.state(0, bare)
-		r.locator.List(tracker.Server{ID: engine(1), Pool: "p", Address: engine(1), Centre: "z", Slots: 32, Born: 1})
+		r.list(2)
 		got := r.find(context.Background(), r.request("m", 20*time.Second))
 		assert.Equal(t, r.wanted("m", 2), -1)
 		time.Sleep(meetTime)
--- a/locator/need.go
+++ b/locator/need.go
@@ -18,6 +18,15 @@
 // one is asked.
 const chooseAgain = 600 * time.Millisecond
 
+// Limits of the search for another engine while the one that was asked has no
+// model to unload.
+const (
+	// movePeriod is between two searches.
+	movePeriod = 100 * time.Millisecond
+	// moveGain is what another engine has to be earlier.
+	moveGain = 300 * time.Millisecond
+)
+
 // fetchesAtOnce is the number of loads from the weight store at full speed.
 const fetchesAtOnce = 4
 
@@ -31,6 +40,8 @@
 	server string
 	asked  time.Duration
 	ready  time.Duration
+	// searched is the instant of the latest search for an engine.
+	searched time.Duration
 	// promised is the instant until which requests that were refused are expected
 	// back.
 	promised time.Duration
@@ -106,23 +117,23 @@
 	if m.GetBase() != "" {
 		m = l.copy.View().Model(m.GetBase())
 	}
-	if b := l.fleet.Get(n.server); b != nil && !tried[n.server] {
-		s := b.State(now)
-		i := slices.IndexFunc(s.GetTasks(), func(t *wire.Task) bool { return t.GetModel() == m.GetName() })
-		if i >= 0 && (!s.GetTasks()[i].GetBlocked() || now-n.asked < chooseAgain) {
-			n.ready = now + timer.Span(s.GetTasks()[i].GetLeft())
-			return
-		}
-		if s != nil && !s.GetLeaving() && now-n.asked < chooseAgain {
-			return
-		}
+	if !tried[n.server] && l.expects(now, n, m) {
+		return
 	}
+	n.searched = now
 	sites := l.sites(now, n.name, m, tried)
 	i, left := placer.Pick(sites, m.GetBytes())
 	if i < 0 || l.early(now, m.GetPool(), sites[i]) {
 		n.server = ""
 		return
 	}
+	have := slices.IndexFunc(sites, func(s placer.Site) bool { return s.ID == n.server })
+	if have >= 0 && sites[have].Waits {
+		if stay := sites[have].Cost(m.GetBytes()); have == i || stay < left+moveGain {
+			n.ready = now + stay
+			return
+		}
+	}
 	n.server, n.asked, n.ready = sites[i].ID, now, now+left
 	l.log.Info().Str("model", n.name).Str("server", n.server).Int("waiting", len(n.waiting)).Int("sites", len(sites)).
 		Int64("left", left.Milliseconds()).Int64("load", sites[i].Load.Milliseconds()).
@@ -130,6 +141,26 @@
 	l.tell(n.server)
 }
 
+// expects reports whether the engine that was asked is going to load what is
+// needed, or may still say so, or has no model to unload and was compared with the
+// others just now. The caller holds the lock.
+func (l *Locator) expects(now time.Duration, n *need, m *wire.Model) bool {
+	b := l.fleet.Get(n.server)
+	if b == nil {
+		return false
+	}
+	s := b.State(now)
+	i := slices.IndexFunc(s.GetTasks(), func(t *wire.Task) bool { return t.GetModel() == m.GetName() })
+	switch {
+	case i < 0:
+		return s != nil && !s.GetLeaving() && now-n.asked < chooseAgain
+	case s.GetTasks()[i].GetBlocked():
+		return now-n.searched < movePeriod
+	}
+	n.ready = now + timer.Span(s.GetTasks()[i].GetLeft())
+	return true
+}
+
 // meetTime is how long an entry that has just started waits for the word of all
 // sidecars before it lets an engine fetch a checkpoint that another may have.
 const meetTime = 800 * time.Millisecond
@@ -164,18 +195,11 @@
 		site := placer.Site{ID: b.Server().ID, Free: state.GetFree(), Score: router.Score(b.Server().ID, hash)}
 		held := b.Holding(now)
 		site.Planned = held.Has(m.GetName())
-		for _, t := range state.GetTasks() {
-			if t.GetModel() == m.GetName() && !t.GetBlocked() {
-				site.Planned = true
-				site.Queue = timer.Span(t.GetLeft())
-				break
-			}
-			site.Queue = max(site.Queue, timer.Span(t.GetLeft()))
-		}
 		site.Load, site.Fetch = loadTime(held, m, fetching)
+		queue(&site, state.GetTasks(), m.GetName())
 		for _, res := range state.GetResidents() {
 			if res.GetInflight() == 0 && b.InflightOf(res.GetModel()) == 0 && l.needs[res.GetModel()] == nil {
-				site.Idle = append(site.Idle, held1(res))
+				site.Idle = append(site.Idle, heldOf(res))
 			}
 		}
 		sites = append(sites, site)
@@ -183,8 +207,25 @@
 	return sites
 }
 
-// held1 is a model in memory as a sidecar tells it. Keep comes as a whole.
-func held1(r *wire.Resident) placer.Held {
+// queue sets the duration of the loads before that of a model.
+func queue(s *placer.Site, tasks []*wire.Task, model string) {
+	for _, t := range tasks {
+		left := timer.Span(t.GetLeft())
+		switch {
+		case t.GetModel() != model:
+			s.Queue = max(s.Queue, left)
+			continue
+		case t.GetBlocked():
+			s.Waits, s.Queue = true, max(0, left-s.Load)
+		default:
+			s.Planned, s.Queue = true, left
+		}
+		return
+	}
+}
+
+// heldOf is a model in memory as a sidecar tells it. Keep comes as a whole.
+func heldOf(r *wire.Resident) placer.Held {
 	return placer.Held{Model: r.GetModel(), Bytes: r.GetBytes(), Rate: r.GetKeep(), Reload: time.Second}
 }
 
--- /dev/null
+++ b/locator/wait_test.go
@@ -0,0 +1,68 @@
+package locator
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"oleanderstall/wire"
+)
+
+// full tells of two engines whose models are all in use. The one at which m is
+// wanted says that it has none to unload.
+func (r *rig) full(wanted int) {
+	for i := range 2 {
+		r.state(i, func(s *wire.Condition) {
+			s.Free = 20
+			for _, res := range s.Residents {
+				res.Inflight = 1
+			}
+			if i == wanted {
+				s.Tasks = []*wire.Task{{Model: "m", Left: 800, Blocked: true}}
+			}
+		}, "n", "o")
+	}
+}
+
+// TestStaysInLine is the load of a burst for rare models: all models in memory are
+// in use. A request keeps its place in the line of one engine.
+func TestStaysInLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 0)
+		r.list(2)
+		r.full(-1)
+		ctx, cancel := context.WithCancel(context.Background())
+		got := r.find(ctx, r.request("m", 20*time.Second))
+		first := r.wanted("m", 2)
+		assert.Assert(t, first >= 0)
+		for range 60 {
+			r.full(first)
+			assert.Equal(t, r.wanted("m", 2), first)
+			time.Sleep(50 * time.Millisecond)
+		}
+		cancel()
+		<-got
+	})
+}
+
+// TestLeavesLine moves to an engine as soon as it can make room.
+func TestLeavesLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 0)
+		r.list(2)
+		r.full(-1)
+		got := r.find(context.Background(), r.request("m", 20*time.Second))
+		first := r.wanted("m", 2)
+		r.full(first)
+		time.Sleep(200 * time.Millisecond)
+		r.full(first)
+		r.state(1-first, func(s *wire.Condition) { s.Free = 20 }, "n", "o")
+		time.Sleep(movePeriod)
+		assert.Equal(t, r.wanted("m", 2), 1-first)
+		r.state(1-first, nil, "m")
+		assert.NilError(t, (<-got).err)
+	})
+}
--- a/placer/site.go
+++ b/placer/site.go
@@ -27,14 +27,16 @@
 	Fetch bool
 	// Queue is the duration of the loads before it.
 	Queue time.Duration
+	// Waits is set if the engine was asked for the model, and has none to unload.
+	Waits bool
 	// Planned is set if the engine is going to load the model anyway, in Queue.
 	Planned bool
 	// Score orders engines that are alike.
 	Score uint64
 }
 
-// cost is the time until the model serves and what the load displaces, in time.
-func (s Site) cost(need uint64) time.Duration {
+// Cost is the time until the model serves and what the load displaces, in time.
+func (s Site) Cost(need uint64) time.Duration {
 	if s.Planned {
 		return s.Queue
 	}
@@ -59,7 +61,7 @@
 func Pick(sites []Site, need uint64) (int, time.Duration) {
 	best, least := -1, time.Duration(0)
 	for i, s := range sites {
-		c := s.cost(need)
+		c := s.Cost(need)
 		if best < 0 || c < least || c == least && s.Score > sites[best].Score {
 			best, least = i, c
 		}
