--- a/locator/need.go
+++ b/locator/need.go
@@ -198,8 +198,14 @@
 		site.Load, site.Fetch = loadTime(held, m, fetching)
 		queue(&site, state.GetTasks(), m.GetName())
 		for _, res := range state.GetResidents() {
-			if res.GetInflight() == 0 && b.InflightOf(res.GetModel()) == 0 && l.needs[res.GetModel()] == nil {
-				site.Idle = append(site.Idle, heldOf(res))
+			h := heldOf(res)
+			h.Inflight = max(h.Inflight, b.InflightOf(h.Model))
+			switch {
+			case l.needs[h.Model] != nil:
+			case h.Inflight == 0:
+				site.Idle = append(site.Idle, h)
+			default:
+				site.Busy = append(site.Busy, h)
 			}
 		}
 		sites = append(sites, site)
@@ -226,7 +232,7 @@
 
 // heldOf is a model in memory as a sidecar tells it. Keep comes as a whole.
 func heldOf(r *wire.Resident) placer.Held {
-	return placer.Held{Model: r.GetModel(), Bytes: r.GetBytes(), Rate: r.GetKeep(), Reload: time.Second}
+	return placer.Held{Model: r.GetModel(), Bytes: r.GetBytes(), Rate: r.GetKeep(), Reload: time.Second, Inflight: int(r.GetInflight())}
 }
 
 // loadTime is the duration of a load by where the checkpoint is cached, and
--- a/placer/shelf_test.go
+++ b/placer/shelf_test.go
@@ -113,6 +113,11 @@
 	planned := Site{ID: "planned", Planned: true, Queue: 200 * time.Millisecond}
 	queued := site("queued", 100, 100*time.Millisecond)
 	queued.Queue = time.Second
+	busy := func(id string, inflight int) Site {
+		s := site(id, 0, 800*time.Millisecond)
+		s.Busy = []Held{{Model: "b", Bytes: 60, Inflight: inflight}}
+		return s
+	}
 	for _, c := range []struct {
 		name  string
 		sites []Site
@@ -124,6 +129,8 @@
 		{"room rather than an unload", []Site{site("full", 0, 800*time.Millisecond, held("a", 60, 0)), site("free", 100, 800*time.Millisecond)}, "free"},
 		{"an unload rather than a fetch", []Site{site("full", 0, 800*time.Millisecond, held("a", 60, 0.1)), site("remote", 100, 6*time.Second)}, "full"},
 		{"the least missed", []Site{site("a", 0, time.Second, held("a", 60, 0.9)), site("b", 0, time.Second, held("b", 60, 0.1))}, "b"},
+		{"the engine whose requests end first", []Site{busy("many", 12), busy("few", 1)}, "few"},
+		{"an idle model far away rather than one in use", []Site{busy("used", 9), site("idle", 0, 6*time.Second, held("b", 60, 0.1))}, "idle"},
 		{"an engine with something idle", []Site{site("busy", 0, 400*time.Millisecond), site("idle", 0, 800*time.Millisecond, held("b", 60, 0.1))}, "idle"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/placer/site.go
+++ b/placer/site.go
@@ -10,17 +10,20 @@
 const (
 	// missTime is what a request that would miss an unloaded model counts.
 	missTime = 500 * time.Millisecond
-	// fullTime is the wait at an engine that has no idle model to unload.
-	fullTime = 800 * time.Millisecond
+	// drainTime is the wait for a model in use, for each request under way there,
+	// and drainMost the longest.
+	drainTime = 700 * time.Millisecond
+	drainMost = 6 * time.Second
 )
 
 // Site is an engine that may load a model.
 type Site struct {
 	ID string
-	// Free is the memory for weights that is free, and Idle are the models that may
-	// be unloaded.
+	// Free is the memory for weights that is free. Idle are the models that may be
+	// unloaded, Busy those that may once their requests have ended.
 	Free uint64
 	Idle []Held
+	Busy []Held
 	// Load is the duration of the load there.
 	Load time.Duration
 	// Fetch is set if the load is from the weight store.
@@ -48,7 +51,7 @@
 	slices.SortStableFunc(idle, func(a, b Held) int { return cmp.Compare(a.Keep(), b.Keep()) })
 	chosen, ok := Choose(s.Free, idle, need, 1e18)
 	if !ok {
-		return sum + fullTime
+		return sum + s.drain(need)
 	}
 	for _, h := range chosen {
 		sum += swapTime + time.Duration(h.Keep()*float64(missTime))
@@ -56,6 +59,23 @@
 	return sum
 }
 
+// drain estimates the wait until enough models have no requests any more.
+func (s Site) drain(need uint64) time.Duration {
+	busy := slices.Clone(s.Busy)
+	slices.SortStableFunc(busy, func(a, b Held) int { return cmp.Compare(a.Inflight, b.Inflight) })
+	free := s.Free
+	for _, h := range s.Idle {
+		free += h.Bytes
+	}
+	for _, h := range busy {
+		free += h.Bytes
+		if free >= need {
+			return min(time.Duration(h.Inflight)*drainTime, drainMost)
+		}
+	}
+	return drainMost
+}
+
 // Pick returns the engine that should load a model of need bytes and the time
 // until it serves there, or -1 if there is none.
 func Pick(sites []Site, need uint64) (int, time.Duration) {
