tracker, dispatcher: a server whose address answers for another gets no work until it is listed anew; explain reads logs

Change: such an answer takes the server out until its row changes or its sidecar speaks, and does not count against the retry budget, since nothing ran and it is not repeated. Tests without network: TestDisown, TestGhosts, TestAgain.

--- a/cmd/oleanderstall/operate.go
+++ b/cmd/oleanderstall/operate.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"oleanderstall/narrator"
 	"oleanderstall/operator"
 )
 
@@ -131,17 +132,36 @@
 	return show(c.client().Status(context.Background()))
 }
 
-// explainCommand shows the records about a subject.
+// explainCommand shows the records of the entries about a subject. Without an entry
+// it prints the story of a request from the logs on standard input.
 type explainCommand struct {
-	remote
-	Args struct {
-		Subject string `positional-arg-name:"SUBJECT" description:"Such as model/NAME or request/ID."`
+	Entry string `long:"entry" env:"OLEANDERSTALL_ENTRY" description:"URL of an entry's operator listener; without it, logs are read from standard input."`
+	Token string `long:"token" env:"OLEANDERSTALL_TOKEN" description:"The operator's token; better given by the environment."`
+	Args  struct {
+		Subject string `positional-arg-name:"SUBJECT" description:"Such as model/NAME or request/ID; with logs, the id of a request."`
 	} `positional-args:"yes" required:"yes"`
 }
 
 // Execute implements flags.Commander.
 func (c *explainCommand) Execute([]string) error {
-	return show(c.client().Explain(context.Background(), c.Args.Subject))
+	if c.Entry == "" {
+		return c.narrate()
+	}
+	r := remote{Entry: c.Entry, Token: c.Token}
+	return show(r.client().Explain(context.Background(), c.Args.Subject))
+}
+
+// narrate prints the story of a request from standard input.
+func (c *explainCommand) narrate() error {
+	lines, err := narrator.Read(os.Stdin)
+	if err != nil {
+		return err
+	}
+	story, err := narrator.Story(lines, c.Args.Subject)
+	if err != nil {
+		return err
+	}
+	return narrator.Print(os.Stdout, story)
 }
 
 // dumpCommand shows the state of a process.
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -331,7 +331,9 @@
 	default:
 		return false
 	}
-	if c.clock() >= r.Deadline || !c.spend() {
+	// What is not there ran nothing, and is not asked again.
+	free := f.Kind() == refuser.Absent && f.Never()
+	if c.clock() >= r.Deadline || !free && !c.spend() {
 		return false
 	}
 	c.meter.Retry(f.Kind().String())
--- /dev/null
+++ b/dispatcher/core_test.go
@@ -0,0 +1,38 @@
+package dispatcher
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"oleanderstall/meter"
+	"oleanderstall/recorder"
+	"oleanderstall/refuser"
+	"oleanderstall/router"
+)
+
+// TestAgain lists the ends of an attempt after which another one is made while the
+// retry budget is used up: only those of servers that were not there.
+func TestAgain(t *testing.T) {
+	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	for _, c := range []struct {
+		name   string
+		err    error
+		budget float64
+		again  bool
+	}{
+		{"not there", refuser.New(refuser.Absent, "x"), 0, true},
+		{"not there, but may have run", refuser.Unknown(refuser.Absent, "x"), 0, false},
+		{"busy, nothing left", refuser.New(refuser.Busy, "x"), 0, false},
+		{"busy", refuser.New(refuser.Busy, "x"), 10, true},
+		{"too late", refuser.New(refuser.Late, "x"), 10, false},
+	} {
+		clock := func() time.Duration { return time.Hour }
+		core := NewCore(clock, nil, nil, nil, nil, router.NewBudget(0, c.budget), recorder.New("a", 4), meter.New(), l)
+		p := &progress{request: &Request{Kind: Idempotent, Deadline: 2 * time.Hour}}
+		assert.Equal(t, core.again(p, c.err), c.again, c.name)
+	}
+}
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -358,6 +358,8 @@
 	switch {
 	case f.Kind() == refuser.Lost, f.Kind() == refuser.Failed:
 		b.Try(now, true)
+	case f.Kind() == refuser.Absent:
+		b.Disown(now)
 	case rep.First == 0 && !f.Never() && now-r.Begun > hangTime:
 		b.Try(now, true)
 	}
--- a/locator/meet_test.go
+++ b/locator/meet_test.go
@@ -9,6 +9,8 @@
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/dispatcher"
+	"oleanderstall/refuser"
+	"oleanderstall/tracker"
 	"oleanderstall/wire"
 )
 
@@ -77,3 +79,30 @@
 		assert.Equal(t, r.wanted("m", 3), 2)
 	})
 }
+
+// TestGhosts is the load after all processes were lost: the list still has servers
+// whose addresses answer for others. Each of them costs one attempt.
+func TestGhosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 0)
+		for i := range 3 {
+			r.locator.List(tracker.Server{
+				ID: engine(i), Pool: "p", Address: engine(i), Centre: "z", Slots: 32, Born: 1,
+				Holding: tracker.Holding{Models: []string{"m"}},
+			})
+		}
+		asked := map[string]bool{}
+		for range 3 {
+			f := <-r.find(context.Background(), r.request("m", 5*time.Second))
+			assert.NilError(t, f.err)
+			assert.Assert(t, !asked[f.place.Name])
+			asked[f.place.Name] = true
+			f.place.Release(dispatcher.Report{Err: refuser.New(refuser.Absent, "another server")})
+		}
+		got := r.find(context.Background(), r.request("m", 5*time.Second))
+		r.state(1, nil, "m")
+		f := <-got
+		assert.NilError(t, f.err)
+		assert.Equal(t, f.place.Name, engine(1))
+	})
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -68,6 +68,8 @@
 	// strain is how near the answers of late came to being late, 1 being just so.
 	strain float64
 	felt   time.Duration
+	// disowned is set once an answer from the server's address was not its own.
+	disowned bool
 	// doubted is the instant at which a server is dropped unless it is listed again,
 	// or 0.
 	doubted time.Duration
@@ -169,6 +171,15 @@
 	return false
 }
 
+// Disown takes note that what answered at the server's address does not serve as
+// listed. The server gets no work until it is listed anew or its sidecar speaks. The
+// word of a sidecar that is heard goes before such an answer.
+func (b *Backend) Disown(now time.Duration) {
+	if b.State(now) == nil {
+		b.disowned = true
+	}
+}
+
 // Fleet holds the backend servers by id. It is not safe for concurrent use.
 type Fleet struct {
 	backends map[string]*Backend
@@ -184,7 +195,7 @@
 		b = &Backend{inflight: map[string]int{}}
 		f.backends[s.ID] = b
 	}
-	b.server, b.doubted = s, 0
+	b.server, b.doubted, b.disowned = s, 0, false
 }
 
 // Doubt keeps a server until an instant though it is listed no more, since the
@@ -217,7 +228,7 @@
 	if b == nil || b.server.Born != s.GetBorn() {
 		return
 	}
-	b.state, b.told = s, now
+	b.state, b.told, b.disowned = s, now, false
 	b.others = max(0, int(s.GetRunning()+s.GetWaiting())-b.sum)
 	b.heard = now
 }
@@ -278,7 +289,7 @@
 	}
 	var list []*Backend
 	for _, b := range newest {
-		if b.server.Pool == name && !b.server.Leaving && !b.state.GetLeaving() {
+		if b.server.Pool == name && !b.disowned && !b.server.Leaving && !b.state.GetLeaving() {
 			list = append(list, b)
 		}
 	}
--- /dev/null
+++ b/tracker/tracker_test.go
@@ -0,0 +1,43 @@
+package tracker
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"oleanderstall/wire"
+)
+
+// TestDisown gives a server whose address answers for another one no work until it
+// is listed anew or its sidecar speaks, and passes over such an answer while the
+// sidecar is heard.
+func TestDisown(t *testing.T) {
+	server := Server{ID: "a", Pool: "p", Address: "x", Born: 1}
+	word := &wire.Condition{Server: "a", Born: 1}
+	now := time.Hour
+	f := New()
+	f.List(server)
+	f.Get("a").Disown(now)
+	assert.Equal(t, len(f.Pool("p")), 0)
+	f.List(server)
+	assert.Equal(t, len(f.Pool("p")), 1)
+	f.Get("a").Disown(now)
+	f.Tell(now, word)
+	assert.Equal(t, len(f.Pool("p")), 1)
+	f.Get("a").Disown(now)
+	assert.Equal(t, len(f.Pool("p")), 1)
+	f.Get("a").Disown(now + 2*stateLife)
+	assert.Equal(t, len(f.Pool("p")), 0)
+}
+
+// TestNewestAtAddress gives work to the server that was started last of those that
+// are listed at one address.
+func TestNewestAtAddress(t *testing.T) {
+	f := New()
+	f.List(Server{ID: "a", Pool: "p", Address: "x", Born: 1})
+	f.List(Server{ID: "b", Pool: "p", Address: "x", Born: 2})
+	list := f.Pool("p")
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0].Server().ID, "b")
+}
