--- a/locator/need.go
+++ b/locator/need.go
@@ -19,8 +19,10 @@
 const chooseAgain = 600 * time.Millisecond
 
 // Limits of the search for another engine while the one that was asked has no
-// model to unload.
+// model to unload or other loads to do first.
 const (
+	// moveLate is the time until a load ends from which others are looked at.
+	moveLate = 1200 * time.Millisecond
 	// movePeriod is between two searches.
 	movePeriod = 100 * time.Millisecond
 	// moveGain is what another engine has to be earlier.
@@ -128,7 +130,7 @@
 		return
 	}
 	have := slices.IndexFunc(sites, func(s placer.Site) bool { return s.ID == n.server })
-	if have >= 0 && sites[have].Waits {
+	if have >= 0 && (sites[have].Waits || sites[have].Planned) {
 		if stay := sites[have].Cost(m.GetBytes()); have == i || stay < left+moveGain {
 			n.ready = now + stay
 			return
@@ -142,8 +144,8 @@
 }
 
 // expects reports whether the engine that was asked is going to load what is
-// needed, or may still say so, or has no model to unload and was compared with the
-// others just now. The caller holds the lock.
+// needed soon, or may still say so, or was compared with the others just now. The
+// caller holds the lock.
 func (l *Locator) expects(now time.Duration, n *need, m *wire.Model) bool {
 	b := l.fleet.Get(n.server)
 	if b == nil {
@@ -151,13 +153,15 @@
 	}
 	s := b.State(now)
 	i := slices.IndexFunc(s.GetTasks(), func(t *wire.Task) bool { return t.GetModel() == m.GetName() })
-	switch {
-	case i < 0:
+	if i < 0 {
 		return s != nil && !s.GetLeaving() && now-n.asked < chooseAgain
-	case s.GetTasks()[i].GetBlocked():
+	}
+	task := s.GetTasks()[i]
+	left := timer.Span(task.GetLeft())
+	if task.GetBlocked() || left > moveLate {
 		return now-n.searched < movePeriod
 	}
-	n.ready = now + timer.Span(s.GetTasks()[i].GetLeft())
+	n.ready = now + left
 	return true
 }
 
--- a/locator/wait_test.go
+++ b/locator/wait_test.go
@@ -66,3 +66,22 @@
 		assert.NilError(t, (<-got).err)
 	})
 }
+
+// TestLeavesLongFetch moves from an engine that fetches for seconds to one that has
+// come to have room and a copy on its disk.
+func TestLeavesLongFetch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 0)
+		r.list(2)
+		fetch := func(s *wire.Condition) { s.Tasks = []*wire.Task{{Model: "o", Left: 5000}, {Model: "m", Left: 5800}} }
+		r.state(0, fetch, "n")
+		got := r.find(context.Background(), r.request("m", 20*time.Second))
+		assert.Equal(t, r.wanted("m", 2), 0)
+		time.Sleep(movePeriod)
+		r.state(0, fetch, "n")
+		r.state(1, nil, "n")
+		assert.Equal(t, r.wanted("m", 2), 1)
+		r.state(1, nil, "m")
+		assert.NilError(t, (<-got).err)
+	})
+}
