locator: no second copy while one is about to come

Only a copy later than 1.2 s lets another engine be asked. Test: TestOneCopyAtATime, failing before.

--- a/locator/growth.go
+++ b/locator/growth.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"oleanderstall/dispatcher"
@@ -76,8 +77,8 @@
 	}
 }
 
-// grow asks the engine that can serve another copy first, unless that one loads it
-// already or one was asked just now. The caller holds the lock.
+// grow asks the engine that can serve another copy first, unless one was asked just
+// now or will have it soon. The caller holds the lock.
 func (l *Locator) grow(now time.Duration, model string, g *growth) {
 	m := l.copy.View().Model(model)
 	skip := map[string]bool{}
@@ -92,6 +93,9 @@
 		}
 	}
 	sites := l.sites(now, model, m, skip)
+	if slices.ContainsFunc(sites, func(s placer.Site) bool { return s.Planned && s.Queue <= moveLate }) {
+		return
+	}
 	i, left := placer.Pick(sites, m.GetBytes())
 	if i < 0 || sites[i].Planned || l.early(now, m.GetPool(), sites[i]) {
 		return
--- a/locator/meet_test.go
+++ b/locator/meet_test.go
@@ -55,6 +55,28 @@
 	})
 }
 
+// TestOneCopyAtATime is a busy model of which another engine is about to have a
+// copy: no third one is asked for.
+func TestOneCopyAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 3)
+		tell := func() {
+			r.state(0, busy, "m")
+			r.state(1, func(s *wire.Condition) { s.Tasks = []*wire.Task{{Model: "m", Left: 900}} })
+			r.state(2, func(s *wire.Condition) { s.Memory = s.Disk })
+		}
+		for range 10 {
+			tell()
+			f := <-r.find(context.Background(), r.request("m", time.Second))
+			assert.NilError(t, f.err)
+			f.place.Release(dispatcher.Report{})
+			time.Sleep(100 * time.Millisecond)
+		}
+		tell()
+		assert.Equal(t, r.wanted("m", 3), -1)
+	})
+}
+
 // TestCopyBesideFetch is a busy model whose next copy is being fetched from the
 // weight store: an engine that has it on its disk is asked meanwhile.
 func TestCopyBesideFetch(t *testing.T) {
