tracker, follower: a sidecar's word on an engine counts as soon as the engine is listed; the list is read at once if it lacks one

Ruled out: the members' list and the connections (complete at 36.0 s). Tests: TestWordBeforeList, TestHurry.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -331,9 +331,7 @@
 	default:
 		return false
 	}
-	// What is not there ran nothing, and is not asked again.
-	free := f.Kind() == refuser.Absent && f.Never()
-	if c.clock() >= r.Deadline || !free && !c.spend() {
+	if c.clock() >= r.Deadline || !c.spend() {
 		return false
 	}
 	c.meter.Retry(f.Kind().String())
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -20,6 +20,9 @@
 const (
 	firstPause = 50 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
+	// hurryPeriod is the shortest time between two calls of which the later was
+	// hurried.
+	hurryPeriod = 150 * time.Millisecond
 )
 
 // Terms set how a table is followed.
@@ -38,6 +41,7 @@
 	feeder storer.Feeder
 	apply  func(now time.Duration, rows []storer.Row)
 	log    *log.Logger
+	hurry  chan struct{}
 	done   chan struct{}
 
 	mu     sync.Mutex
@@ -60,6 +64,7 @@
 		feeder: f,
 		apply:  apply,
 		log:    l,
+		hurry:  make(chan struct{}, 1),
 		done:   make(chan struct{}),
 		rows:   map[string]storer.Row{},
 	}
@@ -68,6 +73,14 @@
 // Done is closed when Run has returned.
 func (f *Follower) Done() <-chan struct{} { return f.done }
 
+// Hurry makes the next call soon, since there is news that the copy lacks.
+func (f *Follower) Hurry() {
+	select {
+	case f.hurry <- struct{}{}:
+	default:
+	}
+}
+
 // Proven returns the instant as of which the copy was complete, and false if it
 // never was.
 func (f *Follower) Proven() (time.Duration, bool) {
@@ -99,19 +112,20 @@
 	for ctx.Err() == nil {
 		begun := f.clock()
 		err := f.step(ctx, begun)
-		rest := f.terms.Period - (f.clock() - begun)
 		if err != nil {
 			f.failed(ctx, err)
-			rest = max(rest, pause)
+			sleep(ctx, max(pause, f.terms.Period-(f.clock()-begun)), nil)
 			pause = min(2*pause, maxPause)
-		} else {
-			pause = firstPause
+			continue
 		}
-		sleep(ctx, rest)
+		pause = firstPause
+		sleep(ctx, min(hurryPeriod, f.terms.Period)-(f.clock()-begun), nil)
+		sleep(ctx, f.terms.Period-(f.clock()-begun), f.hurry)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// sleep waits until d has passed, early is signalled or ctx ends.
+func sleep(ctx context.Context, d time.Duration, early <-chan struct{}) {
 	if d <= 0 {
 		return
 	}
@@ -119,6 +133,7 @@
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
+	case <-early:
 	case <-t.C:
 	}
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/phuslu/log"
@@ -118,3 +119,32 @@
 	_, answers := f.Since()
 	assert.Assert(t, !answers)
 }
+
+// TestHurry calls early if there is news elsewhere, and once for many such words.
+func TestHurry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		clock := func() time.Duration { return time.Hour + time.Since(begun) }
+		s := &script{answers: []answer{changes(1), changes(2), changes(3), changes(4)}}
+		l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+		f := New(Terms{Table: "t", Period: time.Second}, clock, s, func(time.Duration, []storer.Row) {}, l)
+		ctx, cancel := context.WithCancel(context.Background())
+		go f.Run(ctx)
+		synctest.Wait()
+		assert.Equal(t, len(s.calls), 1)
+		for range 5 {
+			f.Hurry()
+		}
+		time.Sleep(hurryPeriod)
+		synctest.Wait()
+		assert.Equal(t, len(s.calls), 2)
+		time.Sleep(900 * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, len(s.calls), 2)
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, len(s.calls), 3)
+		cancel()
+		<-f.Done()
+	})
+}
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -46,8 +46,10 @@
 	// growing holds the models that want more copies.
 	growing map[string]*growth
 	number  uint64
-	// met is the instant of a sidecar's first word.
-	met time.Duration
+	// listed and met are the instants of the first server and of a sidecar's first
+	// word.
+	listed time.Duration
+	met    time.Duration
 	// stopping is set when nothing may wait any more.
 	stopping bool
 	// queued are the requests whose model serves, but whose prompts wait.
@@ -81,6 +83,9 @@
 func (l *Locator) List(s tracker.Server) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.listed == 0 {
+		l.listed = l.clock()
+	}
 	l.fleet.List(s)
 	l.wake()
 }
@@ -110,16 +115,18 @@
 	}
 }
 
-// State takes a sidecar's word on its engine.
-func (l *Locator) State(s *wire.Condition) {
+// State takes a sidecar's word on its engine. It reports false if the engine is not
+// listed yet.
+func (l *Locator) State(s *wire.Condition) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
 	if l.met == 0 {
 		l.met = now
 	}
-	l.fleet.Tell(now, s)
+	listed := l.fleet.Tell(now, s)
 	l.wake()
+	return listed || s.GetServer() == ""
 }
 
 // Stop refuses the requests that wait, now and later.
@@ -232,11 +239,16 @@
 	return best
 }
 
-// holds reports whether a server can run r now.
+// holds reports whether a server can run r now. The list may still name what was
+// lost together with this entry's predecessor, so that shortly after its start an
+// entry sends to the engines of the sidecars that it has heard.
 func (l *Locator) holds(now time.Duration, b *tracker.Backend, r *dispatcher.Request) bool {
 	if r.Model == "" {
 		return true
 	}
+	if b.State(now) == nil && now < l.listed+meetTime {
+		return false
+	}
 	held := b.Holding(now)
 	return held.Has(r.Model) && (r.Adapter == "" || held.Has(r.Adapter)) && !b.Closing(now, r.Model)
 }
--- a/locator/need.go
+++ b/locator/need.go
@@ -165,8 +165,9 @@
 	return true
 }
 
-// meetTime is how long an entry that has just started waits for the word of all
-// sidecars before it lets an engine fetch a checkpoint that another may have.
+// meetTime is how long an entry that has just started waits for the word of the
+// sidecars before it sends by the list alone, or lets an engine fetch a checkpoint
+// that another may have.
 const meetTime = 800 * time.Millisecond
 
 // early reports whether a site would fetch a checkpoint although sidecars of the
--- a/locator/queue.go
+++ b/locator/queue.go
@@ -65,5 +65,9 @@
 	if slices.Contains(l.queued, r) {
 		return queueEnd(r) - now
 	}
-	return last(r) - now
+	until := last(r)
+	if met := l.listed + meetTime; now < met {
+		until = min(until, met)
+	}
+	return until - now
 }
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -84,12 +84,27 @@
 		e.log.Error().Err(err).Msg("start: not joined")
 		return
 	}
-	e.watcher = watcher.New(e.settings.Load().Name, e.node, e.locator, e.log)
+	e.watcher = watcher.New(e.settings.Load().Name, e.node, desk{e.locator, e.list}, e.log)
 	e.tasks.run(e.watcher.Run)
 	e.tasks.run(func(ctx context.Context) { e.gossiper.Run(ctx, e.node) })
 	e.follow(follower.Terms{Table: storer.MemberTable, Wait: memberWait, Period: memberPeriod}, e.members)
 }
 
+// desk is what the sidecars' words go to.
+type desk struct {
+	*locator.Locator
+	list *follower.Follower
+}
+
+// State implements watcher.Desk. The list is read again if it lacks the engine.
+func (d desk) State(s *wire.Condition) bool {
+	listed := d.Locator.State(s)
+	if !listed {
+		d.list.Hurry()
+	}
+	return listed
+}
+
 // members takes changes of the list of processes.
 func (e *HostedEntry) members(_ time.Duration, rows []storer.Row) {
 	for _, r := range rows {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -180,13 +180,21 @@
 	}
 }
 
+// word is what a sidecar told at an instant.
+type word struct {
+	state *wire.Condition
+	told  time.Duration
+}
+
 // Fleet holds the backend servers by id. It is not safe for concurrent use.
 type Fleet struct {
 	backends map[string]*Backend
+	// unlisted holds the words on servers that are not listed yet.
+	unlisted map[string]word
 }
 
 // New returns an empty fleet.
-func New() *Fleet { return &Fleet{backends: map[string]*Backend{}} }
+func New() *Fleet { return &Fleet{backends: map[string]*Backend{}, unlisted: map[string]word{}} }
 
 // List takes a server as the platform lists it now.
 func (f *Fleet) List(s Server) {
@@ -196,6 +204,10 @@
 		f.backends[s.ID] = b
 	}
 	b.server, b.doubted, b.disowned = s, 0, false
+	if w, ok := f.unlisted[s.ID]; ok {
+		delete(f.unlisted, s.ID)
+		f.Tell(w.told, w.state)
+	}
 }
 
 // Doubt keeps a server until an instant though it is listed no more, since the
@@ -222,15 +234,33 @@
 // Drop removes a server that is listed no more.
 func (f *Fleet) Drop(id string) { delete(f.backends, id) }
 
-// Tell takes a sidecar's word on its engine.
-func (f *Fleet) Tell(now time.Duration, s *wire.Condition) {
+// Tell takes a sidecar's word on its engine. It reports false for a server that is
+// not listed yet; the word counts once it is.
+func (f *Fleet) Tell(now time.Duration, s *wire.Condition) bool {
 	b := f.backends[s.GetServer()]
-	if b == nil || b.server.Born != s.GetBorn() {
-		return
+	if b == nil {
+		f.keep(now, s)
+		return false
+	}
+	if b.server.Born != s.GetBorn() {
+		return true
 	}
 	b.state, b.told, b.disowned = s, now, false
 	b.others = max(0, int(s.GetRunning()+s.GetWaiting())-b.sum)
 	b.heard = now
+	return true
+}
+
+// keep keeps a word on a server that is not listed, and forgets the old ones.
+func (f *Fleet) keep(now time.Duration, s *wire.Condition) {
+	for id, w := range f.unlisted {
+		if now-w.told > stateLife {
+			delete(f.unlisted, id)
+		}
+	}
+	if s.GetServer() != "" {
+		f.unlisted[s.GetServer()] = word{state: s, told: now}
+	}
 }
 
 // Hear takes the load that a server told with an answer.
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -41,3 +41,16 @@
 	assert.Equal(t, len(list), 1)
 	assert.Equal(t, list[0].Server().ID, "b")
 }
+
+// TestWordBeforeList keeps a sidecar's word on an engine that has just started until
+// the engine is listed, and not for long.
+func TestWordBeforeList(t *testing.T) {
+	now := time.Hour
+	f := New()
+	word := &wire.Condition{Server: "a", Born: 1, Models: []string{"m"}}
+	assert.Assert(t, !f.Tell(now, word))
+	f.List(Server{ID: "a", Pool: "p", Address: "x", Born: 1})
+	assert.Assert(t, f.Get("a").State(now+time.Second) != nil)
+	assert.Assert(t, f.Get("a").State(now+2*stateLife) == nil)
+	assert.Assert(t, f.Tell(now, word))
+}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -30,8 +30,9 @@
 
 // Desk is the entry's knowledge of the engines.
 type Desk interface {
-	// State takes a sidecar's word on its engine.
-	State(s *wire.Condition)
+	// State takes a sidecar's word on its engine. It reports false if the engine is
+	// not listed yet.
+	State(s *wire.Condition) bool
 	// Tell returns what the sidecar of a server is to know.
 	Tell(server string) *wire.Tell
 	// Wanted returns a channel that is signalled when there is something to tell.
