--- a/locator/growth.go
+++ b/locator/growth.go
@@ -20,6 +20,9 @@
 	// copyRate is the number of requests a second for a model that one engine is to
 	// serve.
 	copyRate = 6.0
+	// fetchAhead is how much more demand is prepared for where a copy has to be
+	// fetched, since demand goes on growing meanwhile.
+	fetchAhead = 1.5
 	// growthDelay is the longest time before an entry asks for another copy. Each
 	// entry has a delay of its own, so that mostly one asks.
 	growthDelay = 300 * time.Millisecond
@@ -32,14 +35,16 @@
 type growth struct {
 	due   time.Duration
 	until time.Duration
+	// fetches is the number of copies that may be fetched at a time.
+	fetches int
 	// asked holds the instants at which engines were asked.
 	asked map[string]time.Duration
 }
 
-// wantedCopies returns the number of copies that a model serves with and that it
-// should have. The caller holds the lock.
-func (l *Locator) wantedCopies(now time.Duration, pool, model string) (have, want int) {
-	rate, room := 0.0, false
+// copies returns the number of copies that a model serves with, the number that it
+// should have, and the rate of its requests. The caller holds the lock.
+func (l *Locator) copies(now time.Duration, pool, model string) (have, want int, rate float64) {
+	room := false
 	for _, b := range l.fleet.Pool(pool) {
 		if !b.Holding(now).Has(model) || b.Closing(now, model) {
 			continue
@@ -52,7 +57,7 @@
 	if !room {
 		want = max(want, have+1)
 	}
-	return have, want
+	return have, want, rate
 }
 
 // press asks for more copies of r's model if the engines that serve it are too few.
@@ -61,7 +66,7 @@
 	if r.Model == "" {
 		return
 	}
-	have, want := l.wantedCopies(now, r.Pool, r.Model)
+	have, want, rate := l.copies(now, r.Pool, r.Model)
 	if have >= want {
 		return
 	}
@@ -72,13 +77,15 @@
 		l.growing[r.Model] = g
 	}
 	g.until = now + growthLife
+	g.fetches = max(1, int(math.Ceil(fetchAhead*rate/copyRate))-have)
 	if now >= g.due {
 		l.grow(now, r.Model, g)
 	}
 }
 
 // grow asks the engine that can serve another copy first, unless one was asked just
-// now or will have it soon. The caller holds the lock.
+// now or will have it soon. Several copies are fetched at a time, since each takes
+// long. The caller holds the lock.
 func (l *Locator) grow(now time.Duration, model string, g *growth) {
 	m := l.copy.View().Model(model)
 	skip := map[string]bool{}
@@ -92,12 +99,19 @@
 			return
 		}
 	}
-	sites := l.sites(now, model, m, skip)
-	if slices.ContainsFunc(sites, func(s placer.Site) bool { return s.Planned && s.Queue <= moveLate }) {
+	all := l.sites(now, model, m, skip)
+	sites, planned := split(all)
+	if slices.ContainsFunc(planned, func(s placer.Site) bool { return s.Queue <= moveLate }) {
 		return
 	}
 	i, left := placer.Pick(sites, m.GetBytes())
-	if i < 0 || sites[i].Planned || l.early(now, m.GetPool(), sites[i]) {
+	if i < 0 || l.early(now, m.GetPool(), sites[i]) {
+		return
+	}
+	if len(planned) > 0 && !sites[i].Fetch && left > moveLate {
+		return
+	}
+	if sites[i].Fetch && (len(planned) >= g.fetches || l.fetching(now, m.GetPool()) >= fetchesAtOnce) && len(planned) > 0 {
 		return
 	}
 	id := sites[i].ID
@@ -107,6 +121,18 @@
 	l.tell(id)
 }
 
+// split parts the sites that are to load the model anyway from the others.
+func split(all []placer.Site) (sites, planned []placer.Site) {
+	for _, s := range all {
+		if s.Planned {
+			planned = append(planned, s)
+		} else {
+			sites = append(sites, s)
+		}
+	}
+	return sites, planned
+}
+
 // growthWants appends the copies that an engine was asked for. The caller holds the
 // lock.
 func (l *Locator) growthWants(now time.Duration, server string, wants []*wire.Want) []*wire.Want {
--- a/locator/meet_test.go
+++ b/locator/meet_test.go
@@ -77,6 +77,49 @@
 	})
 }
 
+// TestFetchesAtOnce is a model whose demand has moved to it and that one engine has:
+// as many copies are fetched at a time as one and a half times its rate needs, and at
+// most those that the weight store sends at full speed.
+func TestFetchesAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		rate float64
+		want int
+	}{{7, 1}, {10, 2}, {30, 4}} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, 6)
+			fetches := map[int]bool{}
+			tell := func() {
+				r.state(0, func(s *wire.Condition) { s.Residents[0].Rate = c.rate }, "m")
+				for i := 1; i < 6; i++ {
+					r.state(i, func(s *wire.Condition) {
+						s.Disk = nil
+						if fetches[i] {
+							s.Tasks, s.Fetching = []*wire.Task{{Model: "m", Left: 5000}}, true
+						}
+					})
+				}
+			}
+			for range 30 {
+				tell()
+				f := <-r.find(context.Background(), r.request("m", time.Second))
+				assert.NilError(t, f.err)
+				f.place.Release(dispatcher.Report{})
+				time.Sleep(100 * time.Millisecond)
+				for i := 1; i < 6; i++ {
+					fetches[i] = fetches[i] || len(r.wants(i)) > 0
+				}
+			}
+			n := 0
+			for _, f := range fetches {
+				if f {
+					n++
+				}
+			}
+			assert.Equal(t, n, c.want, "%v", c.rate)
+		})
+	}
+}
+
 // TestCopyBesideFetch is a busy model whose next copy is being fetched from the
 // weight store: an engine that has it on its disk is asked meanwhile.
 func TestCopyBesideFetch(t *testing.T) {
--- a/locator/need.go
+++ b/locator/need.go
@@ -184,12 +184,7 @@
 // caller holds the lock.
 func (l *Locator) sites(now time.Duration, name string, m *wire.Model, tried map[string]bool) []placer.Site {
 	pool := l.fleet.Pool(m.GetPool())
-	fetching := 0
-	for _, b := range pool {
-		if b.State(now).GetFetching() {
-			fetching++
-		}
-	}
+	fetching := l.fetching(now, m.GetPool())
 	hash := router.Hash(name)
 	var sites []placer.Site
 	for _, b := range pool {
@@ -235,6 +230,18 @@
 	}
 }
 
+// fetching is the number of engines of a pool that load from the weight store. The
+// caller holds the lock.
+func (l *Locator) fetching(now time.Duration, pool string) int {
+	n := 0
+	for _, b := range l.fleet.Pool(pool) {
+		if b.State(now).GetFetching() {
+			n++
+		}
+	}
+	return n
+}
+
 // heldOf is a model in memory as a sidecar tells it. Keep comes as a whole.
 func heldOf(r *wire.Resident) placer.Held {
 	return placer.Held{Model: r.GetModel(), Bytes: r.GetBytes(), Rate: r.GetKeep(), Reload: time.Second, Inflight: int(r.GetInflight())}
