--- a/locator/growth.go
+++ b/locator/growth.go
@@ -108,10 +108,7 @@
 	if i < 0 || l.early(now, m.GetPool(), sites[i]) {
 		return
 	}
-	if len(planned) > 0 && !sites[i].Fetch && left > moveLate {
-		return
-	}
-	if sites[i].Fetch && (len(planned) >= g.fetches || l.fetching(now, m.GetPool()) >= fetchesAtOnce) && len(planned) > 0 {
+	if len(planned) > 0 && g.enough(sites[i], left, len(planned), l.fetching(now, m.GetPool())) {
 		return
 	}
 	id := sites[i].ID
@@ -121,6 +118,15 @@
 	l.tell(id)
 }
 
+// enough reports whether a copy at s, which takes left, is not to be asked for
+// beside the planned ones, while engines of the pool fetch.
+func (g *growth) enough(s placer.Site, left time.Duration, planned, fetching int) bool {
+	if !s.Fetch {
+		return left > moveLate
+	}
+	return planned >= g.fetches || fetching >= fetchesAtOnce
+}
+
 // split parts the sites that are to load the model anyway from the others.
 func split(all []placer.Site) (sites, planned []placer.Site) {
 	for _, s := range all {
