--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -69,7 +69,14 @@
 		return &StepError{Step: "start the fleet", cause: err}
 	}
 	fmt.Println("started: 2 entries, 2 engines and 1 order service with their sidecars, 1 platform")
-	return f.show(ctx)
+	if err := f.show(ctx); err != nil {
+		return err
+	}
+	if err := f.hosted(ctx); err != nil {
+		return &StepError{Step: "show the hosted fleet", cause: err}
+	}
+	_, err := fmt.Fprintln(os.Stdout, "done")
+	return err
 }
 
 func (f *fleet) stop() {
@@ -346,6 +353,5 @@
 			fmt.Printf("explain %s: %s: %s\n", r.Subject, r.Instance, r.Text)
 		}
 	}
-	_, err := fmt.Fprintln(os.Stdout, "done")
-	return err
+	return nil
 }
--- /dev/null
+++ b/demonstrator/hosted.go
@@ -0,0 +1,99 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"oleanderstall/checker"
+	"oleanderstall/imitator"
+	"oleanderstall/runner"
+)
+
+// Times of the hosted fleet.
+const (
+	hostedGrace = checker.Span(3 * time.Second)
+	hostedLease = checker.Span(time.Second)
+	hostedLoad  = 200 * time.Millisecond
+	hostedEvent = 5 * time.Millisecond
+	hostedLimit = 10 * time.Second
+)
+
+// hosted shows the second face: entries and sidecars on a stand-in of the platform
+// that hosts them.
+func (f *fleet) hosted(ctx context.Context) error {
+	site, err := imitator.NewSite(imitator.SiteTerms{
+		Engines: 2, Services: 1, Models: 4, Room: 2, Load: hostedLoad, Step: hostedEvent, Events: 10, Work: orderTime,
+		Rate: 1e6, Burst: 1e6,
+	})
+	if err != nil {
+		return err
+	}
+	f.stops = append(f.stops, site.Stop)
+	for i, app := range site.Apps {
+		s := hostedSettings(site, "sidecar", fmt.Sprint("sidecar-", i))
+		s.Sidecar = &checker.Sidecar{Kind: "engine", Backend: "http://" + app, Pool: imitator.SiteModels}
+		c, err := runner.StartHostedSidecar(s, f.logger)
+		if err != nil {
+			return err
+		}
+		f.stops = append(f.stops, c.Stop)
+	}
+	s := hostedSettings(site, "entry", "entry-0")
+	s.Entry = &checker.Entry{Callers: "127.0.0.1:0"}
+	e, err := runner.StartHostedEntry(s, f.logger)
+	if err != nil {
+		return err
+	}
+	f.stops = append(f.stops, e.Stop)
+	fmt.Println("hosted: 1 entry and 2 sidecars on a platform with a store, 2 engines and a service")
+	return askHosted(ctx, e.Addresses().Callers)
+}
+
+func hostedSettings(site *imitator.Site, role, name string) *checker.Settings {
+	return &checker.Settings{
+		Role: role, Name: name, Centre: imitator.SiteCentre, Peer: "127.0.0.1:0",
+		Hosted: &checker.Hosted{Store: site.Store, Ready: "127.0.0.1:0", Grace: hostedGrace, Lease: hostedLease},
+	}
+}
+
+// askHosted asks for a model that no engine holds yet, until the entry knows the
+// engines.
+func askHosted(ctx context.Context, address string) error {
+	limited, cancel := context.WithTimeout(ctx, hostedLimit)
+	defer cancel()
+	for i := 0; ; i++ {
+		status, text, err := askOnce(limited, address, fmt.Sprintf("%016x", i+1))
+		switch {
+		case err != nil:
+			return err
+		case status == http.StatusOK:
+			fmt.Printf("hosted: a model was loaded for a request and answered with %d events\n", strings.Count(text, "data: "))
+			return nil
+		}
+		select {
+		case <-limited.Done():
+			return eris.Errorf("the hosted entry answered %d: %s", status, text)
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+func askOnce(ctx context.Context, address, id string) (int, string, error) {
+	req, err := imitator.NewDraft(ctx, address, id, "/draft/x", imitator.SiteModel(0))
+	if err != nil {
+		return 0, "", err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", eris.Wrap(err, "call the hosted entry")
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(body), eris.Wrap(err, "read the answer")
+}
--- a/imitator/site.go
+++ b/imitator/site.go
@@ -1,10 +1,13 @@
 package imitator
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Names on the stand-in site.
@@ -168,3 +171,29 @@
 		"timeout_ms": 5000, "latency_goal_ms": 400, "gap_aim_ms": 250, "max_attempts": 2, "priority": 1,
 	}
 }
+
+// siteDeadline is the time that a caller gives its request, in milliseconds.
+const siteDeadline = "4000"
+
+// NewCall returns a caller's request to the entry at an address, an IP and a port.
+// The header holds names and values in turn.
+func NewCall(ctx context.Context, address, id, method, path string, header ...string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "build a call")
+	}
+	req.Host = SiteHost
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Api-Key", SiteKey)
+	req.Header.Set("X-Deadline-Ms", siteDeadline)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	return req, nil
+}
+
+// NewDraft returns a caller's request for a stream of a model.
+func NewDraft(ctx context.Context, address, id, path, model string, header ...string) (*http.Request, error) {
+	header = append([]string{"X-Model", model, "X-Token-Count", "100,50"}, header...)
+	return NewCall(ctx, address, id, http.MethodPost, path, header...)
+}
--- a/runner/hosted_test.go
+++ b/runner/hosted_test.go
@@ -110,15 +110,8 @@
 	f.ids++
 	id := fmt.Sprintf("%016x", f.ids)
 	f.mu.Unlock()
-	req, err := http.NewRequest(method, "http://"+f.entries[entry].Addresses().Callers+path, nil)
+	req, err := imitator.NewCall(f.t.Context(), f.entries[entry].Addresses().Callers, id, method, path, header...)
 	assert.NilError(f.t, err)
-	req.Host = imitator.SiteHost
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Api-Key", imitator.SiteKey)
-	req.Header.Set("X-Deadline-Ms", "4000")
-	for i := 0; i < len(header); i += 2 {
-		req.Header.Set(header[i], header[i+1])
-	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return reply{id: id, err: err}
@@ -182,6 +175,36 @@
 	}
 }
 
+// TestHostedMetrics serves metrics of requests, orders and calls to the store.
+func TestHostedMetrics(t *testing.T) {
+	f := newHostedFleet(t, smallSite())
+	f.whole(f.draft(0, "/draft/x", imitator.SiteModel(3)), 1, 10)
+	entry := metrics(t, f.entries[0].Addresses().Admin)
+	for _, want := range []string{
+		`oleanderstall_requests_total{outcome="served",workspace="` + imitator.SiteTenant + `"} 1`,
+		`oleanderstall_request_seconds_count{outcome="served"} 1`,
+		`oleanderstall_store_call_seconds_count{call="rows-feed",outcome="done"}`,
+		"oleanderstall_place_wait_seconds_count 1",
+	} {
+		assert.Assert(t, strings.Contains(entry, want), "%s in\n%s", want, entry)
+	}
+	all := ""
+	for _, c := range f.sidecars {
+		all += metrics(t, c.Addresses().Admin)
+	}
+	assert.Assert(t, strings.Contains(all, `oleanderstall_orders_total{op="load",outcome="accepted"}`))
+}
+
+// metrics reads the metrics of a process.
+func metrics(t *testing.T, address string) string {
+	res, err := http.Get("http://" + address + "/metrics")
+	assert.NilError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	return string(body)
+}
+
 // TestHostedRefusals answers what no configuration allows, and tells that nothing
 // has run.
 func TestHostedRefusals(t *testing.T) {
