locator: a queued request whose engine has lost its model leaves the queue

Ruled out: loops of messages (no line repeats), the followers (their calls are paced). Test: TestQueuedThenGone, failing before.

--- a/locator/locator.go
+++ b/locator/locator.go
@@ -175,6 +175,7 @@
 		l.queue(r)
 		return nil, l.changed, nil
 	}
+	l.dequeue(r)
 	if *n == nil {
 		joined, err := l.join(r, h)
 		if err != nil {
--- a/locator/queue.go
+++ b/locator/queue.go
@@ -50,24 +50,34 @@
 func (l *Locator) unqueue(r *dispatcher.Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if i := slices.Index(l.queued, r); i >= 0 {
-		l.queued = slices.Delete(l.queued, i, i+1)
-		if len(l.queued) > 0 {
-			l.wake()
-		}
+	l.dequeue(r)
+}
+
+// dequeue does what unqueue says. The caller holds the lock.
+func (l *Locator) dequeue(r *dispatcher.Request) {
+	i := slices.Index(l.queued, r)
+	if i < 0 {
+		return
+	}
+	l.queued = slices.Delete(l.queued, i, i+1)
+	if len(l.queued) > 0 {
+		l.wake()
 	}
 }
 
+// lookLeast is the shortest time after which a request looks again by itself.
+const lookLeast = time.Millisecond
+
 // limit is how long r waits before it looks again by itself.
 func (l *Locator) limit(now time.Duration, r *dispatcher.Request) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if slices.Contains(l.queued, r) {
-		return queueEnd(r) - now
+		return max(lookLeast, queueEnd(r)-now)
 	}
 	until := last(r)
 	if met := l.listed + meetTime; now < met {
 		until = min(until, met)
 	}
-	return until - now
+	return max(lookLeast, until-now)
 }
--- a/locator/wait_test.go
+++ b/locator/wait_test.go
@@ -85,3 +85,22 @@
 		assert.NilError(t, (<-got).err)
 	})
 }
+
+// TestQueuedThenGone queues a request behind a prompt at the only engine that has
+// its model, which then loses it: the request waits for the model, and does not look
+// again without a pause.
+func TestQueuedThenGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		r.state(0, nil, "m")
+		first := <-r.find(context.Background(), r.request("m", 5*time.Second))
+		assert.NilError(t, first.err)
+		q := r.request("m", 5*time.Second)
+		got := r.find(context.Background(), q)
+		r.state(0, nil)
+		synctest.Wait()
+		assert.Assert(t, r.locator.limit(queueEnd(q)+time.Millisecond, q) > 0)
+		r.state(1, nil, "m")
+		assert.NilError(t, (<-got).err)
+	})
+}
