--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -45,6 +45,14 @@
 	stopping atomic.Bool
 }
 
+// Limits of the retries of a hosted entry.
+const (
+	// retryRatio is the part of requests that may be retried.
+	retryRatio = 0.1
+	// retryMost is the number of retries saved up.
+	retryMost = 10
+)
+
 // slackPart is the part of the slack that the entries use on purpose; the rest is
 // for messages that come late.
 const slackPart = 0.5
@@ -56,7 +64,7 @@
 	e.locator = locator.New(s.Name, s.Centre, e.started, e.clock, e.copy, l)
 	e.gossiper = gossiper.New(s.Name, e.started, terms, e.clock, e.copy, l)
 	backends := platform.NewBackends(e.clock)
-	e.core = dispatcher.NewCore(e.clock, e.gossiper, e.locator, backends, granted{}, router.NewBudget(0.1, 10), e.recorder, e.meter, l)
+	e.core = dispatcher.NewCore(e.clock, e.gossiper, e.locator, backends, granted{}, router.NewBudget(retryRatio, retryMost), e.recorder, e.meter, l)
 	e.front = platform.NewFront(e)
 	var err error
 	if e.callers, err = listen(s.Entry.Callers, e.front, nil); err != nil {
