tracker, locator: an engine that stands still with requests under way gets nothing new

Change: an engine that has requests of this entry and shows no event for 0.7 s counts as failing by degrees, after 1.4 s it gets nothing and its models are loaded elsewhere. Tests: TestSilence, TestLeavesStill.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -103,6 +103,8 @@
 	// longer than any before it; both may be nil.
 	Begun func()
 	Slow  func(gap time.Duration)
+	// Alive is called at each event with its instant, unless it is nil.
+	Alive func(now time.Duration)
 	// Release gives the place back, with how the attempt ended.
 	Release func(Report)
 }
@@ -465,6 +467,9 @@
 		}
 	}
 	p.last = now
+	if place.Alive != nil {
+		place.Alive(now)
+	}
 }
 
 // served counts and records a whole answer.
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -230,7 +230,7 @@
 			Load:    b.Load(),
 			Pending: b.Pending(),
 			Far:     b.Server().Centre != l.centre,
-			Trouble: b.Trouble(now),
+			Trouble: max(b.Trouble(now), b.Silence(now)),
 			Strain:  b.Strain(now),
 		}
 		if v := cost.Value(); best == nil || v < least {
@@ -242,12 +242,13 @@
 
 // holds reports whether a server can run r now. The list may still name what was
 // lost together with this entry's predecessor, so that shortly after its start an
-// entry sends to the engines of the sidecars that it has heard.
+// entry sends to the engines of the sidecars that it has heard. Engines that stand
+// still get nothing.
 func (l *Locator) holds(now time.Duration, b *tracker.Backend, r *dispatcher.Request) bool {
 	if r.Model == "" {
 		return true
 	}
-	if b.State(now) == nil && now < l.listed+meetTime {
+	if b.State(now) == nil && now < l.listed+meetTime || b.Silence(now) >= 1 {
 		return false
 	}
 	held := b.Holding(now)
@@ -260,7 +261,7 @@
 	names := names(r)
 	l.log.Info().Str("request", r.ID).Str("server", s.ID).Str("model", needed(r)).Int("inflight", b.Inflight()).
 		Int("load", b.Load()).Int64("waited", (now - r.Begun).Milliseconds()).Msg("send")
-	l.fleet.Begin(s.ID, names...)
+	l.fleet.Begin(now, s.ID, names...)
 	l.used(b, names, 1)
 	begun := false
 	return &dispatcher.Place{
@@ -270,6 +271,7 @@
 		Urgency: min(r.Priority, lastUrgency),
 		Hear:    func(load dispatcher.Load) { l.hear(s.ID, load) },
 		Begun:   func() { begun = true; l.begun(s.ID) },
+		Alive:   b.Alive,
 		Slow:    func(gap time.Duration) { l.slow(s.ID, r, gap) },
 		Release: func(rep dispatcher.Report) { l.release(s.ID, names, begun, r, rep) },
 	}
--- a/locator/wait_test.go
+++ b/locator/wait_test.go
@@ -104,3 +104,34 @@
 		assert.NilError(t, (<-got).err)
 	})
 }
+
+// TestLeavesStill is the load of an engine that stands still with streams under way:
+// it gets nothing new, and another engine loads the model.
+func TestLeavesStill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		tell := func() {
+			r.state(0, nil, "m")
+			r.state(1, nil)
+		}
+		tell()
+		f := <-r.find(context.Background(), r.request("m", 10*time.Second))
+		assert.NilError(t, f.err)
+		f.place.Begun()
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			f.place.Alive(r.clock())
+			tell()
+		}
+		alive := <-r.find(context.Background(), r.request("m", 10*time.Second))
+		assert.Equal(t, alive.place.Name, engine(0))
+		time.Sleep(1400 * time.Millisecond)
+		tell()
+		got := r.find(context.Background(), r.request("m", 10*time.Second))
+		assert.Equal(t, r.wanted("m", 2), 1)
+		r.state(1, nil, "m")
+		moved := <-got
+		assert.NilError(t, moved.err)
+		assert.Equal(t, moved.place.Name, engine(1))
+	})
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"oleanderstall/wire"
@@ -68,6 +69,10 @@
 	// strain is how near the answers of late came to being late, 1 being just so.
 	strain float64
 	felt   time.Duration
+	// alive is the instant of the latest event from the server, in nanoseconds, and
+	// busy that since which it has had a request of this entry.
+	alive atomic.Int64
+	busy  time.Duration
 	// disowned is set once an answer from the server's address was not its own.
 	disowned bool
 	// doubted is the instant at which a server is dropped unless it is listed again,
@@ -111,6 +116,28 @@
 	b.trouble, b.failed = next, now
 }
 
+// Limits of the silence of a server that has requests of this entry.
+const (
+	// quietTime is the longest silence that says nothing.
+	quietTime = 700 * time.Millisecond
+	// stillTime is the further silence after which the server counts as one at which
+	// every attempt fails.
+	stillTime = 700 * time.Millisecond
+)
+
+// Alive takes note of an event from the server. It may be called at any time.
+func (b *Backend) Alive(now time.Duration) { b.alive.Store(int64(now)) }
+
+// Silence is how far an engine is towards standing still, from 0 to 1: it has
+// requests of this entry for models, and no event has come for long.
+func (b *Backend) Silence(now time.Duration) float64 {
+	if len(b.inflight) == 0 {
+		return 0
+	}
+	quiet := now - max(b.busy, time.Duration(b.alive.Load())) - quietTime
+	return min(1, max(0, float64(quiet)/float64(stillTime)))
+}
+
 // Load estimates the requests at the server.
 func (b *Backend) Load() int { return b.sum + b.others }
 
@@ -270,13 +297,16 @@
 	}
 }
 
-// Begin counts a request of this entry in, under the names of its model and
-// adapter.
-func (f *Fleet) Begin(id string, names ...string) {
+// Begin counts a request of this entry in at an instant, under the names of its
+// model and adapter.
+func (f *Fleet) Begin(now time.Duration, id string, names ...string) {
 	b := f.backends[id]
 	if b == nil {
 		return
 	}
+	if len(b.inflight) == 0 {
+		b.busy = now
+	}
 	b.sum++
 	b.pending++
 	for _, name := range names {
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -54,3 +54,20 @@
 	assert.Assert(t, f.Get("a").State(now+2*stateLife) == nil)
 	assert.Assert(t, f.Tell(now, word))
 }
+
+// TestSilence grows while requests for models are under way and no event comes.
+func TestSilence(t *testing.T) {
+	now := time.Hour
+	f := New()
+	f.List(Server{ID: "a", Pool: "p", Address: "x", Born: 1})
+	b := f.Get("a")
+	assert.Equal(t, b.Silence(now), 0.0)
+	f.Begin(now, "a", "m")
+	assert.Equal(t, b.Silence(now+quietTime), 0.0)
+	assert.Equal(t, b.Silence(now+quietTime+stillTime/2), 0.5)
+	assert.Equal(t, b.Silence(now+time.Minute), 1.0)
+	b.Alive(now + time.Minute)
+	assert.Equal(t, b.Silence(now+time.Minute), 0.0)
+	f.End("a", false, "m")
+	assert.Equal(t, b.Silence(now+time.Hour), 0.0)
+}
