--- a/locator/growth.go
+++ b/locator/growth.go
@@ -20,9 +20,6 @@
 	// copyRate is the number of requests a second for a model that one engine is to
 	// serve.
 	copyRate = 6.0
-	// fetchAhead is how much more demand is prepared for where a copy has to be
-	// fetched, since demand goes on growing meanwhile.
-	fetchAhead = 1.5
 	// growthDelay is the longest time before an entry asks for another copy. Each
 	// entry has a delay of its own, so that mostly one asks.
 	growthDelay = 300 * time.Millisecond
@@ -35,16 +32,14 @@
 type growth struct {
 	due   time.Duration
 	until time.Duration
-	// fetches is the number of copies that may be fetched at a time.
-	fetches int
 	// asked holds the instants at which engines were asked.
 	asked map[string]time.Duration
 }
 
-// copies returns the number of copies that a model serves with, the number that it
-// should have, and the rate of its requests. The caller holds the lock.
-func (l *Locator) copies(now time.Duration, pool, model string) (have, want int, rate float64) {
-	room := false
+// copies returns the number of copies that a model serves with and that it should
+// have. The caller holds the lock.
+func (l *Locator) copies(now time.Duration, pool, model string) (have, want int) {
+	rate, room := 0.0, false
 	for _, b := range l.fleet.Pool(pool) {
 		if !b.Holding(now).Has(model) || b.Closing(now, model) {
 			continue
@@ -57,7 +52,7 @@
 	if !room {
 		want = max(want, have+1)
 	}
-	return have, want, rate
+	return have, want
 }
 
 // press asks for more copies of r's model if the engines that serve it are too few.
@@ -66,7 +61,7 @@
 	if r.Model == "" {
 		return
 	}
-	have, want, rate := l.copies(now, r.Pool, r.Model)
+	have, want := l.copies(now, r.Pool, r.Model)
 	if have >= want {
 		return
 	}
@@ -77,15 +72,14 @@
 		l.growing[r.Model] = g
 	}
 	g.until = now + growthLife
-	g.fetches = max(1, int(math.Ceil(fetchAhead*rate/copyRate))-have)
 	if now >= g.due {
 		l.grow(now, r.Model, g)
 	}
 }
 
 // grow asks the engine that can serve another copy first, unless one was asked just
-// now or will have it soon. Several copies are fetched at a time, since each takes
-// long. The caller holds the lock.
+// now or will have it soon. One copy is fetched at a time, and others may be loaded
+// from nearer meanwhile. The caller holds the lock.
 func (l *Locator) grow(now time.Duration, model string, g *growth) {
 	m := l.copy.View().Model(model)
 	skip := map[string]bool{}
@@ -108,7 +102,7 @@
 	if i < 0 || l.early(now, m.GetPool(), sites[i]) {
 		return
 	}
-	if len(planned) > 0 && g.enough(sites[i], left, len(planned), l.fetching(now, m.GetPool())) {
+	if len(planned) > 0 && (sites[i].Fetch || left > moveLate) {
 		return
 	}
 	id := sites[i].ID
@@ -118,15 +112,6 @@
 	l.tell(id)
 }
 
-// enough reports whether a copy at s, which takes left, is not to be asked for
-// beside the planned ones, while engines of the pool fetch.
-func (g *growth) enough(s placer.Site, left time.Duration, planned, fetching int) bool {
-	if !s.Fetch {
-		return left > moveLate
-	}
-	return planned >= g.fetches || fetching >= fetchesAtOnce
-}
-
 // split parts the sites that are to load the model anyway from the others.
 func split(all []placer.Site) (sites, planned []placer.Site) {
 	for _, s := range all {
@@ -160,6 +145,6 @@
 // The wish for another copy counts as growthCount requests that wait, worth
 // growthWorth of one together.
 const (
-	growthCount = 3
-	growthWorth = 3.0
+	growthCount = 2
+	growthWorth = 0.5
 )
--- a/locator/tell.go
+++ b/locator/tell.go
@@ -7,9 +7,9 @@
 	"oleanderstall/wire"
 )
 
-// promisedWorth is what a request that is expected back is worth, as a part of one
-// that waits.
-const promisedWorth = 0.5
+// promisedWorth is what requests that are expected back are worth together, as a
+// part of one that waits. They count as none, so that no model is unloaded for them.
+const promisedWorth = 0.05
 
 // lateWorth is what a late answer is worth, as a part of one on time.
 const lateWorth = 0.25
@@ -83,7 +83,6 @@
 func (n *need) want(now time.Duration) *wire.Want {
 	w := &wire.Want{Model: n.name, Count: uint32(len(n.waiting)), Goal: 1 << 30}
 	if now < n.promised {
-		w.Count++
 		w.Worth += promisedWorth
 	}
 	for r := range n.waiting {
