--- a/limiter/ledger_test.go
+++ b/limiter/ledger_test.go
@@ -14,6 +14,9 @@
 type desk struct {
 	ledgers []*Ledger
 	cut     [][]bool
+	// started are the starts of the entries, and paused those that stand still.
+	started []int64
+	paused  []bool
 	uses    []use
 }
 
@@ -25,32 +28,41 @@
 )
 
 func newDesk(now time.Duration, entries int) *desk {
-	d := &desk{}
+	d := &desk{ledgers: make([]*Ledger, entries), started: make([]int64, entries), paused: make([]bool, entries)}
 	for i := range entries {
-		l := NewLedger(0)
-		l.Set(now, []Limit{{Workspace: "w", Rate: deskRate, Burst: deskBurst}})
-		var names []string
-		for j := range entries {
-			if j != i {
-				names = append(names, fmt.Sprint(j))
-			}
-		}
-		l.Peers(now, names)
-		d.ledgers = append(d.ledgers, l)
+		d.start(now, i)
 		d.cut = append(d.cut, make([]bool, entries))
 	}
 	return d
 }
 
+// start starts an entry, once more if it runs.
+func (d *desk) start(now time.Duration, entry int) {
+	l := NewLedger(0)
+	l.Set(now, []Limit{{Workspace: "w", Rate: deskRate, Burst: deskBurst}})
+	var names []string
+	for i := range d.ledgers {
+		if i != entry {
+			names = append(names, fmt.Sprint(i))
+		}
+	}
+	l.Peers(now, names)
+	d.ledgers[entry] = l
+	d.started[entry]++
+}
+
 // gossip lets every entry tell every other one that it reaches.
 func (d *desk) gossip(now time.Duration) {
 	for i, l := range d.ledgers {
+		if d.paused[i] {
+			continue
+		}
 		l.Tick(now)
 		for j, o := range d.ledgers {
-			if i == j || d.cut[i][j] {
+			if i == j || d.cut[i][j] || d.paused[j] {
 				continue
 			}
-			o.Hear(now, Word{Entry: fmt.Sprint(i), Started: 1, Totals: l.Totals()})
+			o.Hear(now, Word{Entry: fmt.Sprint(i), Started: d.started[i], Totals: l.Totals()})
 			for _, w := range l.Relay(now, o.Silent()) {
 				o.Learn(now, w)
 			}
@@ -69,13 +81,12 @@
 
 // most returns the largest use in any window of a length.
 func (d *desk) most(window time.Duration) float64 {
-	most := 0.0
-	for i := range d.uses {
-		sum := 0.0
-		for _, u := range d.uses[i:] {
-			if u.at-d.uses[i].at < window {
-				sum += u.tokens
-			}
+	most, sum, first := 0.0, 0.0, 0
+	for _, u := range d.uses {
+		sum += u.tokens
+		for u.at-d.uses[first].at >= window {
+			sum -= d.uses[first].tokens
+			first++
 		}
 		most = max(most, sum)
 	}
@@ -117,8 +128,45 @@
 	assert.Assert(t, d.most(8*time.Second) <= 1.1*most, "%g of %g", d.most(8*time.Second), most)
 }
 
-// TestLedgerUnderCuts draws a few cuts between entries, one way or both, and demand at No window of 8 s has more than the users allow: the entries that are
-// cut off keep their parts.
+// TestLedgerUnderFaults draws entries that are killed and start again, stand still or
+// are cut off one way, and demand at all of them. No window of 8 s has more than the
+// users allow.
+func TestLedgerUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Hour
+		n := rapid.IntRange(1, 5).Draw(t, "entries")
+		d := newDesk(start, n)
+		for i := range 200 {
+			now := start + time.Duration(i)*100*time.Millisecond
+			if rapid.IntRange(0, 39).Draw(t, "fault") == 0 {
+				a := rapid.IntRange(0, n-1).Draw(t, "entry")
+				switch rapid.IntRange(0, 2).Draw(t, "kind") {
+				case 0:
+					d.start(now, a)
+				case 1:
+					d.paused[a] = !d.paused[a]
+				case 2:
+					b := rapid.IntRange(0, n-1).Draw(t, "to")
+					d.cut[a][b] = !d.cut[a][b]
+				}
+			}
+			d.gossip(now)
+			for e := range n {
+				for range rapid.IntRange(0, 3).Draw(t, "requests") {
+					if !d.paused[e] {
+						d.take(now, e, 1000)
+					}
+				}
+			}
+		}
+		most := 1.1*(deskRate*8+deskBurst) + deskSlack
+		assert.Assert(t, d.most(8*time.Second) <= most, "%g of %g", d.most(8*time.Second), most)
+	})
+}
+
+// TestLedgerUnderCuts draws a few cuts between entries, one way or both, and demand
+// at all of them. No window of 8 s has more than the users allow: the entries that
+// are cut off keep their parts.
 func TestLedgerUnderCuts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		start := time.Hour
