--- a/runner/hosted_test.go
+++ b/runner/hosted_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -205,6 +206,31 @@
 	return string(body)
 }
 
+// TestHostedBadInput refuses a header that is too large and a body that is cut short.
+// Neither runs, and the next request is served.
+func TestHostedBadInput(t *testing.T) {
+	f := newHostedFleet(t, smallSite())
+	large := f.ask(0, http.MethodPost, "/order/1", "X-Filler", strings.Repeat("x", 3*maxHeader))
+	assert.NilError(t, large.err)
+	assert.Equal(t, large.status, http.StatusRequestHeaderFieldsTooLarge)
+	assert.Equal(t, f.runs(large.id), 0)
+
+	conn, err := net.Dial("tcp", f.entries[0].Addresses().Callers)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	const id = "00000000000000ff"
+	_, err = fmt.Fprintf(conn, "POST /order/2 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Api-Key: %s\r\nContent-Length: 100\r\n\r\nshort",
+		imitator.SiteHost, id, imitator.SiteKey)
+	assert.NilError(t, err)
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	answer, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Assert(t, !strings.Contains(string(answer), " 200 "), "%s", answer)
+	assert.Equal(t, f.runs(id), 0)
+
+	assert.Equal(t, f.ask(0, http.MethodPost, "/order/3").status, http.StatusOK)
+}
+
 // TestHostedRefusals answers what no configuration allows, and tells that nothing
 // has run.
 func TestHostedRefusals(t *testing.T) {
