--- a/checker/checker.go
+++ b/checker/checker.go
@@ -95,6 +95,16 @@
 	// Slack are the tokens of a workspace that all entries together may use beyond
 	// its limit because they have not told each other yet.
 	Slack float64 `json:"slack"`
+	// Retries bounds the retries of all entries together.
+	Retries Retries `json:"retries"`
+}
+
+// Retries are the bounds of the retries to a pool.
+type Retries struct {
+	// Ratio is the part of the requests to the pool that may be retried.
+	Ratio float64 `json:"ratio"`
+	// Slack is the number of retries beyond that.
+	Slack float64 `json:"slack"`
 }
 
 // Log sets what is logged.
@@ -235,6 +245,7 @@
 	if s.Hosted != nil {
 		fill(&s.Hosted.Grace, Span(8*time.Second))
 		fill(&s.Hosted.Lease, Span(3*time.Second))
+		fill(&s.Hosted.Retries, Retries{Ratio: 0.2, Slack: 20})
 	}
 	if s.Sidecar != nil {
 		c := s.Sidecar
@@ -296,6 +307,12 @@
 	if h.Slack < 0 {
 		f.fault("hosted.slack", "must not be negative")
 	}
+	if h.Retries.Ratio < 0 {
+		f.fault("hosted.retries.ratio", "must not be negative")
+	}
+	if h.Retries.Slack < 0 {
+		f.fault("hosted.retries.slack", "must not be negative")
+	}
 	f.atLeast("hosted.grace", time.Duration(h.Grace), time.Second)
 }
 
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -248,7 +248,7 @@
 	if err != nil {
 		return nil, c.refused(p, err)
 	}
-	c.earn()
+	c.earn(r.Pool)
 	end, err := c.attempts(ctx, p)
 	bill.Settle(c.used(p, end, err))
 	if err != nil {
@@ -333,7 +333,7 @@
 	default:
 		return false
 	}
-	if c.clock() >= r.Deadline || !c.spend() {
+	if c.clock() >= r.Deadline || !c.spend(p.request.Pool) {
 		return false
 	}
 	c.meter.Retry(f.Kind().String())
@@ -343,18 +343,25 @@
 	return true
 }
 
+// Share makes the part of the retry budget that of one entry among several.
+func (c *Core) Share(entries int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.budget.Share(entries)
+}
+
 // earn adds one request to the retry budget.
-func (c *Core) earn() {
+func (c *Core) earn(pool string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.budget.Request()
+	c.budget.Request(pool)
 }
 
 // spend takes one retry out of the budget.
-func (c *Core) spend() bool {
+func (c *Core) spend(pool string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.budget.Retry()
+	return c.budget.Retry(pool)
 }
 
 // attempt sends the request to one backend server and passes the answer on.
@@ -433,7 +440,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	left := p.request.Attempts == 0 || p.runs+1 < p.request.Attempts
-	return left && c.budget.Left()
+	return left && c.budget.Left(p.request.Pool)
 }
 
 // pass passes one event on. Events have to follow one another without a gap.
--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -31,7 +31,7 @@
 		{"too late", refuser.New(refuser.Late, "x"), 10, false},
 	} {
 		clock := func() time.Duration { return time.Hour }
-		core := NewCore(clock, nil, nil, nil, nil, router.NewBudget(0, c.budget), recorder.New("a", 4), meter.New(), l)
+		core := NewCore(clock, nil, nil, nil, nil, router.NewBudget(router.Retries{Most: c.budget}), recorder.New("a", 4), meter.New(), l)
 		p := &progress{request: &Request{Kind: Idempotent, Deadline: 2 * time.Hour}}
 		assert.Equal(t, core.again(p, c.err), c.again, c.name)
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -90,7 +90,7 @@
 		leaving:  map[string]notice{},
 		hushed:   map[string]time.Duration{},
 	}
-	d.core = NewCore(clock, d, d, d, d, router.NewBudget(retryRatio, retryMost), r, mt, l)
+	d.core = NewCore(clock, d, d, d, d, router.NewBudget(router.Retries{Ratio: retryRatio, Most: retryMost}), r, mt, l)
 	return d
 }
 
--- a/locator/sites.go
+++ b/locator/sites.go
@@ -44,8 +44,11 @@
 		site := placer.Site{ID: b.Server().ID, Free: state.GetFree(), Score: router.Score(b.Server().ID, hash)}
 		held := b.Holding(now)
 		site.Planned = held.Has(m.GetName())
-		site.Load, site.Fetch = loadTime(held, m, fetching)
-		queue(&site, state.GetTasks(), m.GetName())
+		site.Load, site.Fetch = held.Load(m)
+		if site.Fetch {
+			site.Load = stretched(site.Load, fetching)
+		}
+		before(&site, state.GetTasks(), m.GetName())
 		for _, res := range state.GetResidents() {
 			h := heldOf(res)
 			h.Inflight = max(h.Inflight, b.InflightOf(h.Model))
@@ -62,8 +65,8 @@
 	return sites
 }
 
-// queue sets the duration of the loads before that of a model.
-func queue(s *placer.Site, tasks []*wire.Task, model string) {
+// before sets the duration of the loads before that of a model.
+func before(s *placer.Site, tasks []*wire.Task, model string) {
 	for _, t := range tasks {
 		left := timer.Span(t.GetLeft())
 		switch {
@@ -96,19 +99,10 @@
 	return placer.Held{Model: r.GetModel(), Bytes: r.GetBytes(), Rate: r.GetKeep(), Reload: time.Second, Inflight: int(r.GetInflight())}
 }
 
-// loadTime is the duration of a load by where the checkpoint is cached, and
-// whether it comes from the weight store. Loads from there take longer the more of
-// them run.
-func loadTime(h tracker.Holding, m *wire.Model, fetching int) (took time.Duration, fetch bool) {
-	switch {
-	case slices.Contains(h.Memory, m.GetName()):
-		return timer.Span(m.GetMemory()), false
-	case slices.Contains(h.Disk, m.GetName()):
-		return timer.Span(m.GetDisk()), false
-	}
-	remote := timer.Span(m.GetRemote())
-	if fetching >= fetchesAtOnce {
-		remote = remote * time.Duration(fetching+1) / fetchesAtOnce
+// stretched is the duration of a load from the weight store while others run.
+func stretched(load time.Duration, fetching int) time.Duration {
+	if fetching < fetchesAtOnce {
+		return load
 	}
-	return remote, true
+	return load * time.Duration(fetching+1) / fetchesAtOnce
 }
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -340,14 +340,8 @@
 // loadTime is the duration of a load by where the checkpoint is cached. The
 // caller holds the lock.
 func (o *Orderer) loadTime(m *wire.Model) time.Duration {
-	ms := m.GetRemote()
-	switch {
-	case slices.Contains(o.report.Memory, m.GetName()):
-		ms = m.GetMemory()
-	case slices.Contains(o.report.Disk, m.GetName()):
-		ms = m.GetDisk()
-	}
-	return timer.Span(ms)
+	took, _ := o.report.Load(m)
+	return took
 }
 
 // held lists the models in memory. The caller holds the lock.
--- a/orderer/state.go
+++ b/orderer/state.go
@@ -89,7 +89,7 @@
 		m := view.Model(o.current.Model)
 		left = max(0, o.begun+o.loadTime(m)-now)
 		s.Tasks = append(s.Tasks, &wire.Task{Model: o.current.Model, Left: timer.Millis(left)})
-		s.Fetching = !slices.Contains(o.report.Memory, o.current.Model) && !slices.Contains(o.report.Disk, o.current.Model)
+		_, s.Fetching = o.report.Load(m)
 	}
 	wants, held, free := o.wants(), o.held(now), o.free()
 	for _, w := range wants {
--- a/router/router.go
+++ b/router/router.go
@@ -147,32 +147,3 @@
 
 // Hash returns the key of a text for Score.
 func Hash(text string) uint64 { return xxhash.Sum64String(text) }
-
-// Budget bounds retries to a part of the requests, so that a failing back end
-// does not multiply the load.
-type Budget struct {
-	ratio float64
-	most  float64
-	saved float64
-}
-
-// NewBudget returns a budget that earns ratio retries for each request and
-// saves at most most of them.
-func NewBudget(ratio, most float64) *Budget {
-	return &Budget{ratio: ratio, most: most, saved: most}
-}
-
-// Request earns the part of a retry that one request brings.
-func (b *Budget) Request() { b.saved = min(b.most, b.saved+b.ratio) }
-
-// Left reports whether the budget has a retry left.
-func (b *Budget) Left() bool { return b.saved >= 1 }
-
-// Retry spends one retry and reports whether the budget had it.
-func (b *Budget) Retry() bool {
-	if b.saved < 1 {
-		return false
-	}
-	b.saved--
-	return true
-}
--- a/runner/hosted_test.go
+++ b/runner/hosted_test.go
@@ -63,6 +63,7 @@
 		Role: role, Name: name, Centre: imitator.SiteCentre, Peer: "127.0.0.1:0", Admin: "127.0.0.1:0",
 		Hosted: &checker.Hosted{
 			Store: f.site.Store, Ready: "127.0.0.1:0", Grace: checker.Span(3 * time.Second), Lease: checker.Span(time.Second),
+			Retries: checker.Retries{Ratio: 0.2, Slack: 20},
 		},
 	}
 }
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -40,31 +40,26 @@
 	callers  *server
 	ready    *server
 	list     *follower.Follower
+	// peers are the entries of the fleet, this one included.
+	peers map[string]bool
 	// servers is set once the backend servers are known.
 	servers  atomic.Bool
 	stopping atomic.Bool
 }
 
-// Limits of the retries of a hosted entry.
-const (
-	// retryRatio is the part of requests that may be retried.
-	retryRatio = 0.1
-	// retryMost is the number of retries saved up.
-	retryMost = 10
-)
-
-// slackPart is the part of the slack that the entries use on purpose; the rest is
-// for messages that come late.
+// slackPart is the part of a limit's slack that the entries use on purpose; the
+// rest is for messages that come late and for entries that are not known yet.
 const slackPart = 0.5
 
 // StartHostedEntry starts an entry. It returns once all listeners are open.
 func StartHostedEntry(s *checker.Settings, l *log.Logger) (*HostedEntry, error) {
-	e := &HostedEntry{hosted: newHosted(s, l)}
+	e := &HostedEntry{hosted: newHosted(s, l), peers: map[string]bool{}}
 	terms := gossiper.Terms{Window: time.Duration(s.Hosted.Window), Slack: slackPart * s.Hosted.Slack}
+	retries := router.Retries{Ratio: slackPart * s.Hosted.Retries.Ratio, Most: slackPart * s.Hosted.Retries.Slack}
 	e.locator = locator.New(s.Name, s.Centre, e.started, e.clock, e.copy, l)
 	e.gossiper = gossiper.New(s.Name, e.started, terms, e.clock, e.copy, l)
 	backends := platform.NewBackends(e.clock)
-	e.core = dispatcher.NewCore(e.clock, e.gossiper, e.locator, backends, granted{}, router.NewBudget(retryRatio, retryMost), e.recorder, e.meter, l)
+	e.core = dispatcher.NewCore(e.clock, e.gossiper, e.locator, backends, granted{}, router.NewBudget(retries), e.recorder, e.meter, l)
 	e.front = platform.NewFront(e)
 	var err error
 	if e.callers, err = listen(s.Entry.Callers, e.front, nil); err != nil {
@@ -121,6 +116,7 @@
 		if r.Deleted {
 			e.watcher.Remove(name)
 			e.gossiper.Remove(name)
+			delete(e.peers, name)
 			continue
 		}
 		if err := json.Unmarshal(r.Value, &in); err != nil {
@@ -132,8 +128,10 @@
 			e.watcher.Add(in)
 		} else {
 			e.gossiper.Add(in)
+			e.peers[name] = true
 		}
 	}
+	e.core.Share(len(e.peers))
 }
 
 // handle answers a call of another process.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
 
@@ -42,6 +43,18 @@
 	Disk   []string
 }
 
+// Load is the duration of the load of a base model by where its checkpoint is
+// cached. It reports whether the checkpoint comes from the weight store.
+func (h Holding) Load(m *wire.Model) (took time.Duration, fetch bool) {
+	switch {
+	case slices.Contains(h.Memory, m.GetName()):
+		return timer.Span(m.GetMemory()), false
+	case slices.Contains(h.Disk, m.GetName()):
+		return timer.Span(m.GetDisk()), false
+	}
+	return timer.Span(m.GetRemote()), true
+}
+
 // Has reports whether a model or adapter serves requests.
 func (h Holding) Has(name string) bool {
 	_, ok := slices.BinarySearch(h.Models, name)
