hosted: messages, looks and store calls that grow less with the fleet

Each sidecar sent each change of its load to 26 entries, each entry greeted 25 others every 100 ms and told 47 sidecars every 500 ms, and read two tables every second. Now: load-only states about 40 a second from a sidecar to all; greetings every 20 ms times the others, silence in the ledger in proportion; an entry that neither wants nor uses an engine tells every 2 s; copies looked for every 100 ms; store tables read less often in larger fleets; a load looked at when it is due; requests blocked by others wait for the entries' word, not for looks every 15 ms; pools sorted once a change.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -20,9 +20,9 @@
 const (
 	firstPause = 50 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
-	// hurryPeriod is the shortest time between two calls of which the later was
-	// hurried.
-	hurryPeriod = 150 * time.Millisecond
+	// hurryParts is the part of the period that passes at least between two calls of
+	// which the later was hurried.
+	hurryParts = 6
 )
 
 // Terms set how a table is followed.
@@ -81,6 +81,20 @@
 	}
 }
 
+// Pace sets the shortest time between two calls.
+func (f *Follower) Pace(period time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.terms.Period = period
+}
+
+// period is the shortest time between two calls.
+func (f *Follower) period() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.terms.Period
+}
+
 // Proven returns the instant as of which the copy was complete, and false if it
 // never was.
 func (f *Follower) Proven() (time.Duration, bool) {
@@ -114,13 +128,13 @@
 		err := f.step(ctx, begun)
 		if err != nil {
 			f.failed(ctx, err)
-			sleep(ctx, max(pause, f.terms.Period-(f.clock()-begun)), nil)
+			sleep(ctx, max(pause, f.period()-(f.clock()-begun)), nil)
 			pause = min(2*pause, maxPause)
 			continue
 		}
 		pause = firstPause
-		sleep(ctx, min(hurryPeriod, f.terms.Period)-(f.clock()-begun), nil)
-		sleep(ctx, f.terms.Period-(f.clock()-begun), f.hurry)
+		sleep(ctx, f.period()/hurryParts-(f.clock()-begun), nil)
+		sleep(ctx, f.period()-(f.clock()-begun), f.hurry)
 	}
 }
 
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -23,12 +23,15 @@
 
 // Periods of the messages to another entry.
 const (
-	// period is between two looks for something to tell.
+	// period is between two looks for something to tell, and share what each other
+	// entry adds to it beyond that.
 	period = 100 * time.Millisecond
-	// quietPeriods is the number of looks after which an entry tells all the same.
-	quietPeriods = 3
-	greetLimit   = 400 * time.Millisecond
-	fetchLimit   = time.Second
+	share  = 20 * time.Millisecond
+	// quietTime is the time after which an entry tells all the same, in a fleet with
+	// a shorter period.
+	quietTime  = 300 * time.Millisecond
+	greetLimit = 400 * time.Millisecond
+	fetchLimit = time.Second
 	// lostAfter is the number of messages without an answer after which an entry
 	// counts as lost.
 	lostAfter = 4
@@ -155,22 +158,25 @@
 
 // talk tells one other entry what is new until ctx ends.
 func (g *Gossiper) talk(ctx context.Context, in storer.Instance) {
-	tick := time.NewTicker(period)
+	tick := time.NewTimer(0)
 	defer tick.Stop()
 	var told *wire.Greet
 	var silent []string
-	quiet, missed := 0, 0
+	var last time.Duration
+	missed := 0
 	for {
+		tick.Reset(g.period())
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
 		next := g.greet(silent)
-		quiet++
-		if told != nil && quiet < quietPeriods && len(silent) == 0 && maps.Equal(told.GetSpent(), next.GetSpent()) && told.GetConfig() == next.GetConfig() {
+		quiet := g.clock()-last < quietTime && len(silent) == 0
+		if told != nil && quiet && maps.Equal(told.GetSpent(), next.GetSpent()) && told.GetConfig() == next.GetConfig() {
 			continue
 		}
+		last = g.clock()
 		greeting, err := g.exchange(ctx, in, next)
 		if err != nil {
 			missed++
@@ -183,11 +189,20 @@
 		if missed >= lostAfter || told == nil && missed == 0 {
 			g.log.Info().Str("entry", in.Name).Msg("entry: answers")
 		}
-		told, quiet, missed = next, 0, 0
+		told, missed = next, 0
 		silent = greeting.GetSilent()
 	}
 }
 
+// period is the time between two looks for something to tell to an entry. It grows
+// with the number of entries, so that each sends about as many messages in a fleet
+// of any size.
+func (g *Gossiper) period() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(period, time.Duration(len(g.entries))*share)
+}
+
 // greet returns what an entry is to know that does not hear the silent ones.
 func (g *Gossiper) greet(silent []string) *wire.Greet {
 	g.mu.Lock()
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -9,8 +9,10 @@
 // Limits of what an entry knows of the others.
 const (
 	// silentAfter is how long another entry may be silent before its part of the
-	// rates is reserved for it.
+	// rates is reserved for it, and silentShare what each other entry adds to that
+	// beyond it, since entries tell each other less often the more they are.
 	silentAfter = 700 * time.Millisecond
+	silentShare = 48 * time.Millisecond
 	// reservedFor is how long a part is reserved for an entry that stays silent.
 	reservedFor = 20 * time.Second
 	// rateWeight is the weight of the newest message in the use a second.
@@ -111,12 +113,13 @@
 // Peers sets the other entries by name. A new one counts as silent.
 func (l *Ledger) Peers(now time.Duration, names []string) {
 	kept := map[string]*other{}
+	silence := max(silentAfter, time.Duration(len(names))*silentShare)
 	for _, name := range names {
 		p := l.peers[name]
 		if p == nil {
 			p = &other{
-				heard:    now - silentAfter,
-				direct:   now - silentAfter,
+				heard:    now - silence,
+				direct:   now - silence,
 				totals:   map[string]float64{},
 				rates:    map[string]float64{},
 				silent:   true,
@@ -130,6 +133,11 @@
 	l.scale(now)
 }
 
+// silence is how long another entry may be silent.
+func (l *Ledger) silence() time.Duration {
+	return max(silentAfter, time.Duration(len(l.peers))*silentShare)
+}
+
 // Word is what an entry has used since its start, which tells it from an earlier
 // process of the same name.
 type Word struct {
@@ -156,7 +164,7 @@
 func (l *Ledger) Relay(now time.Duration, names []string) []Word {
 	var words []Word
 	for _, name := range names {
-		if p := l.peers[name]; p != nil && now-p.direct < silentAfter {
+		if p := l.peers[name]; p != nil && now-p.direct < l.silence() {
 			words = append(words, Word{Entry: name, Started: p.started, Totals: p.totals})
 		}
 	}
@@ -205,7 +213,7 @@
 	part := 1 / float64(len(l.peers)+1)
 	changed := false
 	for _, p := range l.peers {
-		silent := now-p.heard >= silentAfter && now-p.heard < reservedFor && !p.last
+		silent := now-p.heard >= l.silence() && now-p.heard < reservedFor && !p.last
 		if silent && !p.silent {
 			p.until = now
 			for name, a := range l.accounts {
@@ -247,7 +255,7 @@
 	sum := 0.0
 	for _, p := range l.peers {
 		if !p.silent {
-			sum += p.rates[workspace] * min(now-p.heard, silentAfter).Seconds()
+			sum += p.rates[workspace] * min(now-p.heard, l.silence()).Seconds()
 		}
 	}
 	return sum
--- a/locator/growth.go
+++ b/locator/growth.go
@@ -23,6 +23,8 @@
 	// growthDelay is the longest time before an entry asks for another copy. Each
 	// entry has a delay of its own, so that mostly one asks.
 	growthDelay = 300 * time.Millisecond
+	// growthPeriod is between two looks for an engine for another copy.
+	growthPeriod = 100 * time.Millisecond
 	// growthLife is how long the wish for more copies lasts without a new reason.
 	growthLife = 1500 * time.Millisecond
 )
@@ -32,6 +34,8 @@
 type growth struct {
 	due   time.Duration
 	until time.Duration
+	// looked is the instant of the latest look for an engine.
+	looked time.Duration
 	// asked holds the instants at which engines were asked.
 	asked map[string]time.Duration
 }
@@ -81,6 +85,10 @@
 // now or will have it soon. One copy is fetched at a time, and others may be loaded
 // from nearer meanwhile. The caller holds the lock.
 func (l *Locator) grow(now time.Duration, model string, g *growth) {
+	if now < g.looked+growthPeriod {
+		return
+	}
+	g.looked = now
 	m := l.copy.View().Model(model)
 	skip := map[string]bool{}
 	for _, b := range l.fleet.Pool(m.GetPool()) {
--- a/locator/tell.go
+++ b/locator/tell.go
@@ -63,6 +63,7 @@
 	}
 	t.Wants = l.growthWants(now, server, t.Wants)
 	b := l.fleet.Get(server)
+	t.Idle = len(t.Wants) == 0 && (b == nil || b.Inflight() == 0)
 	if b == nil {
 		return t
 	}
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -28,10 +28,15 @@
 	// busyPeriod is between two looks while requests wait for a model.
 	busyPeriod = 15 * time.Millisecond
 	idlePeriod = 100 * time.Millisecond
-	// tellLife is how long an entry that is silent counts.
+	// tellLife is how long an entry that is silent counts, and idleLife one that
+	// neither waited for the engine nor used it.
 	tellLife = 1500 * time.Millisecond
+	idleLife = 4500 * time.Millisecond
 	// loadPeriod is the shortest time between two states that differ in load only.
 	loadPeriod = 100 * time.Millisecond
+	// loadShare is what each entry that watches adds to that time, so that a sidecar
+	// sends about 40 messages a second to all of them.
+	loadShare = 25 * time.Millisecond
 	// watchPeriod is the longest time between two states told to an entry.
 	watchPeriod = time.Second
 	// closingTime is between the notice that a model is about to be unloaded and the
@@ -96,6 +101,14 @@
 	at   time.Duration
 }
 
+// life is how long the message counts.
+func (t told) life() time.Duration {
+	if t.tell.GetIdle() {
+		return idleLife
+	}
+	return tellLife
+}
+
 // New returns an orderer that has not seen its engine yet.
 func New(t Terms, clock timer.Clock, e Engine, d Directory, c *configurer.Configurer, m *meter.Meter, l *log.Logger) *Orderer {
 	return &Orderer{
@@ -156,13 +169,33 @@
 	o.observe(now, r)
 	pending := o.adapters(ctx, now)
 	pending = o.models(ctx, now) || pending
-	o.publish(o.clock())
-	if pending {
+	now = o.clock()
+	o.publish(now)
+	return o.rest(now, pending)
+}
+
+// rest is the time until the next look at the engine: short while something may
+// change there at any moment.
+func (o *Orderer) rest(now time.Duration, pending bool) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !pending {
+		return idlePeriod
+	}
+	if o.current.Op != placer.Load || len(o.report.Coming) > 0 {
 		return busyPeriod
 	}
-	return idlePeriod
+	left := o.begun + o.loadTime(o.copy.View().Model(o.current.Model)) - now
+	if left < 0 {
+		left = -left / overdueParts
+	}
+	return min(idlePeriod, max(busyPeriod, left))
 }
 
+// overdueParts is the part of the time for which a load is overdue after which it is
+// looked at again.
+const overdueParts = 8
+
 // lost takes note that the engine did not answer.
 func (o *Orderer) lost(ctx context.Context, err error) {
 	o.mu.Lock()
@@ -223,7 +256,7 @@
 	}
 	o.report, o.reported = r, now
 	for name, t := range o.tells {
-		if now-t.at > tellLife {
+		if now-t.at > t.life() {
 			delete(o.tells, name)
 		}
 	}
@@ -235,14 +268,16 @@
 		o.copy.View().Version() > 0
 }
 
-// models orders the next load or unload of a model. It reports whether requests
-// wait for one.
+// models orders the next load or unload of a model. It reports whether the engine
+// may soon be ready for another order. Requests that wait for others to end are
+// looked at again when an entry tells so.
 func (o *Orderer) models(ctx context.Context, now time.Duration) bool {
 	o.mu.Lock()
 	wants := o.wants()
 	if !o.ready() || o.report.Busy {
+		busy := o.report.Busy
 		o.mu.Unlock()
-		return len(wants) > 0 || o.report.Busy
+		return busy
 	}
 	step := placer.Next(now, o.free(), o.held(now), wants)
 	if step.Op == placer.Unload && !o.announced(now, step.Model) {
@@ -256,7 +291,7 @@
 	order := o.order(step.Op, step.Model, "")
 	o.mu.Unlock()
 	if step.Op == placer.None {
-		return len(wants) > 0
+		return false
 	}
 	outcome := o.send(ctx, order, step.For)
 	o.mu.Lock()
@@ -410,8 +445,11 @@
 		return
 	}
 	o.tells[t.GetEntry()] = told{tell: t, at: now}
-	if len(t.GetWants()) > 0 {
-		o.Kick()
+	for _, t := range o.tells {
+		if len(t.tell.GetWants()) > 0 {
+			o.Kick()
+			return
+		}
 	}
 }
 
--- a/orderer/state.go
+++ b/orderer/state.go
@@ -40,7 +40,7 @@
 			t.Left = 0
 		}
 	}
-	if now-o.stated < loadPeriod {
+	if now-o.stated < max(loadPeriod, time.Duration(len(o.watches))*loadShare) {
 		for _, s := range []*wire.Condition{a, b} {
 			s.Running, s.Waiting, s.Used = 0, 0, 0
 			for _, r := range s.Residents {
@@ -106,15 +106,15 @@
 	}
 }
 
-// adapters loads the adapters that requests wait for. It reports whether any is
-// missing.
+// adapters loads the adapters that requests wait for. It reports whether any is on
+// its way or an engine that is busy lacks one.
 func (o *Orderer) adapters(ctx context.Context, now time.Duration) bool {
 	o.mu.Lock()
 	missing, victims := o.missingAdapters(now)
 	ready := o.ready() && !o.report.Busy
 	o.mu.Unlock()
 	if !ready {
-		return len(missing) > 0
+		return len(missing) > 0 || len(o.report.Coming) > 0
 	}
 	for _, name := range victims {
 		if !o.orderAdapter(ctx, placer.Unload, name) {
@@ -127,7 +127,7 @@
 			break
 		}
 	}
-	return len(missing) > 0
+	return len(missing) > 0 || len(o.report.Coming) > 0
 }
 
 // orderAdapter reports whether the engine carries the order out.
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -23,6 +23,12 @@
 	configWait   = 4 * time.Second
 	serverWait   = 2 * time.Second
 	serverPeriod = 900 * time.Millisecond
+	// serverShare and memberShare are what each entry adds to the periods beyond
+	// them, up to longestPeriod, so that the store gets about as many calls from a
+	// fleet of any size.
+	serverShare   = 150 * time.Millisecond
+	memberShare   = 100 * time.Millisecond
+	longestPeriod = 2500 * time.Millisecond
 )
 
 // hosted is what both roles have in common on a platform that hosts them.
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -40,6 +40,8 @@
 	callers  *server
 	ready    *server
 	list     *follower.Follower
+	// processes follows the processes of the fleet.
+	processes *follower.Follower
 	// peers are the entries of the fleet, this one included.
 	peers map[string]bool
 	// servers is set once the backend servers are known.
@@ -90,7 +92,8 @@
 	e.watcher = watcher.New(e.settings.Load().Name, e.node, desk{e.locator, e.list}, e.log)
 	e.tasks.run(e.watcher.Run)
 	e.tasks.run(func(ctx context.Context) { e.gossiper.Run(ctx, e.node) })
-	e.follow(follower.Terms{Table: storer.MemberTable, Wait: memberWait, Period: memberPeriod}, e.members)
+	e.processes = follower.New(follower.Terms{Table: storer.MemberTable, Wait: memberWait, Period: memberPeriod}, e.clock, e.store, e.members, e.log)
+	e.tasks.run(e.processes.Run)
 }
 
 // desk is what the sidecars' words go to.
@@ -131,7 +134,19 @@
 			e.peers[name] = true
 		}
 	}
-	e.core.Share(len(e.peers))
+	e.share(len(e.peers))
+}
+
+// share makes this entry one among several.
+func (e *HostedEntry) share(entries int) {
+	e.core.Share(entries)
+	e.list.Pace(paced(serverPeriod, serverShare, entries))
+	e.processes.Pace(paced(memberPeriod, memberShare, entries))
+}
+
+// paced is a period that grows with the number of entries.
+func paced(period, share time.Duration, entries int) time.Duration {
+	return min(longestPeriod, max(period, time.Duration(entries)*share))
 }
 
 // handle answers a call of another process.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -229,6 +229,9 @@
 // Fleet holds the backend servers by id. It is not safe for concurrent use.
 type Fleet struct {
 	backends map[string]*Backend
+	// pools are the servers that are listed as taking new work, or nil if the list
+	// has changed.
+	pools map[string][]*Backend
 	// unlisted holds the words on servers that are not listed yet.
 	unlisted map[string]word
 }
@@ -244,6 +247,7 @@
 		f.backends[s.ID] = b
 	}
 	b.server, b.doubted, b.disowned = s, 0, false
+	f.pools = nil
 	if w, ok := f.unlisted[s.ID]; ok {
 		delete(f.unlisted, s.ID)
 		f.Tell(w.told, w.state)
@@ -264,7 +268,7 @@
 	var gone []string
 	for id, b := range f.backends {
 		if b.doubted > 0 && now >= b.doubted {
-			delete(f.backends, id)
+			f.Drop(id)
 			gone = append(gone, id)
 		}
 	}
@@ -272,7 +276,10 @@
 }
 
 // Drop removes a server that is listed no more.
-func (f *Fleet) Drop(id string) { delete(f.backends, id) }
+func (f *Fleet) Drop(id string) {
+	delete(f.backends, id)
+	f.pools = nil
+}
 
 // Tell takes a sidecar's word on its engine. It reports false for a server that is
 // not listed yet; the word counts once it is.
@@ -354,20 +361,36 @@
 // Pool returns the servers of a pool that take new work, by id. Of several at one
 // address, only the one that was started last can be there.
 func (f *Fleet) Pool(name string) []*Backend {
+	if f.pools == nil {
+		f.pools = f.sort()
+	}
+	var list []*Backend
+	for _, b := range f.pools[name] {
+		if !b.disowned && !b.state.GetLeaving() {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
+// sort returns the servers of each pool that are listed as taking new work.
+func (f *Fleet) sort() map[string][]*Backend {
 	newest := map[string]*Backend{}
 	for _, b := range f.backends {
 		if n := newest[b.server.Address]; n == nil || b.server.Born > n.server.Born {
 			newest[b.server.Address] = b
 		}
 	}
-	var list []*Backend
+	pools := map[string][]*Backend{}
 	for _, b := range newest {
-		if b.server.Pool == name && !b.disowned && !b.server.Leaving && !b.state.GetLeaving() {
-			list = append(list, b)
+		if !b.server.Leaving {
+			pools[b.server.Pool] = append(pools[b.server.Pool], b)
 		}
 	}
-	slices.SortFunc(list, func(a, b *Backend) int { return cmp.Compare(a.server.ID, b.server.ID) })
-	return list
+	for _, list := range pools {
+		slices.SortFunc(list, func(a, b *Backend) int { return cmp.Compare(a.server.ID, b.server.ID) })
+	}
+	return pools
 }
 
 // Get returns the server with that id, or nil.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -19,6 +19,9 @@
 	// tellLeast is the shortest and tellMost the longest time between two messages.
 	tellLeast = 20 * time.Millisecond
 	tellMost  = 500 * time.Millisecond
+	// idleMost is the longest time between two messages of which the first says
+	// that the entry neither waits for the engine nor uses it.
+	idleMost  = 2 * time.Second
 	tellLimit = 700 * time.Millisecond
 	// silence ends a watch on which no state arrives, though one is due each
 	// second.
@@ -174,13 +177,14 @@
 	wanted := w.desk.Wanted(server)
 	for ctx.Err() == nil {
 		limited, cancel := context.WithTimeout(ctx, tellLimit)
-		_, err := peer.One(limited, w.caller, in.Address, &wire.Call{Body: &wire.Call_Tell{Tell: w.desk.Tell(server)}})
+		news := w.desk.Tell(server)
+		_, err := peer.One(limited, w.caller, in.Address, &wire.Call{Body: &wire.Call_Tell{Tell: news}})
 		cancel()
 		if err != nil && ctx.Err() == nil {
 			w.log.Warn().Str("sidecar", in.Name).Err(err).Msg("sidecar: not told")
 		}
 		sleep(ctx, tellLeast)
-		t := time.NewTimer(tellMost)
+		t := time.NewTimer(longest(news))
 		select {
 		case <-ctx.Done():
 		case <-wanted:
@@ -190,6 +194,14 @@
 	}
 }
 
+// longest is the longest time until the next message to a sidecar.
+func longest(t *wire.Tell) time.Duration {
+	if t.GetIdle() {
+		return idleMost
+	}
+	return tellMost
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
