--- a/faker/faker.go
+++ b/faker/faker.go
@@ -196,6 +196,14 @@
 	handlers map[string]peer.Handler
 	cut      map[string]bool
 	lose     map[string]bool
+	calls    int
+}
+
+// Calls returns the number of calls so far.
+func (n *Network) Calls() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.calls
 }
 
 // NewNetwork returns a network without processes.
@@ -228,6 +236,7 @@
 func (n *Network) Open(ctx context.Context, address string, call *wire.Call) (peer.Stream, error) {
 	n.mu.Lock()
 	h, cut, lose := n.handlers[address], n.cut[address], n.lose[address]
+	n.calls++
 	n.mu.Unlock()
 	if h == nil || cut {
 		return nil, &peer.SendError{Address: address}
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -279,7 +279,7 @@
 // margin is what is kept back for the use of other entries that they have not told
 // yet.
 func (l *Ledger) margin(now time.Duration, workspace string) float64 {
-	return max(0, l.unheard(now, workspace)-l.slack/float64(len(l.peers)+1))
+	return max(0, l.unheard(now, workspace)-l.slack)
 }
 
 // Take charges a workspace and reports whether the tokens were there.
