orderer: a sidecar without a configuration says nothing of its engine

Cause: hosted tests failed now and then (TestHostedMetrics, TestHostedResumeByCaller, one in about ten runs under -race): the first state of a sidecar that had met its engine but had no configuration showed a full memory without models to unload, and an entry refused for lack of time what could have been served in 60 ms. Ruled out: load of the machine (alone as well), the line of loads (lined is false in the traced refusal). TestSilentWithoutConfiguration fails without the change; 180 runs of the three tests under -race pass with it.

--- a/orderer/state.go
+++ b/orderer/state.go
@@ -55,7 +55,8 @@
 func (o *Orderer) describe(now time.Duration) *wire.Condition {
 	r := o.report
 	s := &wire.Condition{Address: o.terms.Address, Born: r.Born}
-	if r.Born == 0 || o.born != r.Born {
+	// Without a configuration the sizes of the models are not known.
+	if r.Born == 0 || o.born != r.Born || o.copy.View().Version() == 0 {
 		return s
 	}
 	s.Server = o.server
--- a/orderer/state_test.go
+++ b/orderer/state_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"oleanderstall/configurer"
 )
 
 // TestStatesBounded is an engine whose load changes all the time before many entries:
@@ -49,3 +51,18 @@
 	r.run(tellLife + 100*time.Millisecond)
 	assert.Equal(t, len(r.orderer.tells), 0)
 }
+
+// TestSilentWithoutConfiguration says nothing of the engine before a configuration
+// tells what its models take: its memory would seem full of what cannot be unloaded.
+func TestSilentWithoutConfiguration(t *testing.T) {
+	r := newRig()
+	r.engine.held["a"] = []string{}
+	known := r.orderer.copy.View().Snapshot()
+	r.orderer.copy = configurer.New()
+	r.run(time.Second)
+	assert.Equal(t, r.orderer.state.GetServer(), "")
+	r.orderer.copy.Restore(known)
+	r.run(time.Second)
+	assert.Equal(t, r.orderer.state.GetServer(), id(1))
+	assert.Equal(t, len(r.orderer.state.GetResidents()), 1)
+}
--- a/runner/hosted_test.go
+++ b/runner/hosted_test.go
@@ -141,7 +141,7 @@
 func (f *hostedFleet) whole(r reply, from, events int) {
 	f.t.Helper()
 	assert.NilError(f.t, r.err)
-	assert.Equal(f.t, r.status, http.StatusOK)
+	assert.Equal(f.t, r.status, http.StatusOK, r.body)
 	lines := bufio.NewScanner(strings.NewReader(r.body))
 	next := from
 	for lines.Scan() {
