--- a/dispatcher/core_test.go
+++ b/dispatcher/core_test.go
@@ -1,13 +1,12 @@
 package dispatcher
 
 import (
-	"io"
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
+	"oleanderstall/faker"
 	"oleanderstall/meter"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
@@ -17,7 +16,7 @@
 // TestAgain lists the ends of an attempt after which another one is made, and that
 // each takes from the retry budget, also where nothing ran.
 func TestAgain(t *testing.T) {
-	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	l := faker.Silent()
 	for _, c := range []struct {
 		name   string
 		err    error
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/configurer"
@@ -70,7 +68,7 @@
 
 func newRig(t testing.TB, pool string, replicas uint32, sidecars map[string]*sidecar) *rig {
 	r := &rig{t: t, clock: faker.NewClock(), platform: faker.NewPlatform(), network: faker.NewNetwork()}
-	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	l := faker.Silent()
 	c := configurer.New()
 	s := syncer.New(r.platform, r.platform, c)
 	assert.NilError(t, s.Publish(context.Background(), 0, 0, &wire.Change{
--- a/executor/rig_test.go
+++ b/executor/rig_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/configurer"
@@ -168,7 +166,7 @@
 
 // sidecar returns a sidecar that has just started.
 func (r *rig) sidecar(name string, e Engine, s Service) *Executor {
-	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	l := faker.Silent()
 	self := storer.Instance{Name: name, Role: "sidecar", Address: name}
 	c := configurer.New()
 	sy := syncer.New(r.platform, r.platform, c)
--- a/faker/faker.go
+++ b/faker/faker.go
@@ -4,11 +4,14 @@
 
 import (
 	"context"
+	"io"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"oleanderstall/peer"
 	"oleanderstall/refuser"
 	"oleanderstall/storer"
@@ -289,3 +292,8 @@
 
 // Cancel implements peer.Stream.
 func (s *stream) Cancel() { s.cancel() }
+
+// Silent returns a log that writes nothing.
+func Silent() *log.Logger {
+	return &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/faker"
@@ -62,7 +60,7 @@
 	t.Helper()
 	clock := faker.NewClock()
 	var got []storer.Row
-	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	l := faker.Silent()
 	f := New(Terms{Table: "t"}, clock.Now, s, func(_ time.Duration, rows []storer.Row) { got = append(got, rows...) }, l)
 	for len(s.answers) > 0 {
 		clock.Advance(time.Second)
@@ -137,7 +135,7 @@
 		begun := time.Now()
 		clock := func() time.Duration { return time.Hour + time.Since(begun) }
 		s := &script{answers: []answer{changes(1), changes(2), changes(3), changes(4)}}
-		l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+		l := faker.Silent()
 		f := New(Terms{Table: "t", Period: time.Second}, clock, s, func(time.Duration, []storer.Row) {}, l)
 		ctx, cancel := context.WithCancel(context.Background())
 		go f.Run(ctx)
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/configurer"
@@ -33,7 +31,7 @@
 	clock := func() time.Duration { return time.Hour + time.Since(begun) }
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fleet{network: faker.NewNetwork(), cancel: cancel}
-	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	l := faker.Silent()
 	for i := range n {
 		c := configurer.New()
 		c.Restore(config(1, 1000))
--- a/holder/fleet_test.go
+++ b/holder/fleet_test.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/configurer"
@@ -74,7 +72,7 @@
 
 // start starts an entry, or starts it anew with nothing in memory.
 func (r *rig) start(name string) {
-	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	l := faker.Silent()
 	c := configurer.New()
 	s := syncer.New(r.platform, r.platform, c)
 	m := member.New(entryAt(name), r.clock.Now, r.network, r.platform, s, c, l)
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -3,16 +3,15 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/configurer"
 	"oleanderstall/dispatcher"
+	"oleanderstall/faker"
 	"oleanderstall/refuser"
 	"oleanderstall/tracker"
 	"oleanderstall/wire"
@@ -36,7 +35,7 @@
 		change.Models = append(change.Models, &wire.Model{Name: name + "/a1", Base: name, Pool: "p"})
 	}
 	r.copy.Restore(change)
-	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	l := faker.Silent()
 	r.locator = New("entry", "z", 1, r.clock, r.copy, l)
 	r.list(engines)
 	for i := range engines {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/configurer"
@@ -67,7 +65,7 @@
 		list = append(list, storer.Instance{Name: name, Role: "entry", Centre: name[:1], Address: name})
 	}
 	r.platform.SetInstances(list...)
-	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	l := faker.Silent()
 	for _, in := range list {
 		g := &gate{Platform: r.platform}
 		c := configurer.New()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -60,25 +60,25 @@
 		shards: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "oleanderstall_shards_held", Help: "Shards held by this process.",
 		}),
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "oleanderstall_request_seconds", Help: "Time from the arrival of a request to its end, by outcome.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 14),
+		}, []string{"outcome"}),
+		waited: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "oleanderstall_place_wait_seconds", Help: "Time that an attempt waited for a backend server.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+		}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oleanderstall_retries_total", Help: "Attempts that ended and were followed by another, by cause.",
+		}, []string{"kind"}),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oleanderstall_orders_total", Help: "Orders to the engine, by kind and outcome.",
+		}, []string{"op", "outcome"}),
+		calls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "oleanderstall_store_call_seconds", Help: "Calls to the store, by kind and outcome.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+		}, []string{"call", "outcome"}),
 	}
-	m.took = prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Name: "oleanderstall_request_seconds", Help: "Time from the arrival of a request to its end, by outcome.",
-		Buckets: prometheus.ExponentialBuckets(0.005, 2, 14),
-	}, []string{"outcome"})
-	m.waited = prometheus.NewHistogram(prometheus.HistogramOpts{
-		Name: "oleanderstall_place_wait_seconds", Help: "Time that an attempt waited for a backend server.",
-		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
-	})
-	m.retries = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "oleanderstall_retries_total", Help: "Attempts that ended and were followed by another, by cause.",
-	}, []string{"kind"})
-	m.orders = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "oleanderstall_orders_total", Help: "Orders to the engine, by kind and outcome.",
-	}, []string{"op", "outcome"})
-	m.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Name: "oleanderstall_store_call_seconds", Help: "Calls to the store, by kind and outcome.",
-		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
-	}, []string{"call", "outcome"})
 	m.registry.MustRegister(m.requests, m.tokens, m.wrongful, m.first, m.cold, m.idle, m.config, m.shards,
 		m.took, m.waited, m.retries, m.orders, m.calls)
 	return m
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
 
@@ -36,7 +34,7 @@
 	r := &rig{platform: faker.NewPlatform()}
 	network := faker.NewNetwork()
 	clock := faker.NewClock()
-	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	l := faker.Silent()
 	var list []storer.Instance
 	for _, name := range []string{"a", "b"} {
 		list = append(list, storer.Instance{Name: name, Role: "entry", Centre: "c", Address: name})
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"os"
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -58,7 +56,7 @@
 		}
 	}
 	c.Restore(change)
-	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	l := faker.Silent()
 	r.orderer = New(Terms{Holder: "side", Pool: "p", Address: "x"}, r.clock.Now, r.engine, r, c, meter.New(), l)
 }
 
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -18,10 +18,10 @@
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/checker"
+	"oleanderstall/faker"
 	"oleanderstall/imitator"
 )
 
@@ -68,7 +68,7 @@
 
 func startEntry(t *testing.T, s *checker.Settings) *Entry {
 	t.Helper()
-	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	l := faker.Silent()
 	e, err := StartEntry(s, l)
 	assert.NilError(t, err)
 	return e
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/faker"
@@ -86,7 +84,7 @@
 func start() (*Watcher, *desk, *sidecar, *faker.Network, context.CancelFunc) {
 	network, d, c := faker.NewNetwork(), &desk{wanted: make(chan struct{}, 1)}, &sidecar{}
 	network.Attach("a", c.handle)
-	l := &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	l := faker.Silent()
 	w := New("e", network, d, l)
 	ctx, cancel := context.WithCancel(context.Background())
 	go w.Run(ctx)
