--- a/imitator/site.go
+++ b/imitator/site.go
@@ -39,6 +39,9 @@
 	// Rate and Burst are those of the workspace, in tokens.
 	Rate  float64
 	Burst float64
+	// Front, if set, returns the address that is told of the backend server that
+	// listens at an address.
+	Front func(address string) (string, error)
 }
 
 // Site is a platform that hosts the system, with backend servers, on loopback.
@@ -100,6 +103,9 @@
 // start lets a server listen and write its row.
 func (s *Site) start(h *Host) (string, error) {
 	address, err := s.listen(h)
+	if err == nil && s.terms.Front != nil {
+		address, err = s.terms.Front(address)
+	}
 	if err == nil {
 		h.Start(address)
 		s.stops = append(s.stops, h.Stop)
