--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -71,3 +71,19 @@
 	f.End("a", false, "m")
 	assert.Equal(t, b.Silence(now+time.Hour), 0.0)
 }
+
+// TestStillAfterLeaving is an engine that stands still until all callers with requests
+// there have left: it gets nothing new before it is heard, by an event or its sidecar.
+func TestStillAfterLeaving(t *testing.T) {
+	now := time.Hour
+	f := New()
+	f.List(Server{ID: "a", Pool: "p", Address: "x", Born: 1})
+	b := f.Get("a")
+	f.Begin(now, "a", "m")
+	now += quietTime + stillTime
+	assert.Equal(t, b.Silence(now), 1.0)
+	f.End("a", false, "m")
+	assert.Equal(t, b.Silence(now+time.Second), 1.0)
+	f.Tell(now+2*time.Second, &wire.Condition{Server: "a", Born: 1})
+	assert.Equal(t, b.Silence(now+2*time.Second), 0.0)
+}
