platform, tracker, locator: a request is complete only at a host that receives; servers that leave or rest by their answers

Cause: engines whose machines stood still kept what was sent to them unread and ran it when they woke, after the callers had left. Noticing takes 1.4 s without an event, and was forgotten when the callers had left. A server that was silent until its last request left stands still as well.

Two rules that the code did not know: a server whose answer says that it leaves gets nothing new until it has started again, whatever the list says; a server that answers 503 with a time gets nothing from this entry until then, and a request that could only go there waits, or is refused at once with that time.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -97,8 +97,12 @@
 	Expect string
 	// Urgency is the rank at the backend server, 0 first.
 	Urgency int
-	// Hear takes the load that the backend server tells, unless it is nil.
-	Hear func(Load)
+	// Unsure is set if the backend server may stand still: the request is to be handed
+	// over only once its host has confirmed that it receives.
+	Unsure bool
+	// Hear takes what the backend server says of itself with an answer, unless it is
+	// nil.
+	Hear func(Word)
 	// Begun is called at the first event, and Slow at a pause between two that is
 	// longer than any before it; both may be nil.
 	Begun func()
@@ -116,6 +120,16 @@
 	Slots   int
 }
 
+// Word is what a backend server says of itself with an answer.
+type Word struct {
+	// Load is nil if it does not tell.
+	Load *Load
+	// Leaving is set if it takes no new work.
+	Leaving bool
+	// Rest is how long it wants no request from this process.
+	Rest time.Duration
+}
+
 // Report is how an attempt ended.
 type Report struct {
 	// Err is nil after a whole answer.
@@ -329,7 +343,7 @@
 		return false
 	}
 	switch f.Kind() {
-	case refuser.Absent, refuser.Leaving, refuser.Busy, refuser.Stale, refuser.Lost, refuser.Failed:
+	case refuser.Absent, refuser.Leaving, refuser.Busy, refuser.Stale, refuser.Lost, refuser.Failed, refuser.Silent:
 	default:
 		return false
 	}
--- a/locator/growth.go
+++ b/locator/growth.go
@@ -50,7 +50,7 @@
 		}
 		have++
 		rate = max(rate, b.Rate(now, model))
-		room = room || b.Strain(now) < strained && float64(b.Load()) < filled*float64(b.Server().Slots)
+		room = room || !b.Resting(now) && b.Strain(now) < strained && float64(b.Load()) < filled*float64(b.Server().Slots)
 	}
 	want = int(math.Ceil(rate / copyRate))
 	if !room {
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -156,58 +156,55 @@
 	defer func() { l.leave(r, n) }()
 	defer l.unqueue(r)
 	for {
-		now := l.clock()
-		place, changed, err := l.look(now, r, h, &n)
+		place, p, err := l.look(l.clock(), r, h, &n)
 		if place != nil || err != nil {
 			return place, err
 		}
-		if !wait(ctx, changed, l.limit(now, r)) && ctx.Err() != nil {
+		if !p.wait(ctx) {
 			return nil, refuser.New(refuser.Canceled, "the caller has given up")
 		}
 	}
 }
 
-// look returns a place for r, or what is closed when to look again; r then waits
-// for the need n.
-func (l *Locator) look(now time.Duration, r *dispatcher.Request, h *dispatcher.History, n **need) (*dispatcher.Place, <-chan struct{}, error) {
+// look returns a place for r, or the pause before the next look; r then waits for
+// the need n.
+func (l *Locator) look(now time.Duration, r *dispatcher.Request, h *dispatcher.History, n **need) (*dispatcher.Place, pause, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	best := l.pick(now, r, h)
 	if best != nil && l.admits(now, best, r) {
 		l.press(now, r)
-		return l.place(now, best, r), nil, nil
+		return l.place(now, best, r), pause{}, nil
 	}
 	if best != nil {
 		l.queue(r)
-		return nil, l.changed, nil
+		return nil, l.pause(now, queueEnd(r)), nil
 	}
 	l.dequeue(r)
+	rests := l.rests(r, h)
+	if r.Model == "" {
+		return nil, l.pause(now, rests), l.reopens(now, r, rests, h)
+	}
 	if *n == nil {
-		joined, err := l.join(r, h)
+		joined, err := l.join(r)
 		if err != nil {
-			return nil, nil, err
+			return nil, pause{}, err
 		}
 		*n = joined
 	}
-	return nil, l.changed, l.expect(now, r, *n, h)
+	until := last(r)
+	if met := l.listed + meetTime; now < met {
+		until = min(until, met)
+	}
+	if rests > now {
+		until = min(until, rests)
+	}
+	return nil, l.pause(now, until), l.expect(now, r, *n, h)
 }
 
 // last is the instant until which r may wait for its model.
 func last(r *dispatcher.Request) time.Duration { return min(r.First, r.Deadline) - shortestRun }
 
-// wait reports whether changed was closed within the limit.
-func wait(ctx context.Context, changed <-chan struct{}, limit time.Duration) bool {
-	t := time.NewTimer(limit)
-	defer t.Stop()
-	select {
-	case <-changed:
-		return true
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	return false
-}
-
 // arrive counts the request once.
 func (l *Locator) arrive(r *dispatcher.Request, h *dispatcher.History) {
 	if h.Memo != nil || r.Model == "" {
@@ -229,7 +226,7 @@
 	var best *tracker.Backend
 	least := 0.0
 	for _, b := range l.fleet.Pool(r.Pool) {
-		if h.Tried[b.Server().ID] || !l.holds(now, b, r) {
+		if h.Tried[b.Server().ID] || b.Resting(now) || !l.holds(now, b, r) {
 			continue
 		}
 		cost := router.Cost{
@@ -275,7 +272,8 @@
 		Address: s.Address,
 		Expect:  s.ID,
 		Urgency: min(r.Priority, lastUrgency),
-		Hear:    func(load dispatcher.Load) { l.hear(s.ID, load) },
+		Unsure:  !b.Sure(now),
+		Hear:    func(w dispatcher.Word) { l.hear(s, w) },
 		Begun:   func() { begun = true; l.begun(s.ID) },
 		Alive:   b.Alive,
 		Slow:    func(gap time.Duration) { l.slow(s.ID, r, gap) },
@@ -314,10 +312,24 @@
 	return s
 }
 
-func (l *Locator) hear(id string, load dispatcher.Load) {
+// hear takes what a server says of itself with an answer.
+func (l *Locator) hear(s tracker.Server, w dispatcher.Word) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fleet.Hear(l.clock(), id, load.Running+load.Waiting)
+	now := l.clock()
+	if w.Load != nil {
+		l.fleet.Hear(now, s.ID, w.Load.Running+w.Load.Waiting)
+	}
+	if w.Leaving && l.fleet.Part(s.ID, s.Born) {
+		l.log.Info().Str("server", s.ID).Int64("born", s.Born).Msg("server: leaves, by its answer")
+		l.wake()
+	}
+	b := l.fleet.Get(s.ID)
+	if b == nil || w.Rest <= 0 {
+		return
+	}
+	b.Rest(now + w.Rest)
+	l.log.Info().Str("server", s.ID).Int64("rest", w.Rest.Milliseconds()).Msg("server: wants no requests for a while")
 }
 
 // begun takes note that a server has read the prompt of a request.
@@ -354,7 +366,7 @@
 	now := l.clock()
 	if b := l.fleet.Get(id); b != nil {
 		l.judge(now, b, r, rep)
-		l.fleet.End(id, begun, names...)
+		l.fleet.End(now, id, begun, names...)
 		l.used(b, names, 0)
 	}
 	if len(l.queued) > 0 {
@@ -369,6 +381,7 @@
 // judge learns from the end of an attempt. The caller holds the lock.
 func (l *Locator) judge(now time.Duration, b *tracker.Backend, r *dispatcher.Request, rep dispatcher.Report) {
 	if rep.Err == nil {
+		b.Alive(now)
 		b.Try(now, false)
 		if r.Model != "" {
 			b.Feel(now, strain(r, rep))
@@ -381,6 +394,12 @@
 		b.Try(now, true)
 	case f.Kind() == refuser.Absent:
 		b.Disown(now)
+	case f.Kind() == refuser.Busy:
+		b.Alive(now)
+	case f.Kind() == refuser.Silent:
+		b.Try(now, true)
+		b.Stand(now)
+		l.log.Info().Str("request", r.ID).Str("server", b.Server().ID).Msg("server: does not confirm what it is sent")
 	case rep.First == 0 && !f.Never() && now-r.Begun > hangTime:
 		b.Try(now, true)
 	}
--- a/locator/need.go
+++ b/locator/need.go
@@ -1,7 +1,6 @@
 package locator
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -52,10 +51,7 @@
 func (n *need) over(now time.Duration) bool { return len(n.waiting) == 0 && now >= n.promised }
 
 // join makes r wait for its model. The caller holds the lock.
-func (l *Locator) join(r *dispatcher.Request, h *dispatcher.History) (*need, error) {
-	if r.Model == "" {
-		return nil, cmp.Or(h.Last, error(refuser.New(refuser.Busy, "no backend server of the pool takes requests").After(time.Second)))
-	}
+func (l *Locator) join(r *dispatcher.Request) (*need, error) {
 	name := needed(r)
 	if l.copy.View().Model(name) == nil {
 		return nil, refuser.New(refuser.Absent, "no engine of the pool knows the model").After(retryMost)
--- a/locator/queue.go
+++ b/locator/queue.go
@@ -64,20 +64,3 @@
 		l.wake()
 	}
 }
-
-// lookLeast is the shortest time after which a request looks again by itself.
-const lookLeast = time.Millisecond
-
-// limit is how long r waits before it looks again by itself.
-func (l *Locator) limit(now time.Duration, r *dispatcher.Request) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if slices.Contains(l.queued, r) {
-		return max(lookLeast, queueEnd(r)-now)
-	}
-	until := last(r)
-	if met := l.listed + meetTime; now < met {
-		until = min(until, met)
-	}
-	return max(lookLeast, until-now)
-}
--- a/locator/sites.go
+++ b/locator/sites.go
@@ -34,7 +34,7 @@
 	var sites []placer.Site
 	for _, b := range pool {
 		state := b.State(now)
-		if state == nil || tried[b.Server().ID] || b.Silence(now) >= 1 {
+		if state == nil || tried[b.Server().ID] || b.Resting(now) || b.Silence(now) >= 1 {
 			continue
 		}
 		site := placer.Site{ID: b.Server().ID, Free: state.GetFree(), Score: router.Score(b.Server().ID, hash)}
--- a/refuser/kind_string.go
+++ b/refuser/kind_string.go
@@ -24,11 +24,12 @@
 	_ = x[Conflict-13]
 	_ = x[Canceled-14]
 	_ = x[Failed-15]
+	_ = x[Silent-16]
 }
 
-const _Kind_name = "internalinvalid_requestunauthorizednot_foundtoo_largerate_limitedbusydeadline_exceededleavingnot_residentstale_configurationplatform_unavailableconnection_lostconflictcanceledbackend_failed"
+const _Kind_name = "internalinvalid_requestunauthorizednot_foundtoo_largerate_limitedbusydeadline_exceededleavingnot_residentstale_configurationplatform_unavailableconnection_lostconflictcanceledbackend_failedbackend_silent"
 
-var _Kind_index = [...]uint8{0, 8, 23, 35, 44, 53, 65, 69, 86, 93, 105, 124, 144, 159, 167, 175, 189}
+var _Kind_index = [...]uint8{0, 8, 23, 35, 44, 53, 65, 69, 86, 93, 105, 124, 144, 159, 167, 175, 189, 203}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -36,6 +36,8 @@
 	Conflict                 // conflict
 	Canceled                 // canceled
 	Failed                   // backend_failed
+	// Silent backend servers do not confirm what is sent to them.
+	Silent // backend_silent
 )
 
 var statuses = map[Kind]int{
@@ -55,6 +57,7 @@
 	Conflict:     http.StatusConflict,
 	Canceled:     499,
 	Failed:       http.StatusBadGateway,
+	Silent:       http.StatusGatewayTimeout,
 }
 
 // Status returns the HTTP status of k.
--- /dev/null
+++ b/tracker/silence.go
@@ -0,0 +1,57 @@
+package tracker
+
+import "time"
+
+// Limits of the silence of a server that has requests of this entry.
+const (
+	// quietTime is the longest silence that says nothing.
+	quietTime = 700 * time.Millisecond
+	// stillTime is the further silence after which the server counts as one at which
+	// every attempt fails.
+	stillTime = 700 * time.Millisecond
+	// stoodLife is how long a server that stood still is avoided without a sign of
+	// life. After that it is tried again, since it may have no sidecar to speak for it.
+	stoodLife = 5 * time.Second
+	// sureTime is how long after an event or an answer a server counts as one that
+	// receives what is sent to it.
+	sureTime = 10 * time.Millisecond
+)
+
+// Alive takes note of an event or an answer from the server. It may be called at any
+// time.
+func (b *Backend) Alive(now time.Duration) { b.alive.Store(int64(now)) }
+
+// Sure reports whether the server has just given a sign of life itself.
+func (b *Backend) Sure(now time.Duration) bool {
+	return now-time.Duration(b.alive.Load()) <= sureTime
+}
+
+// quiet is the time since the server gave a sign of life: an event, an answer or its
+// sidecar's word.
+func (b *Backend) quiet(now time.Duration) time.Duration {
+	return now - max(time.Duration(b.alive.Load()), b.told)
+}
+
+// Stand takes note that the server stands still: its host did not confirm what was
+// sent to it.
+func (b *Backend) Stand(now time.Duration) { b.stood = now }
+
+// stands reports whether the server was found to stand still and has given no sign of
+// life since.
+func (b *Backend) stands(now time.Duration) bool {
+	return b.stood > 0 && now-b.stood <= min(stoodLife, b.quiet(now))
+}
+
+// Silence is how far a server is towards standing still, from 0 to 1: it has
+// requests of this entry for models, and no event has come for long. A server whose
+// requests have left meanwhile stands still until it gives a sign of life.
+func (b *Backend) Silence(now time.Duration) float64 {
+	if b.stands(now) {
+		return 1
+	}
+	if len(b.inflight) == 0 {
+		return 0
+	}
+	quiet := now - max(b.busy, time.Duration(b.alive.Load())) - quietTime
+	return min(1, max(0, float64(quiet)/float64(stillTime)))
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -4,9 +4,7 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"oleanderstall/timer"
@@ -61,165 +59,6 @@
 	return ok
 }
 
-// Backend is a backend server with this entry's view of it.
-type Backend struct {
-	server Server
-	// state is what the sidecar told last, at the instant told.
-	state *wire.Condition
-	told  time.Duration
-	// inflight counts this entry's requests there, by model.
-	inflight map[string]int
-	sum      int
-	// pending counts those whose prompts were not read yet.
-	pending int
-	// trouble is the part of the attempts of late that failed, as of the instant
-	// failed.
-	trouble float64
-	failed  time.Duration
-	// others is the number of other entries' requests, as of the instant heard.
-	others int
-	heard  time.Duration
-	// strain is how near the answers of late came to being late, 1 being just so.
-	strain float64
-	felt   time.Duration
-	// alive is the instant of the latest event from the server, in nanoseconds, and
-	// busy that since which it has had a request of this entry.
-	alive atomic.Int64
-	busy  time.Duration
-	// disowned is set once an answer from the server's address was not its own.
-	disowned bool
-	// doubted is the instant at which a server is dropped unless it is listed again,
-	// or 0.
-	doubted time.Duration
-}
-
-// Server returns what is listed.
-func (b *Backend) Server() Server { return b.server }
-
-// Inflight returns the number of this entry's requests there.
-func (b *Backend) Inflight() int { return b.sum }
-
-// InflightOf returns the number of this entry's requests there for a model or
-// adapter.
-func (b *Backend) InflightOf(name string) int { return b.inflight[name] }
-
-// Pending returns the number of this entry's requests whose prompts the server has
-// not read yet.
-func (b *Backend) Pending() int { return b.pending }
-
-// troubleTime is the time in which past failures come to count for a third, and
-// troubleWeight the weight of a new attempt.
-const (
-	troubleTime   = 3 * time.Second
-	troubleWeight = 0.3
-)
-
-// Trouble is the part of the attempts of late that failed. It fades while there are
-// none, so that the server is tried again.
-func (b *Backend) Trouble(now time.Duration) float64 {
-	return b.trouble * math.Exp(-float64(max(0, now-b.failed))/float64(troubleTime))
-}
-
-// Try takes note of the end of an attempt.
-func (b *Backend) Try(now time.Duration, failed bool) {
-	next := b.Trouble(now) * (1 - troubleWeight)
-	if failed {
-		next += troubleWeight
-	}
-	b.trouble, b.failed = next, now
-}
-
-// Limits of the silence of a server that has requests of this entry.
-const (
-	// quietTime is the longest silence that says nothing.
-	quietTime = 700 * time.Millisecond
-	// stillTime is the further silence after which the server counts as one at which
-	// every attempt fails.
-	stillTime = 700 * time.Millisecond
-)
-
-// Alive takes note of an event from the server. It may be called at any time.
-func (b *Backend) Alive(now time.Duration) { b.alive.Store(int64(now)) }
-
-// Silence is how far an engine is towards standing still, from 0 to 1: it has
-// requests of this entry for models, and no event has come for long.
-func (b *Backend) Silence(now time.Duration) float64 {
-	if len(b.inflight) == 0 {
-		return 0
-	}
-	quiet := now - max(b.busy, time.Duration(b.alive.Load())) - quietTime
-	return min(1, max(0, float64(quiet)/float64(stillTime)))
-}
-
-// Load estimates the requests at the server.
-func (b *Backend) Load() int { return b.sum + b.others }
-
-// strainTime is the time in which a past strain comes to count for a third, and
-// strainWeight the weight of a new answer.
-const (
-	strainTime   = 3 * time.Second
-	strainWeight = 0.25
-)
-
-// Strain is how near the answers of late came to being late, 1 being just so. It
-// fades while there are none.
-func (b *Backend) Strain(now time.Duration) float64 {
-	return b.strain * math.Exp(-float64(max(0, now-b.felt))/float64(strainTime))
-}
-
-// Feel takes note of how near an answer came to being late.
-func (b *Backend) Feel(now time.Duration, strain float64) {
-	b.strain = b.Strain(now)*(1-strainWeight) + min(strain, 2)*strainWeight
-	b.felt = now
-}
-
-// State returns what the sidecar told, or nil if it is silent.
-func (b *Backend) State(now time.Duration) *wire.Condition {
-	if b.state == nil || now-b.told > stateLife {
-		return nil
-	}
-	return b.state
-}
-
-// Holding returns what the engine holds, by the sidecar's word or, if it is
-// silent, by the list.
-func (b *Backend) Holding(now time.Duration) Holding {
-	s := b.State(now)
-	if s == nil || s.GetBorn() != b.server.Born {
-		return b.server.Holding
-	}
-	return Holding{Models: s.GetModels(), Coming: s.GetComing(), Memory: s.GetMemory(), Disk: s.GetDisk()}
-}
-
-// Rate returns the requests a second for a model of late, through all entries.
-func (b *Backend) Rate(now time.Duration, model string) float64 {
-	for _, r := range b.State(now).GetResidents() {
-		if r.GetModel() == model {
-			return r.GetRate()
-		}
-	}
-	return 0
-}
-
-// Closing reports whether a model is about to be unloaded.
-func (b *Backend) Closing(now time.Duration, model string) bool {
-	for _, r := range b.State(now).GetResidents() {
-		if r.GetModel() == model {
-			return r.GetClosing()
-		}
-	}
-	return false
-}
-
-// Disown takes note that what answered at the server's address does not serve as
-// listed. The server gets no work until it is listed anew or its sidecar speaks. The
-// word of a sidecar that is heard goes before such an answer.
-func (b *Backend) Disown(now time.Duration) {
-	if b.State(now) == nil {
-		b.disowned = true
-	}
-}
-
 // word is what a sidecar told at an instant.
 type word struct {
 	state *wire.Condition
@@ -234,10 +73,14 @@
 	pools map[string][]*Backend
 	// unlisted holds the words on servers that are not listed yet.
 	unlisted map[string]word
+	// parted are the starts of the servers that have said that they leave, by id.
+	parted map[string]int64
 }
 
 // New returns an empty fleet.
-func New() *Fleet { return &Fleet{backends: map[string]*Backend{}, unlisted: map[string]word{}} }
+func New() *Fleet {
+	return &Fleet{backends: map[string]*Backend{}, unlisted: map[string]word{}, parted: map[string]int64{}}
+}
 
 // List takes a server as the platform lists it now.
 func (f *Fleet) List(s Server) {
@@ -246,6 +89,9 @@
 		b = &Backend{inflight: map[string]int{}}
 		f.backends[s.ID] = b
 	}
+	if b.server.Born != s.Born {
+		b.stood, b.rest = 0, 0
+	}
 	b.server, b.doubted, b.disowned = s, 0, false
 	f.pools = nil
 	if w, ok := f.unlisted[s.ID]; ok {
@@ -341,12 +187,14 @@
 	}
 }
 
-// End counts a request of this entry out that had begun or not.
-func (f *Fleet) End(id string, begun bool, names ...string) {
+// End counts a request of this entry out at an instant, that had begun or not. A
+// server that has been silent until its last request left stands still.
+func (f *Fleet) End(now time.Duration, id string, begun bool, names ...string) {
 	b := f.backends[id]
 	if b == nil || b.sum == 0 {
 		return
 	}
+	silent := b.Silence(now) > 0
 	b.sum--
 	if !begun {
 		f.Begun(id)
@@ -356,6 +204,9 @@
 			delete(b.inflight, name)
 		}
 	}
+	if silent && len(b.inflight) == 0 {
+		b.Stand(now)
+	}
 }
 
 // Pool returns the servers of a pool that take new work, by id. Of several at one
@@ -366,7 +217,7 @@
 	}
 	var list []*Backend
 	for _, b := range f.pools[name] {
-		if !b.disowned && !b.state.GetLeaving() {
+		if !b.disowned && !f.leaves(b) {
 			list = append(list, b)
 		}
 	}
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -68,7 +68,7 @@
 	assert.Equal(t, b.Silence(now+time.Minute), 1.0)
 	b.Alive(now + time.Minute)
 	assert.Equal(t, b.Silence(now+time.Minute), 0.0)
-	f.End("a", false, "m")
+	f.End(now, "a", false, "m")
 	assert.Equal(t, b.Silence(now+time.Hour), 0.0)
 }
 
@@ -82,8 +82,22 @@
 	f.Begin(now, "a", "m")
 	now += quietTime + stillTime
 	assert.Equal(t, b.Silence(now), 1.0)
-	f.End("a", false, "m")
+	f.End(now, "a", false, "m")
 	assert.Equal(t, b.Silence(now+time.Second), 1.0)
 	f.Tell(now+2*time.Second, &wire.Condition{Server: "a", Born: 1})
 	assert.Equal(t, b.Silence(now+2*time.Second), 0.0)
 }
+
+// TestSure is sure for a moment only that a server receives what is sent to it, and
+// not because of its sidecar, whose word may have been on its way for longer.
+func TestSure(t *testing.T) {
+	now := time.Hour
+	f := New()
+	f.List(Server{ID: "a", Pool: "p", Address: "x", Born: 1})
+	b := f.Get("a")
+	f.Tell(now, &wire.Condition{Server: "a", Born: 1})
+	assert.Assert(t, !b.Sure(now))
+	b.Alive(now)
+	assert.Assert(t, b.Sure(now+sureTime))
+	assert.Assert(t, !b.Sure(now+sureTime+1))
+}
