--- /dev/null
+++ b/allocator/allocator.go
@@ -0,0 +1,143 @@
+// Package allocator decides which engine loads a model that requests wait for, and
+// which models get another copy. It sees the demand of all entries together.
+//
+// Several processes may decide about the same model for a while, when they disagree
+// on which of them is to. Each engine obeys its own sidecar only, so the worst of it
+// is a copy that nobody needs.
+package allocator
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"oleanderstall/configurer"
+	"oleanderstall/placer"
+	"oleanderstall/timer"
+	"oleanderstall/tracker"
+	"oleanderstall/wire"
+)
+
+// Allocator decides about the models of which it is the home. It is not safe for
+// concurrent use.
+type Allocator struct {
+	name string
+	copy *configurer.Configurer
+	log  *log.Logger
+
+	fleet  *tracker.Fleet
+	demand *tracker.Demand
+	needs  map[string]*need
+	// growing holds the models that want more copies.
+	growing map[string]*growth
+	// line knows the loads from the weight store.
+	line *placer.Line
+	// met is the instant of a sidecar's first word.
+	met time.Duration
+}
+
+// New returns an allocator of the process with that name.
+func New(name string, c *configurer.Configurer, l *log.Logger) *Allocator {
+	return &Allocator{
+		name:    name,
+		copy:    c,
+		log:     l,
+		fleet:   tracker.New(),
+		demand:  tracker.NewDemand(),
+		needs:   map[string]*need{},
+		growing: map[string]*growth{},
+		line:    placer.NewLine(),
+	}
+}
+
+// List takes a server as the platform lists it now.
+func (a *Allocator) List(s tracker.Server) { a.fleet.List(s) }
+
+// Drop removes a server that is listed no more.
+func (a *Allocator) Drop(now time.Duration, id string) {
+	a.fleet.Drop(id)
+	a.line.Drop(now, id)
+}
+
+// Part takes note that a server has said itself that it leaves.
+func (a *Allocator) Part(id string, born int64) { a.fleet.Part(id, born) }
+
+// State takes a sidecar's word on its engine.
+func (a *Allocator) State(now time.Duration, s *wire.Condition) {
+	if a.met == 0 {
+		a.met = now
+	}
+	a.heard(now, s)
+	b := a.fleet.Get(s.GetServer())
+	known := b != nil && b.State(now) != nil
+	a.fleet.Tell(now, s)
+	if !known {
+		a.search()
+	}
+}
+
+// search makes all needs look for an engine anew, since there is another one.
+func (a *Allocator) search() {
+	for _, n := range a.needs {
+		n.searched = 0
+	}
+}
+
+// Lose takes note that the sidecar of a server is not heard any more.
+func (a *Allocator) Lose(now time.Duration, id string) {
+	a.fleet.Lose(now, id)
+	a.line.Drop(now, id)
+}
+
+// Count takes the number of requests at an engine.
+func (a *Allocator) Count(now time.Duration, id string, requests int) {
+	a.fleet.Hear(now, id, requests)
+}
+
+// heard takes note of an engine's load from the weight store.
+func (a *Allocator) heard(now time.Duration, s *wire.Condition) {
+	if !s.GetFetching() || len(s.GetTasks()) == 0 {
+		a.line.Ends(now, s.GetServer())
+		return
+	}
+	name := s.GetTasks()[0].GetModel()
+	a.line.Fetches(now, s.GetServer(), name, timer.Span(a.copy.View().Model(name).GetRemote()))
+}
+
+// Feel takes note of how near an answer of an engine came to being late.
+func (a *Allocator) Feel(now time.Duration, id string, strain float64) {
+	if b := a.fleet.Get(id); b != nil {
+		b.Feel(now, strain)
+	}
+}
+
+// Arrive counts requests for a model or an adapter.
+func (a *Allocator) Arrive(now time.Duration, name string, count float64) {
+	a.demand.Arrive(now, name, count)
+}
+
+// Rate returns the requests a second for a model or an adapter of late.
+func (a *Allocator) Rate(now time.Duration, name string) float64 { return a.demand.Rate(now, name) }
+
+// Copies returns the number of engines that serve a model or an adapter.
+func (a *Allocator) Copies(now time.Duration, name string) int {
+	copies := 0
+	for _, b := range a.fleet.Holders(name) {
+		if b.Holding(now).Has(name) {
+			copies++
+		}
+	}
+	return copies
+}
+
+// Watched returns the number of engines whose sidecars are heard.
+func (a *Allocator) Watched(now time.Duration) int { return a.fleet.Watched(now) }
+
+// base returns the base model of a model or an adapter, or nil.
+func (a *Allocator) base(name string) *wire.Model {
+	m := a.copy.View().Model(name)
+	if m.GetBase() != "" {
+		return a.copy.View().Model(m.GetBase())
+	}
+	return m
+}
--- a/locator/growth.go
+++ b/allocator/growth.go
@@ -1,13 +1,11 @@
-package locator
+package allocator
 
 import (
 	"math"
 	"slices"
 	"time"
 
-	"oleanderstall/dispatcher"
 	"oleanderstall/placer"
-	"oleanderstall/router"
 	"oleanderstall/wire"
 )
 
@@ -20,19 +18,22 @@
 	// copyRate is the number of requests a second for a model that one engine is to
 	// serve.
 	copyRate = 6.0
-	// growthDelay is the longest time before an entry asks for another copy. Each
-	// entry has a delay of its own, so that mostly one asks.
-	growthDelay = 300 * time.Millisecond
 	// growthPeriod is between two looks for an engine for another copy.
 	growthPeriod = 100 * time.Millisecond
 	// growthLife is how long the wish for more copies lasts without a new reason.
 	growthLife = 1500 * time.Millisecond
 )
 
-// growth is the wish for another copy of a model that serves already, from the
-// instant due until the instant until.
+// The wish for another copy counts as growthCount requests that wait, worth
+// growthWorth of one together.
+const (
+	growthCount = 2
+	growthWorth = 0.5
+)
+
+// growth is the wish for another copy of a model that serves already, until an
+// instant.
 type growth struct {
-	due   time.Duration
 	until time.Duration
 	// looked is the instant of the latest look for an engine.
 	looked time.Duration
@@ -41,76 +42,65 @@
 }
 
 // copies returns the number of copies that a model serves with and that it should
-// have. The caller holds the lock.
-func (l *Locator) copies(now time.Duration, pool, model string) (have, want int) {
-	rate, room := 0.0, false
-	for _, b := range l.fleet.Pool(pool) {
+// have.
+func (a *Allocator) copies(now time.Duration, model string) (have, want int) {
+	room := false
+	for _, b := range a.fleet.Holders(model) {
 		if !b.Holding(now).Has(model) || b.Closing(now, model) {
 			continue
 		}
 		have++
-		rate = max(rate, b.Rate(now, model))
-		room = room || !b.Resting(now) && b.Strain(now) < strained && float64(b.Load()) < filled*float64(b.Server().Slots)
+		room = room || b.Strain(now) < strained && float64(b.Load()) < filled*float64(b.Server().Slots)
 	}
-	want = int(math.Ceil(rate / copyRate))
+	want = int(math.Ceil(a.demand.Rate(now, model) / copyRate))
 	if !room {
 		want = max(want, have+1)
 	}
 	return have, want
 }
 
-// press asks for more copies of r's model if the engines that serve it are too few.
-// The caller holds the lock.
-func (l *Locator) press(now time.Duration, r *dispatcher.Request) {
-	if r.Model == "" {
-		return
-	}
-	have, want := l.copies(now, r.Pool, r.Model)
-	if have >= want {
+// Press asks for more copies of a model that has just been asked for if the engines
+// that serve it are too few.
+func (a *Allocator) Press(now time.Duration, model string) {
+	have, want := a.copies(now, model)
+	if have == 0 || have >= want {
 		return
 	}
-	g := l.growing[r.Model]
+	g := a.growing[model]
 	if g == nil {
-		delay := time.Duration(router.Score(l.name, router.Hash(r.Model)) % uint64(growthDelay))
-		g = &growth{due: now + delay, asked: map[string]time.Duration{}}
-		l.growing[r.Model] = g
+		g = &growth{asked: map[string]time.Duration{}}
+		a.growing[model] = g
 	}
 	g.until = now + growthLife
-	if now >= g.due {
-		l.grow(now, r.Model, g)
-	}
 }
 
 // grow asks the engine that can serve another copy first, unless one was asked just
 // now or will have it soon. One copy is fetched at a time, and others may be loaded
-// from nearer meanwhile. The caller holds the lock.
-func (l *Locator) grow(now time.Duration, model string, g *growth) {
+// from nearer meanwhile.
+func (a *Allocator) grow(now time.Duration, model string, g *growth) {
 	if now < g.looked+growthPeriod {
 		return
 	}
 	g.looked = now
-	m := l.copy.View().Model(model)
-	skip := map[string]bool{}
-	for _, b := range l.fleet.Pool(m.GetPool()) {
-		id := b.Server().ID
-		at, asked := g.asked[id]
-		switch {
-		case b.Holding(now).Has(model):
-			skip[id] = true
-		case asked && now-at < chooseAgain:
-			return
+	m := a.copy.View().Model(model)
+	if m == nil || a.asked(now, model, g) {
+		return
+	}
+	var holders []string
+	for _, b := range a.fleet.Holders(model) {
+		if b.Holding(now).Has(model) {
+			holders = append(holders, b.Server().ID)
 		}
 	}
-	all := l.sites(now, model, m, skip)
-	sites, planned := split(all)
+	sites, planned := split(a.sites(now, model, m, holders))
 	if slices.ContainsFunc(planned, func(s placer.Site) bool { return s.Queue <= moveLate }) {
 		return
 	}
 	i, left := placer.Pick(sites, m.GetBytes())
-	if i < 0 || l.early(now, m.GetPool(), sites[i]) {
+	if i < 0 || a.early(now, m.GetPool(), sites[i]) {
 		return
 	}
-	if room, _ := l.line.Room(now); sites[i].Fetch && room <= 0 {
+	if room, _ := a.line.Room(now); sites[i].Fetch && room <= 0 {
 		return
 	}
 	if len(planned) > 0 && (sites[i].Fetch || left > moveLate) {
@@ -118,9 +108,19 @@
 	}
 	id := sites[i].ID
 	g.asked[id] = now
-	l.log.Info().Str("model", model).Str("server", id).Int("sites", len(sites)).
+	a.log.Info().Str("model", model).Str("server", id).Int("sites", len(sites)).
 		Int64("left", left.Milliseconds()).Int64("load", sites[i].Load.Milliseconds()).Msg("want: another copy")
-	l.tell(id)
+}
+
+// asked reports whether an engine was asked for another copy just now.
+func (a *Allocator) asked(now time.Duration, model string, g *growth) bool {
+	for id, at := range g.asked {
+		b := a.fleet.Get(id)
+		if b != nil && !b.Holding(now).Has(model) && now-at < chooseAgain {
+			return true
+		}
+	}
+	return false
 }
 
 // split parts the sites that are to load the model anyway from the others.
@@ -135,27 +135,17 @@
 	return sites, planned
 }
 
-// growthWants appends the copies that an engine was asked for. The caller holds the
-// lock.
-func (l *Locator) growthWants(now time.Duration, server string, wants []*wire.Want) []*wire.Want {
-	for model, g := range l.growing {
+// growthWants appends the copies that engines are asked for.
+func (a *Allocator) growthWants(now time.Duration, wants []*wire.Want) []*wire.Want {
+	for model, g := range a.growing {
 		if now > g.until {
-			delete(l.growing, model)
+			delete(a.growing, model)
 			continue
 		}
-		if now >= g.due {
-			l.grow(now, model, g)
-		}
-		if _, ok := g.asked[server]; ok {
-			wants = append(wants, &wire.Want{Model: model, Count: growthCount, Worth: growthWorth, Goal: math.MaxInt32})
+		a.grow(now, model, g)
+		for id := range g.asked {
+			wants = append(wants, &wire.Want{Server: id, Model: model, Count: growthCount, Worth: growthWorth, Goal: math.MaxInt32})
 		}
 	}
 	return wants
 }
-
-// The wish for another copy counts as growthCount requests that wait, worth
-// growthWorth of one together.
-const (
-	growthCount = 2
-	growthWorth = 0.5
-)
--- a/faker/faker.go
+++ b/faker/faker.go
@@ -8,12 +8,12 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"oleanderstall/peer"
-	"oleanderstall/refuser"
 	"oleanderstall/storer"
 	"oleanderstall/wire"
 )
@@ -221,6 +221,13 @@
 	n.handlers[address] = h
 }
 
+// Detach makes calls to address fail.
+func (n *Network) Detach(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.handlers, address)
+}
+
 // Cut makes calls to address fail before they are sent.
 func (n *Network) Cut(address string, cut bool) {
 	n.mu.Lock()
@@ -237,62 +244,77 @@
 
 // Open implements peer.Caller.
 func (n *Network) Open(ctx context.Context, address string, call *wire.Call) (peer.Stream, error) {
+	return n.Join(ctx, address, call)
+}
+
+// Join implements peer.Joiner.
+func (n *Network) Join(ctx context.Context, address string, call *wire.Call) (peer.Stream, error) {
 	n.mu.Lock()
-	h, cut, lose := n.handlers[address], n.cut[address], n.lose[address]
+	h, cut := n.handlers[address], n.cut[address]
 	n.calls++
 	n.mu.Unlock()
 	if h == nil || cut {
 		return nil, &peer.SendError{Address: address}
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	s := &stream{ctx: ctx, cancel: cancel, replies: make(chan *wire.Reply, 1024), lose: lose}
-	go func() {
-		h(ctx, call, s)
-		close(s.replies)
-	}()
-	return s, nil
+	return &link{Stream: peer.Pipe(ctx, h, call), network: n, address: address}, nil
+}
+
+// link is a stream of the network, which may be cut or lose what is sent on it. A
+// stream that has lost something to a cut ends once the cut does.
+type link struct {
+	peer.Stream
+	network *Network
+	address string
+	torn    atomic.Bool
 }
 
-// stream implements peer.Stream in memory.
-type stream struct {
-	ctx     context.Context
-	cancel  context.CancelFunc
-	replies chan *wire.Reply
-	lose    bool
+// broken reports whether the address is cut off, and whether its answers get lost.
+func (l *link) broken() (cut, lose bool) {
+	l.network.mu.Lock()
+	defer l.network.mu.Unlock()
+	return l.network.cut[l.address], l.network.lose[l.address]
 }
 
-// Recv implements peer.Stream.
-func (s *stream) Recv() (*wire.Reply, error) {
-	select {
-	case r, ok := <-s.replies:
-		if !ok {
-			return nil, refuser.Unknown(refuser.Lost, "the stream has ended")
+// check returns an error if the stream has lost something to a cut that is over.
+func (l *link) check(cut bool) error {
+	if cut || !l.torn.Load() {
+		return nil
+	}
+	l.Cancel()
+	return &peer.SendError{Address: l.address, Sent: true}
+}
+
+// Recv implements peer.Stream. Lost replies do not arrive.
+func (l *link) Recv() (*wire.Reply, error) {
+	for {
+		r, err := l.Stream.Recv()
+		if err != nil {
+			return nil, err
+		}
+		cut, lose := l.broken()
+		if err := l.check(cut); err != nil {
+			return nil, err
 		}
-		return r, nil
-	case <-s.ctx.Done():
-		return nil, s.ctx.Err()
+		if !cut && !lose {
+			return r, nil
+		}
+		l.torn.Store(l.torn.Load() || cut)
 	}
 }
 
-// Send implements peer.Stream.
-func (s *stream) Send(r *wire.Reply) error {
-	if s.lose {
-		return nil
+// Tell implements peer.Stream. Calls to an address that is cut off are lost.
+func (l *link) Tell(c *wire.Call) error {
+	cut, _ := l.broken()
+	if err := l.check(cut); err != nil {
+		return err
 	}
-	select {
-	case s.replies <- r:
+	if cut {
+		l.torn.Store(true)
 		return nil
-	case <-s.ctx.Done():
-		return s.ctx.Err()
 	}
+	return l.Stream.Tell(c)
 }
 
-// Context implements peer.Stream.
-func (s *stream) Context() context.Context { return s.ctx }
-
-// Cancel implements peer.Stream.
-func (s *stream) Cancel() { s.cancel() }
-
 // Silent returns a log that writes nothing.
 func Silent() *log.Logger {
 	return &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -42,6 +42,7 @@
 	apply  func(now time.Duration, rows []storer.Row)
 	log    *log.Logger
 	hurry  chan struct{}
+	resume chan struct{}
 	done   chan struct{}
 
 	mu     sync.Mutex
@@ -53,6 +54,8 @@
 	// not, and first that of its first answer.
 	since time.Duration
 	first time.Duration
+	// held is set while no calls are made.
+	held bool
 }
 
 // New returns a follower that passes each row that changed to apply, a removed
@@ -65,6 +68,7 @@
 		apply:  apply,
 		log:    l,
 		hurry:  make(chan struct{}, 1),
+		resume: make(chan struct{}, 1),
 		done:   make(chan struct{}),
 		rows:   map[string]storer.Row{},
 	}
@@ -81,6 +85,38 @@
 	}
 }
 
+// Hold stops the calls, since another process tells what has changed, or lets them go
+// on.
+func (f *Follower) Hold(held bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.held == held {
+		return
+	}
+	f.held = held
+	f.log.Info().Str("table", f.terms.Table).Bool("held", held).Msg("store: followed or not")
+	select {
+	case f.resume <- struct{}{}:
+	default:
+	}
+}
+
+// pass waits until calls may be made.
+func (f *Follower) pass(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		held := f.held
+		f.mu.Unlock()
+		if !held {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-f.resume:
+		}
+	}
+}
+
 // Pace sets the shortest time between two calls.
 func (f *Follower) Pace(period time.Duration) {
 	f.mu.Lock()
@@ -123,7 +159,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	defer close(f.done)
 	pause := firstPause
-	for ctx.Err() == nil {
+	for f.pass(ctx); ctx.Err() == nil; f.pass(ctx) {
 		begun := f.clock()
 		err := f.step(ctx, begun)
 		if err != nil {
--- /dev/null
+++ b/limiter/source.go
@@ -0,0 +1,93 @@
+package limiter
+
+import "time"
+
+// presumedAfter is how long a source may be silent before it counts as using what it
+// used of late.
+const presumedAfter = 250 * time.Millisecond
+
+// rateTime is the time over which the use a second of a source is measured.
+const rateTime = 2 * time.Second
+
+// Source is a part of the fleet whose use of the workspaces' tokens is told from time
+// to time. While nothing is told, what it may use meanwhile is set aside. It is not
+// safe for concurrent use.
+type Source struct {
+	// heard is the instant of its last word, and rates its use a second of late.
+	heard time.Duration
+	rates map[string]float64
+	// reserved are the tokens set aside since then, up to the instant until.
+	reserved map[string]float64
+	until    time.Duration
+	// silent is set once its part of the limits is set aside.
+	silent bool
+}
+
+// NewSource returns a source that was heard just now and has used nothing.
+func NewSource(now time.Duration) *Source {
+	return &Source{heard: now, until: now, rates: map[string]float64{}, reserved: map[string]float64{}}
+}
+
+// Hear takes the tokens used since its last word, and returns those that were not set
+// aside. A negative number gives tokens back.
+func (s *Source) Hear(now time.Duration, used map[string]float64) map[string]float64 {
+	passed := max(0, now-s.heard)
+	weight := min(1, passed.Seconds()/rateTime.Seconds())
+	for name, rate := range s.rates {
+		s.rates[name] = rate * (1 - weight)
+	}
+	news := map[string]float64{}
+	for name, tokens := range used {
+		s.rates[name] += tokens / max(rateTime, passed).Seconds()
+		news[name] += tokens
+	}
+	for name, tokens := range s.reserved {
+		news[name] -= tokens
+	}
+	clear(s.reserved)
+	s.heard, s.until, s.silent = now, now, false
+	return news
+}
+
+// Rate returns the use of a workspace a second of late.
+func (s *Source) Rate(workspace string) float64 { return max(0, s.rates[workspace]) }
+
+// Age is the time since its last word.
+func (s *Source) Age(now time.Duration) time.Duration { return max(0, now-s.heard) }
+
+// Unsettled is the time since its last word or the last round of presume or reserve.
+func (s *Source) Unsettled(now time.Duration) time.Duration { return max(0, now-s.until) }
+
+// Forget makes what was set aside count as used.
+func (s *Source) Forget() {
+	clear(s.reserved)
+	s.silent = false
+}
+
+// Silent reports whether tokens are being set aside for it.
+func (s *Source) Silent() bool { return s.silent }
+
+// presume sets aside what it is likely to have used of a workspace since its last word
+// or the last call, and returns that. It is called for each workspace, and then settle.
+func (s *Source) presume(now time.Duration, workspace string) float64 {
+	used := s.Rate(workspace) * (now - s.until).Seconds()
+	s.reserved[workspace] += used
+	return used
+}
+
+// reserve sets aside its part of what a workspace has, and from then on of what comes
+// in. It returns what it took out of the bucket; the bucket is to be filled by as much
+// less meanwhile. It is called for each workspace, and then settle.
+func (s *Source) reserve(now time.Duration, a *account, part float64) float64 {
+	name := a.limit.Workspace
+	if s.silent {
+		s.reserved[name] += a.limit.Rate * part * (now - s.until).Seconds()
+		return 0
+	}
+	taken := max(0, a.bucket.Level(now)) * part
+	s.reserved[name] += taken
+	return taken
+}
+
+// settle ends a round of presume or reserve.
+func (s *Source) settle(now time.Duration, silent bool) { s.silent, s.until = silent, now }
--- a/locator/pause.go
+++ b/locator/pause.go
@@ -19,9 +19,13 @@
 	limit   time.Duration
 }
 
-// pause returns the pause until an instant. The caller holds the lock.
-func (l *Locator) pause(now, until time.Duration) pause {
-	return pause{changed: l.changed, limit: max(lookLeast, until-now)}
+// pause returns the pause of r until an instant. The caller holds the lock.
+func (l *Locator) pause(now, until time.Duration, r *dispatcher.Request) pause {
+	name := needed(r)
+	if name == "" {
+		name = r.Pool
+	}
+	return pause{changed: l.bell.wait(name), limit: max(lookLeast, until-now)}
 }
 
 // wait waits for the next look and reports false if ctx has ended.
@@ -42,7 +46,7 @@
 // lock.
 func (l *Locator) rests(r *dispatcher.Request, h *dispatcher.History) time.Duration {
 	now, first := l.clock(), time.Duration(0)
-	for _, b := range l.fleet.Pool(r.Pool) {
+	for _, b := range l.candidates(r) {
 		if !b.Resting(now) || h.Tried[b.Server().ID] || !l.holds(now, b, r) {
 			continue
 		}
--- a/locator/queue.go
+++ b/locator/queue.go
@@ -60,7 +60,10 @@
 		return
 	}
 	l.queued = slices.Delete(l.queued, i, i+1)
-	if len(l.queued) > 0 {
-		l.wake()
+	l.bell.ring(needed(r))
+	for _, o := range l.queued {
+		if o.Model == r.Model {
+			l.bell.ring(needed(o))
+		}
 	}
 }
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -1,6 +1,6 @@
 // Package orderer is the task of a sidecar that orders the engine on its
-// instance: it gathers what the entries want, decides the next order, and tells
-// the entries what the engine holds.
+// instance: it takes what is wanted of the engine, decides the next order, and
+// reports what the engine holds.
 //
 // Each order names the number of orders that the engine had accepted before it, so
 // an order without an answer has no effect once a later one was accepted.
@@ -16,9 +16,7 @@
 
 	"oleanderstall/configurer"
 	"oleanderstall/meter"
-	"oleanderstall/peer"
 	"oleanderstall/placer"
-	"oleanderstall/refuser"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -28,20 +26,15 @@
 	// busyPeriod is between two looks while requests wait for a model.
 	busyPeriod = 15 * time.Millisecond
 	idlePeriod = 100 * time.Millisecond
-	// tellLife is how long an entry that is silent counts, and idleLife one that
-	// neither waited for the engine nor used it.
+	// tellLife is how long what a relay told counts once it has fallen silent.
 	tellLife = 1500 * time.Millisecond
-	idleLife = 4500 * time.Millisecond
-	// loadPeriod is the shortest time between two states that differ in load only.
-	loadPeriod = 100 * time.Millisecond
-	// loadShare is what each entry that watches adds to that time, so that a sidecar
-	// sends about 40 messages a second to all of them.
-	loadShare = 25 * time.Millisecond
-	// watchPeriod is the longest time between two states told to an entry.
-	watchPeriod = time.Second
+	// loadPeriod is the shortest time between two reports that differ in load only, and
+	// usePeriod between two that differ in the use of models.
+	loadPeriod = 150 * time.Millisecond
+	usePeriod  = 500 * time.Millisecond
 	// closingTime is between the notice that a model is about to be unloaded and the
 	// order, so that requests on their way still find it.
-	closingTime = 12 * time.Millisecond
+	closingTime = 30 * time.Millisecond
 )
 
 // Terms are the sidecar's own properties.
@@ -51,6 +44,8 @@
 	// Pool is the pool of the engine and Address its address.
 	Pool    string
 	Address string
+	// Started is the start of this process, in Unix nanoseconds.
+	Started int64
 }
 
 // Directory knows the id of the engine.
@@ -74,8 +69,11 @@
 	kick      chan struct{}
 	done      chan struct{}
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// tells are what relays told, by relay, and items the rows of the list for the
+	// engine's address, by server.
 	tells    map[string]told
+	items    map[string]*wire.Item
 	report   Report
 	reported time.Duration
 	server   string
@@ -92,21 +90,19 @@
 	closed  time.Duration
 	state   *wire.Condition
 	stated  time.Duration
-	watches map[chan struct{}]struct{}
+	// sent is the state that was reported last, counted the instant of the latest
+	// report of the load alone.
+	sent    *wire.Condition
+	counted time.Duration
+	change  chan struct{}
 }
 
-// told is the last message of an entry.
+// told is the last message of a relay, which came at the instant at, and was heard
+// last at the instant heard.
 type told struct {
-	tell *wire.Tell
-	at   time.Duration
-}
-
-// life is how long the message counts.
-func (t told) life() time.Duration {
-	if t.tell.GetIdle() {
-		return idleLife
-	}
-	return tellLife
+	tell  *wire.Tell
+	at    time.Duration
+	heard time.Duration
 }
 
 // New returns an orderer that has not seen its engine yet.
@@ -122,10 +118,11 @@
 		kick:      make(chan struct{}, 1),
 		done:      make(chan struct{}),
 		tells:     map[string]told{},
+		items:     map[string]*wire.Item{},
 		used:      map[string]time.Duration{},
 		since:     map[string]time.Duration{},
-		state:     &wire.Condition{Address: t.Address},
-		watches:   map[chan struct{}]struct{}{},
+		state:     &wire.Condition{Address: t.Address, Started: t.Started},
+		change:    make(chan struct{}, 1),
 	}
 }
 
@@ -214,7 +211,7 @@
 	if known {
 		return nil
 	}
-	id, err := o.directory.Server(ctx, o.terms.Address, r.Born)
+	id, err := o.identify(ctx, r.Born)
 	if err != nil || id == "" {
 		return err
 	}
@@ -229,6 +226,24 @@
 	return nil
 }
 
+// identify returns the id of the engine that was started at born, as a relay tells it
+// or, if none does, as the store does.
+func (o *Orderer) identify(ctx context.Context, born int64) (string, error) {
+	o.mu.Lock()
+	linked := len(o.tells) > 0
+	for id, it := range o.items {
+		if it.GetBorn() == born {
+			o.mu.Unlock()
+			return id, nil
+		}
+	}
+	o.mu.Unlock()
+	if linked {
+		return "", nil
+	}
+	return o.directory.Server(ctx, o.terms.Address, born)
+}
+
 // observe takes the engine's report.
 func (o *Orderer) observe(now time.Duration, r Report) {
 	o.mu.Lock()
@@ -256,7 +271,7 @@
 	}
 	o.report, o.reported = r, now
 	for name, t := range o.tells {
-		if now-t.at > t.life() {
+		if now-t.heard > tellLife {
 			delete(o.tells, name)
 		}
 	}
@@ -390,11 +405,11 @@
 		}
 		h := placer.Held{Model: name, Bytes: m.GetBytes(), Reload: o.loadTime(m), Since: o.since[name], Last: o.used[name]}
 		for _, t := range o.tells {
-			for _, u := range t.tell.GetUses() {
-				if u.GetModel() == name {
-					h.Inflight += int(u.GetInflight())
-					h.Rate += u.GetRate()
-					h.Copies = max(h.Copies, int(u.GetCopies()))
+			for _, d := range t.tell.GetDemands() {
+				if d.GetModel() == name {
+					h.Inflight = max(h.Inflight, int(d.GetInflight()))
+					h.Rate = max(h.Rate, d.GetRate())
+					h.Copies = max(h.Copies, int(d.GetCopies()))
 				}
 			}
 		}
@@ -420,64 +435,3 @@
 	}
 	return capacity - min(used, capacity)
 }
-
-// Handle answers a call of an entry.
-func (o *Orderer) Handle(ctx context.Context, call *wire.Call, s peer.Stream) {
-	switch b := call.GetBody().(type) {
-	case *wire.Call_Watch:
-		o.watch(ctx, s)
-	case *wire.Call_Tell:
-		o.take(b.Tell)
-		_ = s.Send(&wire.Reply{Body: &wire.Reply_Done{Done: &wire.Done{}}})
-	default:
-		_ = s.Send(refuser.New(refuser.Invalid, "this sidecar does not answer this call").Reply())
-	}
-}
-
-// take takes the message of an entry, unless a later one was taken already.
-func (o *Orderer) take(t *wire.Tell) {
-	now := o.clock()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	have, ok := o.tells[t.GetEntry()]
-	if ok && (have.tell.GetStarted() > t.GetStarted() ||
-		have.tell.GetStarted() == t.GetStarted() && have.tell.GetNumber() >= t.GetNumber()) {
-		return
-	}
-	o.tells[t.GetEntry()] = told{tell: t, at: now}
-	for _, t := range o.tells {
-		if len(t.tell.GetWants()) > 0 {
-			o.Kick()
-			return
-		}
-	}
-}
-
-// watch sends the state at each change until the entry has gone.
-func (o *Orderer) watch(ctx context.Context, s peer.Stream) {
-	changed := make(chan struct{}, 1)
-	o.mu.Lock()
-	o.watches[changed] = struct{}{}
-	o.mu.Unlock()
-	defer func() {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		delete(o.watches, changed)
-	}()
-	for {
-		o.mu.Lock()
-		state := o.state
-		o.mu.Unlock()
-		if s.Send(&wire.Reply{Body: &wire.Reply_Condition{Condition: state}}) != nil {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.Context().Done():
-			return
-		case <-changed:
-		case <-time.After(watchPeriod):
-		}
-	}
-}
--- a/orderer/state.go
+++ b/orderer/state.go
@@ -5,56 +5,15 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"oleanderstall/placer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
 
-// publish tells the entries the engine's state if it has changed.
-func (o *Orderer) publish(now time.Duration) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	next := o.describe(now)
-	if !o.worthTelling(now, next) {
-		return
-	}
-	next.Number = o.state.GetNumber() + 1
-	o.state, o.stated = next, now
-	for ch := range o.watches {
-		select {
-		case ch <- struct{}{}:
-		default:
-		}
-	}
-}
-
-// worthTelling reports whether next differs from the state told last. A
-// difference in load alone waits. The caller holds the lock.
-func (o *Orderer) worthTelling(now time.Duration, next *wire.Condition) bool {
-	a, b := proto.Clone(o.state).(*wire.Condition), proto.Clone(next).(*wire.Condition)
-	a.Number, b.Number = 0, 0
-	for _, s := range []*wire.Condition{a, b} {
-		for _, t := range s.Tasks {
-			t.Left = 0
-		}
-	}
-	if now-o.stated < max(loadPeriod, time.Duration(len(o.watches))*loadShare) {
-		for _, s := range []*wire.Condition{a, b} {
-			s.Running, s.Waiting, s.Used = 0, 0, 0
-			for _, r := range s.Residents {
-				r.Inflight, r.Keep, r.Rate = 0, 0, 0
-			}
-		}
-	}
-	return !proto.Equal(a, b)
-}
-
 // describe returns the state as last seen. The caller holds the lock.
 func (o *Orderer) describe(now time.Duration) *wire.Condition {
 	r := o.report
-	s := &wire.Condition{Address: o.terms.Address, Born: r.Born}
+	s := &wire.Condition{Address: o.terms.Address, Started: o.terms.Started, Born: r.Born}
 	// Without a configuration the sizes of the models are not known.
 	if r.Born == 0 || o.born != r.Born || o.copy.View().Version() == 0 {
 		return s
@@ -168,9 +127,9 @@
 				wanted[m.GetName()] = true
 			}
 		}
-		for _, u := range t.tell.GetUses() {
-			if u.GetInflight() > 0 {
-				inuse[u.GetModel()] = true
+		for _, d := range t.tell.GetDemands() {
+			if d.GetInflight() > 0 {
+				inuse[d.GetModel()] = true
 			}
 		}
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -59,6 +59,10 @@
 	Recv() (*wire.Reply, error)
 	// Send sends a reply.
 	Send(*wire.Reply) error
+	// Tell sends a further call on a stream that was opened by Join.
+	Tell(*wire.Call) error
+	// Next returns the next call on such a stream.
+	Next() (*wire.Call, error)
 	// Context ends when the other side has given up or the stream has ended.
 	Context() context.Context
 	// Cancel gives up the request.
@@ -71,6 +75,13 @@
 	Open(ctx context.Context, address string, call *wire.Call) (Stream, error)
 }
 
+// Joiner opens streams that carry calls and replies in any order.
+type Joiner interface {
+	// Join sends a call and returns its stream, on which further calls may follow.
+	// Errors are SendErrors.
+	Join(ctx context.Context, address string, call *wire.Call) (Stream, error)
+}
+
 // Handler answers one call. The stream is closed when it returns.
 type Handler func(ctx context.Context, call *wire.Call, s Stream)
 
@@ -224,6 +235,16 @@
 
 // Open implements Caller.
 func (n *Node) Open(ctx context.Context, address string, call *wire.Call) (Stream, error) {
+	s, err := n.Join(ctx, address, call)
+	if err != nil {
+		return nil, err
+	}
+	s.(*stream).finish()
+	return s, nil
+}
+
+// Join implements Joiner.
+func (n *Node) Join(ctx context.Context, address string, call *wire.Call) (Stream, error) {
 	l, err := n.connect(ctx, address)
 	if err != nil {
 		return nil, &SendError{Address: address, cause: err}
@@ -237,7 +258,7 @@
 	s := newStream(qs)
 	s.end = sync.OnceFunc(func() { n.release(address, l) })
 	s.stop = context.AfterFunc(ctx, s.abort)
-	if err := s.call(call); err != nil {
+	if err := s.Tell(call); err != nil {
 		s.Cancel()
 		return nil, &SendError{Address: address, Sent: true, cause: err}
 	}
@@ -374,16 +395,17 @@
 	return eris.Wrap(s.writer.Flush(), "send reply")
 }
 
-// call sends the call that opens the stream, and nothing after it.
-func (s *stream) call(c *wire.Call) error {
-	if err := s.send(c); err != nil {
-		return err
+// Next implements Stream.
+func (s *stream) Next() (*wire.Call, error) {
+	call := &wire.Call{}
+	if err := options.UnmarshalFrom(s.reader, call); err != nil {
+		return nil, eris.Wrap(err, "receive call")
 	}
-	s.finish()
-	return nil
+	return call, nil
 }
 
-func (s *stream) send(c *wire.Call) error {
+// Tell implements Stream.
+func (s *stream) Tell(c *wire.Call) error {
 	if _, err := protodelim.MarshalTo(s.writer, c); err != nil {
 		return eris.Wrap(err, "send call")
 	}
--- /dev/null
+++ b/peer/pipe.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"oleanderstall/wire"
+)
+
+// pipeDepth is the number of messages that wait in a pipe in each direction.
+const pipeDepth = 1024
+
+// pipe is a stream in memory.
+type pipe struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	calls   chan *wire.Call
+	replies chan *wire.Reply
+}
+
+// Pipe makes h answer a call of this process itself.
+func Pipe(ctx context.Context, h Handler, call *wire.Call) Stream {
+	ctx, cancel := context.WithCancel(ctx)
+	p := &pipe{ctx: ctx, cancel: cancel, calls: make(chan *wire.Call, pipeDepth), replies: make(chan *wire.Reply, pipeDepth)}
+	go func() {
+		h(ctx, call, p)
+		close(p.replies)
+	}()
+	return p
+}
+
+// Recv implements Stream.
+func (p *pipe) Recv() (*wire.Reply, error) {
+	select {
+	case r, ok := <-p.replies:
+		if !ok {
+			return nil, eris.New("the stream has ended")
+		}
+		return r, nil
+	case <-p.ctx.Done():
+		return nil, p.ctx.Err()
+	}
+}
+
+// Send implements Stream.
+func (p *pipe) Send(r *wire.Reply) error {
+	select {
+	case p.replies <- r:
+		return nil
+	case <-p.ctx.Done():
+		return p.ctx.Err()
+	}
+}
+
+// Tell implements Stream.
+func (p *pipe) Tell(c *wire.Call) error {
+	select {
+	case p.calls <- c:
+		return nil
+	case <-p.ctx.Done():
+		return p.ctx.Err()
+	}
+}
+
+// Next implements Stream.
+func (p *pipe) Next() (*wire.Call, error) {
+	select {
+	case c := <-p.calls:
+		return c, nil
+	case <-p.ctx.Done():
+		return nil, p.ctx.Err()
+	}
+}
+
+// Context implements Stream.
+func (p *pipe) Context() context.Context { return p.ctx }
+
+// Cancel implements Stream.
+func (p *pipe) Cancel() { p.cancel() }
--- /dev/null
+++ b/relayer/board.go
@@ -0,0 +1,203 @@
+// Package relayer passes knowledge on between the processes of a fleet. One process of
+// each data centre, its relay, is linked to the others there and to the relays of the
+// other data centres, so that no process keeps a connection to all others.
+//
+// A relay publishes what its own processes tell it and what it decides; other relays
+// take that and pass it on to their processes, but not to further relays. All of it is
+// soft state: a relay that starts knows nothing, and the processes that link to it tell
+// it all again.
+package relayer
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"oleanderstall/allocator"
+	"oleanderstall/configurer"
+	"oleanderstall/limiter"
+	"oleanderstall/wire"
+)
+
+// Roles of the processes that link to a relay.
+const (
+	Entry   = "entry"
+	Sidecar = "sidecar"
+	Relay   = "relay"
+)
+
+// pair is a model or an adapter at a server.
+type pair struct{ server, model string }
+
+// state is a sidecar's word on its engine.
+type state struct {
+	condition *wire.Condition
+	at        time.Duration
+	// own is set if the sidecar is linked to this relay.
+	own bool
+}
+
+// outlook is when a model is expected to serve.
+type outlook struct {
+	ready time.Duration
+	own   bool
+}
+
+// Board is what a relay knows. It is not safe for concurrent use.
+type Board struct {
+	name      string
+	centre    string
+	copy      *configurer.Configurer
+	log       *log.Logger
+	allocator *allocator.Allocator
+	tally     *limiter.Tally
+	outgo     *outgo
+
+	// members are the processes linked to this relay, by the numbers of their links,
+	// and pages what the other relays publish, by data centre.
+	members map[uint64]*member
+	pages   map[string]*page
+	links   uint64
+
+	// lost are the servers whose sidecars are not heard any more, and whether they were
+	// linked to this relay.
+	states   *feed[string, state]
+	traffic  *feed[string, *wire.Traffic]
+	lost     *feed[string, bool]
+	parted   *feed[string, int64]
+	outlooks *feed[string, outlook]
+	items    *feed[string, *wire.Item]
+	list     *feed[string, *wire.Member]
+	// uses and needs are the sums over the entries linked to this relay, orders what
+	// this relay decided.
+	uses   *feed[pair, uint32]
+	needs  *feed[string, allocator.Need]
+	orders *feed[pair, order]
+
+	// roster counts the changes of the entries linked here.
+	roster uint64
+	// proven is the instant as of which the items were complete.
+	proven time.Duration
+	// stale is set if what was decided, at the instant decided, may not hold any more.
+	stale   bool
+	decided time.Duration
+}
+
+// NewBoard returns the empty board of the relay with that name in a data centre.
+func NewBoard(name, centre string, c *configurer.Configurer, l *log.Logger) *Board {
+	return &Board{
+		name:      name,
+		centre:    centre,
+		copy:      c,
+		log:       l,
+		allocator: allocator.New(name, c, l),
+		tally:     limiter.NewTally(),
+		outgo:     newOutgo(),
+		members:   map[uint64]*member{},
+		pages:     map[string]*page{},
+		states:    newFeed[string, state](),
+		traffic:   newFeed[string, *wire.Traffic](),
+		lost:      newFeed[string, bool](),
+		parted:    newFeed[string, int64](),
+		outlooks:  newFeed[string, outlook](),
+		items:     newFeed[string, *wire.Item](),
+		list:      newFeed[string, *wire.Member](),
+		uses:      newFeed[pair, uint32](),
+		needs:     newFeed[string, allocator.Need](),
+		orders:    newFeed[pair, order](),
+	}
+}
+
+// Limits brings limits into force.
+func (b *Board) Limits(now time.Duration, limits []limiter.Limit) { b.tally.Set(now, limits) }
+
+// Links is the number of processes linked to this relay, other relays included.
+func (b *Board) Links() int { return len(b.members) }
+
+// Serving reports whether processes other than relays are linked to this relay.
+func (b *Board) Serving() bool {
+	for _, m := range b.members {
+		if m.link.GetRole() != Relay {
+			return true
+		}
+	}
+	return false
+}
+
+// Watched is the number of engines whose sidecars are heard.
+func (b *Board) Watched(now time.Duration) int { return b.allocator.Watched(now) }
+
+// take takes a sidecar's word, unless a later one is known.
+func (b *Board) take(now time.Duration, c *wire.Condition, own bool) {
+	id := c.GetServer()
+	if id == "" {
+		return
+	}
+	have, ok := b.states.get(id)
+	if ok && older(c, have.condition) {
+		return
+	}
+	b.lost.drop(id)
+	b.traffic.drop(id)
+	b.states.set(id, state{condition: c, at: now, own: own})
+	b.allocator.State(now, c)
+	b.stale = true
+}
+
+// older reports whether c was told before or as the word have.
+func older(c, have *wire.Condition) bool {
+	if c.GetStarted() != have.GetStarted() {
+		return c.GetStarted() < have.GetStarted()
+	}
+	return c.GetNumber() < have.GetNumber()
+}
+
+// count takes the load of an engine.
+func (b *Board) count(now time.Duration, t *wire.Traffic) {
+	if _, ok := b.states.get(t.GetServer()); !ok {
+		return
+	}
+	b.traffic.set(t.GetServer(), t)
+	b.allocator.Count(now, t.GetServer(), int(t.GetRunning()+t.GetWaiting()))
+}
+
+// lose takes note that a sidecar is not heard any more.
+func (b *Board) lose(now time.Duration, id string) {
+	s, ok := b.states.get(id)
+	if !ok {
+		return
+	}
+	b.states.drop(id)
+	b.traffic.drop(id)
+	b.lost.set(id, s.own)
+	b.allocator.Lose(now, id)
+	b.stale = true
+	b.log.Info().Str("server", id).Msg("sidecar: not heard")
+}
+
+// part takes note that a server has said itself that it leaves.
+func (b *Board) part(id string, born int64) {
+	if have, ok := b.parted.get(id); ok && have >= born {
+		return
+	}
+	b.parted.set(id, born)
+	b.allocator.Part(id, born)
+	b.stale = true
+}
+
+// feel passes on how near answers came to being late.
+func (b *Board) feel(now time.Duration, felt []*wire.Felt) {
+	for _, f := range felt {
+		b.allocator.Feel(now, f.GetServer(), float64(f.GetStrain()))
+	}
+}
+
+// arrive counts requests by model or adapter.
+func (b *Board) arrive(now time.Duration, arrivals map[string]float64) {
+	for name, count := range arrivals {
+		b.allocator.Arrive(now, name, count)
+		if b.home(name) {
+			b.allocator.Press(now, name)
+		}
+	}
+}
--- /dev/null
+++ b/relayer/page.go
@@ -0,0 +1,266 @@
+package relayer
+
+import (
+	"time"
+
+	"oleanderstall/allocator"
+	"oleanderstall/limiter"
+	"oleanderstall/router"
+	"oleanderstall/timer"
+	"oleanderstall/wire"
+)
+
+// centrePrefix begins the names under which other data centres use tokens.
+const centrePrefix = "centre/"
+
+// page is what the relay of another data centre publishes.
+type page struct {
+	relay   string
+	heard   time.Duration
+	servers map[string]bool
+	uses    map[pair]uint32
+	needs   map[string]allocator.Need
+	orders  map[pair]order
+	entries uint32
+	absent  uint32
+	ready   uint32
+}
+
+// Open begins the page of another data centre, as published by a relay. The page of
+// the relay before it ends.
+func (b *Board) Open(now time.Duration, centre, relay string) {
+	if p := b.pages[centre]; p != nil {
+		b.Tear(now, centre, p.relay)
+	}
+	b.pages[centre] = &page{
+		relay:   relay,
+		heard:   now,
+		servers: map[string]bool{},
+		uses:    map[pair]uint32{},
+		needs:   map[string]allocator.Need{},
+		orders:  map[pair]order{},
+	}
+	b.log.Info().Str("centre", centre).Str("relay", relay).Msg("relay: answers")
+}
+
+// Tear ends the page of another data centre, if that relay publishes it. What its
+// workspaces may use meanwhile counts on.
+func (b *Board) Tear(now time.Duration, centre, relay string) {
+	p := b.pages[centre]
+	if p == nil || p.relay != relay {
+		return
+	}
+	delete(b.pages, centre)
+	for id := range p.servers {
+		if s, ok := b.states.get(id); ok && !s.own {
+			b.lose(now, id)
+		}
+	}
+	for name := range p.needs {
+		b.weigh(name)
+	}
+	b.stale = true
+	b.touch(Entry)
+	b.log.Info().Str("centre", centre).Str("relay", relay).Msg("relay: lost")
+}
+
+// Read takes a batch of another data centre's relay.
+func (b *Board) Read(now time.Duration, centre string, t *wire.Batch) {
+	p := b.pages[centre]
+	if p == nil {
+		return
+	}
+	p.heard = now
+	for _, c := range t.GetConditions() {
+		p.servers[c.GetServer()] = true
+		b.take(now, c, false)
+	}
+	for _, c := range t.GetTraffic() {
+		b.count(now, c)
+	}
+	for _, id := range t.GetLost() {
+		if s, ok := b.states.get(id); ok && !s.own && p.servers[id] {
+			b.lose(now, id)
+		}
+		delete(p.servers, id)
+	}
+	for _, q := range t.GetParted() {
+		b.part(q.GetServer(), q.GetBorn())
+	}
+	b.demands(now, p, t)
+	b.decisions(now, p, t)
+	b.crowd(now, centre, p, t)
+	if len(t.GetConditions())+len(t.GetLost())+len(t.GetParted())+len(t.GetOutlooks()) > 0 {
+		b.touch(Entry)
+	}
+}
+
+// demands takes what the entries of another data centre use and need.
+func (b *Board) demands(now time.Duration, p *page, t *wire.Batch) {
+	for _, u := range t.GetUses() {
+		key := pair{u.GetServer(), u.GetModel()}
+		before := p.uses[key]
+		p.uses[key] = u.GetInflight()
+		if u.GetInflight() == 0 {
+			delete(p.uses, key)
+		}
+		if (before == 0) != (u.GetInflight() == 0) {
+			b.touchServer(key.server)
+		}
+	}
+	for _, w := range t.GetNeeds() {
+		if w.GetCount() == 0 && w.GetWorth() == 0 {
+			delete(p.needs, w.GetModel())
+		} else {
+			p.needs[w.GetModel()] = need(now, w)
+		}
+		b.weigh(w.GetModel())
+	}
+	b.arrive(now, t.GetArrivals())
+	b.feel(now, t.GetFelt())
+}
+
+// decisions takes what another relay decided.
+func (b *Board) decisions(now time.Duration, p *page, t *wire.Batch) {
+	for _, w := range t.GetWants() {
+		key := pair{w.GetServer(), w.GetModel()}
+		if o, ok := orderOf(now, w); ok {
+			p.orders[key] = o
+		} else {
+			delete(p.orders, key)
+		}
+		b.touchServer(key.server)
+	}
+	for _, o := range t.GetOutlooks() {
+		if o.GetGone() {
+			b.outlooks.drop(o.GetModel())
+		} else {
+			b.outlooks.set(o.GetModel(), outlook{ready: now + timer.Span(o.GetLeft())})
+		}
+	}
+}
+
+// crowd takes how many entries another data centre has and what they used. Entries that
+// have moved there are not waited for here.
+func (b *Board) crowd(now time.Duration, centre string, p *page, t *wire.Batch) {
+	p.entries, p.absent, p.ready = t.GetEntries(), t.GetAbsent(), t.GetReady()
+	source := centrePrefix + centre
+	b.tally.Join(now, source, limiter.Crowd{Entries: int(p.entries), Absent: int(p.absent)})
+	for _, name := range t.GetNames() {
+		if !b.linked(name) {
+			b.tally.Leave(name)
+		}
+	}
+	b.spend(source, b.tally.Hear(now, source, t.GetSpent()))
+}
+
+// linked reports whether a process is linked to this relay.
+func (b *Board) linked(name string) bool {
+	for _, m := range b.members {
+		if m.link.GetName() == name {
+			return true
+		}
+	}
+	return false
+}
+
+// home reports whether this relay decides about a model or an adapter. Adapters go
+// with their base model.
+func (b *Board) home(name string) bool {
+	if m := b.copy.View().Model(name); m.GetBase() != "" {
+		name = m.GetBase()
+	}
+	key := router.Hash(name)
+	served, first := b.served(), ""
+	for centre := range served {
+		first = prior(first, centre, key)
+	}
+	for centre := range b.pages {
+		first = prior(first, centre, key)
+	}
+	return served[first]
+}
+
+// prior returns the data centre of two whose relay decides about a key.
+func prior(a, b string, key uint64) string {
+	x, y := router.Score(a, key), router.Score(b, key)
+	if a == "" || y > x || y == x && b > a {
+		return b
+	}
+	return a
+}
+
+// served are the data centres whose processes are linked to this relay.
+func (b *Board) served() map[string]bool {
+	served := map[string]bool{b.centre: true}
+	for _, m := range b.members {
+		if m.link.GetRole() != Relay {
+			served[m.link.GetCentre()] = true
+		}
+	}
+	return served
+}
+
+// weigh adds up what is needed under a name in all data centres.
+func (b *Board) weigh(name string) {
+	total, found := b.needs.get(name)
+	for _, p := range b.pages {
+		if n, ok := p.needs[name]; ok {
+			total = merge(total, n, !found)
+			found = true
+		}
+	}
+	if found {
+		b.allocator.Need(name, total)
+	} else {
+		b.allocator.Forget(name)
+	}
+	b.stale = true
+}
+
+// decide decides anew about the models of which this relay is the home.
+func (b *Board) decide(now time.Duration) {
+	b.stale = false
+	b.decided = now
+	d := b.allocator.Decide(now, b.home)
+	orders := map[pair]order{}
+	for _, w := range d.Wants {
+		orders[pair{w.GetServer(), w.GetModel()}], _ = orderOf(now, w)
+	}
+	for key, o := range orders {
+		have, ok := b.orders.get(key)
+		if !ok || have.count != o.count || have.worth != o.worth {
+			b.orders.set(key, o)
+			b.touchServer(key.server)
+		}
+	}
+	for key := range b.orders.all() {
+		if _, ok := orders[key]; !ok {
+			b.orders.drop(key)
+			b.touchServer(key.server)
+		}
+	}
+	b.outlook(d.Outlooks)
+}
+
+// outlookStep is the change of an expected instant that is worth telling.
+const outlookStep = 100 * time.Millisecond
+
+// outlook publishes when models are expected to serve.
+func (b *Board) outlook(list []allocator.Outlook) {
+	ready := map[string]bool{}
+	for _, o := range list {
+		ready[o.Model] = true
+		have, ok := b.outlooks.get(o.Model)
+		if !ok || !have.own || (o.Ready-have.ready).Abs() > outlookStep {
+			b.outlooks.set(o.Model, outlook{ready: o.Ready, own: true})
+			b.touch(Relay, Entry)
+		}
+	}
+	for name, o := range b.outlooks.all() {
+		if o.own && !ready[name] {
+			b.outlooks.drop(name)
+			b.touch(Relay, Entry)
+		}
+	}
+}
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -2,33 +2,36 @@
 
 import (
 	"context"
+	"encoding/json"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"oleanderstall/charger"
 	"oleanderstall/checker"
 	"oleanderstall/configurer"
 	"oleanderstall/follower"
+	"oleanderstall/lister"
 	"oleanderstall/meter"
 	"oleanderstall/peer"
 	"oleanderstall/platform"
 	"oleanderstall/recorder"
+	"oleanderstall/refuser"
+	"oleanderstall/relayer"
 	"oleanderstall/storer"
+	"oleanderstall/subscriber"
 	"oleanderstall/timer"
+	"oleanderstall/wire"
 )
 
-// Periods with which a hosted entry follows the store.
+// Times with which a process follows the store.
 const (
-	configWait   = 4 * time.Second
-	serverWait   = 2 * time.Second
-	serverPeriod = 900 * time.Millisecond
-	// serverShare and memberShare are what each entry adds to the periods beyond
-	// them, up to longestPeriod, so that the store gets about as many calls from a
-	// fleet of any size.
-	serverShare   = 150 * time.Millisecond
-	memberShare   = 100 * time.Millisecond
-	longestPeriod = 2500 * time.Millisecond
+	configWait   = 25 * time.Second
+	configPeriod = 200 * time.Millisecond
+	memberWait   = 20 * time.Second
+	memberPeriod = 500 * time.Millisecond
 )
 
 // hosted is what both roles have in common on a platform that hosts them.
@@ -44,6 +47,19 @@
 	meter    *meter.Meter
 	tasks    *group
 	admin    *server
+
+	// book knows the processes of the fleet, relayer is the relay in this process.
+	book    *subscriber.Book
+	relayer *relayer.Relayer
+	// configs, members and lister follow the tables of the store.
+	configs *follower.Follower
+	members *follower.Follower
+	lister  *lister.Lister
+	// catching is set while a configuration is fetched from another process.
+	catching atomic.Bool
+	// changed is told of a new configuration, and listed of changes of the list.
+	changed func()
+	listed  func(proven time.Duration, items []*wire.Item)
 }
 
 func newHosted(s *checker.Settings, l *log.Logger) *hosted {
@@ -55,9 +71,15 @@
 		recorder: recorder.New(s.Name, records),
 		meter:    meter.New(),
 		tasks:    newGroup(),
+		book:     subscriber.NewBook(),
 	}
 	h.store = platform.NewStore(s.Hosted.Store, h.called)
 	h.settings.Store(s)
+	h.relayer = relayer.New(&wire.Link{Name: s.Name, Centre: s.Centre, Started: h.started}, h.clock, h.copy, l)
+	h.configs = follower.New(follower.Terms{Table: platform.ConfigTable, Wait: configWait, Period: configPeriod}, h.clock, h.store, h.configured, l)
+	h.members = follower.New(follower.Terms{Table: storer.MemberTable, Wait: memberWait, Period: memberPeriod}, h.clock, h.store, h.joined, l)
+	h.lister = lister.New(platform.ServerTable, platform.Server, h.clock, h.store, h.list, l)
+	h.lister.Follower().Hold(true)
 	return h
 }
 
@@ -82,7 +104,7 @@
 func (h *hosted) Reload(s *checker.Settings) { h.settings.Store(s) }
 
 // join makes this process known to the others and opens its connection to them.
-func (h *hosted) join(ctx context.Context, in storer.Instance, handle peer.Handler) error {
+func (h *hosted) join(ctx context.Context, in storer.Instance) error {
 	var text string
 	err := insist(ctx, h.log, "reading the fleet's secret", func(ctx context.Context) (err error) {
 		text, err = secret(ctx, h.store)
@@ -99,7 +121,7 @@
 	if h.node, err = peer.New(s.Peer, identity); err != nil {
 		return err
 	}
-	h.tasks.run(func(ctx context.Context) { h.node.Serve(ctx, handle) })
+	h.tasks.run(func(ctx context.Context) { h.node.Serve(ctx, h.handle) })
 	in.Name, in.Role, in.Centre = s.Name, s.Role, s.Centre
 	in.Address, in.Started = h.node.Address(), h.started
 	return insist(ctx, h.log, "joining the fleet", func(ctx context.Context) error {
@@ -107,11 +129,59 @@
 	})
 }
 
-// follow keeps a copy of a table in step until the process ends.
-func (h *hosted) follow(t follower.Terms, apply func(time.Duration, []storer.Row)) *follower.Follower {
-	f := follower.New(t, h.clock, h.store, apply, h.log)
-	h.tasks.run(f.Run)
-	return f
+// handle answers a call of another process.
+func (h *hosted) handle(ctx context.Context, call *wire.Call, s peer.Stream) {
+	switch b := call.GetBody().(type) {
+	case *wire.Call_Link:
+		h.relayer.Handle(ctx, call, s)
+	case *wire.Call_Probe:
+		_ = s.Send(&wire.Reply{Body: &wire.Reply_News{News: h.news(b.Probe.GetVersion())}})
+	default:
+		_ = s.Send(refuser.New(refuser.Invalid, "this process does not answer this call").Reply())
+	}
+}
+
+// news is the configuration, if it is newer than a version.
+func (h *hosted) news(version uint64) *wire.News {
+	view := h.copy.View()
+	news := &wire.News{Version: view.Version()}
+	if view.Version() > version {
+		news.Changes = []*wire.Change{view.Snapshot()}
+	}
+	return news
+}
+
+// catchLimit bounds the fetch of a configuration from another process.
+const catchLimit = time.Second
+
+// hear takes what every batch of a relay tells.
+func (h *hosted) hear(address string, t *wire.Batch) {
+	if len(t.GetMembers()) > 0 {
+		h.book.Note(t.GetMembers()...)
+		h.relayer.Members(t.GetMembers())
+	}
+	if t.GetConfig() > h.copy.View().Version() && h.catching.CompareAndSwap(false, true) {
+		h.tasks.run(func(ctx context.Context) {
+			defer h.catching.Store(false)
+			h.catchUp(ctx, address)
+		})
+	}
+}
+
+// catchUp fetches the configuration from a process that has a newer one.
+func (h *hosted) catchUp(ctx context.Context, address string) {
+	limited, cancel := context.WithTimeout(ctx, catchLimit)
+	defer cancel()
+	before := h.copy.View().Version()
+	reply, err := peer.One(limited, h.node, address, &wire.Call{Body: &wire.Call_Probe{Probe: &wire.Probe{Version: before}}})
+	if err != nil {
+		h.log.Warn().Err(err).Str("address", address).Msg("config: not fetched")
+		return
+	}
+	for _, change := range reply.GetNews().GetChanges() {
+		h.copy.Restore(change)
+	}
+	h.inForce(before, address)
 }
 
 // configured brings a new configuration into force.
@@ -127,8 +197,50 @@
 		}
 		before := h.copy.View().Version()
 		h.copy.Restore(change)
-		h.meter.Config(change.GetVersion())
-		h.log.Info().Uint64("version", change.GetVersion()).Uint64("before", before).Uint64("row", r.Version).
-			Int("routes", len(change.GetRoutes())).Int("keys", len(change.GetKeys())).Msg("config: in force")
+		h.inForce(before, "store")
+	}
+}
+
+// inForce takes note of a configuration that came from somewhere.
+func (h *hosted) inForce(before uint64, source string) {
+	view := h.copy.View()
+	if view.Version() <= before {
+		return
+	}
+	h.meter.Config(view.Version())
+	h.relayer.Limits(charger.Limits(view, time.Duration(h.settings.Load().Hosted.Window)))
+	h.log.Info().Uint64("version", view.Version()).Uint64("before", before).Str("source", source).
+		Int("routes", len(view.Routes())).Int("keys", len(view.Keys())).Msg("config: in force")
+	h.relayer.Kick()
+	h.changed()
+}
+
+// joined takes changes of the list of processes.
+func (h *hosted) joined(_ time.Duration, rows []storer.Row) {
+	var members []*wire.Member
+	for _, r := range rows {
+		name := strings.TrimPrefix(r.Key, storer.MemberTable+"/")
+		m := &wire.Member{Name: name, Row: r.Version, Gone: r.Deleted}
+		var in storer.Instance
+		if err := json.Unmarshal(r.Value, &in); err != nil && !r.Deleted {
+			h.log.Warn().Err(err).Str("process", name).Msg("member: unreadable row")
+			continue
+		}
+		m.Role, m.Centre, m.Address, m.Started = in.Role, in.Centre, in.Address, in.Started
+		members = append(members, m)
+	}
+	h.log.Info().Int("changed", len(members)).Msg("members: listed")
+	h.book.Note(members...)
+	h.relayer.Members(members)
+}
+
+// list takes changes of the list of backend servers.
+func (h *hosted) list(proven time.Duration, items []*wire.Item) {
+	for _, it := range items {
+		h.log.Info().Str("server", it.GetId()).Str("pool", it.GetPool()).Str("address", it.GetAddress()).
+			Bool("leaving", it.GetLeaving()).Bool("gone", it.GetGone()).Strs("models", it.GetModels()).
+			Uint64("row", it.GetRow()).Msg("server: listed")
 	}
+	h.relayer.Items(proven, items)
+	h.listed(proven, items)
 }
--- a/runner/hostedsidecar.go
+++ b/runner/hostedsidecar.go
@@ -8,16 +8,12 @@
 	"github.com/phuslu/log"
 
 	"oleanderstall/checker"
-	"oleanderstall/follower"
 	"oleanderstall/orderer"
 	"oleanderstall/platform"
+	"oleanderstall/relayer"
 	"oleanderstall/storer"
-)
-
-// Periods with which a sidecar follows the configuration.
-const (
-	sidecarWait   = 10 * time.Second
-	sidecarPeriod = time.Second
+	"oleanderstall/subscriber"
+	"oleanderstall/wire"
 )
 
 // adminStop bounds the end of the listener for metrics.
@@ -40,10 +36,14 @@
 	}
 	c := &HostedSidecar{hosted: newHosted(s, l), address: u.Host}
 	c.tenure = &tenure{clock: c.clock}
-	terms := orderer.Terms{Holder: s.Name, Pool: s.Sidecar.Pool, Address: c.address}
+	c.changed = func() {}
+	c.listed = func(time.Duration, []*wire.Item) {}
+	terms := orderer.Terms{Holder: s.Name, Pool: s.Sidecar.Pool, Address: c.address, Started: c.started}
 	c.orderer = orderer.New(terms, c.clock, platform.NewEngine(c.address), c, c.copy, c.meter, l)
 	c.startAdmin(c.isReady)
-	c.follow(follower.Terms{Table: platform.ConfigTable, Wait: sidecarWait, Period: sidecarPeriod}, c.configured)
+	c.tasks.run(c.configs.Run)
+	c.tasks.run(c.members.Run)
+	c.tasks.run(c.lister.Run)
 	c.tasks.run(c.meet)
 	c.tasks.run(c.orderer.Run)
 	return c, nil
@@ -51,13 +51,16 @@
 
 // meet joins the fleet and takes the engine.
 func (c *HostedSidecar) meet(ctx context.Context) {
-	if err := c.join(ctx, storer.Instance{Pool: c.settings.Load().Sidecar.Pool, Backend: c.address}, c.orderer.Handle); err != nil {
+	s := c.settings.Load()
+	if err := c.join(ctx, storer.Instance{Pool: s.Sidecar.Pool, Backend: c.address}); err != nil {
 		c.log.Error().Err(err).Msg("start: not joined")
 		return
 	}
-	self := holderRow{Holder: c.settings.Load().Name, Started: c.started}
+	self := &wire.Link{Name: s.Name, Role: relayer.Sidecar, Centre: s.Centre, Started: c.started, Backend: c.address}
+	c.link(self, subscriber.SidecarPace, c, func() time.Duration { return 0 })
+	row := holderRow{Holder: s.Name, Started: c.started}
 	err := insist(ctx, c.log, "taking the engine", func(ctx context.Context) error {
-		return c.tenure.take(ctx, c.store, c.address, self, time.Duration(c.settings.Load().Hosted.Lease))
+		return c.tenure.take(ctx, c.store, c.address, row, time.Duration(s.Hosted.Lease))
 	})
 	if err != nil {
 		return
@@ -66,6 +69,25 @@
 		Int64("wait", c.tenure.wait.Milliseconds()).Msg("engine: taken")
 }
 
+// Report implements subscriber.Desk.
+func (c *HostedSidecar) Report(now time.Duration, whole bool) *wire.Report {
+	return c.orderer.Report(now, whole)
+}
+
+// Take implements subscriber.Desk.
+func (c *HostedSidecar) Take(now time.Duration, address string, t *wire.Batch, first bool) {
+	c.hear(address, t)
+	c.orderer.Take(now, address, t, first)
+}
+
+// Lost implements subscriber.Desk.
+func (c *HostedSidecar) Lost(now time.Duration, relay string, reports []*wire.Report) {
+	c.orderer.Lost(now, relay, reports)
+}
+
+// Changed implements subscriber.Desk.
+func (c *HostedSidecar) Changed() <-chan struct{} { return c.orderer.Changed() }
+
 // Fence implements orderer.Directory.
 func (c *HostedSidecar) Fence() uint64 { return c.tenure.Fence() }
 
--- /dev/null
+++ b/runner/linker.go
@@ -0,0 +1,67 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"oleanderstall/relayer"
+	"oleanderstall/subscriber"
+	"oleanderstall/wire"
+)
+
+// Times of the care for the link to the relay.
+const (
+	linkPeriod = 100 * time.Millisecond
+	// aloneAfter is how long a process may hear no relay before it follows the store
+	// itself, and staleAfter how old a relay's list of backend servers may be.
+	aloneAfter = 600 * time.Millisecond
+	staleAfter = 1500 * time.Millisecond
+)
+
+// linker keeps a process linked to its relay, and lets it follow the store where no
+// relay does.
+type linker struct {
+	*hosted
+	relay *subscriber.Subscriber
+	// listens is set if the process needs the list of backend servers.
+	listens bool
+	// age is the age of the relay's list, as of its latest batch.
+	age func() time.Duration
+}
+
+// link starts the link of a process that has joined the fleet.
+func (h *hosted) link(self *wire.Link, p subscriber.Pace, d subscriber.Desk, age func() time.Duration) *linker {
+	l := &linker{hosted: h, age: age, listens: self.GetRole() == relayer.Entry}
+	l.relay = subscriber.New(self, self.GetCentre(), p, h.clock, h.node, h.relayer.Handle, h.book, d, h.log)
+	h.tasks.run(h.relayer.Run)
+	h.tasks.run(func(ctx context.Context) { h.relayer.Read(ctx, h.node, h.book) })
+	h.tasks.run(l.relay.Run)
+	h.tasks.run(l.run)
+	return l
+}
+
+// run looks after the links until ctx ends.
+func (l *linker) run(ctx context.Context) {
+	tick := time.NewTicker(linkPeriod)
+	defer tick.Stop()
+	for {
+		l.look(l.clock())
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// look starts and ends what is needed now.
+func (l *linker) look(now time.Duration) {
+	heard, _ := l.relay.Heard()
+	linked, active := now-heard < aloneAfter, l.relayer.Active()
+	stale := l.listens && (!linked || l.age()+(now-heard) > staleAfter)
+	l.lister.Follower().Hold(!active && !stale)
+	l.members.Hold(linked && !active)
+	// Entries always follow the configuration, so that each is bound by what the store
+	// has told it itself.
+	l.configs.Hold(linked && !active && !l.listens)
+}
--- /dev/null
+++ b/subscriber/subscriber.go
@@ -0,0 +1,280 @@
+// Package subscriber keeps a process linked to the relay of a data centre: it finds the
+// relay, changes to another one when that falls silent, and carries reports there and
+// batches back.
+package subscriber
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"oleanderstall/peer"
+	"oleanderstall/timer"
+	"oleanderstall/wire"
+)
+
+// Times of a link.
+const (
+	// openLimit bounds the opening of a link, its first batch included.
+	openLimit = 500 * time.Millisecond
+	// spacing is the shortest time between two reports.
+	spacing = 10 * time.Millisecond
+	// betterPeriod is between two looks for a relay that goes before the one in use.
+	betterPeriod = time.Second
+	// idlePause is between two looks for a relay while none is known.
+	idlePause = 100 * time.Millisecond
+)
+
+// Pace are the times that depend on the role of the process that is linked.
+type Pace struct {
+	// Beat is the longest time between two reports.
+	Beat time.Duration
+	// Silence is how long the relay may be silent, or not confirm a report, before the
+	// link ends.
+	Silence time.Duration
+}
+
+// Paces of the roles.
+var (
+	EntryPace   = Pace{Beat: 100 * time.Millisecond, Silence: 650 * time.Millisecond}
+	SidecarPace = Pace{Beat: 300 * time.Millisecond, Silence: 900 * time.Millisecond}
+)
+
+// Desk is the process that is linked.
+type Desk interface {
+	// Report returns what is to be told to the relay; whole is set for the first report
+	// of a link.
+	Report(now time.Duration, whole bool) *wire.Report
+	// Take takes a batch of a relay at an address; first is set for the first one of a
+	// link.
+	Take(now time.Duration, address string, t *wire.Batch, first bool)
+	// Lost is told of the end of a link, with the reports that were not confirmed.
+	Lost(now time.Duration, relay string, reports []*wire.Report)
+	// Changed is signalled when there is something to report at once.
+	Changed() <-chan struct{}
+}
+
+// Subscriber keeps one link. It is safe for concurrent use.
+type Subscriber struct {
+	self  *wire.Link
+	pace  Pace
+	clock timer.Clock
+	dial  peer.Joiner
+	// local answers a link of this process to itself.
+	local peer.Handler
+	book  *Book
+	desk  Desk
+	log   *log.Logger
+	done  chan struct{}
+
+	mu sync.Mutex
+	// relay is the one in use, heard the instant of its latest batch.
+	relay string
+	heard time.Duration
+	// centre is the data centre whose relay is wanted.
+	centre string
+}
+
+// New returns a subscriber to the relay of a data centre, without a link. The book
+// knows the processes of the fleet, and local answers a link to this process itself.
+func New(self *wire.Link, centre string, p Pace, clock timer.Clock, j peer.Joiner, local peer.Handler, b *Book, d Desk, l *log.Logger) *Subscriber {
+	return &Subscriber{self: self, centre: centre, pace: p, clock: clock, dial: j, local: local, book: b, desk: d, log: l, done: make(chan struct{})}
+}
+
+// Done is closed when Run has returned.
+func (s *Subscriber) Done() <-chan struct{} { return s.done }
+
+// Heard returns the instant of the latest batch, and false if there is no link.
+func (s *Subscriber) Heard() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard, s.relay != ""
+}
+
+// Relay returns the name of the relay in use, or an empty one.
+func (s *Subscriber) Relay() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.relay
+}
+
+// Run keeps the link until ctx ends.
+func (s *Subscriber) Run(ctx context.Context) {
+	defer close(s.done)
+	var next *session
+	for ctx.Err() == nil {
+		if next == nil {
+			next = s.open(ctx, "")
+		}
+		if next == nil {
+			sleep(ctx, idlePause)
+			continue
+		}
+		next = s.serve(ctx, next)
+	}
+	if next != nil {
+		next.end()
+	}
+}
+
+// open opens a link to the first relay that answers of those that go before one, or
+// returns nil.
+func (s *Subscriber) open(ctx context.Context, before string) *session {
+	for _, m := range s.book.Rank(s.clock(), s.centre, before) {
+		begun := s.clock()
+		x, err := s.attempt(ctx, m)
+		if err == nil {
+			s.book.Fine(m.GetName())
+			return x
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		s.book.Suspect(s.clock(), m.GetName())
+		s.log.Info().Str("relay", m.GetName()).Str("address", m.GetAddress()).Err(err).
+			Int64("took", (s.clock() - begun).Milliseconds()).Msg("relay: does not answer")
+	}
+	return nil
+}
+
+// attempt opens a link to one process and waits for its first batch.
+func (s *Subscriber) attempt(ctx context.Context, m *wire.Member) (*session, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	late := time.AfterFunc(openLimit, cancel)
+	call := &wire.Call{Body: &wire.Call_Link{Link: s.self}}
+	x := &session{member: m, cancel: cancel, begun: s.clock(), batches: make(chan *wire.Batch, 1)}
+	var err error
+	if m.GetName() == s.self.GetName() {
+		x.stream = peer.Pipe(ctx, s.local, call)
+	} else if x.stream, err = s.dial.Join(ctx, m.GetAddress(), call); err != nil {
+		cancel()
+		return nil, err
+	}
+	if x.first, err = x.receive(); err != nil {
+		x.end()
+		return nil, err
+	}
+	if !late.Stop() {
+		x.end()
+		return nil, context.DeadlineExceeded
+	}
+	if got := x.first.GetRelay(); got != m.GetName() {
+		x.end()
+		return nil, &NameError{Want: m.GetName(), Got: got}
+	}
+	return x, nil
+}
+
+// serve uses a link until it is lost or one to a better relay is open, which it returns.
+func (s *Subscriber) serve(ctx context.Context, x *session) *session {
+	s.begin(x)
+	go x.read()
+	better := s.improve(ctx, x)
+	watch := time.NewTicker(s.pace.Silence / 4)
+	defer watch.Stop()
+	report := time.NewTimer(s.pace.Beat)
+	defer report.Stop()
+	changed := s.desk.Changed()
+	for {
+		select {
+		case <-ctx.Done():
+			s.finish(x, "the process stops")
+			return nil
+		case next := <-better:
+			s.finish(x, "another relay goes before it")
+			return next
+		case t, ok := <-x.batches:
+			if !ok {
+				s.book.Suspect(s.clock(), x.member.GetName())
+				s.finish(x, "the link broke")
+				return nil
+			}
+			s.take(x, t, false)
+		case <-watch.C:
+			if x.silent(s.clock(), s.pace.Silence) {
+				s.book.Suspect(s.clock(), x.member.GetName())
+				s.finish(x, "the relay is silent")
+				return nil
+			}
+		case <-changed:
+			changed = nil
+			report.Reset(max(0, x.reported+spacing-s.clock()))
+		case <-report.C:
+			changed = s.desk.Changed()
+			report.Reset(s.pace.Beat)
+			s.report(x, false)
+		}
+	}
+}
+
+// begin begins the use of a link.
+func (s *Subscriber) begin(x *session) {
+	s.log.Info().Str("relay", x.member.GetName()).Str("address", x.member.GetAddress()).Str("centre", s.centre).
+		Uint32("links", x.first.GetLinks()).Msg("relay: linked")
+	s.take(x, x.first, true)
+	s.report(x, true)
+}
+
+// take takes a batch.
+func (s *Subscriber) take(x *session, t *wire.Batch, first bool) {
+	now := s.clock()
+	x.hear(now, t)
+	s.mu.Lock()
+	s.relay, s.heard = x.member.GetName(), now
+	s.mu.Unlock()
+	s.desk.Take(now, x.member.GetAddress(), t, first)
+}
+
+// report sends a report.
+func (s *Subscriber) report(x *session, whole bool) {
+	now := s.clock()
+	x.report(now, s.desk.Report(now, whole))
+}
+
+// finish ends the use of a link.
+func (s *Subscriber) finish(x *session, cause string) {
+	x.end()
+	s.mu.Lock()
+	s.relay = ""
+	s.mu.Unlock()
+	s.log.Info().Str("relay", x.member.GetName()).Str("cause", cause).
+		Int64("heard", (s.clock()-x.heard).Milliseconds()).Int("unconfirmed", len(x.unconfirmed)).Msg("relay: link ended")
+	s.desk.Lost(s.clock(), x.member.GetName(), x.unconfirmed)
+}
+
+// improve looks for relays that go before the one in use until one answers, which it
+// sends.
+func (s *Subscriber) improve(ctx context.Context, x *session) <-chan *session {
+	found := make(chan *session)
+	go func() {
+		for sleep(ctx, betterPeriod) && x.open() {
+			next := s.open(ctx, x.member.GetName())
+			if next == nil {
+				continue
+			}
+			select {
+			case found <- next:
+			case <-x.stream.Context().Done():
+				next.end()
+			case <-ctx.Done():
+				next.end()
+			}
+			return
+		}
+	}()
+	return found
+}
+
+// sleep waits and reports false if ctx has ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/tracker/backend.go
+++ b/tracker/backend.go
@@ -1,19 +1,25 @@
 package tracker
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
 
 // Backend is a backend server with this entry's view of it.
 type Backend struct {
+	fleet  *Fleet
 	server Server
-	// state is what the sidecar told last, at the instant told.
+	// state is what the sidecar told last, at the instant told, and lost the instant
+	// at which it fell silent, or 0.
 	state *wire.Condition
 	told  time.Duration
+	lost  time.Duration
 	// inflight counts this entry's requests there, by model.
 	inflight map[string]int
 	sum      int
@@ -37,11 +43,10 @@
 	stood time.Duration
 	// rest is the instant until which the server wants nothing from this entry.
 	rest time.Duration
+	// serving is set if the server is listed as taking new work.
+	serving bool
 	// disowned is set once an answer from the server's address was not its own.
 	disowned bool
-	// doubted is the instant at which a server is dropped unless it is listed again,
-	// or 0.
-	doubted time.Duration
 }
 
 // Server returns what is listed.
@@ -54,6 +59,10 @@
 // adapter.
 func (b *Backend) InflightOf(name string) int { return b.inflight[name] }
 
+// Uses returns the models and adapters for which this entry has requests there, by
+// name.
+func (b *Backend) Uses() []string { return slices.Sorted(maps.Keys(b.inflight)) }
+
 // Pending returns the number of this entry's requests whose prompts the server has
 // not read yet.
 func (b *Backend) Pending() int { return b.pending }
@@ -102,14 +111,26 @@
 	b.felt = now
 }
 
-// State returns what the sidecar told, or nil if it is silent.
+// State returns what the sidecar told, or nil if it has been silent for long.
 func (b *Backend) State(now time.Duration) *wire.Condition {
-	if b.state == nil || now-b.told > stateLife {
+	heard := b.lost
+	if heard == 0 {
+		heard = max(b.told, b.fleet.heard)
+	}
+	if b.state == nil || now-heard > stateLife {
 		return nil
 	}
 	return b.state
 }
 
+// Lost reports whether the sidecar has fallen silent.
+func (b *Backend) Lost() bool { return b.lost > 0 }
+
+// Left is the time until a load ends that the sidecar told.
+func (b *Backend) Left(now time.Duration, t *wire.Task) time.Duration {
+	return max(0, timer.Span(t.GetLeft())-(now-b.told))
+}
+
 // Holding returns what the engine holds, by the sidecar's word or, if it is
 // silent, by the list.
 func (b *Backend) Holding(now time.Duration) Holding {
--- a/tracker/demand.go
+++ b/tracker/demand.go
@@ -21,10 +21,10 @@
 // NewDemand returns a measure without requests.
 func NewDemand() *Demand { return &Demand{rates: map[string]rate{}} }
 
-// Arrive counts a request for name.
-func (d *Demand) Arrive(now time.Duration, name string) {
+// Arrive counts requests for name.
+func (d *Demand) Arrive(now time.Duration, name string, count float64) {
 	r := d.rates[name]
-	r.value = r.decayed(now) + 1/demandTime.Seconds()
+	r.value = r.decayed(now) + count/demandTime.Seconds()
 	r.at = now
 	d.rates[name] = r
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -3,7 +3,7 @@
 package tracker
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -73,26 +73,37 @@
 	pools map[string][]*Backend
 	// unlisted holds the words on servers that are not listed yet.
 	unlisted map[string]word
+	// heard is the instant at which the sidecars that are not lost were known to be
+	// heard.
+	heard time.Duration
+	// holders are the servers that may hold a model or an adapter, by name.
+	holders map[string][]*Backend
 	// parted are the starts of the servers that have said that they leave, by id.
 	parted map[string]int64
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{backends: map[string]*Backend{}, unlisted: map[string]word{}, parted: map[string]int64{}}
+	return &Fleet{
+		backends: map[string]*Backend{},
+		unlisted: map[string]word{},
+		holders:  map[string][]*Backend{},
+		parted:   map[string]int64{},
+	}
 }
 
 // List takes a server as the platform lists it now.
 func (f *Fleet) List(s Server) {
 	b := f.backends[s.ID]
 	if b == nil {
-		b = &Backend{inflight: map[string]int{}}
+		b = &Backend{fleet: f, inflight: map[string]int{}}
 		f.backends[s.ID] = b
 	}
 	if b.server.Born != s.Born {
 		b.stood, b.rest = 0, 0
 	}
-	b.server, b.doubted, b.disowned = s, 0, false
+	defer f.index(b, b.Names())
+	b.server, b.disowned = s, false
 	f.pools = nil
 	if w, ok := f.unlisted[s.ID]; ok {
 		delete(f.unlisted, s.ID)
@@ -100,31 +111,28 @@
 	}
 }
 
-// Doubt keeps a server until an instant though it is listed no more, since the
-// platform's list may lack it for a while.
-func (f *Fleet) Doubt(id string, until time.Duration) {
-	if b := f.backends[id]; b != nil {
-		b.doubted = until
-	}
-}
-
-// Sweep drops the servers that were doubted for long enough and returns their
-// ids.
-func (f *Fleet) Sweep(now time.Duration) []string {
-	var gone []string
-	for id, b := range f.backends {
-		if b.doubted > 0 && now >= b.doubted {
-			f.Drop(id)
-			gone = append(gone, id)
-		}
-	}
-	return gone
-}
-
 // Drop removes a server that is listed no more.
 func (f *Fleet) Drop(id string) {
+	b := f.backends[id]
+	if b == nil {
+		return
+	}
 	delete(f.backends, id)
 	f.pools = nil
+	for name := range b.Names() {
+		f.unindex(b, name)
+	}
+}
+
+// Refresh takes note that the sidecars that are not lost are heard at an instant.
+func (f *Fleet) Refresh(now time.Duration) { f.heard = now }
+
+// Lose takes note that the sidecar of a server has fallen silent.
+func (f *Fleet) Lose(now time.Duration, id string) {
+	delete(f.unlisted, id)
+	if b := f.backends[id]; b != nil && b.lost == 0 {
+		b.lost = now
+	}
 }
 
 // Tell takes a sidecar's word on its engine. It reports false for a server that is
@@ -138,7 +146,9 @@
 	if b.server.Born != s.GetBorn() {
 		return true
 	}
-	b.state, b.told, b.disowned = s, now, false
+	before := b.Names()
+	b.state, b.told, b.lost, b.disowned = s, now, 0, false
+	f.index(b, before)
 	b.others = max(0, int(s.GetRunning()+s.GetWaiting())-b.sum)
 	b.heard = now
 	return true
@@ -212,51 +222,55 @@
 // Pool returns the servers of a pool that take new work, by id. Of several at one
 // address, only the one that was started last can be there.
 func (f *Fleet) Pool(name string) []*Backend {
-	if f.pools == nil {
-		f.pools = f.sort()
-	}
+	f.sort()
 	var list []*Backend
 	for _, b := range f.pools[name] {
-		if !b.disowned && !f.leaves(b) {
+		if f.takes(b) {
 			list = append(list, b)
 		}
 	}
 	return list
 }
 
-// sort returns the servers of each pool that are listed as taking new work.
-func (f *Fleet) sort() map[string][]*Backend {
+// takes reports whether a server takes new work.
+func (f *Fleet) takes(b *Backend) bool {
+	f.sort()
+	return b.serving && !b.disowned && !f.leaves(b)
+}
+
+// sort parts the servers that are listed as taking new work by pool, if the list has
+// changed.
+func (f *Fleet) sort() {
+	if f.pools != nil {
+		return
+	}
 	newest := map[string]*Backend{}
 	for _, b := range f.backends {
+		b.serving = false
 		if n := newest[b.server.Address]; n == nil || b.server.Born > n.server.Born {
 			newest[b.server.Address] = b
 		}
 	}
-	pools := map[string][]*Backend{}
+	f.pools = map[string][]*Backend{}
 	for _, b := range newest {
 		if !b.server.Leaving {
-			pools[b.server.Pool] = append(pools[b.server.Pool], b)
+			b.serving = true
+			f.pools[b.server.Pool] = append(f.pools[b.server.Pool], b)
 		}
 	}
-	for _, list := range pools {
-		slices.SortFunc(list, func(a, b *Backend) int { return cmp.Compare(a.server.ID, b.server.ID) })
+	for _, list := range f.pools {
+		slices.SortFunc(list, byID)
 	}
-	return pools
+}
+
+// All returns all servers, by id.
+func (f *Fleet) All() []*Backend {
+	return slices.SortedFunc(maps.Values(f.backends), byID)
 }
 
 // Get returns the server with that id, or nil.
 func (f *Fleet) Get(id string) *Backend { return f.backends[id] }
 
-// At returns the server at an address, or nil.
-func (f *Fleet) At(address string) *Backend {
-	for _, b := range f.backends {
-		if b.server.Address == address {
-			return b
-		}
-	}
-	return nil
-}
-
 // Watched returns the number of engines whose sidecars are heard.
 func (f *Fleet) Watched(now time.Duration) int {
 	n := 0
