hosted: fewer calls to the store

Cause: a start made three to eight calls (secret, row, holder read twice and written, members, configuration), each relay read the whole list of servers each 450 ms. Change: one table of the fleet holds the secret, the processes and the holders, read once; a sidecar takes its engine and lists itself in one transaction; sidecars get the configuration from their relay; one relay reads the list of servers for all, the others if it grows stale. Relays are tried beside each other after 150 ms.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -43,8 +43,10 @@
 	log    *log.Logger
 	hurry  chan struct{}
 	resume chan struct{}
+	ready  chan struct{}
 	done   chan struct{}
 
+	once   sync.Once
 	mu     sync.Mutex
 	rows   map[string]storer.Row
 	after  uint64
@@ -69,6 +71,7 @@
 		log:    l,
 		hurry:  make(chan struct{}, 1),
 		resume: make(chan struct{}, 1),
+		ready:  make(chan struct{}),
 		done:   make(chan struct{}),
 		rows:   map[string]storer.Row{},
 	}
@@ -131,6 +134,17 @@
 	return f.terms.Period
 }
 
+// Row returns the row of a key, if there is one.
+func (f *Follower) Row(key string) (storer.Row, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.rows[key]
+	return r, ok
+}
+
+// Synced is closed once the copy was complete.
+func (f *Follower) Synced() <-chan struct{} { return f.ready }
+
 // Proven returns the instant as of which the copy was complete, and false if it
 // never was.
 func (f *Follower) Proven() (time.Duration, bool) {
@@ -224,6 +238,7 @@
 	if len(changed) > 0 {
 		f.apply(f.clock(), changed)
 	}
+	f.once.Do(func() { close(f.ready) })
 }
 
 // merge brings the copy forward and returns the rows that changed.
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -172,6 +172,12 @@
 	t.Arrivals, m.arrivals = m.arrivals, map[string]float64{}
 	t.Spent = m.state(b.outgo, t.GetNumber())
 	t.Felt, m.felt = m.felt, nil
+	if lists, _ := b.Lists(now); lists {
+		for c := range b.items.since(m.seen.items) {
+			t.Items = append(t.Items, c.value)
+		}
+		m.seen.items = b.items.stamp
+	}
 	b.census(m, t)
 }
 
--- a/relayer/items.go
+++ b/relayer/items.go
@@ -40,12 +40,9 @@
 		return
 	}
 	b.items.set(it.GetId(), it)
-	b.touch(Entry)
+	b.touch(Entry, Relay)
 }
 
-// Proven takes note that the list of backend servers is complete as of an instant.
-func (b *Board) Proven(at time.Duration) { b.proven = max(b.proven, at) }
-
 // Members takes changes of the list of processes.
 func (b *Board) Members(members []*wire.Member) {
 	for _, m := range members {
--- a/relayer/page.go
+++ b/relayer/page.go
@@ -87,6 +87,7 @@
 	for _, q := range t.GetParted() {
 		b.part(q.GetServer(), q.GetBorn())
 	}
+	b.Items(now-timer.Span(t.GetAge()), t.GetItems())
 	b.demands(now, p, t)
 	b.decisions(now, p, t)
 	b.crowd(now, centre, p, t)
@@ -170,6 +171,22 @@
 	if m := b.copy.View().Model(name); m.GetBase() != "" {
 		name = m.GetBase()
 	}
+	return b.first(name)
+}
+
+// listDuty names the duty of the one relay that reads the list of backend servers for
+// all.
+const listDuty = "list of backend servers"
+
+// Lists reports whether this relay is to read the list of backend servers, and the age
+// of the proof that the list known is complete.
+func (b *Board) Lists(now time.Duration) (lists bool, age time.Duration) {
+	return b.first(listDuty), now - b.proven
+}
+
+// first reports whether this relay comes first for a name among the relays of all data
+// centres.
+func (b *Board) first(name string) bool {
 	key := router.Hash(name)
 	served, first := b.served(), ""
 	for centre := range served {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -188,7 +188,7 @@
 }
 
 // restTime is how long a relay without processes goes on as one.
-const restTime = 5 * time.Second
+const restTime = 2 * time.Second
 
 // Active reports whether processes are linked to this relay, or were just now.
 func (r *Relayer) Active() bool {
@@ -197,6 +197,14 @@
 	return r.busy || r.since > 0 && r.clock()-r.since < restTime
 }
 
+// Lists reports whether this relay is to read the list of backend servers for all, and
+// the age of the list that it knows.
+func (r *Relayer) Lists() (lists bool, age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.board.Lists(r.clock())
+}
+
 // Limits brings limits into force.
 func (r *Relayer) Limits(limits []limiter.Limit) {
 	r.mu.Lock()
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -30,8 +30,8 @@
 const (
 	configWait   = 25 * time.Second
 	configPeriod = 200 * time.Millisecond
-	memberWait   = 20 * time.Second
-	memberPeriod = 500 * time.Millisecond
+	fleetWait    = 20 * time.Second
+	fleetPeriod  = time.Second
 )
 
 // hosted is what both roles have in common on a platform that hosts them.
@@ -51,9 +51,9 @@
 	// book knows the processes of the fleet, relayer is the relay in this process.
 	book    *subscriber.Book
 	relayer *relayer.Relayer
-	// configs, members and lister follow the tables of the store.
+	// configs, fleet and lister follow the tables of the store.
 	configs *follower.Follower
-	members *follower.Follower
+	fleet   *follower.Follower
 	lister  *lister.Lister
 	// catching is set while a configuration is fetched from another process.
 	catching atomic.Bool
@@ -77,9 +77,10 @@
 	h.settings.Store(s)
 	h.relayer = relayer.New(&wire.Link{Name: s.Name, Centre: s.Centre, Started: h.started}, h.clock, h.copy, l)
 	h.configs = follower.New(follower.Terms{Table: platform.ConfigTable, Wait: configWait, Period: configPeriod}, h.clock, h.store, h.configured, l)
-	h.members = follower.New(follower.Terms{Table: storer.MemberTable, Wait: memberWait, Period: memberPeriod}, h.clock, h.store, h.joined, l)
+	h.fleet = follower.New(follower.Terms{Table: storer.FleetTable, Wait: fleetWait, Period: fleetPeriod}, h.clock, h.store, h.joined, l)
 	h.lister = lister.New(platform.ServerTable, platform.Server, h.clock, h.store, h.list, l)
 	h.lister.Follower().Hold(true)
+	h.configs.Hold(s.Role == "sidecar")
 	return h
 }
 
@@ -103,30 +104,33 @@
 // Reload takes settings that were changed. A stop that comes later goes by them.
 func (h *hosted) Reload(s *checker.Settings) { h.settings.Store(s) }
 
-// join makes this process known to the others and opens its connection to them.
-func (h *hosted) join(ctx context.Context, in storer.Instance) error {
+// join opens this process to the others, once it knows them. It returns the process as
+// they are to know it.
+func (h *hosted) join(ctx context.Context) (storer.Instance, error) {
+	select {
+	case <-h.fleet.Synced():
+	case <-ctx.Done():
+		return storer.Instance{}, ctx.Err()
+	}
 	var text string
 	err := insist(ctx, h.log, "reading the fleet's secret", func(ctx context.Context) (err error) {
-		text, err = secret(ctx, h.store)
+		known, _ := h.fleet.Row(storer.SecretKey)
+		text, err = secret(ctx, h.store, known)
 		return err
 	})
 	if err != nil {
-		return err
+		return storer.Instance{}, err
 	}
 	s := h.settings.Load()
 	identity, err := peer.NewIdentity(text, s.Name)
 	if err != nil {
-		return err
+		return storer.Instance{}, err
 	}
 	if h.node, err = peer.New(s.Peer, identity); err != nil {
-		return err
+		return storer.Instance{}, err
 	}
 	h.tasks.run(func(ctx context.Context) { h.node.Serve(ctx, h.handle) })
-	in.Name, in.Role, in.Centre = s.Name, s.Role, s.Centre
-	in.Address, in.Started = h.node.Address(), h.started
-	return insist(ctx, h.log, "joining the fleet", func(ctx context.Context) error {
-		return register(ctx, h.store, in)
-	})
+	return storer.Instance{Name: s.Name, Role: s.Role, Centre: s.Centre, Address: h.node.Address(), Started: h.started}, nil
 }
 
 // handle answers a call of another process.
@@ -219,21 +223,32 @@
 func (h *hosted) joined(_ time.Duration, rows []storer.Row) {
 	var members []*wire.Member
 	for _, r := range rows {
-		name := strings.TrimPrefix(r.Key, storer.MemberTable+"/")
+		name, ok := strings.CutPrefix(r.Key, storer.MemberPrefix)
+		if !ok {
+			continue
+		}
 		m := &wire.Member{Name: name, Row: r.Version, Gone: r.Deleted}
 		var in storer.Instance
 		if err := json.Unmarshal(r.Value, &in); err != nil && !r.Deleted {
-			h.log.Warn().Err(err).Str("process", name).Msg("member: unreadable row")
+			h.log.Warn().Err(err).Str("process", name).Msg("process: unreadable row")
 			continue
 		}
 		m.Role, m.Centre, m.Address, m.Started = in.Role, in.Centre, in.Address, in.Started
 		members = append(members, m)
 	}
-	h.log.Info().Int("changed", len(members)).Msg("members: listed")
+	if len(members) == 0 {
+		return
+	}
+	h.log.Info().Int("changed", len(members)).Msg("processes: listed")
 	h.book.Note(members...)
 	h.relayer.Members(members)
 }
 
+// know takes this process into its own list, before the store has its row.
+func (h *hosted) know(in storer.Instance) {
+	h.book.Note(&wire.Member{Name: in.Name, Role: in.Role, Centre: in.Centre, Address: in.Address, Started: in.Started})
+}
+
 // list takes changes of the list of backend servers.
 func (h *hosted) list(proven time.Duration, items []*wire.Item) {
 	for _, it := range items {
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -35,10 +35,10 @@
 	stopping atomic.Bool
 	// leaving is set once the entry uses nothing more.
 	leaving atomic.Bool
-	// age is the age of the relay's list of backend servers, in nanoseconds, and fleet
-	// the number of other entries that take new connections.
-	age   atomic.Int64
-	fleet atomic.Int64
+	// age is the age of the relay's list of backend servers, in nanoseconds, and open the
+	// number of other entries that take new connections.
+	age  atomic.Int64
+	open atomic.Int64
 }
 
 // slackPart is the part of a limit's slack that the entries use on purpose; the
@@ -64,8 +64,7 @@
 		return nil, err
 	}
 	e.startAdmin(e.isReady)
-	e.lister.Follower().Hold(false)
-	for _, task := range []func(context.Context){backends.Run, e.configs.Run, e.members.Run, e.lister.Run, e.tick, e.meet} {
+	for _, task := range []func(context.Context){backends.Run, e.configs.Run, e.fleet.Run, e.lister.Run, e.tick, e.meet} {
 		e.tasks.run(task)
 	}
 	return e, nil
@@ -91,15 +90,43 @@
 	}
 }
 
+// loneTime is how long an entry looks for a sidecar before it lets itself be a relay.
+const loneTime = 3 * time.Second
+
 // meet joins the fleet and keeps in touch with the relay.
 func (e *HostedEntry) meet(ctx context.Context) {
-	if err := e.join(ctx, storer.Instance{}); err != nil {
+	in, err := e.join(ctx)
+	if err != nil {
 		e.log.Error().Err(err).Msg("start: not joined")
 		return
 	}
-	s := e.settings.Load()
-	self := &wire.Link{Name: s.Name, Role: relayer.Entry, Centre: s.Centre, Started: e.started}
+	self := &wire.Link{Name: in.Name, Role: relayer.Entry, Centre: in.Centre, Started: e.started}
 	e.link(self, subscriber.EntryPace, e, func() time.Duration { return time.Duration(e.age.Load()) })
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(loneTime):
+	}
+	if !e.book.Has("sidecar") {
+		e.enlist(ctx, in)
+	}
+}
+
+// enlist makes this entry known to all, so that it may be a relay.
+func (e *HostedEntry) enlist(ctx context.Context, in storer.Instance) {
+	e.log.Info().Msg("start: no sidecars, this entry may be a relay")
+	put, err := memberPut(in)
+	if err == nil {
+		err = insist(ctx, e.log, "joining the fleet", func(ctx context.Context) error {
+			_, err := e.store.Commit(ctx, storer.Transaction{Puts: []storer.Put{put}})
+			return err
+		})
+	}
+	if err != nil {
+		e.log.Error().Err(err).Msg("start: not listed")
+		return
+	}
+	e.know(in)
 }
 
 // Report implements subscriber.Desk.
@@ -126,7 +153,7 @@
 	if e.isReady() {
 		ready--
 	}
-	e.fleet.Store(int64(max(0, ready)))
+	e.open.Store(int64(max(0, ready)))
 	e.core.Share(entries)
 }
 
--- a/runner/hostedsidecar.go
+++ b/runner/hostedsidecar.go
@@ -35,14 +35,14 @@
 		return nil, storer.NewFormatError("the backend's address cannot be read", err)
 	}
 	c := &HostedSidecar{hosted: newHosted(s, l), address: u.Host}
-	c.tenure = &tenure{clock: c.clock}
+	c.tenure = newTenure(c.clock, c.address, holderRow{Holder: s.Name, Started: c.started}, time.Duration(s.Hosted.Lease))
 	c.changed = func() {}
 	c.listed = func(time.Duration, []*wire.Item) {}
 	terms := orderer.Terms{Holder: s.Name, Pool: s.Sidecar.Pool, Address: c.address, Started: c.started}
 	c.orderer = orderer.New(terms, c.clock, platform.NewEngine(c.address), c, c.copy, c.meter, l)
 	c.startAdmin(c.isReady)
 	c.tasks.run(c.configs.Run)
-	c.tasks.run(c.members.Run)
+	c.tasks.run(c.fleet.Run)
 	c.tasks.run(c.lister.Run)
 	c.tasks.run(c.meet)
 	c.tasks.run(c.orderer.Run)
@@ -51,18 +51,28 @@
 
 // meet joins the fleet and takes the engine.
 func (c *HostedSidecar) meet(ctx context.Context) {
-	s := c.settings.Load()
-	if err := c.join(ctx, storer.Instance{Pool: s.Sidecar.Pool, Backend: c.address}); err != nil {
+	in, err := c.join(ctx)
+	if err != nil {
 		c.log.Error().Err(err).Msg("start: not joined")
 		return
 	}
+	s := c.settings.Load()
+	in.Pool, in.Backend = s.Sidecar.Pool, c.address
+	c.know(in)
 	self := &wire.Link{Name: s.Name, Role: relayer.Sidecar, Centre: s.Centre, Started: c.started, Backend: c.address}
 	c.link(self, subscriber.SidecarPace, c, func() time.Duration { return 0 })
-	row := holderRow{Holder: s.Name, Started: c.started}
-	err := insist(ctx, c.log, "taking the engine", func(ctx context.Context) error {
-		return c.tenure.take(ctx, c.store, c.address, row, time.Duration(s.Hosted.Lease))
-	})
+	put, err := memberPut(in)
 	if err != nil {
+		c.log.Error().Err(err).Msg("start: not joined")
+		return
+	}
+	known, _ := c.fleet.Row(c.tenure.key)
+	take := func(ctx context.Context) error { return c.tenure.take(ctx, c.store, known, put) }
+	if err := insist(ctx, c.log, "taking the engine", func(ctx context.Context) error {
+		err := take(ctx)
+		take = func(ctx context.Context) error { return c.tenure.again(ctx, c.store, put) }
+		return err
+	}); err != nil {
 		return
 	}
 	c.log.Info().Str("address", c.address).Uint64("fence", c.tenure.fence.Load()).
--- a/runner/linker.go
+++ b/runner/linker.go
@@ -25,13 +25,15 @@
 	relay *subscriber.Subscriber
 	// listens is set if the process needs the list of backend servers.
 	listens bool
+	// begun is the instant at which the process began to look for its relay.
+	begun time.Duration
 	// age is the age of the relay's list, as of its latest batch.
 	age func() time.Duration
 }
 
 // link starts the link of a process that has joined the fleet.
 func (h *hosted) link(self *wire.Link, p subscriber.Pace, d subscriber.Desk, age func() time.Duration) *linker {
-	l := &linker{hosted: h, age: age, listens: self.GetRole() == relayer.Entry}
+	l := &linker{hosted: h, age: age, begun: h.clock(), listens: self.GetRole() == relayer.Entry}
 	l.relay = subscriber.New(self, self.GetCentre(), p, h.clock, h.node, h.relayer.Handle, h.book, d, h.log)
 	h.tasks.run(h.relayer.Run)
 	h.tasks.run(func(ctx context.Context) { h.relayer.Read(ctx, h.node, h.book) })
@@ -54,14 +56,23 @@
 	}
 }
 
-// look starts and ends what is needed now.
+// look lets the process follow what it has to.
 func (l *linker) look(now time.Duration) {
 	heard, _ := l.relay.Heard()
-	linked, active := now-heard < aloneAfter, l.relayer.Active()
-	stale := l.listens && (!linked || l.age()+(now-heard) > staleAfter)
-	l.lister.Follower().Hold(!active && !stale)
-	l.members.Hold(linked && !active)
+	linked, active := now-max(heard, l.begun) < aloneAfter, l.relayer.Active()
+	l.lister.Follower().Hold(!l.reads(now, heard, active))
+	l.fleet.Hold(linked && !active)
 	// Entries always follow the configuration, so that each is bound by what the store
 	// has told it itself.
 	l.configs.Hold(linked && !active && !l.listens)
 }
+
+// reads reports whether the process is to read the list of backend servers: a relay if
+// it does so for all, or if nobody does, and an entry if its relay knows no fresh one.
+func (l *linker) reads(now, heard time.Duration, active bool) bool {
+	if active {
+		lists, age := l.relayer.Lists()
+		return lists || age > staleAfter
+	}
+	return l.listens && now-max(heard, l.begun)+l.age() > staleAfter
+}
--- a/storer/keys.go
+++ b/storer/keys.go
@@ -15,19 +15,20 @@
 	changePrefix = "change/"
 	planPrefix   = "plan/"
 	claimPrefix  = "claim/"
-	// SecretKey is the row of the fleet's secret, where no settings give it.
-	SecretKey = "oleanderstall/secret"
-	// MemberTable has a row for each process, HolderTable one for each engine that
-	// is ordered.
-	MemberTable = "members"
-	HolderTable = "holders"
+	// FleetTable has the rows that the processes of a fleet keep where no settings tell
+	// them of each other: one for each process, one for each engine that is ordered, and
+	// SecretKey, the fleet's secret.
+	FleetTable   = "fleet"
+	SecretKey    = FleetTable + "/secret"
+	MemberPrefix = FleetTable + "/process:"
+	HolderPrefix = FleetTable + "/engine:"
 )
 
 // MemberKey is the row of a process.
-func MemberKey(name string) string { return MemberTable + "/" + name }
+func MemberKey(name string) string { return MemberPrefix + name }
 
 // HolderKey is the row of the process that orders the engine at an address.
-func HolderKey(address string) string { return HolderTable + "/" + address }
+func HolderKey(address string) string { return HolderPrefix + address }
 
 // ChangeKey is the row of one configuration change.
 func ChangeKey(version uint64) string { return fmt.Sprintf("%s%020d", changePrefix, version) }
--- a/subscriber/book.go
+++ b/subscriber/book.go
@@ -66,6 +66,11 @@
 	return list
 }
 
+// Has reports whether a process of that role is known.
+func (b *Book) Has(role string) bool {
+	return slices.ContainsFunc(b.All(), func(m *wire.Member) bool { return m.GetRole() == role })
+}
+
 // Centres returns the data centres with processes that may be relays, by name.
 func (b *Book) Centres() []string {
 	var centres []string
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -19,6 +19,9 @@
 const (
 	// openLimit bounds the opening of a link, its first batch included.
 	openLimit = 500 * time.Millisecond
+	// openStagger is the time after which the next relay is tried beside one that has
+	// not answered.
+	openStagger = 150 * time.Millisecond
 	// spacing is the shortest time between two reports.
 	spacing = 10 * time.Millisecond
 	// betterPeriod is between two looks for a relay that goes before the one in use.
@@ -119,19 +122,55 @@
 	}
 }
 
-// open opens a link to the first relay that answers of those that go before one, or
-// returns nil.
+// open opens a link to a relay of those that go before one, or returns nil. A relay
+// that has not answered for a while has the next one tried beside it.
 func (s *Subscriber) open(ctx context.Context, before string) *session {
-	for _, m := range s.book.Rank(s.clock(), s.centre, before) {
-		begun := s.clock()
-		x, err := s.attempt(ctx, m)
-		if err == nil {
-			s.book.Fine(m.GetName())
-			return x
+	ranked := s.book.Rank(s.clock(), s.centre, before)
+	answers := make(chan *session)
+	running, next := 0, 0
+	defer func() { go drain(answers, running) }()
+	stagger := time.NewTimer(0)
+	defer stagger.Stop()
+	for {
+		select {
+		case <-stagger.C:
+			if next < len(ranked) {
+				m := ranked[next]
+				next, running = next+1, running+1
+				go func() { answers <- s.try(ctx, m) }()
+				stagger.Reset(openStagger)
+			}
+		case x := <-answers:
+			running--
+			if x != nil {
+				return x
+			}
+			stagger.Reset(0)
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || running == 0 && next == len(ranked) {
 			return nil
 		}
+	}
+}
+
+// drain ends the links that opened too late.
+func drain(answers <-chan *session, running int) {
+	for range running {
+		if x := <-answers; x != nil {
+			x.end()
+		}
+	}
+}
+
+// try opens a link to one process, or returns nil and passes it over for a while.
+func (s *Subscriber) try(ctx context.Context, m *wire.Member) *session {
+	begun := s.clock()
+	x, err := s.attempt(ctx, m)
+	if err == nil {
+		s.book.Fine(m.GetName())
+		return x
+	}
+	if ctx.Err() == nil {
 		s.book.Suspect(s.clock(), m.GetName())
 		s.log.Info().Str("relay", m.GetName()).Str("address", m.GetAddress()).Err(err).
 			Int64("took", (s.clock() - begun).Milliseconds()).Msg("relay: does not answer")
