runner: an entry that stops while nobody else takes requests serves plain ones on

Change: the relay knows the buckets and tells how many entries take requests. A stopping entry ends when nothing is under way, closes after the notice if another one takes requests, and refuses at once what waits for a model, so that it is back sooner. If none does, it goes on with requests whose answers cannot be cut in the middle for as long as they can end in time.

--- a/locator/report.go
+++ b/locator/report.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// Leave makes the last report be made at once.
-func (l *Locator) Leave() { l.changed() }
+// Hurry makes the next report be made at once.
+func (l *Locator) Hurry() { l.changed() }
 
 // Take takes a batch of a relay. The first one of a link is complete: what it does not
 // tell is not known to the relay.
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -13,6 +13,7 @@
 	"oleanderstall/dispatcher"
 	"oleanderstall/locator"
 	"oleanderstall/platform"
+	"oleanderstall/refuser"
 	"oleanderstall/relayer"
 	"oleanderstall/router"
 	"oleanderstall/storer"
@@ -33,10 +34,11 @@
 	// servers is set once the backend servers are known.
 	servers  atomic.Bool
 	stopping atomic.Bool
+	traffic  traffic
 	// leaving is set once the entry uses nothing more.
 	leaving atomic.Bool
 	// age is the age of the relay's list of backend servers, in nanoseconds, and open the
-	// number of other entries that take new connections.
+	// number of other entries that take requests.
 	age  atomic.Int64
 	open atomic.Int64
 }
@@ -131,7 +133,7 @@
 
 // Report implements subscriber.Desk.
 func (e *HostedEntry) Report(now time.Duration, whole bool) *wire.Report {
-	r := &wire.Report{Ready: e.isReady(), Config: e.copy.View().Version(), Spent: e.charger.Unsent(), Last: e.leaving.Load()}
+	r := &wire.Report{Ready: e.takes(), Config: e.copy.View().Version(), Spent: e.charger.Unsent(), Last: e.leaving.Load()}
 	e.locator.Report(now, whole, r)
 	return r
 }
@@ -148,9 +150,14 @@
 	}
 }
 
-// share makes this entry one among several.
+// takes reports whether the entry takes requests.
+func (e *HostedEntry) takes() bool {
+	return e.servers.Load() && e.copy.View().Version() > 0 && step(e.traffic.step.Load()) == serving
+}
+
+// share makes this entry one among several, of which some take requests.
 func (e *HostedEntry) share(entries, ready int) {
-	if e.isReady() {
+	if e.takes() {
 		ready--
 	}
 	e.open.Store(int64(max(0, ready)))
@@ -200,6 +207,10 @@
 		e.log.Info().Str("request", q.ID).Str("host", q.Host).Str("path", q.Path).Err(err).Msg("not admitted")
 		return err
 	}
+	if !e.traffic.begin(r.Model != "" || r.Kind == dispatcher.Resumable) {
+		return refuser.New(refuser.Leaving, "the entry stops").After(backTime)
+	}
+	defer func() { e.traffic.end(e.clock()) }()
 	call := q.Content.(*platform.Call)
 	call.Workspace = r.Workspace
 	_, err = e.core.Serve(ctx, r, out)
@@ -216,40 +227,3 @@
 	<-ctx.Done()
 	e.Stop()
 }
-
-// leaveTime is for the last report to the relay.
-const leaveTime = 40 * time.Millisecond
-
-// stopMargin is left of the grace period when the last request is given up.
-const stopMargin = 800 * time.Millisecond
-
-// Stop drains the entry: the platform is told first, then the listener ends, then
-// the requests in hand are finished, for as long as the grace period allows.
-func (e *HostedEntry) Stop() {
-	begun := e.clock()
-	e.log.Info().Msg("stop: draining")
-	e.stopping.Store(true)
-	e.front.Drain()
-	time.Sleep(time.Duration(e.settings.Load().Entry.Grace))
-	last := time.Duration(e.settings.Load().Hosted.Grace) - stopMargin - (e.clock() - begun)
-	waiting := time.AfterFunc(last-waitMargin, e.locator.Stop)
-	defer waiting.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), last)
-	defer cancel()
-	e.callers.stop(ctx)
-	e.leaving.Store(true)
-	e.locator.Leave()
-	time.Sleep(leaveTime)
-	e.tasks.cancel()
-	if e.node != nil {
-		e.node.Close()
-	}
-	e.tasks.stop()
-	e.ready.stop(ctx)
-	e.admin.stop(ctx)
-	e.log.Info().Int64("took", (e.clock() - begun).Milliseconds()).Msg("stop: complete")
-}
-
-// waitMargin is the time before the end at which the requests that still wait for
-// a model are refused.
-const waitMargin = 600 * time.Millisecond
