locator: hosts that fall silent are asked for a sign of life; attempts there move on or end at once

The two-part hand-over only keeps out what is sent later. An entry asked nothing: without a new request it did not learn of the silence.

Now an entry asks the host of a server from which its requests have heard nothing for 300 ms (three connections at once, an empty line on each, 250 ms). Without a sign, what may be repeated goes elsewhere; the rest is refused at once if its caller will have left should the silence last as long again. An entry that hears of no server blames itself.

What is left are callers that leave in the half second before the silence is certain.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -100,6 +100,9 @@
 	// Unsure is set if the backend server may stand still: the request is to be handed
 	// over only once its host has confirmed that it receives.
 	Unsure bool
+	// Held ends when the attempt is abandoned, since the host of the backend server does
+	// not answer; it may be nil.
+	Held context.Context
 	// Hear takes what the backend server says of itself with an answer, unless it is
 	// nil.
 	Hear func(Word)
@@ -387,7 +390,7 @@
 		report.Err, report.End, report.Gap = err, end, p.gap
 		place.Release(report)
 	}()
-	limited, cancel := context.WithTimeout(ctx, p.request.Deadline-begun)
+	limited, cancel := c.limited(ctx, p.request, place)
 	defer cancel()
 	answer, err := c.sender.Send(limited, place, p.request, p.next)
 	if err != nil {
@@ -414,6 +417,25 @@
 	}
 }
 
+// errStands is the cause of the end of an attempt at a server that stands still.
+var errStands = errors.New("the backend server's host does not answer")
+
+// limited returns the context of an attempt: it ends at the deadline, or when the
+// attempt is abandoned.
+func (c *Core) limited(ctx context.Context, r *Request, place *Place) (context.Context, context.CancelFunc) {
+	limited, cancel := context.WithTimeout(ctx, r.Deadline-c.clock())
+	if place.Held == nil {
+		return limited, cancel
+	}
+	limited, abandon := context.WithCancelCause(limited)
+	stop := context.AfterFunc(place.Held, func() { abandon(errStands) })
+	return limited, func() {
+		stop()
+		abandon(nil)
+		cancel()
+	}
+}
+
 // given replaces the error of an attempt that ended because the caller has given
 // up or the deadline has passed.
 func (c *Core) given(ctx, limited context.Context, err error) error {
@@ -422,6 +444,8 @@
 	switch {
 	case ctx.Err() != nil:
 		kind, text = refuser.Canceled, "the caller has given up"
+	case errors.Is(context.Cause(limited), errStands):
+		kind, text = refuser.Silent, errStands.Error()
 	case limited.Err() != nil:
 		kind, text = refuser.Late, "the deadline has passed"
 	default:
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -50,6 +50,10 @@
 	// heard last, or of the start.
 	listed time.Duration
 	linked time.Duration
+	// sent are the attempts under way, by server.
+	sent map[string]map[*attempt]struct{}
+	// asked are the servers whose hosts are being asked for a sign of life.
+	asked map[string]bool
 	// stopping is set when nothing may wait any more.
 	stopping bool
 	// queued are the requests whose model serves, but whose prompts wait.
@@ -71,6 +75,8 @@
 		needs:  map[string]*need{},
 		news:   newNews(),
 		rows:   map[string]uint64{},
+		sent:   map[string]map[*attempt]struct{}{},
+		asked:  map[string]bool{},
 		linked: clock(),
 		bell:   newBell(),
 		change: make(chan struct{}, 1),
@@ -260,17 +266,19 @@
 	l.fleet.Begin(now, s.ID, names...)
 	l.used(b, names, 1)
 	begun := false
+	a := l.send(s.ID, r)
 	return &dispatcher.Place{
 		Name:    s.ID,
 		Address: s.Address,
 		Expect:  s.ID,
 		Urgency: min(r.Priority, lastUrgency),
 		Unsure:  !b.Sure(now),
+		Held:    a.held,
 		Hear:    func(w dispatcher.Word) { l.hear(s, w) },
 		Begun:   func() { begun = true; l.begun(s.ID) },
-		Alive:   b.Alive,
+		Alive:   func(now time.Duration) { a.last.Store(int64(now)); b.Alive(now) },
 		Slow:    func(gap time.Duration) { l.slow(s.ID, r, gap) },
-		Release: func(rep dispatcher.Report) { l.release(s.ID, names, begun, r, rep) },
+		Release: func(rep dispatcher.Report) { l.release(a, names, begun, rep) },
 	}
 }
 
@@ -360,10 +368,11 @@
 }
 
 // release takes note of the end of an attempt.
-func (l *Locator) release(id string, names []string, begun bool, r *dispatcher.Request, rep dispatcher.Report) {
+func (l *Locator) release(a *attempt, names []string, begun bool, rep dispatcher.Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.clock()
+	now, id, r := l.clock(), a.server, a.request
+	l.end(a)
 	if b := l.fleet.Get(id); b != nil {
 		l.judge(now, b, r, rep)
 		l.fleet.End(now, id, begun, names...)
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -66,6 +66,7 @@
 		return nil, err
 	}
 	e.startAdmin(e.isReady)
+	e.tasks.run(func(ctx context.Context) { e.locator.Probe(ctx, backends) })
 	for _, task := range []func(context.Context){backends.Run, e.configs.Run, e.fleet.Run, e.lister.Run, e.tick, e.meet} {
 		e.tasks.run(task)
 	}
--- a/tracker/backend.go
+++ b/tracker/backend.go
@@ -41,6 +41,8 @@
 	busy  time.Duration
 	// stood is the instant at which the server was found to stand still, or 0.
 	stood time.Duration
+	// checked is the instant at which its host was last asked for a sign of life.
+	checked time.Duration
 	// rest is the instant until which the server wants nothing from this entry.
 	rest time.Duration
 	// serving is set if the server is listed as taking new work.
--- a/tracker/silence.go
+++ b/tracker/silence.go
@@ -12,6 +12,8 @@
 	// stoodLife is how long a server that stood still is avoided without a sign of
 	// life. After that it is tried again, since it may have no sidecar to speak for it.
 	stoodLife = 5 * time.Second
+	// doubtTime is the silence after which the server's host is asked for a sign of life.
+	doubtTime = 300 * time.Millisecond
 	// sureTime is how long after an event or an answer a server counts as one that
 	// receives what is sent to it.
 	sureTime = 10 * time.Millisecond
@@ -21,6 +23,20 @@
 // time.
 func (b *Backend) Alive(now time.Duration) { b.alive.Store(int64(now)) }
 
+// AliveSince reports whether an event or an answer has come since an instant.
+func (b *Backend) AliveSince(t time.Duration) bool { return time.Duration(b.alive.Load()) >= t }
+
+// AliveSince reports whether an event or an answer of any server has come since an
+// instant.
+func (f *Fleet) AliveSince(t time.Duration) bool {
+	for _, b := range f.backends {
+		if b.AliveSince(t) {
+			return true
+		}
+	}
+	return false
+}
+
 // Sure reports whether the server has just given a sign of life itself.
 func (b *Backend) Sure(now time.Duration) bool {
 	return now-time.Duration(b.alive.Load()) <= sureTime
@@ -36,6 +52,21 @@
 // sent to it.
 func (b *Backend) Stand(now time.Duration) { b.stood = now }
 
+// Doubtful reports whether the server has requests of this entry for models and has
+// given no sign of life for long, nor has its host since the instant checked.
+func (b *Backend) Doubtful(now time.Duration) bool {
+	return len(b.inflight) > 0 && min(b.Quiet(now), now-b.checked) > doubtTime
+}
+
+// Quiet is how long the server has had requests of this entry for models without an
+// event or an answer.
+func (b *Backend) Quiet(now time.Duration) time.Duration {
+	return now - max(b.busy, time.Duration(b.alive.Load()))
+}
+
+// Check takes note that the server's host was asked for a sign of life.
+func (b *Backend) Check(now time.Duration) { b.checked = now }
+
 // stands reports whether the server was found to stand still and has given no sign of
 // life since.
 func (b *Backend) stands(now time.Duration) bool {
@@ -52,6 +83,5 @@
 	if len(b.inflight) == 0 {
 		return 0
 	}
-	quiet := now - max(b.busy, time.Duration(b.alive.Load())) - quietTime
-	return min(1, max(0, float64(quiet)/float64(stillTime)))
+	return min(1, max(0, float64(b.Quiet(now)-quietTime)/float64(stillTime)))
 }
