runner: a relay orders the engines beside which no sidecar runs

A relay takes an engine for which no sidecar has spoken for 3 s (15 s if one was started beside it) with the same row and fencing number as a sidecar does, and orders it from afar. It orders nothing once the proof that the row names it is older than .8 of a lease, for a sidecar may take the row and waits for a lease. A sidecar that has heard no relay for 5 s reads its row again before it orders on.

Also: a list of backend servers that did not change for 2 s counted as stale, and all entries began to read it themselves.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -120,11 +120,13 @@
 	}
 }
 
-// Pace sets the shortest time between two calls.
-func (f *Follower) Pace(period time.Duration) {
+// Pace sets the longest time that the store holds a call without changes, and the
+// shortest one between two calls. Their sum is how old the proof that the copy is
+// complete may grow.
+func (f *Follower) Pace(wait, period time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.terms.Period = period
+	f.terms.Wait, f.terms.Period = wait, period
 }
 
 // period is the shortest time between two calls.
@@ -205,12 +207,12 @@
 // step makes one call, begun at now.
 func (f *Follower) step(ctx context.Context, now time.Duration) error {
 	f.mu.Lock()
-	synced, after := f.synced, f.after
+	synced, after, wait := f.synced, f.after, f.terms.Wait
 	f.mu.Unlock()
 	if !synced {
 		return f.snapshot(ctx, now)
 	}
-	c, err := f.feeder.Follow(ctx, f.terms.Table, after, f.terms.Wait)
+	c, err := f.feeder.Follow(ctx, f.terms.Table, after, wait)
 	var lost *storer.HistoryError
 	if errors.As(err, &lost) {
 		f.log.Warn().Str("table", f.terms.Table).Uint64("after", after).Msg("store: history is gone, reading all rows")
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -19,9 +19,9 @@
 
 // Times of the list.
 const (
-	// wait is the longest time that the store holds a call, and period the shortest one
+	// Wait is the longest time that the store holds a call, and period the shortest one
 	// between two calls.
-	wait   = 2 * time.Second
+	Wait   = 2 * time.Second
 	period = 450 * time.Millisecond
 	// returnTime is how long after an outage of the store the rows of the servers that
 	// live are back.
@@ -49,7 +49,7 @@
 // the instant as of which the list is complete.
 func New(table string, d Decoder, clock timer.Clock, f storer.Feeder, apply func(proven time.Duration, items []*wire.Item), l *log.Logger) *Lister {
 	s := &Lister{table: table, decode: d, apply: apply, clock: clock, log: l, done: make(chan struct{}), rows: make(chan []storer.Row)}
-	s.follower = follower.New(follower.Terms{Table: table, Wait: wait, Period: period}, clock, f, s.changed, l)
+	s.follower = follower.New(follower.Terms{Table: table, Wait: Wait, Period: period}, clock, f, s.changed, l)
 	return s
 }
 
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -23,9 +23,9 @@
 
 // Periods of the looks at the engine.
 const (
-	// busyPeriod is between two looks while requests wait for a model.
-	busyPeriod = 15 * time.Millisecond
-	idlePeriod = 100 * time.Millisecond
+	// BusyPeriod and IdlePeriod are between two looks at an engine on the same instance.
+	BusyPeriod = 15 * time.Millisecond
+	IdlePeriod = 100 * time.Millisecond
 	// tellLife is how long what a relay told counts once it has fallen silent.
 	tellLife = 1500 * time.Millisecond
 	// loadPeriod is the shortest time between two reports that differ in load only, and
@@ -46,6 +46,10 @@
 	Address string
 	// Started is the start of this process, in Unix nanoseconds.
 	Started int64
+	// Busy is the time between two looks at the engine while requests wait for a model,
+	// and Idle that between two others.
+	Busy time.Duration
+	Idle time.Duration
 }
 
 // Directory knows the id of the engine.
@@ -72,11 +76,10 @@
 	mu sync.Mutex
 	// tells are what relays told, by relay, and items the rows of the list for the
 	// engine's address, by server.
-	tells    map[string]told
-	items    map[string]*wire.Item
-	report   Report
-	reported time.Duration
-	server   string
+	tells  map[string]told
+	items  map[string]*wire.Item
+	report Report
+	server string
 	// born is the start of the engine whose id is server.
 	born int64
 	// used and since are the instants of each model's last use and load.
@@ -90,9 +93,10 @@
 	closed  time.Duration
 	state   *wire.Condition
 	stated  time.Duration
-	// sent is the state that was reported last, counted the instant of the latest
-	// report of the load alone.
+	// sent is the state that was reported last, at the instant told, and counted the
+	// instant of the latest report of the load alone.
 	sent    *wire.Condition
+	told    time.Duration
 	counted time.Duration
 	change  chan struct{}
 }
@@ -157,7 +161,7 @@
 	r, err := o.engine.Report(ctx)
 	if err != nil {
 		o.lost(ctx, err)
-		return idlePeriod
+		return o.terms.Idle
 	}
 	if err := o.meet(ctx, r); err != nil {
 		o.log.Warn().Err(err).Int64("born", r.Born).Msg("engine: id not known")
@@ -177,16 +181,16 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !pending {
-		return idlePeriod
+		return o.terms.Idle
 	}
 	if o.current.Op != placer.Load || len(o.report.Coming) > 0 {
-		return busyPeriod
+		return o.terms.Busy
 	}
 	left := o.begun + o.loadTime(o.copy.View().Model(o.current.Model)) - now
 	if left < 0 {
 		left = -left / overdueParts
 	}
-	return min(idlePeriod, max(busyPeriod, left))
+	return min(o.terms.Idle, max(o.terms.Busy, left))
 }
 
 // overdueParts is the part of the time for which a load is overdue after which it is
@@ -269,7 +273,7 @@
 		}
 		o.current = placer.Step{}
 	}
-	o.report, o.reported = r, now
+	o.report = r
 	for name, t := range o.tells {
 		if now-t.heard > tellLife {
 			delete(o.tells, name)
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -56,7 +56,7 @@
 	}
 	c.Restore(change)
 	l := faker.Silent()
-	r.orderer = New(Terms{Holder: "side", Pool: "p", Address: "x"}, r.clock.Now, r.engine, r, c, meter.New(), l)
+	r.orderer = New(Terms{Holder: "side", Pool: "p", Address: "x", Busy: BusyPeriod, Idle: IdlePeriod}, r.clock.Now, r.engine, r, c, meter.New(), l)
 }
 
 // tell tells the orderer what entries want and have under way.
--- a/orderer/report.go
+++ b/orderer/report.go
@@ -11,14 +11,17 @@
 // Changed implements subscriber.Desk.
 func (o *Orderer) Changed() <-chan struct{} { return o.change }
 
-// Report implements subscriber.Desk: it tells the state if that has changed, and else
-// the load.
+// statePeriod is the longest time between two reports of the whole state.
+const statePeriod = 5 * time.Second
+
+// Report implements subscriber.Desk: it tells the state if that has changed or was not
+// told for long, and else the load.
 func (o *Orderer) Report(now time.Duration, whole bool) *wire.Report {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	r := &wire.Report{Config: o.copy.View().Version()}
-	if whole || o.sent != o.state {
-		o.sent = o.state
+	if whole || o.sent != o.state || now-o.told >= statePeriod {
+		o.sent, o.told = o.state, now
 		r.Condition = o.state
 		return r
 	}
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -145,7 +145,10 @@
 		pace = subscriber.SidecarPace
 	}
 	network := caller{p.fleet.network, p.link.GetName()}
-	p.links = subscriber.New(p.link, p.link.GetCentre(), pace, p.fleet.clock, network, p.relayer.Handle, p.book, p, faker.Silent())
+	host := subscriber.Host{
+		Name: p.link.GetName(), Clock: p.fleet.clock, Joiner: network, Local: p.relayer.Handle, Book: p.book, Log: faker.Silent(),
+	}
+	p.links = subscriber.New(host, p.link, p.link.GetCentre(), pace, p)
 	var tasks sync.WaitGroup
 	for _, task := range []func(context.Context){
 		p.relayer.Run, p.links.Run,
--- a/relayer/items.go
+++ b/relayer/items.go
@@ -43,6 +43,20 @@
 	b.touch(Entry, Relay)
 }
 
+// Orphans returns the engines of the data centres that this relay serves for which no
+// sidecar speaks, by address.
+func (b *Board) Orphans() map[string]*wire.Item {
+	served, orphans := b.served(), map[string]*wire.Item{}
+	for id, it := range b.items.all() {
+		_, heard := b.states.get(id)
+		engines := b.copy.View().Pool(it.GetPool()).GetEngines()
+		if !heard && engines != nil && served[it.GetCentre()] && !it.GetLeaving() && !it.GetGone() {
+			orphans[it.GetAddress()] = it
+		}
+	}
+	return orphans
+}
+
 // Members takes changes of the list of processes.
 func (b *Board) Members(members []*wire.Member) {
 	for _, m := range members {
--- a/relayer/reader.go
+++ b/relayer/reader.go
@@ -57,7 +57,8 @@
 // subscriber subscribes to the relay of another data centre.
 func (r *Relayer) subscriber(centre string, j peer.Joiner, b *subscriber.Book) *subscriber.Subscriber {
 	self := &wire.Link{Name: r.self.GetName(), Role: Relay, Centre: r.self.GetCentre(), Started: r.self.GetStarted()}
-	return subscriber.New(self, centre, subscriber.EntryPace, r.clock, j, r.Handle, b, &reader{relayer: r, centre: centre}, r.log)
+	host := subscriber.Host{Name: r.self.GetName(), Clock: r.clock, Joiner: j, Local: r.Handle, Book: b, Log: r.log}
+	return subscriber.New(host, self, centre, subscriber.EntryPace, &reader{relayer: r, centre: centre})
 }
 
 // reader takes what the relay of another data centre publishes. It implements
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -221,6 +221,17 @@
 	r.Kick()
 }
 
+// Orphans returns the engines for which no sidecar speaks, by address, while this relay
+// is in use.
+func (r *Relayer) Orphans() map[string]*wire.Item {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.busy {
+		return nil
+	}
+	return r.board.Orphans()
+}
+
 // Members takes changes of the list of processes.
 func (r *Relayer) Members(members []*wire.Member) {
 	r.mu.Lock()
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -233,7 +233,7 @@
 			h.log.Warn().Err(err).Str("process", name).Msg("process: unreadable row")
 			continue
 		}
-		m.Role, m.Centre, m.Address, m.Started = in.Role, in.Centre, in.Address, in.Started
+		m.Role, m.Centre, m.Address, m.Started, m.Backend = in.Role, in.Centre, in.Address, in.Started, in.Backend
 		members = append(members, m)
 	}
 	if len(members) == 0 {
--- a/runner/hostedsidecar.go
+++ b/runner/hostedsidecar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -16,6 +17,10 @@
 	"oleanderstall/wire"
 )
 
+// lostAfter is how long a sidecar may hear no relay before it reads again whether it
+// still orders its engine. Without a relay it orders nothing.
+const lostAfter = replaceAfter / 3
+
 // adminStop bounds the end of the listener for metrics.
 const adminStop = 200 * time.Millisecond
 
@@ -26,6 +31,10 @@
 	tenure  *tenure
 	address string
 	orderer *orderer.Orderer
+	// heard is the instant of the latest batch of a relay, in nanoseconds.
+	heard atomic.Int64
+	// retake makes meet take the engine anew.
+	retake chan struct{}
 }
 
 // StartHostedSidecar starts a sidecar.
@@ -34,11 +43,14 @@
 	if err != nil {
 		return nil, storer.NewFormatError("the backend's address cannot be read", err)
 	}
-	c := &HostedSidecar{hosted: newHosted(s, l), address: u.Host}
+	c := &HostedSidecar{hosted: newHosted(s, l), address: u.Host, retake: make(chan struct{}, 1)}
 	c.tenure = newTenure(c.clock, c.address, holderRow{Holder: s.Name, Started: c.started}, time.Duration(s.Hosted.Lease))
 	c.changed = func() {}
 	c.listed = func(time.Duration, []*wire.Item) {}
-	terms := orderer.Terms{Holder: s.Name, Pool: s.Sidecar.Pool, Address: c.address, Started: c.started}
+	terms := orderer.Terms{
+		Holder: s.Name, Pool: s.Sidecar.Pool, Address: c.address, Started: c.started,
+		Busy: orderer.BusyPeriod, Idle: orderer.IdlePeriod,
+	}
 	c.orderer = orderer.New(terms, c.clock, platform.NewEngine(c.address), c, c.copy, c.meter, l)
 	c.startAdmin(c.isReady)
 	c.tasks.run(c.configs.Run)
@@ -68,15 +80,28 @@
 	}
 	known, _ := c.fleet.Row(c.tenure.key)
 	take := func(ctx context.Context) error { return c.tenure.take(ctx, c.store, known, put) }
-	if err := insist(ctx, c.log, "taking the engine", func(ctx context.Context) error {
-		err := take(ctx)
+	for ctx.Err() == nil {
+		c.take(ctx, take)
 		take = func(ctx context.Context) error { return c.tenure.again(ctx, c.store, put) }
+		select {
+		case <-ctx.Done():
+		case <-c.retake:
+		}
+	}
+}
+
+// take takes the engine, by first and, if that fails, by what the store holds then.
+func (c *HostedSidecar) take(ctx context.Context, first func(context.Context) error) {
+	take := first
+	err := insist(ctx, c.log, "taking the engine", func(ctx context.Context) error {
+		err := take(ctx)
+		take = func(ctx context.Context) error { return c.tenure.again(ctx, c.store) }
 		return err
-	}); err != nil {
-		return
+	})
+	if err == nil {
+		c.log.Info().Str("address", c.address).Uint64("fence", c.tenure.fence.Load()).
+			Int64("wait", c.tenure.wait.Milliseconds()).Msg("engine: taken")
 	}
-	c.log.Info().Str("address", c.address).Uint64("fence", c.tenure.fence.Load()).
-		Int64("wait", c.tenure.wait.Milliseconds()).Msg("engine: taken")
 }
 
 // Report implements subscriber.Desk.
@@ -87,6 +112,14 @@
 // Take implements subscriber.Desk.
 func (c *HostedSidecar) Take(now time.Duration, address string, t *wire.Batch, first bool) {
 	c.hear(address, t)
+	if before := c.heard.Swap(int64(now)); before > 0 && now-time.Duration(before) > lostAfter {
+		// Another process may have taken the engine meanwhile.
+		c.tenure.drop()
+		select {
+		case c.retake <- struct{}{}:
+		default:
+		}
+	}
 	c.orderer.Take(now, address, t, first)
 }
 
--- a/runner/linker.go
+++ b/runner/linker.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"oleanderstall/lister"
 	"oleanderstall/relayer"
 	"oleanderstall/subscriber"
 	"oleanderstall/wire"
@@ -15,7 +16,7 @@
 	// aloneAfter is how long a process may hear no relay before it follows the store
 	// itself, and staleAfter how old a relay's list of backend servers may be.
 	aloneAfter = 600 * time.Millisecond
-	staleAfter = 1500 * time.Millisecond
+	staleAfter = lister.Wait + 1500*time.Millisecond
 )
 
 // linker keeps a process linked to its relay, and lets it follow the store where no
@@ -34,14 +35,22 @@
 // link starts the link of a process that has joined the fleet.
 func (h *hosted) link(self *wire.Link, p subscriber.Pace, d subscriber.Desk, age func() time.Duration) *linker {
 	l := &linker{hosted: h, age: age, begun: h.clock(), listens: self.GetRole() == relayer.Entry}
-	l.relay = subscriber.New(self, self.GetCentre(), p, h.clock, h.node, h.relayer.Handle, h.book, d, h.log)
+	l.relay = subscriber.New(h.host(), self, self.GetCentre(), p, d)
 	h.tasks.run(h.relayer.Run)
 	h.tasks.run(func(ctx context.Context) { h.relayer.Read(ctx, h.node, h.book) })
 	h.tasks.run(l.relay.Run)
+	h.tasks.run(h.adopt)
 	h.tasks.run(l.run)
 	return l
 }
 
+// host is this process as subscribers need it.
+func (h *hosted) host() subscriber.Host {
+	return subscriber.Host{
+		Name: h.settings.Load().Name, Clock: h.clock, Joiner: h.node, Local: h.relayer.Handle, Book: h.book, Log: h.log,
+	}
+}
+
 // run looks after the links until ctx ends.
 func (l *linker) run(ctx context.Context) {
 	tick := time.NewTicker(linkPeriod)
--- a/runner/tenure.go
+++ b/runner/tenure.go
@@ -81,6 +81,9 @@
 	t.fence.Store(version)
 }
 
+// drop gives the right up until the engine is taken again.
+func (t *tenure) drop() { t.fence.Store(0) }
+
 // again takes the engine after a try of which the outcome is not known, or which came
 // after another one.
 func (t *tenure) again(ctx context.Context, table storer.Table, puts ...storer.Put) error {
--- a/subscriber/book.go
+++ b/subscriber/book.go
@@ -71,6 +71,18 @@
 	return slices.ContainsFunc(b.All(), func(m *wire.Member) bool { return m.GetRole() == role })
 }
 
+// Beside returns the sidecar of the engine at an address, or nil.
+func (b *Book) Beside(backend string) *wire.Member {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, m := range b.members {
+		if m.GetBackend() == backend && !m.GetGone() {
+			return m
+		}
+	}
+	return nil
+}
+
 // Centres returns the data centres with processes that may be relays, by name.
 func (b *Book) Centres() []string {
 	var centres []string
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -65,7 +65,8 @@
 	pace  Pace
 	clock timer.Clock
 	dial  peer.Joiner
-	// local answers a link of this process to itself.
+	// host is the name of this process, and local answers a link of it to itself.
+	host  string
 	local peer.Handler
 	book  *Book
 	desk  Desk
@@ -80,10 +81,24 @@
 	centre string
 }
 
-// New returns a subscriber to the relay of a data centre, without a link. The book
-// knows the processes of the fleet, and local answers a link to this process itself.
-func New(self *wire.Link, centre string, p Pace, clock timer.Clock, j peer.Joiner, local peer.Handler, b *Book, d Desk, l *log.Logger) *Subscriber {
-	return &Subscriber{self: self, centre: centre, pace: p, clock: clock, dial: j, local: local, book: b, desk: d, log: l, done: make(chan struct{})}
+// Host is the process that a subscriber runs in.
+type Host struct {
+	Name  string
+	Clock timer.Clock
+	// Joiner opens links to other processes, and Local answers one to this process.
+	Joiner peer.Joiner
+	Local  peer.Handler
+	// Book knows the processes of the fleet.
+	Book *Book
+	Log  *log.Logger
+}
+
+// New returns a subscriber to the relay of a data centre, without a link.
+func New(h Host, self *wire.Link, centre string, p Pace, d Desk) *Subscriber {
+	return &Subscriber{
+		self: self, centre: centre, pace: p, clock: h.Clock, dial: h.Joiner, host: h.Name, local: h.Local, book: h.Book,
+		desk: d, log: h.Log, done: make(chan struct{}),
+	}
 }
 
 // Done is closed when Run has returned.
@@ -185,7 +200,7 @@
 	call := &wire.Call{Body: &wire.Call_Link{Link: s.self}}
 	x := &session{member: m, cancel: cancel, begun: s.clock(), batches: make(chan *wire.Batch, 1)}
 	var err error
-	if m.GetName() == s.self.GetName() {
+	if m.GetName() == s.host {
 		x.stream = peer.Pipe(ctx, s.local, call)
 	} else if x.stream, err = s.dial.Join(ctx, m.GetAddress(), call); err != nil {
 		cancel()
