limiter: an entry that starts uses its own part of the limits until it is told more

Until their first look around, up to 100 ms later, each counted itself as heard and filled its buckets at the whole rate; then each assumed 16 entries where there were 103.

--- a/limiter/desk_test.go
+++ b/limiter/desk_test.go
@@ -15,7 +15,18 @@
 	cut  map[[2]int]bool
 	uses []use
 	// slack is what the entries together may use beyond the limit.
-	slack float64
+	slack  float64
+	limits []Limit
+	// lag is how long a word is under way to the entries, and words are those that are.
+	lag   time.Duration
+	words []word
+}
+
+// word is what others have used, on its way to an entry until it is due.
+type word struct {
+	due   time.Duration
+	entry *clerk
+	used  map[string]float64
 }
 
 // relay is the relay of one data centre with what it has to pass on.
@@ -36,6 +47,18 @@
 	inbox  map[string]float64
 	// relinked is set once another relay tells.
 	relinked bool
+	// young is the instant until which the entry counts as one that has just started.
+	young time.Duration
+}
+
+// crowd is the crowd that an entry is told.
+func (d *desk) crowd(now time.Duration, e *clerk, c Crowd) Crowd {
+	for _, o := range d.entries {
+		if o != e && now < o.young {
+			c.Absent++
+		}
+	}
+	return c
 }
 
 const (
@@ -49,7 +72,12 @@
 
 // newDesk returns entries spread over data centres.
 func newDesk(now time.Duration, centres, entries int, slack float64) *desk {
-	d := &desk{cut: map[[2]int]bool{}, slack: slack}
+	return newDeskOf(now, centres, entries, slack, deskLimits)
+}
+
+// newDeskOf returns entries that keep other limits.
+func newDeskOf(now time.Duration, centres, entries int, slack float64, limits []Limit) *desk {
+	d := &desk{cut: map[[2]int]bool{}, slack: slack, limits: limits}
 	for range centres {
 		d.relays = append(d.relays, &relay{})
 	}
@@ -67,7 +95,7 @@
 func (d *desk) start(now time.Duration, entry int) {
 	e := d.entries[entry]
 	e.ledger = NewLedger(now, d.slack)
-	e.ledger.Set(now, deskLimits)
+	e.ledger.Set(now, d.limits)
 	e.inbox = map[string]float64{}
 	if r := d.relays[e.centre]; r.tally != nil && !r.down && !e.cut {
 		e.ledger.Adopt(now, r.tally.Levels(now))
@@ -78,7 +106,7 @@
 func (d *desk) restart(now time.Duration, centre int) {
 	r := d.relays[centre]
 	r.tally, r.down = NewTally(), false
-	r.tally.Set(now, deskLimits)
+	r.tally.Set(now, d.limits)
 	r.toPeer = make([]map[string]float64, len(d.relays))
 	for i := range d.relays {
 		r.toPeer[i] = map[string]float64{}
@@ -138,10 +166,14 @@
 // gossip lets the entries tell their relays what they have used, the relays each
 // other, and the entries hear it.
 func (d *desk) gossip(now time.Duration) {
+	for len(d.words) > 0 && d.words[0].due <= now {
+		add(d.words[0].entry.inbox, d.words[0].used)
+		d.words = d.words[1:]
+	}
 	for i, e := range d.entries {
 		if r := d.relays[e.centre]; !e.cut && !e.paused && !r.down {
 			r.tally.Join(now, clerkName(i), Crowd{Entries: 1})
-			d.spread(e.centre, clerkName(i), r.tally.Hear(now, clerkName(i), e.ledger.Unsent()))
+			d.spread(now, e.centre, clerkName(i), r.tally.Hear(now, clerkName(i), e.ledger.Unsent()))
 		}
 	}
 	for i, r := range d.relays {
@@ -149,12 +181,12 @@
 			continue
 		}
 		for name, used := range r.tally.Tick(now) {
-			d.spread(i, name, used)
+			d.spread(now, i, name, used)
 		}
 		for j, o := range d.relays {
 			if i != j && !d.cut[[2]int{i, j}] && !o.down {
 				o.tally.Join(now, peerName(i), r.tally.own())
-				d.spread(j, peerName(i), o.tally.Hear(now, peerName(i), r.toPeer[j]))
+				d.spread(now, j, peerName(i), o.tally.Hear(now, peerName(i), r.toPeer[j]))
 				r.toPeer[j] = map[string]float64{}
 			}
 		}
@@ -166,7 +198,7 @@
 				e.relinked = false
 			}
 			e.ledger.Hear(now, e.inbox)
-			e.ledger.Join(now, r.tally.Crowd())
+			e.ledger.Join(now, d.crowd(now, e, r.tally.Crowd()))
 			e.inbox = map[string]float64{}
 		}
 		if !e.paused {
@@ -177,13 +209,15 @@
 
 // spread passes what a source has used on to the other entries of a data centre and,
 // if it is one of these, to the other relays.
-func (d *desk) spread(centre int, from string, used map[string]float64) {
+func (d *desk) spread(now time.Duration, centre int, from string, used map[string]float64) {
 	own := false
 	for i, e := range d.entries {
 		switch {
 		case e.centre != centre:
 		case clerkName(i) == from:
 			own = true
+		case d.lag > 0:
+			d.words = append(d.words, word{due: now + d.lag, entry: e, used: used})
 		default:
 			add(e.inbox, used)
 		}
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -9,7 +9,7 @@
 // entry may change to another relay meanwhile.
 const silentAfter = 900 * time.Millisecond
 
-// assumed is the number of entries that an entry assumes until it is told.
+// assumed is the least number of entries that an entry assumes until it is told.
 const assumed = 16
 
 // Limit is the rate and burst of a workspace, in tokens and tokens a second. A
@@ -57,8 +57,9 @@
 	slack    float64
 	accounts map[string]*account
 	others   *Source
-	// crowd is all entries.
+	// crowd is all entries; told is set once a relay has told their number.
 	crowd Crowd
+	told  bool
 	// unsent are the tokens used through this entry that were not told yet.
 	unsent map[string]float64
 }
@@ -67,10 +68,12 @@
 // others. The entries together may use that many tokens beyond a bucket because they
 // have not told each other yet.
 func NewLedger(now time.Duration, slack float64) *Ledger {
+	others := NewSource(now - silentAfter)
+	others.settle(now, true)
 	return &Ledger{
 		slack:    slack,
 		accounts: map[string]*account{},
-		others:   NewSource(now - silentAfter),
+		others:   others,
 		crowd:    Crowd{Entries: assumed},
 		unsent:   map[string]float64{},
 	}
@@ -107,7 +110,16 @@
 // Join sets the number of all entries, this one included. For those that are not heard
 // as large a part of the limits is set aside.
 func (l *Ledger) Join(now time.Duration, c Crowd) {
-	l.crowd = c
+	l.crowd, l.told = c, true
+	l.scale(now)
+}
+
+// Assume sets the number of all entries until it is told.
+func (l *Ledger) Assume(now time.Duration, entries int) {
+	if l.told {
+		return
+	}
+	l.crowd = Crowd{Entries: max(assumed, entries)}
 	l.scale(now)
 }
 
