relays: one that uses another relay refuses links; entries that have just started count as absent

For a second the data centre had two relays whose entries did not know of each other, and then all moved: 97 of 103 entries changed their relay. Workspace wuje132 used 631,000 tokens in 2.5 s of 400,000 allowed.

A process that uses another relay itself now refuses the link unless all that go before it have not answered (TestSlowRelay, failed first). An entry counts as absent for the others until 2 s after its start, for nobody knows yet what its workspaces use (TestYoung). Until it is told, an entry assumes as many entries as there are processes in the fleet.

--- a/charger/charger.go
+++ b/charger/charger.go
@@ -99,6 +99,13 @@
 	c.wake()
 }
 
+// Assume takes the number of entries that there may be, until a relay tells it.
+func (c *Charger) Assume(entries int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ledger.Assume(c.clock(), entries)
+}
+
 // Tick keeps to this entry's part of the limits while the others are not heard.
 func (c *Charger) Tick() {
 	c.mu.Lock()
--- a/peer/call.go
+++ b/peer/call.go
@@ -34,7 +34,11 @@
 	return reply, nil
 }
 
-// Unexpected returns the error for a reply of another kind than awaited.
+// Unexpected returns the error for a reply of another kind than awaited. That for a
+// refusal is a *refuser.Refusal.
 func Unexpected(r *wire.Reply) error {
+	if f := r.GetRefusal(); f != nil {
+		return refuser.Parse(f)
+	}
 	return &ReplyError{Got: fmt.Sprintf("%T", r.GetBody())}
 }
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -86,8 +86,7 @@
 	if m.levels {
 		t.Levels, m.levels = b.tally.Levels(now), false
 	}
-	crowd := b.tally.Crowd()
-	t.Entries, t.Absent, t.Ready = uint32(crowd.Entries), uint32(crowd.Absent), b.ready(true)
+	t.Entries, t.Absent, t.Ready = b.crowdOf(now, m)
 	t.Spent, m.spent = m.spent, map[string]float64{}
 }
 
@@ -178,7 +177,7 @@
 		}
 		m.seen.items = b.items.stamp
 	}
-	b.census(m, t)
+	b.census(now, m, t)
 }
 
 // later is a sidecar's word with the times to its loads as of now.
@@ -211,48 +210,6 @@
 	}
 }
 
-// census tells another relay of the entries that are linked here.
-func (b *Board) census(m *member, t *wire.Batch) {
-	t.Entries, t.Absent = b.own()
-	t.Ready = b.ready(false)
-	if m.seen.roster == b.roster {
-		return
-	}
-	m.seen.roster = b.roster
-	for _, o := range b.members {
-		if o.link.GetRole() == Entry {
-			t.Names = append(t.Names, o.link.GetName())
-		}
-	}
-}
-
-// own is the number of entries of which this relay keeps account itself, and that of
-// those among them that are not heard.
-func (b *Board) own() (entries, absent uint32) {
-	crowd := b.tally.Crowd()
-	for _, p := range b.pages {
-		crowd.Entries -= int(p.entries)
-		crowd.Absent -= int(p.absent)
-	}
-	return uint32(max(0, crowd.Entries)), uint32(max(0, crowd.Absent))
-}
-
-// ready is the number of entries that take new connections, here or everywhere.
-func (b *Board) ready(everywhere bool) uint32 {
-	n := uint32(0)
-	for _, m := range b.members {
-		if m.ready {
-			n++
-		}
-	}
-	for _, p := range b.pages {
-		if everywhere {
-			n += p.ready
-		}
-	}
-	return n
-}
-
 // news tells what all processes are to know.
 func (b *Board) news(m *member, t *wire.Batch) {
 	for c := range b.parted.since(m.seen.parted) {
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"oleanderstall/configurer"
 	"oleanderstall/faker"
+	"oleanderstall/peer"
 	"oleanderstall/subscriber"
 	"oleanderstall/wire"
 )
@@ -54,6 +55,7 @@
 	heard    map[string]float64
 	ready    uint32
 	entries  uint32
+	absent   uint32
 	change   chan struct{}
 }
 
@@ -153,6 +155,7 @@
 	for _, task := range []func(context.Context){
 		p.relayer.Run, p.links.Run,
 		func(ctx context.Context) { p.relayer.Read(ctx, network, p.book) },
+		p.follow,
 	} {
 		tasks.Go(func() { task(ctx) })
 	}
@@ -162,6 +165,20 @@
 	}()
 }
 
+// follow tells the process's own relay which one the process uses.
+func (p *process) follow(ctx context.Context) {
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			p.relayer.Follow(p.links.Relay())
+		}
+	}
+}
+
 // kill ends a process without a word.
 func (f *fleet) kill(name string) {
 	p := f.processes[name]
@@ -228,7 +245,7 @@
 		p.tell = t.GetTell()
 	}
 	sum(p.heard, t.GetSpent())
-	p.ready, p.entries = t.GetReady(), t.GetEntries()
+	p.ready, p.entries, p.absent = t.GetReady(), t.GetEntries(), t.GetAbsent()
 }
 
 // Lost implements subscriber.Desk.
@@ -362,6 +379,54 @@
 	})
 }
 
+// TestSlowRelay starts an entry while the relay of its data centre takes long to answer:
+// the entry waits for it, since the next ones use it themselves. Once the relay is dead
+// and the others have noticed, another one takes the entry at once.
+func TestSlowRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 2, 4)
+		f.await("start", 3*time.Second, f.complete)
+		f.await("one relay", 5*time.Second, func() bool { return len(f.relays()) == 1 })
+		first := f.relays()[0]
+		handle := f.processes[first].relayer.Handle
+		f.network.Attach(first, func(ctx context.Context, call *wire.Call, s peer.Stream) {
+			time.Sleep(400 * time.Millisecond)
+			handle(ctx, call, s)
+		})
+		p := f.start(Entry, 0, 2)
+		f.await("the slow relay", time.Second, func() bool { return p.links.Relay() != "" })
+		assert.Equal(t, p.links.Relay(), first)
+		assert.DeepEqual(t, f.relays(), []string{first})
+		f.kill(first)
+		time.Sleep(2 * subscriber.SidecarPace.Silence)
+		p = f.start(Entry, 0, 3)
+		f.await("another relay", time.Second, func() bool { return p.links.Relay() != "" })
+	})
+}
+
+// TestYoung counts entries that have just started as absent, for the other entries of
+// all data centres and not for themselves.
+func TestYoung(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 2, 2)
+		f.await("start", 3*time.Second, f.complete)
+		absent := func(name string, want uint32) func() bool {
+			p := f.processes[name]
+			return func() bool { return see(p, func() uint32 { return p.absent }) == want }
+		}
+		time.Sleep(2 * youngTime)
+		f.start(Entry, 0, 0)
+		for _, c := range []struct {
+			name   string
+			absent uint32
+		}{{entryName(0, 0), 0}, {entryName(0, 1), 1}, {entryName(1, 0), 1}} {
+			f.await(c.name, time.Second, absent(c.name, c.absent))
+		}
+		time.Sleep(youngTime)
+		f.await("not young any more", time.Second, absent(entryName(1, 1), 0))
+	})
+}
+
 // TestRelayIsCutOff cuts the relay of a data centre off, in both directions, for a
 // while: knowledge heals, and the processes go back to it when it has been back.
 func TestRelayIsCutOff(t *testing.T) {
--- a/relayer/member.go
+++ b/relayer/member.go
@@ -29,6 +29,8 @@
 	uses  map[pair]uint32
 	needs map[string]allocator.Need
 	ready bool
+	// young is the instant until which an entry counts as young.
+	young time.Duration
 	// seen are the stamps up to which it was told.
 	seen stamps
 	// arrivals, spent and felt are to be told to it, and asked are the models whose
@@ -68,6 +70,7 @@
 	m := &member{
 		link:     l,
 		heard:    now,
+		young:    youngUntil(now, l),
 		uses:     map[pair]uint32{},
 		needs:    map[string]allocator.Need{},
 		arrivals: map[string]float64{},
--- a/relayer/page.go
+++ b/relayer/page.go
@@ -23,6 +23,7 @@
 	orders  map[pair]order
 	entries uint32
 	absent  uint32
+	young   uint32
 	ready   uint32
 }
 
@@ -144,7 +145,7 @@
 // crowd takes how many entries another data centre has and what they used. Entries that
 // have moved there are not waited for here.
 func (b *Board) crowd(now time.Duration, centre string, p *page, t *wire.Batch) {
-	p.entries, p.absent, p.ready = t.GetEntries(), t.GetAbsent(), t.GetReady()
+	p.entries, p.absent, p.young, p.ready = t.GetEntries(), t.GetAbsent(), t.GetYoung(), t.GetReady()
 	source := centrePrefix + centre
 	b.tally.Join(now, source, limiter.Crowd{Entries: int(p.entries), Absent: int(p.absent)})
 	for _, name := range t.GetNames() {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -40,6 +40,8 @@
 	// since.
 	busy  bool
 	since time.Duration
+	// follows is the relay that this process itself uses, or empty.
+	follows string
 }
 
 // New returns the relay of a process, named as it links to others, to which nobody is
@@ -66,6 +68,10 @@
 		_ = s.Send(refuser.New(refuser.Invalid, "a relay does not answer this call").Reply())
 		return
 	}
+	if name := r.other(); name != "" && !l.GetLast() {
+		_ = s.Send(refuser.New(refuser.Conflict, "the relay in use is "+name).Reply())
+		return
+	}
 	id, out := r.join(l)
 	defer r.leave(id)
 	ctx, cancel := context.WithCancel(ctx)
@@ -88,6 +94,23 @@
 	}
 }
 
+// Follow takes note of the relay that this process itself uses, or of none.
+func (r *Relayer) Follow(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.follows = name
+}
+
+// other returns the relay that this process uses, if that is another process.
+func (r *Relayer) other() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.follows == r.self.GetName() {
+		return ""
+	}
+	return r.follows
+}
+
 // join links a process and returns what is for it.
 func (r *Relayer) join(l *wire.Link) (uint64, <-chan *wire.Batch) {
 	r.mu.Lock()
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -103,6 +103,7 @@
 		e.log.Error().Err(err).Msg("start: not joined")
 		return
 	}
+	e.charger.Assume(len(e.book.All()))
 	self := &wire.Link{Name: in.Name, Role: relayer.Entry, Centre: in.Centre, Started: e.started}
 	e.link(self, subscriber.EntryPace, e, func() time.Duration { return time.Duration(e.age.Load()) })
 	select {
--- a/runner/linker.go
+++ b/runner/linker.go
@@ -67,6 +67,7 @@
 
 // look lets the process follow what it has to.
 func (l *linker) look(now time.Duration) {
+	l.relayer.Follow(l.relay.Relay())
 	heard, _ := l.relay.Heard()
 	linked, active := now-max(heard, l.begun) < aloneAfter, l.relayer.Active()
 	l.lister.Follower().Hold(!l.reads(now, heard, active))
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -5,12 +5,15 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
 
 	"oleanderstall/peer"
+	"oleanderstall/refuser"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -18,7 +21,7 @@
 // Times of a link.
 const (
 	// openLimit bounds the opening of a link, its first batch included.
-	openLimit = 500 * time.Millisecond
+	openLimit = 800 * time.Millisecond
 	// openStagger is the time after which the next relay is tried beside one that has
 	// not answered.
 	openStagger = 150 * time.Millisecond
@@ -72,6 +75,8 @@
 	desk  Desk
 	log   *log.Logger
 	done  chan struct{}
+	// begun is the instant at which the process began to look for a relay.
+	begun time.Duration
 
 	mu sync.Mutex
 	// relay is the one in use, heard the instant of its latest batch.
@@ -97,7 +102,7 @@
 func New(h Host, self *wire.Link, centre string, p Pace, d Desk) *Subscriber {
 	return &Subscriber{
 		self: self, centre: centre, pace: p, clock: h.Clock, dial: h.Joiner, host: h.Name, local: h.Local, book: h.Book,
-		desk: d, log: h.Log, done: make(chan struct{}),
+		desk: d, log: h.Log, done: make(chan struct{}), begun: h.Clock(),
 	}
 }
 
@@ -137,67 +142,87 @@
 	}
 }
 
-// open opens a link to a relay of those that go before one, or returns nil. A relay
-// that has not answered for a while has the next one tried beside it.
+// open opens a link to a relay of those that go before one, or returns nil. Relays are
+// tried in their order. One that has not answered for a while has the next one tried
+// beside it, which only takes the link if it uses no other relay itself.
 func (s *Subscriber) open(ctx context.Context, before string) *session {
 	ranked := s.book.Rank(s.clock(), s.centre, before)
-	answers := make(chan *session)
-	running, next := 0, 0
+	answers := make(chan answer)
+	running := 0
 	defer func() { go drain(answers, running) }()
 	stagger := time.NewTimer(0)
 	defer stagger.Stop()
 	for {
 		select {
 		case <-stagger.C:
-			if next < len(ranked) {
-				m := ranked[next]
-				next, running = next+1, running+1
-				go func() { answers <- s.try(ctx, m) }()
+			if len(ranked) > 0 {
+				m, last := ranked[0], running == 0
+				ranked, running = ranked[1:], running+1
+				go func() { answers <- s.try(ctx, m, last) }()
 				stagger.Reset(openStagger)
 			}
-		case x := <-answers:
+		case a := <-answers:
 			running--
-			if x != nil {
-				return x
+			if a.session != nil {
+				return a.session
+			}
+			if a.follows {
+				ranked = slices.Insert(ranked, 0, a.member)
+				stagger.Stop()
+			}
+			if !a.follows || running == 0 {
+				stagger.Reset(0)
 			}
-			stagger.Reset(0)
 		}
-		if ctx.Err() != nil || running == 0 && next == len(ranked) {
+		if ctx.Err() != nil || running == 0 && len(ranked) == 0 {
 			return nil
 		}
 	}
 }
 
+// answer is the outcome of a try.
+type answer struct {
+	member  *wire.Member
+	session *session
+	// follows is set if the process uses another relay.
+	follows bool
+}
+
 // drain ends the links that opened too late.
-func drain(answers <-chan *session, running int) {
+func drain(answers <-chan answer, running int) {
 	for range running {
-		if x := <-answers; x != nil {
-			x.end()
+		if a := <-answers; a.session != nil {
+			a.session.end()
 		}
 	}
 }
 
-// try opens a link to one process, or returns nil and passes it over for a while.
-func (s *Subscriber) try(ctx context.Context, m *wire.Member) *session {
+// try opens a link to one process. One that does not answer is passed over for a while;
+// last is set if all that go before it have not answered.
+func (s *Subscriber) try(ctx context.Context, m *wire.Member, last bool) answer {
 	begun := s.clock()
-	x, err := s.attempt(ctx, m)
-	if err == nil {
+	x, err := s.attempt(ctx, m, last)
+	switch {
+	case err == nil:
 		s.book.Fine(m.GetName())
-		return x
-	}
-	if ctx.Err() == nil {
+		return answer{member: m, session: x}
+	case refuser.Is(err, refuser.Conflict):
+		return answer{member: m, follows: true}
+	case ctx.Err() == nil:
 		s.book.Suspect(s.clock(), m.GetName())
 		s.log.Info().Str("relay", m.GetName()).Str("address", m.GetAddress()).Err(err).
 			Int64("took", (s.clock() - begun).Milliseconds()).Msg("relay: does not answer")
 	}
-	return nil
+	return answer{member: m}
 }
 
 // attempt opens a link to one process and waits for its first batch.
-func (s *Subscriber) attempt(ctx context.Context, m *wire.Member) (*session, error) {
+func (s *Subscriber) attempt(ctx context.Context, m *wire.Member, last bool) (*session, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	late := time.AfterFunc(openLimit, cancel)
-	call := &wire.Call{Body: &wire.Call_Link{Link: s.self}}
+	link := proto.Clone(s.self).(*wire.Link)
+	link.Last, link.Age = last, timer.Millis(s.clock()-s.begun)
+	call := &wire.Call{Body: &wire.Call_Link{Link: link}}
 	x := &session{member: m, cancel: cancel, begun: s.clock(), batches: make(chan *wire.Batch, 1)}
 	var err error
 	if m.GetName() == s.host {
