limiter, relays: entries count as absent for .8 s after their first link

The use of others is measured over the time for which they are known, so that it is not underestimated at first.

--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -68,7 +68,8 @@
 // others. The entries together may use that many tokens beyond a bucket because they
 // have not told each other yet.
 func NewLedger(now time.Duration, slack float64) *Ledger {
-	others := NewSource(now - silentAfter)
+	others := NewSource(now)
+	others.heard = now - silentAfter
 	others.settle(now, true)
 	return &Ledger{
 		slack:    slack,
--- a/limiter/source.go
+++ b/limiter/source.go
@@ -6,14 +6,20 @@
 // used of late.
 const presumedAfter = 250 * time.Millisecond
 
-// rateTime is the time over which the use a second of a source is measured.
-const rateTime = 2 * time.Second
+// rateTime is the time over which the use a second of a source is measured. That of one
+// that is not known so long is measured over the time since then, or over rateLeast.
+const (
+	rateTime  = 2 * time.Second
+	rateLeast = 200 * time.Millisecond
+)
 
 // Source is a part of the fleet whose use of the workspaces' tokens is told from time
 // to time. While nothing is told, what it may use meanwhile is set aside. It is not
 // safe for concurrent use.
 type Source struct {
-	// heard is the instant of its last word, and rates its use a second of late.
+	// begun is the instant since which it is known, heard that of its last word, and rates
+	// its use a second of late.
+	begun time.Duration
 	heard time.Duration
 	rates map[string]float64
 	// reserved are the tokens set aside since then, up to the instant until.
@@ -25,20 +31,21 @@
 
 // NewSource returns a source that was heard just now and has used nothing.
 func NewSource(now time.Duration) *Source {
-	return &Source{heard: now, until: now, rates: map[string]float64{}, reserved: map[string]float64{}}
+	return &Source{begun: now, heard: now, until: now, rates: map[string]float64{}, reserved: map[string]float64{}}
 }
 
 // Hear takes the tokens used since its last word, and returns those that were not set
 // aside. A negative number gives tokens back.
 func (s *Source) Hear(now time.Duration, used map[string]float64) map[string]float64 {
 	passed := max(0, now-s.heard)
-	weight := min(1, passed.Seconds()/rateTime.Seconds())
+	over := max(passed, min(rateTime, now-s.begun))
+	weight := min(1, passed.Seconds()/max(over, time.Millisecond).Seconds())
 	for name, rate := range s.rates {
 		s.rates[name] = rate * (1 - weight)
 	}
 	news := map[string]float64{}
 	for name, tokens := range used {
-		s.rates[name] += tokens / max(rateTime, passed).Seconds()
+		s.rates[name] += tokens / max(over, rateLeast).Seconds()
 		news[name] += tokens
 	}
 	for name, tokens := range s.reserved {
--- a/relayer/census.go
+++ b/relayer/census.go
@@ -7,13 +7,20 @@
 	"oleanderstall/wire"
 )
 
-// youngTime is how long after its start an entry counts as young: the others do not know
-// yet how much its workspaces use, nor does it know that of the others.
-const youngTime = 2 * time.Second
+// youngTime is how long after its first link an entry counts as young: the others do not
+// know yet how much its workspaces use, nor does it know that of the others. A process
+// that has run for startTime has been linked before.
+const (
+	youngTime = 800 * time.Millisecond
+	startTime = 3 * time.Second
+)
 
-// youngUntil is the instant until which a process counts as young.
+// youngUntil is the instant until which a process that links counts as young.
 func youngUntil(now time.Duration, l *wire.Link) time.Duration {
-	return now + youngTime - timer.Span(l.GetAge())
+	if timer.Span(l.GetAge()) >= startTime {
+		return 0
+	}
+	return now + youngTime
 }
 
 // young is the number of young entries that are linked here.
