allocator, orderer: an engine that has a copy is asked for it no longer; what is wanted is not unloaded

Its logs: each engine unloads a model for one that requests wait for and then loads the same model again, without end, while models 1, 3 and 5 are nowhere. The wish for another copy of a busy model stayed asked of an engine that had it already; once the engine gave it up, the old wish took the room. And the sidecar dropped wants of what its engine holds before the placer could keep it. Ruled out: the relays (all processes linked within 1 s of the last fault), the weight store (no load fails).

--- a/allocator/growth.go
+++ b/allocator/growth.go
@@ -37,7 +37,7 @@
 	until time.Duration
 	// looked is the instant of the latest look for an engine.
 	looked time.Duration
-	// asked holds the instants at which engines were asked.
+	// asked holds the instants at which engines were asked that do not serve yet.
 	asked map[string]time.Duration
 }
 
@@ -83,7 +83,7 @@
 	}
 	g.looked = now
 	m := a.copy.View().Model(model)
-	if m == nil || a.asked(now, model, g) {
+	if m == nil || g.recent(now) {
 		return
 	}
 	var holders []string
@@ -112,11 +112,21 @@
 		Int64("left", left.Milliseconds()).Int64("load", sites[i].Load.Milliseconds()).Msg("want: another copy")
 }
 
-// asked reports whether an engine was asked for another copy just now.
-func (a *Allocator) asked(now time.Duration, model string, g *growth) bool {
-	for id, at := range g.asked {
+// settle asks engines no longer that have the copy, or that are not heard. An engine
+// that unloads the copy later does so for something better.
+func (a *Allocator) settle(now time.Duration, model string, g *growth) {
+	for id := range g.asked {
 		b := a.fleet.Get(id)
-		if b != nil && !b.Holding(now).Has(model) && now-at < chooseAgain {
+		if b == nil || b.State(now) == nil || b.Holding(now).Has(model) {
+			delete(g.asked, id)
+		}
+	}
+}
+
+// recent reports whether an engine was asked for another copy just now.
+func (g *growth) recent(now time.Duration) bool {
+	for _, at := range g.asked {
+		if now-at < chooseAgain {
 			return true
 		}
 	}
@@ -142,6 +152,7 @@
 			delete(a.growing, model)
 			continue
 		}
+		a.settle(now, model, g)
 		a.grow(now, model, g)
 		for id := range g.asked {
 			wants = append(wants, &wire.Want{Server: id, Model: model, Count: growthCount, Worth: growthWorth, Goal: math.MaxInt32})
--- a/faker/faker.go
+++ b/faker/faker.go
@@ -260,7 +260,7 @@
 }
 
 // link is a stream of the network, which may be cut or lose what is sent on it. A
-// stream that has lost something to a cut ends once the cut does.
+// stream that has lost something ends once the fault does.
 type link struct {
 	peer.Stream
 	network *Network
@@ -275,9 +275,9 @@
 	return l.network.cut[l.address], l.network.lose[l.address]
 }
 
-// check returns an error if the stream has lost something to a cut that is over.
-func (l *link) check(cut bool) error {
-	if cut || !l.torn.Load() {
+// check returns an error if the stream has lost something to a fault that is over.
+func (l *link) check(faulty bool) error {
+	if faulty || !l.torn.Load() {
 		return nil
 	}
 	l.Cancel()
@@ -292,20 +292,20 @@
 			return nil, err
 		}
 		cut, lose := l.broken()
-		if err := l.check(cut); err != nil {
+		if err := l.check(cut || lose); err != nil {
 			return nil, err
 		}
 		if !cut && !lose {
 			return r, nil
 		}
-		l.torn.Store(l.torn.Load() || cut)
+		l.torn.Store(true)
 	}
 }
 
 // Tell implements peer.Stream. Calls to an address that is cut off are lost.
 func (l *link) Tell(c *wire.Call) error {
-	cut, _ := l.broken()
-	if err := l.check(cut); err != nil {
+	cut, lose := l.broken()
+	if err := l.check(cut || lose); err != nil {
 		return err
 	}
 	if cut {
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -358,8 +358,8 @@
 	return outcome
 }
 
-// wants gathers the models that requests wait for and that the engine lacks. The
-// caller holds the lock.
+// wants gathers the models that requests wait for here, those that the engine holds
+// included. The caller holds the lock.
 func (o *Orderer) wants() []placer.Want {
 	view := o.copy.View()
 	merged := map[string]*placer.Want{}
@@ -369,7 +369,7 @@
 			if m != nil && m.GetBase() != "" {
 				m = view.Model(m.GetBase())
 			}
-			if m == nil || o.report.Has(m.GetName()) || m.GetPool() != o.terms.Pool {
+			if m == nil || m.GetPool() != o.terms.Pool {
 				continue
 			}
 			have := merged[m.GetName()]
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -197,3 +197,18 @@
 		}
 	})
 }
+
+// TestWantedStays keeps a model that is wanted here, though others are as well: an
+// engine with room for one does not load the two in turn.
+func TestWantedStays(t *testing.T) {
+	r := newRig()
+	r.engine.capacity = r.engine.sizes["a"]
+	r.start()
+	r.keepTelling(2*time.Second, "a")
+	assert.Assert(t, r.holds("a"))
+	orders := len(r.engine.orders)
+	r.keepTelling(5*time.Second, "a", "b")
+	assert.Equal(t, len(r.engine.orders), orders)
+	r.keepTelling(3*time.Second, "b")
+	assert.Assert(t, r.holds("b"))
+}
--- a/orderer/state.go
+++ b/orderer/state.go
@@ -53,7 +53,7 @@
 	}
 	wants, held, free := o.wants(), o.held(now), o.free()
 	for _, w := range wants {
-		if w.Model == o.current.Model && o.current.Op == placer.Load {
+		if o.report.Has(w.Model) || w.Model == o.current.Model && o.current.Op == placer.Load {
 			continue
 		}
 		left += w.Time
--- a/relayer/board.go
+++ b/relayer/board.go
@@ -127,14 +127,15 @@
 // Watched is the number of engines whose sidecars are heard.
 func (b *Board) Watched(now time.Duration) int { return b.allocator.Watched(now) }
 
-// take takes a sidecar's word, unless a later one is known.
+// take takes a sidecar's word, unless a later one is known, or the same one from the
+// sidecar itself.
 func (b *Board) take(now time.Duration, c *wire.Condition, own bool) {
 	id := c.GetServer()
 	if id == "" {
 		return
 	}
 	have, ok := b.states.get(id)
-	if ok && older(c, have.condition) {
+	if ok && (older(c, have.condition) || have.own && !own && !older(have.condition, c)) {
 		return
 	}
 	b.lost.drop(id)
@@ -144,7 +145,7 @@
 	b.stale = true
 }
 
-// older reports whether c was told before or as the word have.
+// older reports whether c was told before the word have.
 func older(c, have *wire.Condition) bool {
 	if c.GetStarted() != have.GetStarted() {
 		return c.GetStarted() < have.GetStarted()
@@ -161,6 +162,23 @@
 	b.allocator.Count(now, t.GetServer(), int(t.GetRunning()+t.GetWaiting()))
 }
 
+// unlink takes note that a link which spoke for a server has ended. Another link or the
+// relay of another data centre may speak for it still.
+func (b *Board) unlink(now time.Duration, id string) {
+	s, ok := b.states.get(id)
+	if !ok || !s.own || b.speaks(id) {
+		return
+	}
+	for _, p := range b.pages {
+		if p.servers[id] {
+			s.own = false
+			b.states.set(id, s)
+			return
+		}
+	}
+	b.lose(now, id)
+}
+
 // lose takes note that a sidecar is not heard any more.
 func (b *Board) lose(now time.Duration, id string) {
 	s, ok := b.states.get(id)
--- a/relayer/member.go
+++ b/relayer/member.go
@@ -106,9 +106,7 @@
 	for name := range m.needs {
 		b.need(name)
 	}
-	if s, ok := b.states.get(m.server); ok && s.own && !b.speaks(m.server) {
-		b.lose(now, m.server)
-	}
+	b.unlink(now, m.server)
 	b.roster++
 	b.touch(Entry, Relay)
 	b.log.Info().Str("process", m.link.GetName()).Str("role", m.link.GetRole()).Msg("link: ended")
@@ -152,8 +150,8 @@
 func (b *Board) condition(now time.Duration, m *member, c *wire.Condition) {
 	before := m.server
 	m.server = c.GetServer()
-	if s, ok := b.states.get(before); ok && s.own && before != m.server && !b.speaks(before) {
-		b.lose(now, before)
+	if before != m.server {
+		b.unlink(now, before)
 	}
 	b.take(now, c, true)
 	b.touch(Entry, Relay)
