--- a/relayer/board.go
+++ b/relayer/board.go
@@ -162,21 +162,31 @@
 	b.allocator.Count(now, t.GetServer(), int(t.GetRunning()+t.GetWaiting()))
 }
 
-// unlink takes note that a link which spoke for a server has ended. Another link or the
-// relay of another data centre may speak for it still.
-func (b *Board) unlink(now time.Duration, id string) {
+// release takes note that a link or the relay of another data centre speaks for a server
+// no longer. Others may do so still.
+func (b *Board) release(now time.Duration, id string) {
 	s, ok := b.states.get(id)
-	if !ok || !s.own || b.speaks(id) {
+	if !ok || b.speaks(id) {
 		return
 	}
+	if !b.published(id) {
+		b.lose(now, id)
+		return
+	}
+	if s.own {
+		s.own = false
+		b.states.set(id, s)
+	}
+}
+
+// published reports whether the relay of another data centre speaks for a server.
+func (b *Board) published(id string) bool {
 	for _, p := range b.pages {
 		if p.servers[id] {
-			s.own = false
-			b.states.set(id, s)
-			return
+			return true
 		}
 	}
-	b.lose(now, id)
+	return false
 }
 
 // lose takes note that a sidecar is not heard any more.
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -296,9 +296,11 @@
 func (f *fleet) relays() []string {
 	var names []string
 	for name, p := range f.processes {
+		p.relayer.mu.Lock()
 		if p.relayer.board.Serving() {
 			names = append(names, name)
 		}
+		p.relayer.mu.Unlock()
 	}
 	return names
 }
--- a/relayer/member.go
+++ b/relayer/member.go
@@ -106,7 +106,7 @@
 	for name := range m.needs {
 		b.need(name)
 	}
-	b.unlink(now, m.server)
+	b.release(now, m.server)
 	b.roster++
 	b.touch(Entry, Relay)
 	b.log.Info().Str("process", m.link.GetName()).Str("role", m.link.GetRole()).Msg("link: ended")
@@ -151,7 +151,7 @@
 	before := m.server
 	m.server = c.GetServer()
 	if before != m.server {
-		b.unlink(now, before)
+		b.release(now, before)
 	}
 	b.take(now, c, true)
 	b.touch(Entry, Relay)
--- a/relayer/page.go
+++ b/relayer/page.go
@@ -53,9 +53,7 @@
 	}
 	delete(b.pages, centre)
 	for id := range p.servers {
-		if s, ok := b.states.get(id); ok && !s.own {
-			b.lose(now, id)
-		}
+		b.release(now, id)
 	}
 	for name := range p.needs {
 		b.weigh(name)
@@ -80,10 +78,10 @@
 		b.count(now, c)
 	}
 	for _, id := range t.GetLost() {
-		if s, ok := b.states.get(id); ok && !s.own && p.servers[id] {
-			b.lose(now, id)
+		if p.servers[id] {
+			delete(p.servers, id)
+			b.release(now, id)
 		}
-		delete(p.servers, id)
 	}
 	for _, q := range t.GetParted() {
 		b.part(q.GetServer(), q.GetBorn())
