locator: what an answer told of a plain service's load fades; requests spread over services that are alike

Load: 140 requests/s for five services of six places, from 103 entries that each hear of a service once in seconds (TestHerd, outcomes stated in it: nobody waits for half of the deadline of 1 s, most requests stay in their data centre). Cause: a load heard seconds ago counted like one heard now, so that a service that was busy once was avoided until all others looked worse; and entries that know nothing yet all chose the first by name. Engines are told of by their sidecars at each change and are left as they are.

--- a/locator/locator.go
+++ b/locator/locator.go
@@ -218,19 +218,29 @@
 			continue
 		}
 		cost := router.Cost{
-			Load:    b.Load(),
+			Load:    b.Expected(now),
 			Pending: b.Pending(),
 			Far:     b.Server().Centre != l.centre,
 			Trouble: max(b.Trouble(now), b.Silence(now)),
 			Strain:  b.Strain(now),
 		}
-		if v := cost.Value(); best == nil || v < least {
+		if v := cost.Value(); best == nil || v < least || v == least && prefers(r, b, best) {
 			best, least = b, v
 		}
 	}
 	return best
 }
 
+// prefers reports whether r goes to x rather than y, which are alike. Requests for plain
+// services spread over those, also if all entries have just started and know nothing.
+func prefers(r *dispatcher.Request, x, y *tracker.Backend) bool {
+	if r.Model != "" {
+		return false
+	}
+	key := router.Hash(r.ID)
+	return router.Score(x.Server().ID, key) > router.Score(y.Server().ID, key)
+}
+
 // candidates are the servers that may run r. The caller holds the lock.
 func (l *Locator) candidates(r *dispatcher.Request) []*tracker.Backend {
 	if r.Model == "" {
--- a/router/cost.go
+++ b/router/cost.go
@@ -16,7 +16,7 @@
 // Cost is what speaks against sending a request to a backend server.
 type Cost struct {
 	// Load is the number of requests there, of all processes.
-	Load int
+	Load float64
 	// Pending is the number of prompts of this process that it has not read yet.
 	Pending int
 	// Far is set for a server in another data centre.
@@ -29,7 +29,7 @@
 
 // Value adds the parts up, in requests.
 func (c Cost) Value() float64 {
-	v := float64(c.Load) + pendingWeight*float64(c.Pending) + troubleWeight*c.Trouble + strainWeight*c.Strain
+	v := c.Load + pendingWeight*float64(c.Pending) + troubleWeight*c.Trouble + strainWeight*c.Strain
 	if c.Far {
 		v += farWeight
 	}
--- a/tracker/backend.go
+++ b/tracker/backend.go
@@ -94,6 +94,20 @@
 // Load estimates the requests at the server.
 func (b *Backend) Load() int { return b.sum + b.others }
 
+// heardTime is the time in which the load that an answer told comes to count for a third,
+// unless a sidecar tells each change of it.
+const heardTime = 150 * time.Millisecond
+
+// Expected estimates the requests at the server by what is known of it and how old that
+// is.
+func (b *Backend) Expected(now time.Duration) float64 {
+	others := float64(b.others)
+	if b.State(now) == nil {
+		others *= math.Exp(-float64(max(0, now-b.heard)) / float64(heardTime))
+	}
+	return float64(b.sum) + others
+}
+
 // strainTime is the time in which a past strain comes to count for a third, and
 // strainWeight the weight of a new answer.
 const (
