checker: all faults of a file in one pass, a syntax error with its line, no file over 1 MB

Faults of type hid those of meaning, a syntax error stood at 'line 0: :', 100 MB took 2 s. A value of the wrong type is replaced by an empty one and nothing is said of its meaning; the others are checked.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/url"
 	"os"
@@ -170,8 +171,13 @@
 	Text  string
 }
 
-// String formats the fault as line, field and text.
-func (f Fault) String() string { return fmt.Sprintf("line %d: %s: %s", f.Line, f.Field, f.Text) }
+// String formats the fault as line, field and text; one of the whole file has no field.
+func (f Fault) String() string {
+	if f.Field == "" {
+		return fmt.Sprintf("line %d: %s", f.Line, f.Text)
+	}
+	return fmt.Sprintf("line %d: %s: %s", f.Line, f.Field, f.Text)
+}
 
 // SettingsError lists every fault of a settings file.
 type SettingsError struct {
@@ -190,9 +196,17 @@
 // Faults returns the faults in the order of the file.
 func (e *SettingsError) Faults() []Fault { return e.faults }
 
+// maxSize is the size of the largest settings file, in bytes.
+const maxSize = 1 << 20
+
 // Read reads and checks the settings file at path.
 func Read(path string) (*Settings, error) {
-	data, err := os.ReadFile(path)
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	defer func() { _ = file.Close() }()
+	data, err := io.ReadAll(io.LimitReader(file, maxSize+1))
 	if err != nil {
 		return nil, eris.Wrap(err, "read settings")
 	}
@@ -202,21 +216,36 @@
 // Check parses settings and fills in defaults. Faults come back together in a
 // SettingsError. Secrets of the form env:NAME are looked up with env.
 func Check(data []byte, env func(string) (string, bool)) (*Settings, error) {
-	f := &finder{data: data, lines: map[string]int{}}
+	f := &finder{data: data, lines: map[string]int{}, wrong: map[string]bool{}}
+	if len(data) > maxSize {
+		f.add(1, "", fmt.Sprintf("the file is larger than %d bytes", maxSize))
+		return nil, f.failure()
+	}
 	root, err := hujson.Parse(data)
 	if err != nil {
-		f.add(0, "", err.Error())
+		f.add(syntax(err))
 		return nil, f.failure()
 	}
 	s := defaults()
 	f.walk(&root, "", settingsType)
-	if len(f.faults) == 0 {
-		f.decode(root, s)
+	f.decode(root, s)
+	f.verify(s, env)
+	if err := f.failure(); err != nil {
+		return nil, err
 	}
-	if len(f.faults) == 0 {
-		f.verify(s, env)
+	return s, nil
+}
+
+// syntax returns the fault of a file that is no JSON with comments.
+func syntax(err error) (line int, field, text string) {
+	line, column := 1, 0
+	text = err.Error()
+	if _, scan := fmt.Sscanf(text, "hujson: line %d, column %d:", &line, &column); scan == nil {
+		_, text, _ = strings.Cut(text, ": line ")
+		_, text, _ = strings.Cut(text, ": ")
+		text = fmt.Sprintf("column %d: %s", column, text)
 	}
-	return s, f.failure()
+	return line, "", text
 }
 
 // Default values.
@@ -284,10 +313,11 @@
 }
 
 func (f *finder) roles(s *Settings, env func(string) (string, bool)) {
-	if (s.Role == "entry") != (s.Entry != nil) {
+	known := s.Role == "entry" || s.Role == "sidecar"
+	if known && (s.Role == "entry") != (s.Entry != nil) {
 		f.fault("entry", "must be given for the role entry and only for it")
 	}
-	if (s.Role == "sidecar") != (s.Sidecar != nil) {
+	if known && (s.Role == "sidecar") != (s.Sidecar != nil) {
 		f.fault("sidecar", "must be given for the role sidecar and only for it")
 	}
 	if s.Entry != nil {
