runner: an entry that nobody else can stand in for goes on between two rare requests

Cause: TestSeries failed beside 14 busy processes. Logs of one failing play (gap 0.70 s): the last of four entries that were told to stop had 'others' 0, was idle for 300 ms and ended, 0.42 s before the first of its successors was there. An idle entry ended at once whoever else was there; requests that come less often than that found nobody. Ruled out: the relays (linked in 20 to 80 ms), the successors' starts (40 to 120 ms). A second failing play (gap 1.83 s) had another cause: nothing at all ran in the test's process for 1.82 s ('relay is silent, heard 1821' in all four entries at one instant, before the first stop).

--- a/runner/drain.go
+++ b/runner/drain.go
@@ -59,12 +59,16 @@
 
 // next returns what the entry does at now, with requests under way or none since a
 // time, and that many other entries which take requests, though they may be stopping
-// as well. An entry that nobody else could stand in for goes on, for as long as its
-// answers can end in time.
+// as well. An entry that nobody else could stand in for goes on, also between two rare
+// requests, for as long as its answers can end in time.
 func (d drain) next(now time.Duration, busy bool, quiet time.Duration, others int64) step {
 	taken := d.last() - time.Duration(answerPart*float64(d.grace))
+	idle := idleTime
+	if others == 0 && now < taken {
+		idle = max(idle, d.notice)
+	}
 	switch {
-	case !busy && quiet >= idleTime, now >= d.last():
+	case !busy && quiet >= idle, now >= d.last():
 		return closing
 	case now < d.begun+d.notice:
 		return serving
