runner: no engine is taken from its sidecar; a relay reads the list of processes more often

Cause, by the logs of both processes: the store lost a call of side-neng-d-4, a relay, that was to wait for 20 s, so that for 20 s it did not know of side-neng-d-19, which had just started and was first in that data centre by hash. The two were relays beside each other. After 15 s d-19 took the engine beside d-4, since nobody spoke for it there; d-4 had a relay, ordered its engine all the while and never heard. In the same way d-4 had taken the engine of d-19 after 3 s. Ruled out: the waiting time after taking a row (it was kept), a frozen process. Now the row says whether its holder is the engine's sidecar, and nobody else takes such an engine; a sidecar that is lost is started again by the platform. A relay's calls wait for 3 s.

--- a/runner/adopter.go
+++ b/runner/adopter.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"time"
 
 	"oleanderstall/orderer"
@@ -15,9 +17,9 @@
 const (
 	adoptPeriod = 500 * time.Millisecond
 	// adoptAfter is how long no sidecar may speak for an engine beside which none was
-	// ever started, and replaceAfter the same for one whose sidecar is lost.
-	adoptAfter   = 3 * time.Second
-	replaceAfter = 15 * time.Second
+	// ever started, and sidecarTime how long one that has a sidecar is not tried again.
+	adoptAfter  = 3 * time.Second
+	sidecarTime = 15 * time.Second
 	// remoteBusy and remoteIdle are between two looks at an engine on another instance.
 	remoteBusy = 60 * time.Millisecond
 	remoteIdle = 400 * time.Millisecond
@@ -27,10 +29,11 @@
 // while this process orders engines in the place of sidecars.
 const proofParts = 3
 
-// adopter orders the engines that have no sidecar, in a process that is a relay.
+// adopter orders the engines that never had a sidecar, in a process that is a relay. One
+// whose sidecar is lost waits for that to start again.
 type adopter struct {
 	*hosted
-	// orphans holds the instants since which no sidecar speaks for an engine, by
+	// orphans holds the instants since which an engine is known to have no sidecar, by
 	// address, and keepers the engines that this process orders.
 	orphans map[string]time.Duration
 	keepers map[string]*keeper
@@ -43,6 +46,8 @@
 	hosted *hosted
 	cancel context.CancelFunc
 	done   chan struct{}
+	// sidecar is set once the engine is found to have one.
+	sidecar atomic.Bool
 }
 
 // adopt looks after engines without a sidecar until ctx ends.
@@ -67,36 +72,47 @@
 func (a *adopter) look(ctx context.Context, now time.Duration) {
 	orphans := a.relayer.Orphans()
 	for address := range a.orphans {
-		if orphans[address] == nil {
+		if orphans[address] == nil || a.book.Beside(address) != nil {
 			delete(a.orphans, address)
 		}
 	}
 	for address, it := range orphans {
+		if a.keepers[address] != nil || a.book.Beside(address) != nil {
+			continue
+		}
 		since, ok := a.orphans[address]
 		if !ok {
 			since = now
 			a.orphans[address] = now
 		}
-		limit := adoptAfter
-		if a.book.Beside(address) != nil {
-			limit = replaceAfter
-		}
-		if a.keepers[address] == nil && now-since >= limit {
+		if now-since >= adoptAfter {
 			a.take(ctx, it)
 		}
 	}
 	for address, k := range a.keepers {
 		switch {
+		case k.sidecar.Load():
+			a.leave(address, "it has a sidecar")
+			a.orphans[address] = now + sidecarTime
 		case !k.holds():
 			a.leave(address, "another process orders it")
 		case !a.relayer.Active():
 			a.leave(address, "this process is no relay any more")
 		}
 	}
-	if len(a.keepers) > 0 {
+	a.pace()
+}
+
+// pace sets how often the rows of the processes and the holders are read: the sooner, the
+// more depends on them.
+func (a *adopter) pace() {
+	switch {
+	case len(a.keepers) > 0:
 		pace := time.Duration(a.settings.Load().Hosted.Lease) / proofParts
 		a.fleet.Pace(pace, pace)
-	} else {
+	case a.relayer.Active():
+		a.fleet.Pace(relayWait, fleetPeriod)
+	default:
 		a.fleet.Pace(fleetWait, fleetPeriod)
 	}
 }
@@ -108,7 +124,7 @@
 	started := time.Now().UnixNano()
 	k := &keeper{
 		hosted: a.hosted,
-		tenure: newTenure(a.clock, address, holderRow{Holder: s.Name, Started: started}, time.Duration(s.Hosted.Lease)),
+		tenure: newTenure(a.clock, address, holderRow{Holder: s.Name, Started: started, Adopted: true}, time.Duration(s.Hosted.Lease)),
 		done:   make(chan struct{}),
 	}
 	terms := orderer.Terms{Holder: s.Name, Pool: it.GetPool(), Address: address, Started: started, Busy: remoteBusy, Idle: remoteIdle}
@@ -133,9 +149,14 @@
 // run takes the engine and orders it until ctx ends.
 func (k *keeper) run(ctx context.Context, it *wire.Item) {
 	err := insist(ctx, k.hosted.log, "taking an engine without a sidecar", func(ctx context.Context) error {
-		return k.again(ctx, k.hosted.store)
+		err := k.again(ctx, k.hosted.store)
+		if errors.Is(err, errSidecar) {
+			k.sidecar.Store(true)
+			return nil
+		}
+		return err
 	})
-	if err != nil {
+	if err != nil || k.sidecar.Load() {
 		return
 	}
 	self := &wire.Link{
--- a/runner/adopter_test.go
+++ b/runner/adopter_test.go
@@ -3,12 +3,14 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/imitator"
+	"oleanderstall/storer"
 )
 
 // newLoneFleet returns two entries before engines without sidecars, one of which serves
@@ -70,3 +72,22 @@
 		assert.Equal(t, h.Crashes(), 0)
 	}
 }
+
+// TestAdoptsNoSidecars leaves engines alone that their sidecars have taken, though it
+// knows of no process beside them and hears none: those may order them all the same.
+func TestAdoptsNoSidecars(t *testing.T) {
+	site, err := imitator.NewSite(smallSite())
+	assert.NilError(t, err)
+	t.Cleanup(site.Stop)
+	for _, address := range site.Apps {
+		key := strings.TrimPrefix(storer.HolderKey(address), storer.FleetTable+"/")
+		_, err := site.Rows.Put(storer.FleetTable, key, holderRow{Holder: "somewhere", Started: 1})
+		assert.NilError(t, err)
+	}
+	f := &hostedFleet{t: t, site: site}
+	f.startEntry(0)
+	for begun := time.Now(); time.Since(begun) < adoptAfter+4*time.Second; {
+		f.draft(0, "/draft/x", imitator.SiteModel(0))
+	}
+	assert.Equal(t, f.orders(), 0)
+}
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -26,12 +26,16 @@
 	"oleanderstall/wire"
 )
 
-// Times with which a process follows the store.
+// Times with which a process follows the store: the longest that a call waits for news,
+// and the shortest between two calls.
 const (
 	configWait   = 25 * time.Second
 	configPeriod = 200 * time.Millisecond
 	fleetWait    = 20 * time.Second
 	fleetPeriod  = time.Second
+	// relayWait is fleetWait of a relay, which would miss new processes for as long if a
+	// call were lost.
+	relayWait = 3 * time.Second
 )
 
 // hosted is what both roles have in common on a platform that hosts them.
--- a/runner/hostedsidecar.go
+++ b/runner/hostedsidecar.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -17,10 +16,6 @@
 	"oleanderstall/wire"
 )
 
-// lostAfter is how long a sidecar may hear no relay before it reads again whether it
-// still orders its engine. Without a relay it orders nothing.
-const lostAfter = replaceAfter / 3
-
 // adminStop bounds the end of the listener for metrics.
 const adminStop = 200 * time.Millisecond
 
@@ -31,10 +26,6 @@
 	tenure  *tenure
 	address string
 	orderer *orderer.Orderer
-	// heard is the instant of the latest batch of a relay, in nanoseconds.
-	heard atomic.Int64
-	// retake makes meet take the engine anew.
-	retake chan struct{}
 }
 
 // StartHostedSidecar starts a sidecar.
@@ -43,7 +34,7 @@
 	if err != nil {
 		return nil, storer.NewFormatError("the backend's address cannot be read", err)
 	}
-	c := &HostedSidecar{hosted: newHosted(s, l), address: u.Host, retake: make(chan struct{}, 1)}
+	c := &HostedSidecar{hosted: newHosted(s, l), address: u.Host}
 	c.tenure = newTenure(c.clock, c.address, holderRow{Holder: s.Name, Started: c.started}, time.Duration(s.Hosted.Lease))
 	c.changed = func() {}
 	c.listed = func(time.Duration, []*wire.Item) {}
@@ -79,23 +70,16 @@
 		return
 	}
 	known, _ := c.fleet.Row(c.tenure.key)
-	take := func(ctx context.Context) error { return c.tenure.take(ctx, c.store, known, put) }
-	for ctx.Err() == nil {
-		c.take(ctx, take)
-		take = func(ctx context.Context) error { return c.tenure.again(ctx, c.store, put) }
-		select {
-		case <-ctx.Done():
-		case <-c.retake:
-		}
-	}
+	c.take(ctx, known, put)
 }
 
-// take takes the engine, by first and, if that fails, by what the store holds then.
-func (c *HostedSidecar) take(ctx context.Context, first func(context.Context) error) {
-	take := first
+// take takes the engine with the row known and, if that fails, with the one that the
+// store holds then. It writes the process's own row with it.
+func (c *HostedSidecar) take(ctx context.Context, known storer.Row, put storer.Put) {
+	take := func(ctx context.Context) error { return c.tenure.take(ctx, c.store, known, put) }
 	err := insist(ctx, c.log, "taking the engine", func(ctx context.Context) error {
 		err := take(ctx)
-		take = func(ctx context.Context) error { return c.tenure.again(ctx, c.store) }
+		take = func(ctx context.Context) error { return c.tenure.again(ctx, c.store, put) }
 		return err
 	})
 	if err == nil {
@@ -112,14 +96,6 @@
 // Take implements subscriber.Desk.
 func (c *HostedSidecar) Take(now time.Duration, address string, t *wire.Batch, first bool) {
 	c.hear(address, t)
-	if before := c.heard.Swap(int64(now)); before > 0 && now-time.Duration(before) > lostAfter {
-		// Another process may have taken the engine meanwhile.
-		c.tenure.drop()
-		select {
-		case c.retake <- struct{}{}:
-		default:
-		}
-	}
 	c.orderer.Take(now, address, t, first)
 }
 
--- a/runner/tenure.go
+++ b/runner/tenure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -42,17 +43,27 @@
 type holderRow struct {
 	Holder  string `json:"holder"`
 	Started int64  `json:"started"`
+	// Adopted is set if the process is not the engine's sidecar.
+	Adopted bool `json:"adopted,omitempty"`
 }
 
+// errSidecar is that an engine has a sidecar, which may order it without hearing that
+// another process would take it.
+var errSidecar = errors.New("the engine has a sidecar")
+
 // take makes this process the one that orders the engine, if the engine's row is still
 // the one known, and writes other rows with it. The fencing number is the version of
 // the row, which grows with each process that takes it. After another instance, orders
-// wait for the time of a lease.
+// wait for the time of a lease. Nobody takes an engine from its sidecar; the error is
+// errSidecar then.
 func (t *tenure) take(ctx context.Context, table storer.Table, known storer.Row, puts ...storer.Put) error {
 	have, err := decodeHolder(known)
 	if err != nil {
 		return err
 	}
+	if t.self.Adopted && have.Holder != "" && !have.Adopted {
+		return errSidecar
+	}
 	if have.Holder != "" && have.Holder != t.self.Holder {
 		t.wait = t.lease
 	}
@@ -81,9 +92,6 @@
 	t.fence.Store(version)
 }
 
-// drop gives the right up until the engine is taken again.
-func (t *tenure) drop() { t.fence.Store(0) }
-
 // again takes the engine after a try of which the outcome is not known, or which came
 // after another one.
 func (t *tenure) again(ctx context.Context, table storer.Table, puts ...storer.Put) error {
