one piece of code where the change had written several

- timer.Wait in place of three functions sleep (dispatcher, subscriber, follower) and of the same select in locator, charger and runner.
- relayer: a board counts its processes by data centre; before, each question whether it is the home of a model went through all links and made a map, for each need and arrival.
- allocator: the engines that serve a model in one place, not in three loops.
- the two errors without a type have one (SidecarError, a refusal).
Behaviour stays; no test was changed.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -7,6 +7,7 @@
 package allocator
 
 import (
+	"iter"
 	"time"
 
 	"github.com/phuslu/log"
@@ -122,14 +123,23 @@
 // Copies returns the number of engines that serve a model or an adapter.
 func (a *Allocator) Copies(now time.Duration, name string) int {
 	copies := 0
-	for _, b := range a.fleet.Holders(name) {
-		if b.Holding(now).Has(name) {
-			copies++
-		}
+	for range a.serving(now, name) {
+		copies++
 	}
 	return copies
 }
 
+// serving yields the engines that serve a model or an adapter.
+func (a *Allocator) serving(now time.Duration, name string) iter.Seq[*tracker.Backend] {
+	return func(yield func(*tracker.Backend) bool) {
+		for _, b := range a.fleet.Holders(name) {
+			if b.Holding(now).Has(name) && !yield(b) {
+				return
+			}
+		}
+	}
+}
+
 // Watched returns the number of engines whose sidecars are heard.
 func (a *Allocator) Watched(now time.Duration) int { return a.fleet.Watched(now) }
 
--- a/allocator/growth.go
+++ b/allocator/growth.go
@@ -45,8 +45,8 @@
 // have.
 func (a *Allocator) copies(now time.Duration, model string) (have, want int) {
 	room := false
-	for _, b := range a.fleet.Holders(model) {
-		if !b.Holding(now).Has(model) || b.Closing(now, model) {
+	for b := range a.serving(now, model) {
+		if b.Closing(now, model) {
 			continue
 		}
 		have++
@@ -87,10 +87,8 @@
 		return
 	}
 	var holders []string
-	for _, b := range a.fleet.Holders(model) {
-		if b.Holding(now).Has(model) {
-			holders = append(holders, b.Server().ID)
-		}
+	for b := range a.serving(now, model) {
+		holders = append(holders, b.Server().ID)
 	}
 	sites, planned := split(a.sites(now, model, m, holders))
 	if slices.ContainsFunc(planned, func(s placer.Site) bool { return s.Queue <= moveLate }) {
--- a/charger/charger.go
+++ b/charger/charger.go
@@ -157,15 +157,7 @@
 	changed := c.changed
 	c.mu.Unlock()
 	defer c.mu.Lock()
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-changed:
-	case <-t.C:
-	case <-ctx.Done():
-		return false
-	}
-	return true
+	return timer.Wait(ctx, d, changed)
 }
 
 // enter puts r among those that wait. The caller holds the lock.
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -46,7 +46,7 @@
 }
 
 // errStands is the cause of the end of an attempt at a server that stands still.
-var errStands = errors.New("the backend server's host does not answer")
+var errStands = refuser.Unknown(refuser.Silent, "the backend server's host does not answer")
 
 // limited returns the context of an attempt: it ends at the deadline, or when the
 // attempt is abandoned.
@@ -73,7 +73,7 @@
 	case ctx.Err() != nil:
 		kind, text = refuser.Canceled, "the caller has given up"
 	case errors.Is(context.Cause(limited), errStands):
-		kind, text = refuser.Silent, errStands.Error()
+		kind, text = errStands.Kind(), errStands.Text()
 	case limited.Err() != nil:
 		kind, text = refuser.Late, "the deadline has passed"
 	default:
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -182,23 +182,12 @@
 		if !unreachable(r) || d.clock()+r.Retry() >= deadline {
 			return nil, r
 		}
-		if !sleep(ctx, max(r.Retry(), 100*time.Millisecond)) {
+		if !timer.Wait(ctx, max(r.Retry(), 100*time.Millisecond), nil) {
 			return nil, refuser.New(refuser.Canceled, "the caller has given up")
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (d *Dispatcher) askOnce(ctx context.Context, a *wire.Ask) (*wire.Place, error) {
 	address, self := d.holder.Address(holder.ModelShard(a.GetModel(), d.shards))
 	if self {
--- a/dispatcher/model.go
+++ b/dispatcher/model.go
@@ -194,7 +194,7 @@
 		return nil, last
 	}
 	clear(h.Tried)
-	if !sleep(ctx, againAfter) || d.clock() >= r.Deadline || d.pick(r, spots, h.Tried) == nil {
+	if !timer.Wait(ctx, againAfter, nil) || d.clock() >= r.Deadline || d.pick(r, spots, h.Tried) == nil {
 		return nil, last
 	}
 	return spots, nil
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -180,27 +180,13 @@
 		err := f.step(ctx, begun)
 		if err != nil {
 			f.failed(ctx, err)
-			sleep(ctx, max(pause, f.period()-(f.clock()-begun)), nil)
+			timer.Wait(ctx, max(pause, f.period()-(f.clock()-begun)), nil)
 			pause = min(2*pause, maxPause)
 			continue
 		}
 		pause = firstPause
-		sleep(ctx, f.period()/hurryParts-(f.clock()-begun), nil)
-		sleep(ctx, f.period()-(f.clock()-begun), f.hurry)
-	}
-}
-
-// sleep waits until d has passed, early is signalled or ctx ends.
-func sleep(ctx context.Context, d time.Duration, early <-chan struct{}) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-early:
-	case <-t.C:
+		timer.Wait(ctx, f.period()/hurryParts-(f.clock()-begun), nil)
+		timer.Wait(ctx, f.period()-(f.clock()-begun), f.hurry)
 	}
 }
 
--- a/locator/pause.go
+++ b/locator/pause.go
@@ -7,6 +7,7 @@
 
 	"oleanderstall/dispatcher"
 	"oleanderstall/refuser"
+	"oleanderstall/timer"
 )
 
 // lookLeast is the shortest time after which a request looks again by itself.
@@ -30,15 +31,7 @@
 
 // wait waits for the next look and reports false if ctx has ended.
 func (p pause) wait(ctx context.Context) bool {
-	t := time.NewTimer(p.limit)
-	defer t.Stop()
-	select {
-	case <-p.changed:
-	case <-t.C:
-	case <-ctx.Done():
-		return false
-	}
-	return true
+	return timer.Wait(ctx, p.limit, p.changed)
 }
 
 // rests returns the first instant at which a server that could run r, but wants no
--- a/relayer/board.go
+++ b/relayer/board.go
@@ -58,6 +58,8 @@
 	members map[uint64]*member
 	pages   map[string]*page
 	links   uint64
+	// centres counts the processes other than relays that are linked, by data centre.
+	centres map[string]int
 
 	// lost are the servers whose sidecars are not heard any more, and whether they were
 	// linked to this relay.
@@ -94,6 +96,7 @@
 		tally:     limiter.NewTally(),
 		outgo:     newOutgo(),
 		members:   map[uint64]*member{},
+		centres:   map[string]int{},
 		pages:     map[string]*page{},
 		states:    newFeed[string, state](),
 		traffic:   newFeed[string, *wire.Traffic](),
@@ -115,14 +118,7 @@
 func (b *Board) Links() int { return len(b.members) }
 
 // Serving reports whether processes other than relays are linked to this relay.
-func (b *Board) Serving() bool {
-	for _, m := range b.members {
-		if m.link.GetRole() != Relay {
-			return true
-		}
-	}
-	return false
-}
+func (b *Board) Serving() bool { return len(b.centres) > 0 }
 
 // Watched is the number of engines whose sidecars are heard.
 func (b *Board) Watched(now time.Duration) int { return b.allocator.Watched(now) }
--- a/relayer/items.go
+++ b/relayer/items.go
@@ -46,11 +46,11 @@
 // Orphans returns the engines of the data centres that this relay serves for which no
 // sidecar speaks, by address.
 func (b *Board) Orphans() map[string]*wire.Item {
-	served, orphans := b.served(), map[string]*wire.Item{}
+	orphans := map[string]*wire.Item{}
 	for id, it := range b.items.all() {
 		_, heard := b.states.get(id)
 		engines := b.copy.View().Pool(it.GetPool()).GetEngines()
-		if !heard && engines != nil && served[it.GetCentre()] && !it.GetLeaving() && !it.GetGone() {
+		if !heard && engines != nil && b.serves(it.GetCentre()) && !it.GetLeaving() && !it.GetGone() {
 			orphans[it.GetAddress()] = it
 		}
 	}
--- a/relayer/member.go
+++ b/relayer/member.go
@@ -82,6 +82,8 @@
 	b.members[b.links] = m
 	if l.GetRole() == Relay {
 		m.stated = b.outgo.begin(l.GetCentre())
+	} else {
+		b.centres[l.GetCentre()]++
 	}
 	if l.GetRole() == Entry {
 		b.tally.Join(now, l.GetName(), limiter.Crowd{Entries: 1})
@@ -100,6 +102,11 @@
 		return
 	}
 	delete(b.members, id)
+	if centre := m.link.GetCentre(); m.link.GetRole() != Relay {
+		if b.centres[centre]--; b.centres[centre] == 0 {
+			delete(b.centres, centre)
+		}
+	}
 	for p := range m.uses {
 		b.use(p)
 	}
--- a/relayer/page.go
+++ b/relayer/page.go
@@ -186,36 +186,28 @@
 // first reports whether this relay comes first for a name among the relays of all data
 // centres.
 func (b *Board) first(name string) bool {
-	key := router.Hash(name)
-	served, first := b.served(), ""
-	for centre := range served {
+	key, first := router.Hash(name), b.centre
+	for centre := range b.centres {
 		first = prior(first, centre, key)
 	}
 	for centre := range b.pages {
 		first = prior(first, centre, key)
 	}
-	return served[first]
+	return b.serves(first)
 }
 
 // prior returns the data centre of two whose relay decides about a key.
 func prior(a, b string, key uint64) string {
 	x, y := router.Score(a, key), router.Score(b, key)
-	if a == "" || y > x || y == x && b > a {
+	if y > x || y == x && b > a {
 		return b
 	}
 	return a
 }
 
-// served are the data centres whose processes are linked to this relay.
-func (b *Board) served() map[string]bool {
-	served := map[string]bool{b.centre: true}
-	for _, m := range b.members {
-		if m.link.GetRole() != Relay {
-			served[m.link.GetCentre()] = true
-		}
-	}
-	return served
-}
+// serves reports whether a data centre's processes are linked to this relay, or it is the
+// relay's own.
+func (b *Board) serves(centre string) bool { return centre == b.centre || b.centres[centre] > 0 }
 
 // weigh adds up what is needed under a name in all data centres.
 func (b *Board) weigh(name string) {
--- a/runner/adopter.go
+++ b/runner/adopter.go
@@ -150,7 +150,8 @@
 func (k *keeper) run(ctx context.Context, it *wire.Item) {
 	err := insist(ctx, k.hosted.log, "taking an engine without a sidecar", func(ctx context.Context) error {
 		err := k.again(ctx, k.hosted.store)
-		if errors.Is(err, errSidecar) {
+		var held *SidecarError
+		if errors.As(err, &held) {
 			k.sidecar.Store(true)
 			return nil
 		}
--- a/runner/joiner.go
+++ b/runner/joiner.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 
 	"oleanderstall/storer"
+	"oleanderstall/timer"
 )
 
 // Pauses between two tries of a call that has to succeed.
@@ -30,10 +31,8 @@
 			return err
 		}
 		l.Warn().Err(err).Msg("start: " + what + " failed")
-		select {
-		case <-ctx.Done():
+		if !timer.Wait(ctx, pause, nil) {
 			return ctx.Err()
-		case <-time.After(pause):
 		}
 		pause = min(2*pause, joinMaxPause)
 	}
--- a/runner/tenure.go
+++ b/runner/tenure.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"sync/atomic"
 	"time"
 
@@ -47,22 +46,28 @@
 	Adopted bool `json:"adopted,omitempty"`
 }
 
-// errSidecar is that an engine has a sidecar, which may order it without hearing that
-// another process would take it.
-var errSidecar = errors.New("the engine has a sidecar")
+// SidecarError reports that an engine has a sidecar, which may order it without hearing
+// that another process would take it.
+type SidecarError struct {
+	// Holder is the sidecar's name.
+	Holder string
+}
+
+// Error names the sidecar.
+func (e *SidecarError) Error() string { return "the engine has a sidecar: " + e.Holder }
 
 // take makes this process the one that orders the engine, if the engine's row is still
 // the one known, and writes other rows with it. The fencing number is the version of
 // the row, which grows with each process that takes it. After another instance, orders
-// wait for the time of a lease. Nobody takes an engine from its sidecar; the error is
-// errSidecar then.
+// wait for the time of a lease. Nobody takes an engine from its sidecar; the error is a
+// *SidecarError then.
 func (t *tenure) take(ctx context.Context, table storer.Table, known storer.Row, puts ...storer.Put) error {
 	have, err := decodeHolder(known)
 	if err != nil {
 		return err
 	}
 	if t.self.Adopted && have.Holder != "" && !have.Adopted {
-		return errSidecar
+		return &SidecarError{Holder: have.Holder}
 	}
 	if have.Holder != "" && have.Holder != t.self.Holder {
 		t.wait = t.lease
--- a/subscriber/book.go
+++ b/subscriber/book.go
@@ -56,12 +56,7 @@
 func (b *Book) All() []*wire.Member {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var list []*wire.Member
-	for _, m := range b.members {
-		if !m.GetGone() {
-			list = append(list, m)
-		}
-	}
+	list := b.living()
 	slices.SortFunc(list, func(x, y *wire.Member) int { return cmp.Compare(x.GetName(), y.GetName()) })
 	return list
 }
@@ -112,6 +107,17 @@
 	}
 }
 
+// living are the processes that are not gone. The caller holds the lock.
+func (b *Book) living() []*wire.Member {
+	var list []*wire.Member
+	for _, m := range b.members {
+		if !m.GetGone() {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // Rank returns the processes that may be the relay of a data centre, in the order in
 // which all processes prefer them: sidecars go before entries, and the centre's own
 // processes before those of the others. Those that are passed over are left out. With
@@ -119,12 +125,7 @@
 func (b *Book) Rank(now time.Duration, centre, before string) []*wire.Member {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var list []*wire.Member
-	for _, m := range b.members {
-		if !m.GetGone() {
-			list = append(list, m)
-		}
-	}
+	list := b.living()
 	key := router.Hash(centre)
 	slices.SortFunc(list, func(x, y *wire.Member) int {
 		return cmp.Or(
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -132,7 +132,7 @@
 			next = s.open(ctx, "")
 		}
 		if next == nil {
-			sleep(ctx, idlePause)
+			timer.Wait(ctx, idlePause, nil)
 			continue
 		}
 		next = s.serve(ctx, next)
@@ -328,7 +328,7 @@
 func (s *Subscriber) improve(ctx context.Context, x *session) <-chan *session {
 	found := make(chan *session)
 	go func() {
-		for sleep(ctx, betterPeriod) && x.open() {
+		for timer.Wait(ctx, betterPeriod, nil) && x.open() {
 			next := s.open(ctx, x.member.GetName())
 			if next == nil {
 				continue
@@ -345,15 +345,3 @@
 	}()
 	return found
 }
-
-// sleep waits and reports false if ctx has ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -6,6 +6,7 @@
 package timer
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -37,3 +38,20 @@
 func Span(ms uint32) time.Duration {
 	return time.Duration(ms) * time.Millisecond
 }
+
+// Wait waits until d has passed, early is closed or signalled, or ctx ends. A nil early
+// never is. Wait reports false if ctx has ended.
+func Wait(ctx context.Context, d time.Duration, early <-chan struct{}) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-early:
+	case <-t.C:
+	}
+	return true
+}
