--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -37,6 +38,18 @@
 	Tokens int
 }
 
+// FormatParts returns the IDs of the parts of a prompt in hexadecimal, separated by commas.
+func FormatParts(parts []PromptPart) string {
+	var text []byte
+	for i, part := range parts {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = strconv.AppendUint(text, part.ID, 16)
+	}
+	return string(text)
+}
+
 // Request is an admitted request. Core does not read its content.
 type Request struct {
 	ID        string
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -287,7 +287,7 @@
 	s := b.Server()
 	names := modelNames(r)
 	l.log.Info().Str("request", r.ID).Str("server", s.ID).Str("model", requestedName(r)).Int("inflight", b.Inflight()).
-		Int("load", b.ReportedLoad()).Int64("waited", (now - r.Started).Milliseconds()).Msg("send")
+		Int("load", b.ReportedLoad()).Int64("waited", (now - r.Started).Milliseconds()).Str("parts", dispatcher.FormatParts(r.Prompt)).Msg("send")
 	l.fleet.StartRequest(now, s.ID, names...)
 	l.recordUsage(b, names, 1)
 	promptRead := false
