--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -71,6 +71,13 @@
 	overcommits int
 	fences      []uint64
 	done        chan struct{}
+	// fatalParts are the prompt parts, and the bodies of service calls, on which the server
+	// crashes. crash ends its process. fatalRuns counts the requests with one of them.
+	fatalParts map[string]bool
+	crash      func()
+	fatalRuns  int
+	// down is set while the process has crashed and has not started again.
+	down bool
 }
 
 // NewBackend returns a server that writes its row to the given store after Start.
@@ -116,6 +123,55 @@
 // Stop ends the writes and removes the server's row. It must be called only once.
 func (b *Backend) Stop() { close(b.done) }
 
+// CrashOn makes the server crash on each request that holds one of the given parts: an ID in
+// the X-Prefix-Hash header, which may not be the last one, or the body of a service call. A
+// stream has its head by then.
+func (b *Backend) CrashOn(parts ...string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fatalParts = map[string]bool{}
+	for _, part := range parts {
+		b.fatalParts[part] = true
+	}
+}
+
+// FatalRuns returns the number of requests with a fatal part that have arrived.
+func (b *Backend) FatalRuns() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fatalRuns
+}
+
+// crashIfFatal crashes the server if the request holds a fatal part.
+func (b *Backend) crashIfFatal(r *http.Request, body string) {
+	b.mu.Lock()
+	parts := strings.Split(r.Header.Get("X-Prefix-Hash"), ",")
+	fatal := body != "" && b.fatalParts[body]
+	for _, part := range parts[:len(parts)-1] {
+		id, _, _ := strings.Cut(part, ":")
+		fatal = fatal || b.fatalParts[id]
+	}
+	if !fatal {
+		b.mu.Unlock()
+		return
+	}
+	b.fatalRuns++
+	b.down = true
+	b.models, b.loading, b.sequence = map[string][]string{}, "", 0
+	crash := b.crash
+	b.mu.Unlock()
+	crash()
+	panic(http.ErrAbortHandler)
+}
+
+// restarted records that the server runs again after a crash.
+func (b *Backend) restarted() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.down = false
+	b.startedMS = time.Now().UnixMilli()
+}
+
 // Drain makes the server report the state "draining". It still takes requests.
 func (b *Backend) Drain() {
 	b.mu.Lock()
@@ -198,6 +254,10 @@
 
 func (b *Backend) writeRow(address string) {
 	b.mu.Lock()
+	if b.down {
+		b.mu.Unlock()
+		return
+	}
 	b.rowWrites++
 	row := b.status()
 	// In the row this field counts the writes, in the report the accepted orders.
@@ -308,6 +368,9 @@
 func (b *Backend) finishLoad(model string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.loading != model {
+		return
+	}
 	b.models[model] = []string{}
 	b.loading = ""
 }
@@ -333,6 +396,7 @@
 		return
 	}
 	time.Sleep(b.options.ServiceTime)
+	b.crashIfFatal(r, string(body))
 	text := r.Method + " " + r.RequestURI + " " + string(body)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = io.WriteString(w, text)
@@ -384,6 +448,10 @@
 			return
 		}
 		time.Sleep(b.options.EventInterval)
+		if i == lastEvent+1 {
+			_ = control.Flush()
+			b.crashIfFatal(r, "")
+		}
 		if i == lastEvent+1+b.options.EventsPerStream/2 && b.takeCut() {
 			panic(http.ErrAbortHandler)
 		}
--- a/imitator/site.go
+++ b/imitator/site.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,6 +43,8 @@
 	// workspace.
 	Rate  float64
 	Burst float64
+	// RestartTime is the time from a crash of a backend server to its next start.
+	RestartTime time.Duration
 	// Proxy, if set, starts a proxy in front of a backend server's address and
 	// returns the address under which the server is listed instead.
 	Proxy func(address string) (string, error)
@@ -61,6 +64,9 @@
 	stops           []func()
 }
 
+// restartRetry is the time after which a crashed server tries again to listen.
+const restartRetry = 50 * time.Millisecond
+
 // siteModelMB is the size of the weights of each model, in megabytes.
 const siteModelMB = 1000
 
@@ -108,7 +114,7 @@
 // startBackend makes a backend server listen and write its row. It returns the address
 // in the row.
 func (s *Site) startBackend(backend *Backend) (string, error) {
-	address, err := s.listen(backend)
+	address, err := s.listenRestartable(backend)
 	if err == nil && s.options.Proxy != nil {
 		address, err = s.options.Proxy(address)
 	}
@@ -131,6 +137,75 @@
 	return l.Addr().String(), nil
 }
 
+// listenRestartable serves a backend server like listen. A crash of the server closes its
+// listener and its connections, and after RestartTime it listens at the same address again.
+func (s *Site) listenRestartable(backend *Backend) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	p := &restartable{backend: backend, address: l.Addr().String()}
+	backend.crash = func() {
+		p.close()
+		time.AfterFunc(s.options.RestartTime, p.restart)
+	}
+	p.serve(l)
+	s.stops = append(s.stops, p.stop)
+	return p.address, nil
+}
+
+// restartable is the listening process of a backend server.
+type restartable struct {
+	backend *Backend
+	address string
+
+	mu      sync.Mutex
+	server  *http.Server
+	stopped bool
+}
+
+// serve answers requests on l until close is called.
+func (p *restartable) serve(l net.Listener) {
+	server := &http.Server{Handler: p.backend, ReadHeaderTimeout: time.Second}
+	p.mu.Lock()
+	p.server = server
+	p.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+}
+
+// close closes the listener and all connections.
+func (p *restartable) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.server.Close()
+}
+
+// restart listens again, unless the site has been stopped.
+func (p *restartable) restart() {
+	p.mu.Lock()
+	stopped := p.stopped
+	p.mu.Unlock()
+	if stopped {
+		return
+	}
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		// The system may have given the port away, or not freed it yet.
+		time.AfterFunc(restartRetry, p.restart)
+		return
+	}
+	p.backend.restarted()
+	p.serve(l)
+}
+
+// stop closes the server for good.
+func (p *restartable) stop() {
+	p.mu.Lock()
+	p.stopped = true
+	p.mu.Unlock()
+	p.close()
+}
+
 // Stop ends all servers of the site, in the reverse order of their start.
 func (s *Site) Stop() {
 	for i := len(s.stops) - 1; i >= 0; i-- {
