Quarantine the parts of prompts on which engines crash

Cause: one part of a prompt crashes each engine that begins an answer on it, and nothing kept what was in flight at an engine that ended, so each entry sent the next request with the part to the next engine.

The decision is a package without I/O, quarantiner. An entry that loses a request without an event asks the server's host whether anybody still listens; if not, the fingerprints of such requests are the suspects of that crash. An answer clears its fingerprints. The records go by the relays to all entries, a union that may come late, twice, in any order, and each entry derives the same quarantines: the fingerprint in flight at the most crashes, at three separate moments or more and at most of the crashes around each, explains these; then the rest is looked at. A request that holds it is refused at once, typed, with the end of the quarantine. Bounded: 256 crashes, 64 suspects each, 5 minutes after the last crash.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -41,7 +41,9 @@
 	Prompt          []dispatcher.PromptPart
 	// FirstIndex is the index of the first event that the caller wants.
 	FirstIndex uint64
-	Content    any
+	// Digest is the hash of the method, the target and the body.
+	Digest  uint64
+	Content any
 }
 
 // Admit returns the request to be served. An error is a *refuser.Refusal.
@@ -73,6 +75,7 @@
 		Started:         now,
 		MaxGap:          time.Duration(route.GetGap()) * time.Millisecond,
 		FirstIndex:      req.FirstIndex,
+		Digest:          req.Digest,
 		Content:         req.Content,
 	}
 	admitted.Model, admitted.Adapter = splitModel(req.Model)
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -35,6 +35,7 @@
 				reservation.OnPromptRead()
 			}
 		}
+		result.Answered = result.Answered || err == nil || errors.Is(err, io.EOF)
 		if errors.Is(err, io.EOF) {
 			return answer.End(), c.beginAnswer(p, answer)
 		}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -91,6 +91,8 @@
 	MaxGap time.Duration
 	// FirstIndex is the index of the first event that the caller wants.
 	FirstIndex uint64
+	// Digest is the hash of what the backend server receives, or 0 if it is not known.
+	Digest uint64
 	// Content is the payload, known to the Sender only.
 	Content any
 }
@@ -152,6 +154,8 @@
 type AttemptResult struct {
 	// Err is nil after a complete answer.
 	Err error
+	// Answered is set if an event, or a complete answer, arrived.
+	Answered bool
 	// TimeToFirst is the time from the start of the attempt until the first read of the
 	// answer returned, or 0 if there was none.
 	TimeToFirst time.Duration
--- a/locator/attempt.go
+++ b/locator/attempt.go
@@ -6,11 +6,12 @@
 	"time"
 
 	"oleanderstall/dispatcher"
+	"oleanderstall/tracker"
 )
 
 // attempt is a request in flight at a server.
 type attempt struct {
-	server  string
+	server  tracker.Server
 	request *dispatcher.Request
 	// ctx ends, by cancel, when the attempt is abandoned or has ended.
 	ctx    context.Context
@@ -21,23 +22,24 @@
 }
 
 // startAttempt adds an attempt to those in flight. The caller holds the lock.
-func (l *Locator) startAttempt(server string, r *dispatcher.Request) *attempt {
+func (l *Locator) startAttempt(server tracker.Server, r *dispatcher.Request) *attempt {
 	a := &attempt{server: server, request: r}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.lastEventAt.Store(int64(r.Started))
-	if l.attempts[server] == nil {
-		l.attempts[server] = map[*attempt]struct{}{}
+	if l.attempts[server.ID] == nil {
+		l.attempts[server.ID] = map[*attempt]struct{}{}
 	}
-	l.attempts[server][a] = struct{}{}
+	l.attempts[server.ID][a] = struct{}{}
 	return a
 }
 
 // endAttempt removes an attempt from those in flight. The caller holds the lock.
 func (l *Locator) endAttempt(a *attempt) {
 	a.cancel()
-	delete(l.attempts[a.server], a)
-	if len(l.attempts[a.server]) == 0 {
-		delete(l.attempts, a.server)
+	id := a.server.ID
+	delete(l.attempts[id], a)
+	if len(l.attempts[id]) == 0 {
+		delete(l.attempts, id)
 	}
 }
 
--- a/locator/attempt_test.go
+++ b/locator/attempt_test.go
@@ -23,6 +23,9 @@
 	return true
 }
 
+// Refuses implements Prober. No host refuses connections.
+func (s silentHosts) Refuses(context.Context, string) bool { return false }
+
 // sendRequest returns the reservation of a request of a kind whose caller waits for the first
 // event for at most firstEventTimeout.
 func (fx *fixture) sendRequest(model string, k dispatcher.Kind, firstEventTimeout time.Duration) *dispatcher.Reservation {
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -12,6 +12,7 @@
 
 	"oleanderstall/configurer"
 	"oleanderstall/dispatcher"
+	"oleanderstall/quarantiner"
 	"oleanderstall/refuser"
 	"oleanderstall/router"
 	"oleanderstall/timer"
@@ -55,6 +56,12 @@
 	// one, of the start.
 	firstListedAt time.Duration
 	lastBatchAt   time.Duration
+	// quarantiner holds the crashes of servers, and suspected the processes of servers that
+	// may have crashed or have done so lately. crashSuspected is signalled when one of them
+	// is to be checked.
+	quarantiner    *quarantiner.Quarantiner
+	suspected      map[quarantiner.Process]*suspectedCrash
+	crashSuspected chan struct{}
 	// attempts are the attempts in flight, by server.
 	attempts map[string]map[*attempt]struct{}
 	// probing holds the servers whose hosts are being probed.
@@ -81,10 +88,14 @@
 		unreported:  newUnreported(),
 		rowVersions: map[string]uint64{},
 		attempts:    map[string]map[*attempt]struct{}{},
-		probing:     map[string]bool{},
-		lastBatchAt: clock(),
-		notifier:    newNotifier(),
-		reportNow:   make(chan struct{}, 1),
+		quarantiner: quarantiner.New(),
+		suspected:   map[quarantiner.Process]*suspectedCrash{},
+
+		crashSuspected: make(chan struct{}, 1),
+		probing:        map[string]bool{},
+		lastBatchAt:    clock(),
+		notifier:       newNotifier(),
+		reportNow:      make(chan struct{}, 1),
 	}
 }
 
@@ -168,6 +179,9 @@
 func (l *Locator) tryReserve(now time.Duration, r *dispatcher.Request, h *dispatcher.History, d **demand) (*dispatcher.Reservation, waiter, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if quarantine := l.quarantineOf(now, r); quarantine != nil {
+		return nil, waiter{}, dispatcher.QuarantineRefusal(now, quarantine)
+	}
 	best := l.pick(now, r, h)
 	if best != nil && l.admits(now, best, r) {
 		return l.reserve(now, best, r), waiter{}, nil
@@ -287,11 +301,11 @@
 	s := b.Server()
 	names := modelNames(r)
 	l.log.Info().Str("request", r.ID).Str("server", s.ID).Str("model", requestedName(r)).Int("inflight", b.Inflight()).
-		Int("load", b.ReportedLoad()).Int64("waited", (now - r.Started).Milliseconds()).Str("parts", dispatcher.FormatParts(r.Prompt)).Msg("send")
+		Int("load", b.ReportedLoad()).Int64("waited", (now-r.Started).Milliseconds()).Str("parts", dispatcher.FormatParts(r.Prompt)).Msg("send")
 	l.fleet.StartRequest(now, s.ID, names...)
 	l.recordUsage(b, names, 1)
-	promptRead := false
-	a := l.startAttempt(s.ID, r)
+	promptRead, answered := false, false
+	a := l.startAttempt(s, r)
 	return &dispatcher.Reservation{
 		Name:           s.ID,
 		Address:        s.Address,
@@ -301,9 +315,16 @@
 		AbandonContext: a.ctx,
 		OnFeedback:     func(feedback dispatcher.Feedback) { l.receiveFeedback(s, feedback) },
 		OnPromptRead:   func() { promptRead = true; l.markPromptRead(s.ID) },
-		OnActivity:     func(now time.Duration) { a.lastEventAt.Store(int64(now)); b.RecordActivity(now) },
-		OnSlow:         func(gap time.Duration) { l.recordSlowGap(s.ID, r, gap) },
-		Release:        func(result dispatcher.AttemptResult) { l.release(a, names, promptRead, result) },
+		OnActivity: func(now time.Duration) {
+			a.lastEventAt.Store(int64(now))
+			b.RecordActivity(now)
+			if !answered {
+				answered = true
+				l.recordAnswer(r)
+			}
+		},
+		OnSlow:  func(gap time.Duration) { l.recordSlowGap(s.ID, r, gap) },
+		Release: func(result dispatcher.AttemptResult) { l.release(a, names, promptRead, result) },
 	}
 }
 
@@ -400,8 +421,14 @@
 func (l *Locator) release(a *attempt, names []string, promptRead bool, result dispatcher.AttemptResult) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now, id, r := l.clock(), a.server, a.request
+	now, id, r := l.clock(), a.server.ID, a.request
 	l.endAttempt(a)
+	switch {
+	case result.Answered:
+		l.clearFingerprints(r)
+	case result.MayBeCrash():
+		l.suspectCrash(now, a.server, r)
+	}
 	if b := l.fleet.Get(id); b != nil {
 		l.recordResult(now, b, r, result)
 		l.fleet.EndRequest(now, id, promptRead, names...)
--- a/locator/prober.go
+++ b/locator/prober.go
@@ -21,10 +21,14 @@
 type Prober interface {
 	// HostResponds reports whether the host at an address answers before ctx ends.
 	HostResponds(ctx context.Context, address string) bool
+	// Refuses reports whether the host at an address refuses connections, so that no process
+	// listens there.
+	Refuses(ctx context.Context, address string) bool
 }
 
-// Probe probes the hosts of silent servers until ctx ends. Attempts at a server whose host
-// does not answer are abandoned, so that requests that may run elsewhere do.
+// Probe probes the hosts of silent servers, and of those that may have crashed, until ctx
+// ends. Attempts at a server whose host does not answer are abandoned, so that requests that
+// may run elsewhere do.
 func (l *Locator) Probe(ctx context.Context, p Prober) {
 	tick := time.NewTicker(probeInterval)
 	defer tick.Stop()
@@ -33,8 +37,10 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-l.crashSuspected:
 		case <-tick.C:
 		}
+		l.checkCrashes(ctx, p)
 		for id, address := range l.claimProbes(l.clock(), maxProbedHosts-len(running)) {
 			running <- struct{}{}
 			go func() {
--- a/locator/report.go
+++ b/locator/report.go
@@ -40,9 +40,9 @@
 	}
 }
 
-// Report adds this entry's usage, demands, arrivals, saturations and departures to a report.
-// A full report has the usage of all models and all demands, any other one the changes since
-// the previous report.
+// Report adds this entry's usage, demands, arrivals, saturations, departures and records of
+// crashes to a report. A full report has the usage of all models, all demands and all records
+// of crashes, any other one the changes since the previous report.
 func (l *Locator) Report(now time.Duration, full bool, r *wire.Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -55,6 +55,7 @@
 	for server, started := range l.unreported.departures {
 		r.Parted = append(r.Parted, &wire.Departure{Server: server, Born: started})
 	}
+	r.Crashes = l.quarantiner.TakeUnsent(now, full)
 	r.Arrivals, r.Felt = l.unreported.arrivals, l.unreported.saturations
 	if l.unreported.demandsChanged {
 		r.Waiting = true
@@ -143,6 +144,10 @@
 	for _, departure := range batch.GetParted() {
 		l.fleet.MarkLeaving(departure.GetServer(), departure.GetBorn())
 	}
+	for _, crash := range batch.GetCrashes() {
+		l.quarantiner.Merge(now, crash)
+	}
+	l.updateQuarantines(now)
 	for _, estimate := range batch.GetOutlooks() {
 		l.updateEstimate(now, estimate)
 	}
--- /dev/null
+++ b/quarantiner/decision.go
@@ -0,0 +1,208 @@
+package quarantiner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Change is the start or the end of a quarantine.
+type Change struct {
+	quarantine *Quarantine
+	ended      bool
+}
+
+// Quarantine returns the quarantine that has started or ended.
+func (c Change) Quarantine() *Quarantine { return c.quarantine }
+
+// Ended reports whether the quarantine has ended.
+func (c Change) Ended() bool { return c.ended }
+
+// TakeChanges returns the changes since the last call.
+func (q *Quarantiner) TakeChanges() []Change {
+	changes := q.changes
+	q.changes = nil
+	return changes
+}
+
+// Quarantines returns the quarantines as of the latest decision, by pool and ID.
+func (q *Quarantiner) Quarantines() []*Quarantine {
+	return slices.SortedFunc(maps.Values(q.quarantines), func(a, b *Quarantine) int {
+		return cmp.Or(cmp.Compare(a.subject.pool, b.subject.pool), cmp.Compare(a.subject.id, b.subject.id))
+	})
+}
+
+// Update renews the decision if a record has changed or decisionInterval has passed, and drops
+// the records that have expired.
+func (q *Quarantiner) Update(now time.Duration) {
+	if !q.stale && (q.Idle() || now-q.decidedAt < decisionInterval) {
+		return
+	}
+	previous := q.quarantines
+	q.quarantines = q.decide()
+	if q.expire(now) {
+		q.quarantines = q.decide()
+	}
+	q.stale, q.decidedAt = false, now
+	q.recordChanges(previous)
+}
+
+// expire drops the crashes older than lifetime, unless a quarantine that goes on rests on
+// them. It reports whether there were any.
+func (q *Quarantiner) expire(now time.Duration) bool {
+	var expired []Process
+	for p, c := range q.crashes {
+		if now-c.at <= lifetime {
+			continue
+		}
+		if quarantine := q.quarantineOf(c); quarantine == nil || now > quarantine.until {
+			expired = append(expired, p)
+		}
+	}
+	for _, p := range expired {
+		q.drop(p)
+	}
+	if q.Idle() {
+		clear(q.suspected)
+	}
+	return len(expired) > 0
+}
+
+// decide returns the quarantines that follow from the records. The fingerprint that was in
+// flight at the most crashes explains these; what the remaining crashes have in common is
+// then looked for in the same way, so that a fingerprint that only accompanies the fatal one
+// is not quarantined for it.
+func (q *Quarantiner) decide() map[subject]*Quarantine {
+	quarantines := map[subject]*Quarantine{}
+	unexplained := slices.Collect(maps.Values(q.crashes))
+	for {
+		worst := mostSuspect(unexplained)
+		if worst == nil || worst.moments < minCrashes {
+			return quarantines
+		}
+		quarantines[worst.subject] = worst.quarantine()
+		unexplained = slices.DeleteFunc(unexplained, worst.explains)
+	}
+}
+
+// evidence is what speaks against a fingerprint: the instants of the crashes at which it was
+// in flight and of which it has not been cleared, sorted, and the number of separate moments
+// among them.
+type evidence struct {
+	subject subject
+	depth   int
+	crashes []time.Duration
+	moments int
+}
+
+// mostSuspect returns the evidence against the fingerprint with the most separate crashes, or
+// nil if none has minCrashes. Of several it is the deepest one, which the fewest requests hold.
+func mostSuspect(crashes []*crash) *evidence {
+	counts, instants := countSuspects(crashes)
+	found := map[subject]*evidence{}
+	for _, c := range crashes {
+		for id, s := range c.suspects {
+			key := subject{c.pool, id}
+			if s.cleared || counts[key] < minCrashes {
+				continue
+			}
+			if found[key] == nil {
+				found[key] = &evidence{subject: key}
+			}
+			found[key].crashes = append(found[key].crashes, c.at)
+			found[key].depth = max(found[key].depth, s.depth)
+		}
+	}
+	var worst *evidence
+	for _, e := range found {
+		slices.Sort(e.crashes)
+		e.moments = countMoments(e.crashes, instants[e.subject.pool])
+		if worst == nil || compareEvidence(e, worst) > 0 {
+			worst = e
+		}
+	}
+	return worst
+}
+
+// countSuspects returns the number of crashes by suspect, and the instants of all crashes by
+// pool, sorted.
+func countSuspects(crashes []*crash) (counts map[subject]int, instants map[string][]time.Duration) {
+	counts, instants = map[subject]int{}, map[string][]time.Duration{}
+	for _, c := range crashes {
+		instants[c.pool] = append(instants[c.pool], c.at)
+		for id, s := range c.suspects {
+			if !s.cleared {
+				counts[subject{c.pool, id}]++
+			}
+		}
+	}
+	for _, list := range instants {
+		slices.Sort(list)
+	}
+	return counts, instants
+}
+
+// compareEvidence orders evidence by how much it weighs.
+func compareEvidence(a, b *evidence) int {
+	return cmp.Or(
+		cmp.Compare(a.moments, b.moments),
+		cmp.Compare(len(a.crashes), len(b.crashes)),
+		cmp.Compare(a.depth, b.depth),
+		cmp.Compare(a.subject.pool, b.subject.pool),
+		cmp.Compare(a.subject.id, b.subject.id),
+	)
+}
+
+// countMoments returns the number of crashes of a fingerprint that are at least momentGap
+// apart. A crash does not count if most crashes of the pool around it lack the fingerprint:
+// servers that end together do so for a common cause. Both lists are sorted.
+func countMoments(crashes, all []time.Duration) int {
+	moments := 0
+	var last time.Duration
+	for _, at := range crashes {
+		if moments > 0 && at-last < momentGap || 2*countAround(crashes, at) < countAround(all, at) {
+			continue
+		}
+		moments, last = moments+1, at
+	}
+	return moments
+}
+
+// countAround returns the number of instants of a sorted list that are less than momentGap
+// from an instant.
+func countAround(list []time.Duration, at time.Duration) int {
+	first, _ := slices.BinarySearch(list, at-momentGap+1)
+	end, _ := slices.BinarySearch(list, at+momentGap)
+	return end - first
+}
+
+// explains reports whether a crash counts among the evidence.
+func (e *evidence) explains(c *crash) bool {
+	s, ok := c.suspects[e.subject.id]
+	return ok && !s.cleared && c.pool == e.subject.pool
+}
+
+// quarantine returns the quarantine that follows from the evidence.
+func (e *evidence) quarantine() *Quarantine {
+	return &Quarantine{
+		subject: e.subject,
+		crashes: len(e.crashes),
+		since:   e.crashes[0],
+		until:   e.crashes[len(e.crashes)-1] + lifetime,
+	}
+}
+
+// recordChanges records the differences between the previous and the current quarantines.
+func (q *Quarantiner) recordChanges(previous map[subject]*Quarantine) {
+	for key, quarantine := range q.quarantines {
+		if previous[key] == nil {
+			q.changes = append(q.changes, Change{quarantine: quarantine})
+		}
+	}
+	for key, quarantine := range previous {
+		if q.quarantines[key] == nil {
+			q.changes = append(q.changes, Change{quarantine: quarantine, ended: true})
+		}
+	}
+}
--- /dev/null
+++ b/quarantiner/message.go
@@ -0,0 +1,54 @@
+package quarantiner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"oleanderstall/timer"
+	"oleanderstall/wire"
+)
+
+// TakeUnsent returns the records that have changed here since the last call, or all of them.
+func (q *Quarantiner) TakeUnsent(now time.Duration, all bool) []*wire.Crash {
+	var messages []*wire.Crash
+	for p := range q.crashes {
+		if all || q.unsent[p] {
+			messages = append(messages, q.Message(now, p))
+		}
+	}
+	clear(q.unsent)
+	return messages
+}
+
+// Message returns the record of a process as a message, or nil if there is none.
+func (q *Quarantiner) Message(now time.Duration, p Process) *wire.Crash {
+	c := q.crashes[p]
+	if c == nil {
+		return nil
+	}
+	message := &wire.Crash{Server: p.Server, Born: p.Started, Pool: c.pool, Age: timer.ToMillis(now - c.at)}
+	for id, s := range c.suspects {
+		message.Suspects = append(message.Suspects, &wire.Suspect{Print: id, Depth: uint32(s.depth), Cleared: s.cleared})
+	}
+	slices.SortFunc(message.Suspects, func(a, b *wire.Suspect) int { return cmp.Compare(a.GetPrint(), b.GetPrint()) })
+	return message
+}
+
+// Merge adds the record of another process to the one known here. It returns the process of
+// the server, and whether the record has changed. A message without a server is ignored.
+func (q *Quarantiner) Merge(now time.Duration, message *wire.Crash) (p Process, changed bool) {
+	p = Process{Server: message.GetServer(), Started: message.GetBorn()}
+	if p.Server == "" {
+		return p, false
+	}
+	changed = q.crashes[p] == nil
+	c := q.crashOf(p, message.GetPool(), now-timer.FromMillis(message.GetAge()))
+	for _, s := range message.GetSuspects() {
+		if q.addSuspect(c, s.GetPrint(), suspect{depth: int(s.GetDepth()), cleared: s.GetCleared()}) {
+			changed = true
+		}
+	}
+	q.stale = q.stale || changed
+	return p, changed
+}
--- /dev/null
+++ b/quarantiner/quarantiner.go
@@ -0,0 +1,250 @@
+// Package quarantiner decides which requests are no longer sent to backend servers because
+// servers crash on them.
+//
+// A process that sends requests records each crash of a backend server with the requests
+// there that had no answer yet: their fingerprints are the suspects of the crash. An answer
+// to a request clears its fingerprints. Processes exchange the records, and each derives the
+// quarantined fingerprints from them by the same rule. Records may therefore arrive late,
+// more than once and in any order, and no process decides for others.
+package quarantiner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Limits of the records and of the decision.
+const (
+	// minCrashes is the number of crashes, at separate moments, from which a fingerprint is
+	// quarantined.
+	minCrashes = 3
+	// momentGap is the shortest time between two separate moments. Servers that end within
+	// it may have a common cause, such as a loss of power.
+	momentGap = 200 * time.Millisecond
+	// lifetime is how long a crash is counted, and how long after its latest crash a
+	// fingerprint stays quarantined.
+	lifetime = 5 * time.Minute
+	// maxCrashes bounds the crashes that are kept, maxSuspects the suspects of one crash.
+	maxCrashes  = 256
+	maxSuspects = 64
+	// decisionInterval is the longest time between two decisions, so that crashes expire.
+	decisionInterval = time.Second
+)
+
+// Fingerprint identifies content that several requests may hold.
+type Fingerprint struct {
+	// ID is the hash of the content.
+	ID uint64
+	// Depth is the position of the content in the request. Of the parts of a prompt, a
+	// deeper one is shared by fewer requests.
+	Depth int
+}
+
+// Process is a process of a backend server.
+type Process struct {
+	Server string
+	// Started is the start of the process in Unix milliseconds.
+	Started int64
+}
+
+// subject is a fingerprint of the requests to one pool. Whether servers crash on it depends
+// on the software of the pool's servers.
+type subject struct {
+	pool string
+	id   uint64
+}
+
+// suspect is a fingerprint of a request that had no answer when a server crashed.
+type suspect struct {
+	depth int
+	// cleared is set once a request with the fingerprint was answered after the crash.
+	cleared bool
+}
+
+// crash is what is known of the crash of a server.
+type crash struct {
+	pool     string
+	at       time.Duration
+	suspects map[uint64]suspect
+}
+
+// Quarantine describes a quarantined fingerprint.
+type Quarantine struct {
+	subject subject
+	crashes int
+	since   time.Duration
+	until   time.Duration
+}
+
+// Pool returns the pool whose servers crash on the fingerprint.
+func (q *Quarantine) Pool() string { return q.subject.pool }
+
+// ID returns the fingerprint's hash.
+func (q *Quarantine) ID() uint64 { return q.subject.id }
+
+// Crashes returns the number of crashes counted.
+func (q *Quarantine) Crashes() int { return q.crashes }
+
+// Since returns the instant of the first of the crashes.
+func (q *Quarantine) Since() time.Duration { return q.since }
+
+// Until returns the instant at which the quarantine ends if there is no other crash.
+func (q *Quarantine) Until() time.Duration { return q.until }
+
+// Quarantiner holds the records of crashes and the quarantines that follow from them. It is
+// not safe for concurrent use.
+type Quarantiner struct {
+	crashes map[Process]*crash
+	// suspected holds at least the subjects of which a crash has a suspect that is not
+	// cleared.
+	suspected map[subject]bool
+	// unsent are the processes whose records have changed here since TakeUnsent.
+	unsent map[Process]bool
+	// stale is set if a record has changed since the decision at decidedAt.
+	stale       bool
+	decidedAt   time.Duration
+	quarantines map[subject]*Quarantine
+	changes     []Change
+}
+
+// New returns a quarantiner without records.
+func New() *Quarantiner {
+	return &Quarantiner{
+		crashes:     map[Process]*crash{},
+		suspected:   map[subject]bool{},
+		unsent:      map[Process]bool{},
+		quarantines: map[subject]*Quarantine{},
+	}
+}
+
+// Idle reports whether there is no record of a crash, so that nothing is quarantined and no
+// answer matters.
+func (q *Quarantiner) Idle() bool { return len(q.crashes) == 0 }
+
+// Has reports whether there is a record of the crash of a process.
+func (q *Quarantiner) Has(p Process) bool { return q.crashes[p] != nil }
+
+// RecordCrash records that the process of a server of a pool crashed at an instant while a
+// request with the given fingerprints had no answer. It is called once for each such request.
+func (q *Quarantiner) RecordCrash(at time.Duration, p Process, pool string, fingerprints []Fingerprint) {
+	c := q.crashOf(p, pool, at)
+	for _, f := range fingerprints {
+		q.addSuspect(c, f.ID, suspect{depth: f.Depth})
+	}
+	q.markChanged(p)
+}
+
+// crashOf returns the record of the crash of a process, made if there is none yet. Its
+// instant is the earliest one that is known.
+func (q *Quarantiner) crashOf(p Process, pool string, at time.Duration) *crash {
+	c := q.crashes[p]
+	if c == nil {
+		c = &crash{pool: pool, at: at, suspects: map[uint64]suspect{}}
+		q.crashes[p] = c
+		q.limitCrashes()
+	}
+	c.at = min(c.at, at)
+	return c
+}
+
+// addSuspect adds a suspect to a crash, or merges it with the one of the same fingerprint. It
+// reports whether the crash has changed.
+func (q *Quarantiner) addSuspect(c *crash, id uint64, s suspect) bool {
+	known, ok := c.suspects[id]
+	if !ok && len(c.suspects) >= maxSuspects {
+		return false
+	}
+	merged := suspect{depth: max(known.depth, s.depth), cleared: known.cleared || s.cleared}
+	if ok && merged == known {
+		return false
+	}
+	c.suspects[id] = merged
+	if !merged.cleared {
+		q.suspected[subject{c.pool, id}] = true
+	}
+	return true
+}
+
+// RecordAnswer records that a request with the given fingerprints to a pool was answered, at
+// least in part. It clears them of the crashes up to now.
+func (q *Quarantiner) RecordAnswer(pool string, fingerprints []Fingerprint) {
+	for _, f := range fingerprints {
+		if key := (subject{pool, f.ID}); q.suspected[key] {
+			q.clear(key)
+		}
+	}
+}
+
+// clear clears a fingerprint of all crashes.
+func (q *Quarantiner) clear(key subject) {
+	delete(q.suspected, key)
+	for p, c := range q.crashes {
+		s, ok := c.suspects[key.id]
+		if c.pool != key.pool || !ok || s.cleared {
+			continue
+		}
+		c.suspects[key.id] = suspect{depth: s.depth, cleared: true}
+		q.markChanged(p)
+	}
+}
+
+// markChanged records that the record of a process is to be sent and decided on.
+func (q *Quarantiner) markChanged(p Process) {
+	q.unsent[p] = true
+	q.stale = true
+}
+
+// limitCrashes drops the oldest record while there are too many, first of those on which no
+// quarantine rests.
+func (q *Quarantiner) limitCrashes() {
+	if len(q.crashes) <= maxCrashes {
+		return
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(q.crashes)), func(a, b Process) int {
+		ca, cb := q.crashes[a], q.crashes[b]
+		return cmp.Or(compareBool(q.quarantineOf(ca) != nil, q.quarantineOf(cb) != nil), cmp.Compare(ca.at, cb.at))
+	})
+	q.drop(oldest)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// drop deletes the record of a process.
+func (q *Quarantiner) drop(p Process) {
+	delete(q.crashes, p)
+	delete(q.unsent, p)
+	q.stale = true
+}
+
+// quarantineOf returns the quarantine that rests on a crash, or nil if there is none.
+func (q *Quarantiner) quarantineOf(c *crash) *Quarantine {
+	for id, s := range c.suspects {
+		if found := q.quarantines[subject{c.pool, id}]; found != nil && !s.cleared {
+			return found
+		}
+	}
+	return nil
+}
+
+// Check returns the quarantine of a request with the given fingerprints to a pool, or nil if
+// it may be sent.
+func (q *Quarantiner) Check(now time.Duration, pool string, fingerprints []Fingerprint) *Quarantine {
+	q.Update(now)
+	for _, f := range fingerprints {
+		if found := q.quarantines[subject{pool, f.ID}]; found != nil {
+			return found
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/quarantiner/quarantiner_test.go
@@ -0,0 +1,240 @@
+package quarantiner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"oleanderstall/wire"
+)
+
+// Fingerprints in these tests: fatal is the one that crashes servers, shared is a part that
+// sound requests hold as well, own ones are held by one request each.
+const (
+	shared = 1
+	middle = 2
+	fatal  = 3
+	own    = 100
+)
+
+// prints returns fingerprints with the given IDs, the first one at depth 0.
+func prints(ids ...uint64) []Fingerprint {
+	var list []Fingerprint
+	for depth, id := range ids {
+		list = append(list, Fingerprint{ID: id, Depth: depth})
+	}
+	return list
+}
+
+// process returns the process with a number.
+func process(i int) Process { return Process{Server: fmt.Sprintf("engine-%d", i), Started: int64(i)} }
+
+// TestCheck checks, for sequences of crashes and answers, which requests are quarantined.
+func TestCheck(t *testing.T) {
+	const start = time.Hour
+	crashEvery := func(gap time.Duration, n int, ids ...uint64) func(*Quarantiner) {
+		return func(q *Quarantiner) {
+			for i := range n {
+				q.RecordCrash(start+time.Duration(i)*gap, process(i), "p", prints(ids...))
+			}
+		}
+	}
+	answer := func(ids ...uint64) func(*Quarantiner) {
+		return func(q *Quarantiner) { q.RecordAnswer("p", prints(ids...)) }
+	}
+	for _, c := range []struct {
+		name  string
+		steps []func(*Quarantiner)
+		want  []uint64
+	}{
+		{name: "two crashes", steps: []func(*Quarantiner){crashEvery(time.Second, 2, shared, fatal)}},
+		{name: "three crashes", steps: []func(*Quarantiner){crashEvery(time.Second, 3, shared, fatal)}, want: []uint64{fatal}},
+		{name: "twenty at one moment", steps: []func(*Quarantiner){crashEvery(time.Millisecond, 20, shared, fatal)}},
+		{name: "among many others at the same moments", steps: []func(*Quarantiner){
+			crashEvery(time.Second, 3, shared, fatal),
+			func(q *Quarantiner) {
+				for i := range 12 {
+					q.RecordCrash(start+time.Duration(i%3)*time.Second, process(20+i), "p", prints(uint64(own+i)))
+				}
+			},
+		}},
+		{name: "an answer to the whole", steps: []func(*Quarantiner){crashEvery(time.Second, 3, shared, fatal), answer(shared, fatal)}},
+		{name: "an answer to a part", steps: []func(*Quarantiner){crashEvery(time.Second, 3, shared, fatal), answer(shared)}, want: []uint64{fatal}},
+		{name: "an answer before", steps: []func(*Quarantiner){answer(fatal), crashEvery(time.Second, 3, shared, fatal)}, want: []uint64{fatal}},
+		{name: "the first part is the fatal one", steps: []func(*Quarantiner){
+			crashEvery(time.Second, 3, fatal, middle),
+			func(q *Quarantiner) { q.RecordCrash(start+9*time.Second, process(9), "p", prints(fatal, own)) },
+		}, want: []uint64{fatal}},
+		{name: "unrelated requests beside it", steps: []func(*Quarantiner){
+			crashEvery(time.Second, 4, shared, fatal),
+			crashEvery(time.Second, 3, middle, own),
+		}, want: []uint64{fatal}},
+		{name: "two fatal parts", steps: []func(*Quarantiner){
+			crashEvery(time.Second, 4, shared, fatal),
+			func(q *Quarantiner) {
+				for i := range 3 {
+					q.RecordCrash(start+time.Duration(i)*time.Second, process(20+i), "p", prints(shared, middle))
+				}
+			},
+			answer(shared),
+		}, want: []uint64{middle, fatal}},
+	} {
+		q := New()
+		for _, step := range c.steps {
+			step(q)
+		}
+		for _, id := range []uint64{shared, middle, fatal, own} {
+			wanted := false
+			for _, w := range c.want {
+				wanted = wanted || w == id
+			}
+			assert.Equal(t, q.Check(start+10*time.Second, "p", prints(id)) != nil, wanted, "%s: %d", c.name, id)
+			assert.Assert(t, q.Check(start+10*time.Second, "other", prints(id)) == nil, "%s: another pool", c.name)
+		}
+	}
+}
+
+// TestLifetime checks that a quarantine ends lifetime after its latest crash, and that its
+// records are dropped then and not before.
+func TestLifetime(t *testing.T) {
+	q := New()
+	gap := lifetime * 2 / 5
+	last := time.Duration(0)
+	for i := range 4 {
+		last = time.Hour + time.Duration(i)*gap
+		q.RecordCrash(last, process(i), "p", prints(fatal))
+		q.Update(last)
+	}
+	assert.Equal(t, len(q.crashes), 4)
+	found := q.Check(last+lifetime, "p", prints(fatal))
+	assert.Assert(t, found != nil)
+	assert.Equal(t, found.Since(), time.Hour)
+	assert.Equal(t, found.Until(), last+lifetime)
+	assert.Equal(t, found.Crashes(), 4)
+	assert.Assert(t, q.Check(last+lifetime+2*decisionInterval, "p", prints(fatal)) == nil)
+	assert.Assert(t, q.Idle())
+	changes := q.TakeChanges()
+	assert.Equal(t, len(changes), 2)
+	assert.Assert(t, !changes[0].Ended() && changes[1].Ended())
+}
+
+// TestBounds checks that crashes without number and with suspects without number leave a
+// bounded state, in which the quarantine is kept.
+func TestBounds(t *testing.T) {
+	q := New()
+	for i := range 3 {
+		q.RecordCrash(time.Hour+time.Duration(i)*time.Second, process(i), "p", prints(fatal))
+	}
+	q.Update(time.Hour)
+	for i := range 3 * maxCrashes {
+		at := time.Hour + time.Duration(10+i)*time.Millisecond
+		for j := range 2 * maxSuspects {
+			q.RecordCrash(at, process(10+i), "p", prints(uint64(own+i*1000+j)))
+		}
+	}
+	assert.Equal(t, len(q.crashes), maxCrashes)
+	for _, c := range q.crashes {
+		assert.Assert(t, len(c.suspects) <= maxSuspects)
+	}
+	assert.Assert(t, q.Check(time.Hour+time.Minute, "p", prints(fatal)) != nil)
+}
+
+// TestMergeInAnyOrder checks that processes which receive the same records in other orders,
+// some of them twice, decide the same. The crashes and their suspects are drawn by seed.
+func TestMergeInAnyOrder(t *testing.T) {
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		sources := []*Quarantiner{New(), New(), New()}
+		for range 30 {
+			source, at := sources[r.IntN(3)], time.Hour+time.Duration(r.IntN(5000))*time.Millisecond
+			if r.IntN(4) == 0 {
+				source.RecordAnswer("p", prints(uint64(r.IntN(6))))
+				continue
+			}
+			source.RecordCrash(at, process(r.IntN(12)), "p", prints(uint64(r.IntN(6)), uint64(r.IntN(6))))
+		}
+		now := time.Hour + 10*time.Second
+		var records []*wire.Crash
+		for _, source := range sources {
+			records = append(records, source.TakeUnsent(now, true)...)
+		}
+		var first []uint64
+		for i := range 3 {
+			r.Shuffle(len(records), func(a, b int) { records[a], records[b] = records[b], records[a] })
+			q := New()
+			for _, record := range append(records, records[:len(records)/2]...) {
+				q.Merge(now, record)
+			}
+			q.Update(now)
+			var ids []uint64
+			for _, found := range q.Quarantines() {
+				ids = append(ids, found.ID())
+			}
+			if i == 0 {
+				first = ids
+			}
+			assert.DeepEqual(t, ids, first)
+		}
+	}
+}
+
+// TestMergeReportsChanges checks that a record is passed on only if it tells something new,
+// and that a message without a server is ignored.
+func TestMergeReportsChanges(t *testing.T) {
+	source, q := New(), New()
+	source.RecordCrash(time.Hour, process(1), "p", prints(shared, fatal))
+	message := source.TakeUnsent(time.Hour, false)[0]
+	assert.Equal(t, len(source.TakeUnsent(time.Hour, false)), 0)
+	_, changed := q.Merge(time.Hour, message)
+	assert.Assert(t, changed)
+	_, changed = q.Merge(time.Hour, message)
+	assert.Assert(t, !changed)
+	source.RecordAnswer("p", prints(shared))
+	_, changed = q.Merge(time.Hour, source.TakeUnsent(time.Hour, false)[0])
+	assert.Assert(t, changed)
+	_, changed = q.Merge(time.Hour, &wire.Crash{})
+	assert.Assert(t, !changed)
+}
+
+// TestSoundPartsInOtherCrashes plays fleets in which servers end for reasons of their own, at
+// single moments and many at once, under a load of sound requests of which some wait long. No
+// fingerprint of theirs may be quarantined. The pattern is drawn by seed.
+func TestSoundPartsInOtherCrashes(t *testing.T) {
+	for seed := range uint64(100) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		q, next := New(), 0
+		for tick := range 600 {
+			now := time.Hour + time.Duration(tick)*50*time.Millisecond
+			switch {
+			case r.IntN(60) == 0:
+				crashAll(r, q, now, &next, 1+r.IntN(20))
+			default:
+				for range 3 {
+					q.RecordAnswer("p", soundPrints(r))
+				}
+			}
+			q.Update(now)
+			assert.Equal(t, len(q.Quarantines()), 0, "seed %d at %v", seed, now-time.Hour)
+		}
+	}
+}
+
+// crashAll records the crash of n servers at nearly the same moment, each with some requests
+// that had no answer.
+func crashAll(r *rand.Rand, q *Quarantiner, now time.Duration, next *int, n int) {
+	for range n {
+		*next++
+		for range r.IntN(8) {
+			q.RecordCrash(now+time.Duration(r.IntN(20))*time.Millisecond, process(*next), "p", soundPrints(r))
+		}
+	}
+}
+
+// soundPrints returns the fingerprints of a request whose first part is one of 3 and whose
+// second part one of 40, with one of its own.
+func soundPrints(r *rand.Rand) []Fingerprint {
+	return prints(uint64(10+r.IntN(3)), uint64(20+r.IntN(40)), r.Uint64()|1<<63)
+}
--- a/refuser/kind_string.go
+++ b/refuser/kind_string.go
@@ -24,12 +24,13 @@
 	_ = x[Conflict-13]
 	_ = x[Canceled-14]
 	_ = x[BackendFailed-15]
-	_ = x[BackendSilent-16]
+	_ = x[Quarantined-16]
+	_ = x[BackendSilent-17]
 }
 
-const _Kind_name = "internalinvalid_requestunauthorizednot_foundtoo_largerate_limitedbusydeadline_exceededleavingnot_residentstale_configurationplatform_unavailableconnection_lostconflictcanceledbackend_failedbackend_silent"
+const _Kind_name = "internalinvalid_requestunauthorizednot_foundtoo_largerate_limitedbusydeadline_exceededleavingnot_residentstale_configurationplatform_unavailableconnection_lostconflictcanceledbackend_failedquarantinedbackend_silent"
 
-var _Kind_index = [...]uint8{0, 8, 23, 35, 44, 53, 65, 69, 86, 93, 105, 124, 144, 159, 167, 175, 189, 203}
+var _Kind_index = [...]uint8{0, 8, 23, 35, 44, 53, 65, 69, 86, 93, 105, 124, 144, 159, 167, 175, 189, 200, 214}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -36,6 +36,8 @@
 	Conflict                        // conflict
 	Canceled                        // canceled
 	BackendFailed                   // backend_failed
+	// Quarantined is the kind for a request that holds what backend servers crash on.
+	Quarantined // quarantined
 	// BackendSilent is the kind for a backend server whose host does not answer or does not confirm
 	// what is sent to it.
 	BackendSilent // backend_silent
@@ -58,6 +60,7 @@
 	Conflict:            http.StatusConflict,
 	Canceled:            499,
 	BackendFailed:       http.StatusBadGateway,
+	Quarantined:         http.StatusServiceUnavailable,
 	BackendSilent:       http.StatusGatewayTimeout,
 }
 
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -85,6 +85,7 @@
 	}
 	lp.sentVersions.servers = fs.servers.version
 	fs.addEstimates(now, lp, batch)
+	fs.addCrashes(now, lp, batch)
 	if lp.levelsDue {
 		batch.Levels, lp.levelsDue = fs.ledger.Levels(now), false
 	}
@@ -183,6 +184,7 @@
 		}
 		lp.sentVersions.servers = fs.servers.version
 	}
+	fs.addCrashes(now, lp, batch)
 	fs.addEntryCounts(now, lp, batch)
 }
 
--- a/relayer/fleetstate.go
+++ b/relayer/fleetstate.go
@@ -15,6 +15,7 @@
 	"oleanderstall/allocator"
 	"oleanderstall/configurer"
 	"oleanderstall/limiter"
+	"oleanderstall/quarantiner"
 	"oleanderstall/wire"
 )
 
@@ -73,6 +74,9 @@
 	estimates    *versionedMap[string, readyEstimate]
 	servers      *versionedMap[string, *wire.ListedServer]
 	members      *versionedMap[string, *wire.Member]
+	// crashes holds the crashed processes of servers, whose records quarantiner holds.
+	crashes     *versionedMap[quarantiner.Process, struct{}]
+	quarantiner *quarantiner.Quarantiner
 	// usage and demands are sums over the entries linked to this relay, loadRequests the
 	// loads that this relay decided on.
 	usage        *versionedMap[serverModel, uint32]
@@ -108,6 +112,8 @@
 		estimates:         newVersionedMap[string, readyEstimate](),
 		servers:           newVersionedMap[string, *wire.ListedServer](),
 		members:           newVersionedMap[string, *wire.Member](),
+		crashes:           newVersionedMap[quarantiner.Process, struct{}](),
+		quarantiner:       quarantiner.New(),
 		usage:             newVersionedMap[serverModel, uint32](),
 		demands:           newVersionedMap[string, allocator.Demand](),
 		loadRequests:      newVersionedMap[serverModel, loadRequest](),
--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -58,7 +58,7 @@
 // stateVersions are versions of the maps of a FleetState and, for entries, its
 // entriesVersion.
 type stateVersions struct {
-	statuses, engineLoads, lostSidecars, departures, estimates, servers, members, usage, demands, loadRequests, entries uint64
+	statuses, engineLoads, lostSidecars, departures, estimates, servers, members, usage, demands, loadRequests, crashes, entries uint64
 }
 
 // Join links a process and returns the ID of the link. An earlier link of the same process
@@ -149,6 +149,7 @@
 	if lp.link.GetRole() == Entry {
 		fs.recordEntryReport(now, lp, report)
 	}
+	fs.mergeCrashes(now, report.GetCrashes())
 	for _, d := range report.GetParted() {
 		fs.markLeaving(d.GetServer(), d.GetBorn())
 		fs.markUrgent(Entry, Relay)
@@ -351,6 +352,7 @@
 			fs.CloseFeed(now, centre, rf.relay)
 		}
 	}
+	fs.expireCrashes(now)
 	fs.localUsage.rotate(now)
 	for source, used := range fs.ledger.Tick(now) {
 		fs.forwardTokenUsage(source, used)
--- a/relayer/remotefeed.go
+++ b/relayer/remotefeed.go
@@ -90,6 +90,7 @@
 	for _, d := range batch.GetParted() {
 		fs.markLeaving(d.GetServer(), d.GetBorn())
 	}
+	fs.mergeCrashes(now, batch.GetCrashes())
 	fs.UpdateServers(now-timer.FromMillis(batch.GetAge()), batch.GetItems())
 	fs.applyDemands(now, rf, batch)
 	fs.applyDecisions(now, rf, batch)
--- a/router/router.go
+++ b/router/router.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -153,3 +154,14 @@
 
 // Hash returns the hashed key of a text, as Score takes it.
 func Hash(text string) uint64 { return xxhash.Sum64String(text) }
+
+// HashParts returns the 64-bit xxHash of a list of parts. The limits of the parts count.
+func HashParts(parts ...[]byte) uint64 {
+	digest := xxhash.New()
+	for _, part := range parts {
+		// A digest's writes do not fail.
+		_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, uint64(len(part))))
+		_, _ = digest.Write(part)
+	}
+	return digest.Sum64()
+}
--- a/tracker/leaving.go
+++ b/tracker/leaving.go
@@ -32,6 +32,13 @@
 	return true
 }
 
+// Leaving reports whether a process of a server is known to be leaving: it is no longer
+// listed, or the list, its sidecar or the server itself says so.
+func (f *Fleet) Leaving(s Server) bool {
+	b := f.backends[s.ID]
+	return b == nil || b.server.Started == s.Started && (b.server.Leaving || f.isLeaving(b))
+}
+
 // pruneLeaving drops the departures of servers that are not listed.
 func (f *Fleet) pruneLeaving() {
 	for id := range f.leavingStarts {
