Quarantine in the product's own interface: sidecars notice crashes, entries share them

The same cause stood there: each completion, retry and call with content that crashes a backend server went to the next one, a resumable completion to as many as the retry budget allows. A sidecar whose server did not answer asks whether anybody still listens and says so in its refusal, with the time by which all requests of one crash are told apart from the next; the entry records it. Fingerprints are the messages of a chat but the last, and the whole content, so that service calls and keyed orders count too. Entries pass the records on through the relay of each data centre, without the store; if it does not answer, to all; one that starts asks for all. One request alone ends three servers at most by its retries (maxLostUnanswered). The metric oleanderstall_quarantine_age_seconds, records part/ID for explain, and log lines part: quarantined, part: released, server: crashed.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -34,8 +34,9 @@
 	stream       bool
 	includeUsage bool
 	maxTokens    uint32
-	messageCount int
 	prompt       json.RawMessage
+	// messages are the messages of a chat, or the one prompt of a text completion.
+	messages []json.RawMessage
 }
 
 // fieldError returns the refusal of a body in which one field is wrong.
@@ -107,14 +108,12 @@
 
 // parseChat reads the messages of a chat completion.
 func (c *completionRequest) parseChat() error {
-	var messages []json.RawMessage
-	if err := c.decodeField("messages", &messages); err != nil {
+	if err := c.decodeField("messages", &c.messages); err != nil {
 		return err
 	}
-	if len(messages) == 0 {
+	if len(c.messages) == 0 {
 		return fieldError("messages", "is missing or empty")
 	}
-	c.messageCount = len(messages)
 	c.prompt = c.fields["messages"]
 	return nil
 }
@@ -129,6 +128,7 @@
 		return fieldError("prompt", "is missing or empty")
 	}
 	c.prompt = c.fields["prompt"]
+	c.messages = []json.RawMessage{c.prompt}
 	return nil
 }
 
@@ -136,10 +136,27 @@
 // A prompt has at most one token for each byte of the body, because a token is at
 // least one byte of text and JSON encoding never shortens the text.
 func (c *completionRequest) tokenUpperBound(body []byte) uint32 {
-	sum := uint64(len(body)) + uint64(c.messageCount)*maxTokensPerMessage + maxTemplateTokens + uint64(c.maxTokens)
+	sum := uint64(len(body)) + c.templateMessages()*maxTokensPerMessage + maxTemplateTokens + uint64(c.maxTokens)
 	return uint32(min(sum, math.MaxUint32))
 }
 
+// templateMessages returns the number of messages for which a chat template adds tokens.
+func (c *completionRequest) templateMessages() uint64 {
+	if _, chat := c.fields["messages"]; !chat {
+		return 0
+	}
+	return uint64(len(c.messages))
+}
+
+// messageHashes returns the hashes of the messages.
+func (c *completionRequest) messageHashes() []uint64 {
+	hashes := make([]uint64, len(c.messages))
+	for i, message := range c.messages {
+		hashes[i] = router.HashParts(message)
+	}
+	return hashes
+}
+
 // setOutputLimit checks the output limit against the model's context and writes it to
 // max_tokens. A request without one gets defaultLimit, in tokens.
 func (c *completionRequest) setOutputLimit(defaultLimit uint32, model *wire.Model) error {
@@ -217,6 +234,8 @@
 		Cost:            request.tokenUpperBound(body),
 		MaxOutputTokens: request.maxTokens,
 		PrefixHash:      request.prefixHash(),
+		Messages:        request.messageHashes(),
+		Digest:          router.HashParts(forwarded),
 		ConfigVersion:   view.Version(),
 		Deadline:        deadline,
 	}, request, nil
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -18,6 +18,9 @@
 	p.maxGap = 0
 	defer func() {
 		result.Err, result.End, result.MaxGap = err, end, p.maxGap
+		if result.MayBeCrash() {
+			p.lostUnanswered++
+		}
 		reservation.Release(result)
 	}()
 	attemptCtx, cancel := c.attemptContext(ctx, p.request, reservation)
--- a/dispatcher/completion.go
+++ b/dispatcher/completion.go
@@ -27,8 +27,12 @@
 	Cost uint32
 	// MaxOutputTokens is the upper bound of output tokens.
 	MaxOutputTokens uint32
-	// PrefixHash is the hash of the beginning of the prompt, or 0.
-	PrefixHash    uint64
+	// PrefixHash is the hash of the beginning of the prompt, or 0. Messages are the hashes of
+	// its messages, of which a text completion has one.
+	PrefixHash uint64
+	Messages   []uint64
+	// Digest is the hash of the whole request.
+	Digest        uint64
 	ConfigVersion uint64
 	Deadline      time.Duration
 }
@@ -60,11 +64,15 @@
 		ConfigVersion:   c.ConfigVersion,
 		Started:         now,
 		Deadline:        c.Deadline,
+		Digest:          c.Digest,
 		Content:         content,
 	}
 	if c.PrefixHash != 0 {
 		r.Prompt = []PromptPart{{ID: c.PrefixHash}}
 	}
+	for _, hash := range c.Messages {
+		r.Prompt = append(r.Prompt, PromptPart{ID: hash})
+	}
 	if c.Model.GetBase() != "" {
 		r.Adapter = c.Model.GetName()
 	}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -273,6 +273,8 @@
 	// possibleRuns counts these attempts.
 	mayHaveRun   bool
 	possibleRuns int
+	// lostUnanswered counts the attempts that ended as in a crash of the backend server.
+	lostUnanswered int
 	// timeToFirst is the time from the arrival to the first event, lastEvent the instant of
 	// the latest one, and maxGap the longest pause before an event of the current attempt.
 	timeToFirst time.Duration
@@ -365,6 +367,11 @@
 	return refusal
 }
 
+// maxLostUnanswered is the number of attempts, each of them ended as in a crash of the backend
+// server before it answered, after which a request is not sent again: the request may be the
+// cause.
+const maxLostUnanswered = 3
+
 // shouldRetry reports whether to make another attempt after err. The retry budget is
 // charged unless the request certainly did not reach the backend server.
 func (c *Core) shouldRetry(p *progress, err error) bool {
@@ -372,7 +379,7 @@
 	if !refusal.NeverRan() && request.Kind == AtMostOnce {
 		return false
 	}
-	if request.MaxAttempts > 0 && p.possibleRuns >= request.MaxAttempts {
+	if p.lostUnanswered >= maxLostUnanswered || request.MaxAttempts > 0 && p.possibleRuns >= request.MaxAttempts {
 		return false
 	}
 	switch refusal.Kind() {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -18,6 +18,7 @@
 	"oleanderstall/member"
 	"oleanderstall/meter"
 	"oleanderstall/peer"
+	"oleanderstall/quarantiner"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
 	"oleanderstall/router"
@@ -53,6 +54,8 @@
 	meter    *meter.Meter
 	log      *log.Logger
 	core     *Core
+	// quarantine refuses the requests that backend servers crash on.
+	quarantine *Quarantine
 
 	mu     sync.Mutex
 	router *router.Router
@@ -96,12 +99,53 @@
 		leaveNotices:   map[string]leaveNotice{},
 		holderFailures: map[string]time.Duration{},
 	}
+	d.quarantine = NewQuarantine(clock, r, l)
+	mt.RegisterQuarantines(d.quarantine.List)
 	d.core = NewCore(clock, d, d, d, d, router.NewRetryBudget(router.RetryLimits{Ratio: retryRatio, Burst: retryBurst}), r, mt, l)
 	return d
 }
 
 // Find implements Finder. A request without a model goes to an instance of its pool.
 func (d *Dispatcher) Find(ctx context.Context, r *Request, h *History) (*Reservation, error) {
+	if err := d.quarantine.Check(r); err != nil {
+		return nil, err
+	}
+	reservation, err := d.findServer(ctx, r, h)
+	if err != nil {
+		return nil, err
+	}
+	// The search may have waited for a load.
+	if err := d.quarantine.Check(r); err != nil {
+		reservation.Release(AttemptResult{Err: err})
+		return nil, err
+	}
+	return d.watchAttempt(r, reservation), nil
+}
+
+// watchAttempt adds to a reservation that the quarantine learns of the first event of the
+// answer, and of a crash of the backend server.
+func (d *Dispatcher) watchAttempt(r *Request, reservation *Reservation) *Reservation {
+	release, answered := reservation.Release, false
+	reservation.OnActivity = func(time.Duration) {
+		if !answered {
+			answered = true
+			d.quarantine.RecordAnswer(r)
+		}
+	}
+	reservation.Release = func(result AttemptResult) {
+		release(result)
+		switch crashedAt := refuser.CrashTime(result.Err); {
+		case result.Answered:
+			d.quarantine.RecordAnswer(r)
+		case crashedAt != 0 && result.MayBeCrash():
+			d.quarantine.RecordCrash(d.clock(), quarantiner.Process{Server: reservation.Name, Started: crashedAt}, r)
+		}
+	}
+	return reservation
+}
+
+// findServer returns a reservation at a backend server for r.
+func (d *Dispatcher) findServer(ctx context.Context, r *Request, h *History) (*Reservation, error) {
 	if r.Model == "" {
 		return d.findInstance(r, h)
 	}
--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -2,10 +2,17 @@
 
 import (
 	"fmt"
+	"strconv"
+	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"oleanderstall/quarantiner"
+	"oleanderstall/recorder"
 	"oleanderstall/refuser"
+	"oleanderstall/timer"
+	"oleanderstall/wire"
 )
 
 // Fingerprints returns the fingerprints of what r has in common with other requests: the parts
@@ -21,14 +28,6 @@
 	return prints
 }
 
-// QuarantineRefusal returns the refusal of a request under a quarantine. The caller may retry
-// when the quarantine ends.
-func QuarantineRefusal(now time.Duration, q *quarantiner.Quarantine) error {
-	text := fmt.Sprintf("backend servers crash on part %x of the request: %d times, first %v ago",
-		q.ID(), q.Crashes(), (now - q.Since()).Round(time.Second/10))
-	return refuser.New(refuser.Quarantined, text).WithRetryAfter(q.Until() - now)
-}
-
 // MayBeCrash reports whether an attempt ended as it does when its backend server crashes
 // before it answers: the connection was lost after the request may have arrived.
 func (result AttemptResult) MayBeCrash() bool {
@@ -38,3 +37,133 @@
 	refusal := refuser.FromError(result.Err)
 	return refusal.Kind() == refuser.ConnectionLost && !refusal.NeverRan()
 }
+
+// Quarantine refuses the requests that hold what backend servers crash on. It logs and
+// records each start and end of a quarantine. It is safe for concurrent use.
+type Quarantine struct {
+	clock    timer.Clock
+	recorder *recorder.Recorder
+	log      *log.Logger
+
+	mu          sync.Mutex
+	quarantiner *quarantiner.Quarantiner
+	// started is set if a quarantine has started since TakeStarted.
+	started bool
+}
+
+// NewQuarantine returns a quarantine that refuses nothing.
+func NewQuarantine(clock timer.Clock, rec *recorder.Recorder, l *log.Logger) *Quarantine {
+	return &Quarantine{clock: clock, recorder: rec, log: l, quarantiner: quarantiner.New()}
+}
+
+// Check returns the refusal of a request that holds what backend servers crash on, or nil. The
+// caller may retry when the quarantine ends.
+func (q *Quarantine) Check(r *Request) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.quarantiner.Idle() {
+		return nil
+	}
+	now := q.clock()
+	q.update(now)
+	found := q.quarantiner.Check(now, r.Pool, r.Fingerprints())
+	if found == nil {
+		return nil
+	}
+	text := fmt.Sprintf("backend servers crash on part %x of the request: %d times, first %v ago",
+		found.ID(), found.Crashes(), (now - found.Since()).Round(time.Second/10))
+	return refuser.New(refuser.Quarantined, text).WithRetryAfter(found.Until() - now)
+}
+
+// RecordAnswer records that r was answered, at least in part.
+func (q *Quarantine) RecordAnswer(r *Request) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.quarantiner.Idle() {
+		q.quarantiner.RecordAnswer(r.Pool, r.Fingerprints())
+	}
+}
+
+// RecordCrash records that a process of a backend server crashed at an instant while r had no
+// answer.
+func (q *Quarantine) RecordCrash(at time.Duration, p quarantiner.Process, r *Request) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.quarantiner.Has(p) {
+		q.log.Info().Str("server", p.Server).Int64("born", p.Started).Str("pool", r.Pool).Str("request", r.ID).Msg("server: crashed")
+	}
+	q.quarantiner.RecordCrash(at, p, r.Pool, r.Fingerprints())
+	q.update(q.clock())
+}
+
+// Merge adds records of other processes and returns those that were not known here.
+func (q *Quarantine) Merge(crashes []*wire.Crash) []*wire.Crash {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock()
+	var changed []*wire.Crash
+	for _, message := range crashes {
+		if _, ok := q.quarantiner.Merge(now, message); ok {
+			changed = append(changed, message)
+		}
+	}
+	q.update(now)
+	return changed
+}
+
+// All returns all records.
+func (q *Quarantine) All() []*wire.Crash {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.quarantiner.All(q.clock())
+}
+
+// TakeUnsent returns the records that have changed here since the last call, or all of them.
+func (q *Quarantine) TakeUnsent(all bool) []*wire.Crash {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.quarantiner.TakeUnsent(q.clock(), all)
+}
+
+// MarkUnsent makes the next TakeUnsent return the records of these messages again.
+func (q *Quarantine) MarkUnsent(crashes []*wire.Crash) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.quarantiner.MarkUnsent(crashes)
+}
+
+// TakeStarted reports whether a quarantine has started since the last call.
+func (q *Quarantine) TakeStarted() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.update(q.clock())
+	started := q.started
+	q.started = false
+	return started
+}
+
+// List returns the quarantines in force and the present instant.
+func (q *Quarantine) List() (quarantines []*quarantiner.Quarantine, now time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now = q.clock()
+	q.update(now)
+	return q.quarantiner.Quarantines(), now
+}
+
+// update renews the decision and logs and records its changes. The caller holds the lock.
+func (q *Quarantine) update(now time.Duration) {
+	q.quarantiner.Update(now)
+	for _, change := range q.quarantiner.TakeChanges() {
+		found := change.Quarantine()
+		part, message := strconv.FormatUint(found.ID(), 16), "part: quarantined"
+		if change.Ended() {
+			message = "part: released"
+		}
+		q.started = q.started || !change.Ended()
+		q.log.Info().Str("pool", found.Pool()).Str("part", part).Int("crashes", found.Crashes()).
+			Int64("since", (now-found.Since()).Milliseconds()).Int64("left", (found.Until() - now).Milliseconds()).Msg(message)
+		q.recorder.Add(time.Now(), "part/"+part, fmt.Sprintf("%s after %d crashes of backend servers, the first %v ago",
+			message, found.Crashes(), (now-found.Since()).Round(time.Second/10)))
+	}
+}
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -7,6 +7,7 @@
 
 	"oleanderstall/peer"
 	"oleanderstall/refuser"
+	"oleanderstall/router"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -50,6 +51,7 @@
 		ConfigVersion: c.ConfigVersion,
 		Started:       now,
 		Deadline:      c.Deadline,
+		Digest:        router.HashParts([]byte(c.Route.GetMethod()), []byte(c.Path), []byte(c.Query), c.Body),
 		Content:       c,
 	}
 	if c.Route.GetIdempotent() {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -60,6 +60,8 @@
 	// MaxKeyCheckAge is the longest time since the arrival of a request for which the
 	// entry's check of its key is still relied on.
 	MaxKeyCheckAge time.Duration
+	// Refuses reports whether nobody listens at the backend server's address. It may be nil.
+	Refuses func(ctx context.Context) bool
 }
 
 // Executor is the sidecar of one backend server. It is safe for concurrent use.
@@ -108,6 +110,9 @@
 	// meanServiceTime is an exponentially weighted average, or 0 before the first
 	// request has ended.
 	meanServiceTime time.Duration
+	// crashedAt is the time at which the backend server was noticed to have crashed, in Unix
+	// milliseconds, or 0 while it answers.
+	crashedAt int64
 	// freedSlots are slots whose holder has not confirmed yet that they are free.
 	freedSlots []*wire.Slot
 }
@@ -220,6 +225,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.recordAlive()
 	now := x.clock()
 	if !x.statusKnown {
 		x.statusKnown = true
--- a/executor/invoke.go
+++ b/executor/invoke.go
@@ -98,16 +98,19 @@
 	})
 	x.mu.Lock()
 	x.recordServiceTime(x.clock() - started)
+	if err == nil {
+		x.recordAlive()
+	}
 	x.mu.Unlock()
 	if err != nil {
-		return nil, refusalFor(err)
+		return nil, x.withCrash(ctx, refusalFor(err))
 	}
 	return &wire.Answer{Id: req.GetId(), Status: uint32(answer.Status), Type: answer.ContentType, Body: answer.Body}, nil
 }
 
 // refusalFor returns the refusal for a failed call. It says that the call never ran
 // only if no byte of it was sent.
-func refusalFor(err error) error {
+func refusalFor(err error) *refuser.Refusal {
 	var callErr *service.CallError
 	if eris.As(err, &callErr) && !callErr.Sent {
 		return refuser.New(refuser.ConnectionLost, "the service could not be reached").WithRetryAfter(time.Second)
--- a/executor/run.go
+++ b/executor/run.go
@@ -270,7 +270,7 @@
 	case timeoutCtx.Err() != nil:
 		return refuser.MayHaveRun(refuser.DeadlineExceeded, "the deadline passed during the answer").WithRetryAfter(time.Second)
 	default:
-		return refuser.MayHaveRun(refuser.ConnectionLost, "engine: "+err.Error()).WithRetryAfter(time.Second)
+		return x.withCrash(ctx, refuser.MayHaveRun(refuser.ConnectionLost, "engine: "+err.Error()).WithRetryAfter(time.Second))
 	}
 	return stream.Send(&wire.Reply{Body: &wire.Reply_Finish{Finish: &wire.Finish{
 		Id:     req.GetId(),
--- a/locator/balance_test.go
+++ b/locator/balance_test.go
@@ -70,7 +70,7 @@
 func (sl serviceLoad) locators() []*Locator {
 	entries := make([]*Locator, sl.entries)
 	for i := range entries {
-		entries[i] = New(fmt.Sprint("c", i%sl.centres), func() time.Duration { return 0 }, configurer.New(), faker.DiscardLogger())
+		entries[i] = New(fmt.Sprint("c", i%sl.centres), func() time.Duration { return 0 }, configurer.New(), newQuarantine(), faker.DiscardLogger())
 		for s := range sl.services {
 			name := engineName(s)
 			entries[i].UpdateServer(tracker.Server{ID: name, Pool: "plain", Address: name, Centre: fmt.Sprint("c", s%sl.centres), Slots: sl.slots, Started: 1}.ListedServer(1))
--- a/locator/fixture_test.go
+++ b/locator/fixture_test.go
@@ -12,6 +12,7 @@
 	"oleanderstall/configurer"
 	"oleanderstall/dispatcher"
 	"oleanderstall/faker"
+	"oleanderstall/recorder"
 	"oleanderstall/relayer"
 	"oleanderstall/tracker"
 	"oleanderstall/wire"
@@ -73,7 +74,7 @@
 	}
 	fx.config.Restore(change)
 	logger := faker.DiscardLogger()
-	fx.locator = New("z", fx.clock, fx.config, logger)
+	fx.locator = New("z", fx.clock, fx.config, dispatcher.NewQuarantine(fx.clock, recorder.New("entry", 16), logger), logger)
 	fx.fleetState = relayer.NewFleetState("relay", "z", fx.config, logger)
 	fx.entryLink = fx.fleetState.Join(fx.clock(), &wire.Link{Name: "entry", Role: relayer.Entry, Centre: "z"})
 	fx.othersLink = fx.fleetState.Join(fx.clock(), &wire.Link{Name: "others", Role: relayer.Entry, Centre: "z"})
@@ -87,6 +88,11 @@
 	return fx
 }
 
+// newQuarantine returns a quarantine for tests in which no server crashes.
+func newQuarantine() *dispatcher.Quarantine {
+	return dispatcher.NewQuarantine(func() time.Duration { return 0 }, recorder.New("entry", 16), faker.DiscardLogger())
+}
+
 // exchange exchanges reports and batches until done is closed.
 func (fx *fixture) exchange(done <-chan struct{}) {
 	tick := time.NewTicker(exchangeInterval)
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -56,10 +56,10 @@
 	// one, of the start.
 	firstListedAt time.Duration
 	lastBatchAt   time.Duration
-	// quarantiner holds the crashes of servers, and suspected the processes of servers that
-	// may have crashed or have done so lately. crashSuspected is signalled when one of them
-	// is to be checked.
-	quarantiner    *quarantiner.Quarantiner
+	// quarantine refuses the requests that servers crash on. suspected holds the processes of
+	// servers that may have crashed or have done so lately, and crashSuspected is signalled
+	// when one of them is to be checked.
+	quarantine     *dispatcher.Quarantine
 	suspected      map[quarantiner.Process]*suspectedCrash
 	crashSuspected chan struct{}
 	// attempts are the attempts in flight, by server.
@@ -76,8 +76,9 @@
 	reportNow chan struct{}
 }
 
-// New returns the locator of an entry in a data centre.
-func New(centre string, clock timer.Clock, c *configurer.Configurer, l *log.Logger) *Locator {
+// New returns the locator of an entry in a data centre, which adds to quarantine what it
+// learns of crashes.
+func New(centre string, clock timer.Clock, c *configurer.Configurer, quarantine *dispatcher.Quarantine, l *log.Logger) *Locator {
 	return &Locator{
 		centre:      centre,
 		clock:       clock,
@@ -88,14 +89,14 @@
 		unreported:  newUnreported(),
 		rowVersions: map[string]uint64{},
 		attempts:    map[string]map[*attempt]struct{}{},
-		quarantiner: quarantiner.New(),
+		quarantine:  quarantine,
 		suspected:   map[quarantiner.Process]*suspectedCrash{},
+		probing:     map[string]bool{},
+		lastBatchAt: clock(),
+		notifier:    newNotifier(),
+		reportNow:   make(chan struct{}, 1),
 
 		crashSuspected: make(chan struct{}, 1),
-		probing:        map[string]bool{},
-		lastBatchAt:    clock(),
-		notifier:       newNotifier(),
-		reportNow:      make(chan struct{}, 1),
 	}
 }
 
@@ -179,8 +180,8 @@
 func (l *Locator) tryReserve(now time.Duration, r *dispatcher.Request, h *dispatcher.History, d **demand) (*dispatcher.Reservation, waiter, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if quarantine := l.quarantineOf(now, r); quarantine != nil {
-		return nil, waiter{}, dispatcher.QuarantineRefusal(now, quarantine)
+	if err := l.quarantine.Check(r); err != nil {
+		return nil, waiter{}, err
 	}
 	best := l.pick(now, r, h)
 	if best != nil && l.admits(now, best, r) {
@@ -320,7 +321,7 @@
 			b.RecordActivity(now)
 			if !answered {
 				answered = true
-				l.recordAnswer(r)
+				l.quarantine.RecordAnswer(r)
 			}
 		},
 		OnSlow:  func(gap time.Duration) { l.recordSlowGap(s.ID, r, gap) },
@@ -425,7 +426,7 @@
 	l.endAttempt(a)
 	switch {
 	case result.Answered:
-		l.clearFingerprints(r)
+		l.quarantine.RecordAnswer(r)
 	case result.MayBeCrash():
 		l.suspectCrash(now, a.server, r)
 	}
--- a/locator/quarantine.go
+++ b/locator/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"oleanderstall/dispatcher"
@@ -26,80 +25,64 @@
 
 // suspectedCrash is a process of a server at which an attempt ended as in a crash.
 type suspectedCrash struct {
-	server tracker.Server
-	at     time.Duration
-	// fingerprints are those of the requests whose attempts ended, while the crash is not
-	// confirmed.
-	fingerprints [][]quarantiner.Fingerprint
-	checking     bool
-	confirmed    bool
-}
-
-// processOf returns the process that a row of the list describes.
-func processOf(s tracker.Server) quarantiner.Process {
-	return quarantiner.Process{Server: s.ID, Started: s.Started}
-}
-
-// quarantineOf returns the quarantine of a request, or nil if it may be sent. The caller holds
-// the lock.
-func (l *Locator) quarantineOf(now time.Duration, r *dispatcher.Request) *quarantiner.Quarantine {
-	if l.quarantiner.Idle() {
-		return nil
-	}
-	l.updateQuarantines(now)
-	return l.quarantiner.Check(now, r.Pool, r.Fingerprints())
-}
-
-// recordAnswer records that the first event of an answer to r has arrived.
-func (l *Locator) recordAnswer(r *dispatcher.Request) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.clearFingerprints(r)
-}
-
-// clearFingerprints records that r was answered. The caller holds the lock.
-func (l *Locator) clearFingerprints(r *dispatcher.Request) {
-	if !l.quarantiner.Idle() {
-		l.quarantiner.RecordAnswer(r.Pool, r.Fingerprints())
-	}
+	address string
+	at      time.Duration
+	// requests are those whose attempts ended, while the crash is not confirmed.
+	requests  []*dispatcher.Request
+	checking  bool
+	confirmed bool
 }
 
 // suspectCrash records that an attempt for r at a server ended as it does if the server
 // crashes. Servers that are leaving end without a crash. The caller holds the lock.
 func (l *Locator) suspectCrash(now time.Duration, s tracker.Server, r *dispatcher.Request) {
-	p := processOf(s)
+	p := quarantiner.Process{Server: s.ID, Started: s.Started}
 	suspected := l.suspected[p]
 	if suspected == nil {
 		if l.fleet.Leaving(s) {
 			return
 		}
-		suspected = &suspectedCrash{server: s, at: now}
+		suspected = &suspectedCrash{address: s.Address, at: now}
 		l.suspected[p] = suspected
 	}
 	if suspected.confirmed {
-		l.quarantiner.RecordCrash(suspected.at, p, s.Pool, r.Fingerprints())
-		l.updateQuarantines(now)
+		l.recordCrash(p, suspected.at, r)
 		return
 	}
-	suspected.fingerprints = append(suspected.fingerprints, r.Fingerprints())
+	suspected.requests = append(suspected.requests, r)
 	select {
 	case l.crashSuspected <- struct{}{}:
 	default:
 	}
 }
 
+// recordCrash records a crash with one of the requests that had no answer. The caller holds
+// the lock.
+func (l *Locator) recordCrash(p quarantiner.Process, at time.Duration, r *dispatcher.Request) {
+	l.quarantine.RecordCrash(at, p, r)
+	l.wakeQuarantined()
+	l.signalReport()
+}
+
+// wakeQuarantined wakes the waiting requests if a quarantine has started, so that those which
+// it concerns are refused. The caller holds the lock.
+func (l *Locator) wakeQuarantined() {
+	if l.quarantine.TakeStarted() {
+		l.notifier.notifyAll()
+	}
+}
+
 // checkCrashes starts the checks of the processes that may have crashed, and forgets old
 // results.
 func (l *Locator) checkCrashes(ctx context.Context, prober Prober) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
-	l.updateQuarantines(now)
 	for p, suspected := range l.suspected {
 		switch {
 		case !suspected.checking && !suspected.confirmed:
 			suspected.checking = true
-			go l.checkCrash(ctx, prober, p, suspected.server.Address)
+			go l.checkCrash(ctx, prober, p, suspected.address)
 		case suspected.confirmed && now-suspected.at > crashMemory:
 			delete(l.suspected, p)
 		}
@@ -127,45 +110,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	suspected := l.suspected[p]
-	if suspected == nil {
-		return
-	}
 	if !ended {
 		delete(l.suspected, p)
 		return
 	}
-	l.log.Info().Str("server", p.Server).Int64("born", p.Started).Str("pool", suspected.server.Pool).
-		Int("unanswered", len(suspected.fingerprints)).Msg("server: crashed")
-	for _, prints := range suspected.fingerprints {
-		l.quarantiner.RecordCrash(suspected.at, p, suspected.server.Pool, prints)
+	for _, r := range suspected.requests {
+		l.recordCrash(p, suspected.at, r)
 	}
-	suspected.confirmed, suspected.checking, suspected.fingerprints = true, false, nil
-	l.updateQuarantines(l.clock())
-	l.signalReport()
-}
-
-// updateQuarantines renews the quarantines and logs those that have started or ended. Waiting
-// requests are woken when one starts, so that those that it concerns are refused. The caller
-// holds the lock.
-func (l *Locator) updateQuarantines(now time.Duration) {
-	l.quarantiner.Update(now)
-	for _, change := range l.quarantiner.TakeChanges() {
-		q := change.Quarantine()
-		line := l.log.Info().Str("pool", q.Pool()).Str("part", strconv.FormatUint(q.ID(), 16)).
-			Int("crashes", q.Crashes()).Int64("since", (now-q.Since()).Milliseconds()).Int64("left", (q.Until() - now).Milliseconds())
-		if change.Ended() {
-			line.Msg("part: released")
-			continue
-		}
-		line.Msg("part: quarantined")
-		l.notifier.notifyAll()
-	}
-}
-
-// Quarantines returns the quarantines in force, by pool and part.
-func (l *Locator) Quarantines() []*quarantiner.Quarantine {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.updateQuarantines(l.clock())
-	return l.quarantiner.Quarantines()
+	suspected.confirmed, suspected.checking, suspected.requests = true, false, nil
 }
--- a/locator/report.go
+++ b/locator/report.go
@@ -55,7 +55,7 @@
 	for server, started := range l.unreported.departures {
 		r.Parted = append(r.Parted, &wire.Departure{Server: server, Born: started})
 	}
-	r.Crashes = l.quarantiner.TakeUnsent(now, full)
+	r.Crashes = l.quarantine.TakeUnsent(full)
 	r.Arrivals, r.Felt = l.unreported.arrivals, l.unreported.saturations
 	if l.unreported.demandsChanged {
 		r.Waiting = true
@@ -144,10 +144,8 @@
 	for _, departure := range batch.GetParted() {
 		l.fleet.MarkLeaving(departure.GetServer(), departure.GetBorn())
 	}
-	for _, crash := range batch.GetCrashes() {
-		l.quarantiner.Merge(now, crash)
-	}
-	l.updateQuarantines(now)
+	l.quarantine.Merge(batch.GetCrashes())
+	l.wakeQuarantined()
 	for _, estimate := range batch.GetOutlooks() {
 		l.updateEstimate(now, estimate)
 	}
--- a/locator/wake_test.go
+++ b/locator/wake_test.go
@@ -29,7 +29,7 @@
 		change.Models = append(change.Models, &wire.Model{Name: largeModel(i), Pool: "p", Bytes: 40, Remote: 6000})
 	}
 	c.Restore(change)
-	l := New("z", func() time.Duration { return time.Hour }, c, faker.DiscardLogger())
+	l := New("z", func() time.Duration { return time.Hour }, c, newQuarantine(), faker.DiscardLogger())
 	for i := range engines {
 		name := engineName(i)
 		l.UpdateServer(tracker.Server{ID: name, Pool: "p", Address: name, Centre: "z", Slots: 16, Started: 1}.ListedServer(1))
--- a/member/member.go
+++ b/member/member.go
@@ -300,6 +300,29 @@
 	return best
 }
 
+// IsRelay reports whether this process gathers and passes on for its data centre.
+func (m *Member) IsRelay() bool { return m.relayOf(m.self.Centre).Name == m.self.Name }
+
+// Neighbors returns the entries to which this process passes on what all entries are to know:
+// the relay of its data centre or, as that relay, the other entries of the data centre and
+// the relays of the others.
+func (m *Member) Neighbors() []storer.Instance {
+	relay := m.relayOf(m.self.Centre)
+	if relay.Name == "" {
+		return nil
+	}
+	if relay.Name != m.self.Name {
+		return []storer.Instance{relay}
+	}
+	neighbors := m.otherLocalEntries()
+	for _, centre := range m.centres() {
+		if centre != m.self.Centre {
+			neighbors = append(neighbors, m.relayOf(centre))
+		}
+	}
+	return neighbors
+}
+
 // centres returns the data centres that have entries.
 func (m *Member) centres() []string {
 	var names []string
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -5,10 +5,13 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"oleanderstall/quarantiner"
 )
 
 // Meter is the set of metrics of one process, with a registry of its own. It is
@@ -120,6 +123,33 @@
 	}, func() float64 { return float64(f()) }))
 }
 
+// quarantineCollector collects the quarantines in force.
+type quarantineCollector struct {
+	age  *prometheus.Desc
+	list func() ([]*quarantiner.Quarantine, time.Duration)
+}
+
+// Describe implements prometheus.Collector.
+func (c quarantineCollector) Describe(descriptions chan<- *prometheus.Desc) { descriptions <- c.age }
+
+// Collect implements prometheus.Collector.
+func (c quarantineCollector) Collect(metrics chan<- prometheus.Metric) {
+	quarantines, now := c.list()
+	for _, q := range quarantines {
+		metrics <- prometheus.MustNewConstMetric(c.age, prometheus.GaugeValue, (now - q.Since()).Seconds(), q.Pool(), strconv.FormatUint(q.ID(), 16))
+	}
+}
+
+// RegisterQuarantines registers the quarantines in force, which list returns with the present
+// instant. It panics if it is called twice.
+func (m *Meter) RegisterQuarantines(list func() ([]*quarantiner.Quarantine, time.Duration)) {
+	m.registry.MustRegister(quarantineCollector{list: list, age: prometheus.NewDesc(
+		"oleanderstall_quarantine_age_seconds",
+		"Time since the first crash of a backend server on a part of requests that is quarantined.",
+		[]string{"pool", "part"}, nil,
+	)})
+}
+
 // RecordRefusedInsideRate counts a request that was refused with that kind for a reason
 // other than the workspace's own rate.
 func (m *Meter) RecordRefusedInsideRate(workspace, kind string) {
--- a/quarantiner/message.go
+++ b/quarantiner/message.go
@@ -21,6 +21,29 @@
 	return messages
 }
 
+// All returns all records.
+func (q *Quarantiner) All(now time.Duration) []*wire.Crash {
+	var messages []*wire.Crash
+	for p := range q.crashes {
+		messages = append(messages, q.Message(now, p))
+	}
+	return messages
+}
+
+// MarkUnsent makes the next TakeUnsent return the records of the given messages again.
+func (q *Quarantiner) MarkUnsent(messages []*wire.Crash) {
+	for _, message := range messages {
+		if p := processOf(message); q.Has(p) {
+			q.unsent[p] = true
+		}
+	}
+}
+
+// processOf returns the process of a message.
+func processOf(message *wire.Crash) Process {
+	return Process{Server: message.GetServer(), Started: message.GetBorn()}
+}
+
 // Message returns the record of a process as a message, or nil if there is none.
 func (q *Quarantiner) Message(now time.Duration, p Process) *wire.Crash {
 	c := q.crashes[p]
@@ -38,7 +61,7 @@
 // Merge adds the record of another process to the one known here. It returns the process of
 // the server, and whether the record has changed. A message without a server is ignored.
 func (q *Quarantiner) Merge(now time.Duration, message *wire.Crash) (p Process, changed bool) {
-	p = Process{Server: message.GetServer(), Started: message.GetBorn()}
+	p = processOf(message)
 	if p.Server == "" {
 		return p, false
 	}
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -73,6 +73,7 @@
 	text       string
 	neverRan   bool
 	retryAfter time.Duration
+	crashedAt  int64
 }
 
 // New returns a refusal of a request that certainly did not run.
@@ -93,6 +94,14 @@
 	return &changed
 }
 
+// WithCrash returns a copy of r that states that the backend server crashed, as its sidecar
+// noticed at a time in Unix milliseconds.
+func (r *Refusal) WithCrash(at int64) *Refusal {
+	changed := *r
+	changed.crashedAt = at
+	return &changed
+}
+
 // Error returns the kind and the text of the refusal.
 func (r *Refusal) Error() string { return r.kind.String() + ": " + r.text }
 
@@ -119,6 +128,7 @@
 		Text:  r.text,
 		Ran:   ran,
 		Retry: timer.ToMillis(r.retryAfter),
+		Crash: r.crashedAt,
 	}
 }
 
@@ -134,6 +144,7 @@
 		text:       w.GetText(),
 		neverRan:   w.GetRan() == wire.Ran_RAN_NEVER,
 		retryAfter: timer.FromMillis(w.GetRetry()),
+		crashedAt:  w.GetCrash(),
 	}
 	for k := range httpStatuses {
 		if k.String() == w.GetKind() {
@@ -153,6 +164,16 @@
 	return MayHaveRun(Internal, err.Error())
 }
 
+// CrashTime returns the time at which the backend server crashed according to err, in Unix
+// milliseconds, or 0 if err does not state that it has.
+func CrashTime(err error) int64 {
+	var r *Refusal
+	if !errors.As(err, &r) {
+		return 0
+	}
+	return r.crashedAt
+}
+
 // Is reports whether err is or wraps a refusal of kind k.
 func Is(err error, k Kind) bool {
 	var r *Refusal
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -51,6 +51,7 @@
 	e.tasks.run(p.register)
 	e.tasks.run(p.member.Run)
 	e.tasks.run(e.holder.Run)
+	e.tasks.run(e.dispatcher.ShareCrashes)
 	e.tasks.run(p.reportConfigVersion)
 	p.ready.Store(true)
 	return e, nil
@@ -161,6 +162,8 @@
 		e.dispatcher.MarkLeaving(b.Leave)
 		e.holder.MarkLeaving(b.Leave)
 		return doneReply, nil
+	case *wire.Call_Crashes:
+		return &wire.Reply{Body: &wire.Reply_Crashes{Crashes: e.dispatcher.ReceiveCrashes(b.Crashes)}}, nil
 	case *wire.Call_Dump:
 		return textReply(e.dump(b.Dump.GetSubject())), nil
 	}
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -59,7 +59,9 @@
 	e.onConfigChange, e.onServersChange = e.applyLimits, e.updateLocator
 	options := charger.Options{LimitWindow: time.Duration(s.Hosted.LimitWindow), TokenSlack: slackFraction * s.Hosted.TokenSlack}
 	retries := router.RetryLimits{Ratio: slackFraction * s.Hosted.Retries.Ratio, Burst: slackFraction * s.Hosted.Retries.Burst}
-	e.locator = locator.New(s.Centre, e.clock, e.config, l)
+	quarantine := dispatcher.NewQuarantine(e.clock, e.recorder, l)
+	e.meter.RegisterQuarantines(quarantine.List)
+	e.locator = locator.New(s.Centre, e.clock, e.config, quarantine, l)
 	e.charger = charger.New(options, e.clock, e.config, l)
 	backends := platform.NewBackends(e.clock)
 	e.core = dispatcher.NewCore(e.clock, e.charger, e.locator, backends, alwaysGranted{}, router.NewRetryBudget(retries), e.recorder, e.meter, l)
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net/url"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"oleanderstall/checker"
+	"oleanderstall/dialer"
 	"oleanderstall/engine"
 	"oleanderstall/executor"
 	"oleanderstall/service"
@@ -54,6 +56,7 @@
 		Shards:          c.settings.ShardCount,
 		MaxOrderTransit: time.Duration(s.MaxOrderTransit),
 		MaxKeyCheckAge:  keyRecheckAfter,
+		Refuses:         backendRefuses(s.BackendURL),
 	}
 	var backendEngine executor.Engine
 	var backendService executor.Service
@@ -65,6 +68,16 @@
 	return executor.New(options, c.clock, c.node, c.platform, c.member, backendEngine, backendService, c.recorder, c.meter, c.log)
 }
 
+// backendRefuses returns the check whether nobody listens at the address of a URL, or nil if
+// the URL has no address.
+func backendRefuses(backendURL string) func(context.Context) bool {
+	parsed, err := url.Parse(backendURL)
+	if err != nil || parsed.Port() == "" {
+		return nil
+	}
+	return func(ctx context.Context) bool { return dialer.Refuses(ctx, parsed.Host) }
+}
+
 // keyRecheckAfter is the wait of a request above which its key is checked against a
 // configuration that is proven to be recent before the request is sent.
 const keyRecheckAfter = 3 * time.Second
