--- a/relayer/explore_test.go
+++ b/relayer/explore_test.go
@@ -65,6 +65,7 @@
 				x.await("one relay in each data centre", recoveryTime, func() bool { return len(x.relays()) == x.centres() })
 				x.await("statuses of all engines", recoveryTime, x.statusesKnown)
 				x.await("counts of entries", recoveryTime, x.entryCountsKnown)
+				x.await("crashes", recoveryTime, x.crashesAgree)
 				x.await("usage of all engines", recoveryTime, x.usageKnown)
 				x.checkAssignments(t)
 			})
@@ -175,6 +176,9 @@
 		}
 		p.demands[model] = &wire.LoadRequest{Model: model, Count: 1, Worth: 1}
 		p.tokensUsed["w"]++
+		if x.rand.IntN(3) == 0 {
+			p.recordCrash(x.rand.IntN(100), uint64(x.rand.IntN(5)))
+		}
 	})
 }
 
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -13,6 +13,7 @@
 	"oleanderstall/configurer"
 	"oleanderstall/faker"
 	"oleanderstall/peer"
+	"oleanderstall/quarantiner"
 	"oleanderstall/subscriber"
 	"oleanderstall/wire"
 )
@@ -50,6 +51,7 @@
 	demands    map[string]*wire.LoadRequest
 	usage      map[serverModel]uint32
 	tokensUsed map[string]float64
+	crashes    *quarantiner.Quarantiner
 	fresh      bool
 	// The rest is what an entry has received; remoteTokens are the tokens used by others.
 	statuses     map[string]*wire.EngineStatus
@@ -99,7 +101,7 @@
 	p := &process{
 		fleet: f, config: configurer.New(), membership: subscriber.NewMembership(), done: make(chan struct{}),
 		link:    &wire.Link{Name: name, Role: role, Centre: fmt.Sprint("c", centre), Started: int64(f.starts), Backend: "engine " + name},
-		demands: map[string]*wire.LoadRequest{}, usage: map[serverModel]uint32{}, tokensUsed: map[string]float64{}, changed: make(chan struct{}, 1),
+		demands: map[string]*wire.LoadRequest{}, usage: map[serverModel]uint32{}, tokensUsed: map[string]float64{}, changed: make(chan struct{}, 1), crashes: quarantiner.New(),
 		statuses: map[string]*wire.EngineStatus{}, lost: map[string]bool{}, estimates: map[string]*wire.ReadyEstimate{}, remoteTokens: map[string]float64{},
 	}
 	change := &wire.Change{Version: 1, Pools: []*wire.Pool{{Name: "p", Engines: &wire.Engines{Bytes: 100, Slots: 16}}}}
@@ -221,6 +223,7 @@
 		r.Needs = append(r.Needs, request)
 	}
 	r.Spent, p.tokensUsed = p.tokensUsed, map[string]float64{}
+	r.Crashes = p.crashes.TakeUnsent(p.fleet.clock(), complete)
 	return r
 }
 
@@ -249,6 +252,9 @@
 		p.assignment = batch.GetTell()
 	}
 	addAll(p.remoteTokens, batch.GetSpent())
+	for _, message := range batch.GetCrashes() {
+		p.crashes.Merge(p.fleet.clock(), message)
+	}
 	p.ready, p.entries, p.absent = batch.GetReady(), batch.GetEntries(), batch.GetAbsent()
 }
 
