Tests of streams cut inside an event and of answers without a length

The stand-in of a backend server can send bodies with neither a length nor chunks, and cuts a stream inside an event.

--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -391,6 +391,14 @@
 	}
 	defer b.endRun()
 	w.Header().Set("X-Response-Seal", "seal-"+id)
+	if b.unframed() {
+		unframed, err := newUnframedWriter(w)
+		if err != nil {
+			return
+		}
+		defer unframed.close()
+		w = unframed
+	}
 	if r.Header.Get("X-Model") != "" {
 		b.streamEvents(w, r, id)
 		return
@@ -453,6 +461,8 @@
 			b.crashIfFatal(r, "")
 		}
 		if i == lastEvent+1+b.options.EventsPerStream/2 && b.takeCut() {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
+			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s.%d\n\n", i, id, i)
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -23,8 +23,12 @@
 	// LostAnswers is the number of calls, other than GET, that take effect but whose answers
 	// are lost.
 	LostAnswers int `json:"lose"`
-	// CutStreams is the number of model streams that break off halfway.
+	// CutStreams is the number of model streams that break off halfway, those of a hosting
+	// platform's engines inside an event.
 	CutStreams int `json:"cut"`
+	// Unframed makes the backend servers of a hosting platform send bodies with neither a
+	// length nor chunks.
+	Unframed bool `json:"unframed"`
 }
 
 // faultInjector injects faults in front of the handler next.
@@ -74,6 +78,13 @@
 	f.current = fault
 }
 
+// unframed reports whether bodies are sent without a length.
+func (f *faultInjector) unframed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current.Unframed
+}
+
 // takeCut reports whether the calling stream is to break off, and counts it.
 func (f *faultInjector) takeCut() bool {
 	f.mu.Lock()
--- a/runner/hosted_test.go
+++ b/runner/hosted_test.go
@@ -281,6 +281,30 @@
 	assert.Equal(t, f.runCount(r.id), 1)
 }
 
+// TestHostedUnframed checks streams and calls whose answers have neither a length nor chunks:
+// whole ones are passed on, a stream that is cut inside an event goes on at another engine with
+// that event, or is broken off towards the caller where it may not be resumed.
+func TestHostedUnframed(t *testing.T) {
+	f := newHostedFleet(t, smallSite())
+	f.assertStream(f.sendStream(0, "/brief/x", "model0"), 1, 10)
+	setFault := func(fault imitator.Fault) {
+		for _, h := range append(f.site.Engines, f.site.Services...) {
+			h.SetFault(fault)
+		}
+	}
+	setFault(imitator.Fault{Unframed: true})
+	f.assertStream(f.sendStream(0, "/draft/x", "model0"), 1, 10)
+	call := f.send(0, http.MethodPost, "/order/x")
+	assert.NilError(t, call.err)
+	assert.Equal(t, call.body, "POST /order/x ")
+	setFault(imitator.Fault{Unframed: true, CutStreams: 1})
+	f.assertStream(f.sendStream(0, "/brief/x", "model0"), 1, 10)
+	setFault(imitator.Fault{Unframed: true, CutStreams: 1})
+	cut := f.sendStream(0, "/draft/x", "model0")
+	assert.Assert(t, cut.err != nil, "a stream that was cut looks whole: %d %q", cut.status, cut.body)
+	assert.Assert(t, !strings.Contains(cut.body, "id: 6"), "%q", cut.body)
+}
+
 // TestHostedResumeByCaller checks that a stream starts after the last event that the caller
 // names.
 func TestHostedResumeByCaller(t *testing.T) {
