Quarantine after storms of crashes, and let single requests through as trials

Separate moments are 100 ms apart now (TestCheck, all servers within 400 ms, failed before).

A quarantine that is wrong would have lasted five minutes, since what is refused cannot be answered. Each process now lets one request through after a minute without a crash, later after the time over which the crashes are spread, four minutes at most (TestTrials); an answer ends the quarantine everywhere.

--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -57,7 +57,7 @@
 }
 
 // Check returns the refusal of a request that holds what backend servers crash on, or nil. The
-// caller may retry when the quarantine ends.
+// caller may retry when the next trial is due.
 func (q *Quarantine) Check(r *Request) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -66,22 +66,20 @@
 	}
 	now := q.clock()
 	q.update(now)
-	found := q.quarantiner.Check(now, r.Pool, r.Fingerprints())
+	found := q.quarantiner.Check(now, r.ID, r.Pool, r.Fingerprints())
 	if found == nil {
 		return nil
 	}
 	text := fmt.Sprintf("backend servers crash on part %x of the request: %d times, first %v ago",
 		found.ID(), found.Crashes(), (now - found.Since()).Round(time.Second/10))
-	return refuser.New(refuser.Quarantined, text).WithRetryAfter(found.Until() - now)
+	return refuser.New(refuser.Quarantined, text).WithRetryAfter(found.RetryAt() - now)
 }
 
 // RecordAnswer records that r was answered, at least in part.
 func (q *Quarantine) RecordAnswer(r *Request) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !q.quarantiner.Idle() {
-		q.quarantiner.RecordAnswer(r.Pool, r.Fingerprints())
-	}
+	q.quarantiner.RecordAnswer(r.Pool, r.Fingerprints())
 }
 
 // RecordCrash records that a process of a backend server crashed at an instant while r had no
--- a/quarantiner/decision.go
+++ b/quarantiner/decision.go
@@ -56,7 +56,7 @@
 		if now-c.at <= lifetime {
 			continue
 		}
-		if quarantine := q.quarantineOf(c); quarantine == nil || now > quarantine.until {
+		if quarantine := q.quarantineOf(c); quarantine == nil || now > quarantine.Until() {
 			expired = append(expired, p)
 		}
 	}
@@ -78,7 +78,7 @@
 	unexplained := slices.Collect(maps.Values(q.crashes))
 	for {
 		worst := mostSuspect(unexplained)
-		if worst == nil || worst.moments < minCrashes {
+		if worst == nil {
 			return quarantines
 		}
 		quarantines[worst.subject] = worst.quarantine()
@@ -94,10 +94,17 @@
 	depth   int
 	crashes []time.Duration
 	moments int
+	// answered is set if a request with the fingerprint was answered before one of the crashes.
+	answered bool
 }
 
-// mostSuspect returns the evidence against the fingerprint with the most separate crashes, or
-// nil if none has minCrashes. Of several it is the deepest one, which the fewest requests hold.
+// sufficient reports whether the evidence suffices for a quarantine.
+func (e *evidence) sufficient() bool {
+	return e.moments >= minCrashesAnswered || !e.answered && e.moments >= minCrashes
+}
+
+// mostSuspect returns the evidence that weighs most of what suffices for a quarantine, or nil if
+// none does.
 func mostSuspect(crashes []*crash) *evidence {
 	counts, instants := countSuspects(crashes)
 	found := map[subject]*evidence{}
@@ -112,13 +119,14 @@
 			}
 			found[key].crashes = append(found[key].crashes, c.at)
 			found[key].depth = max(found[key].depth, s.depth)
+			found[key].answered = found[key].answered || s.answered
 		}
 	}
 	var worst *evidence
 	for _, e := range found {
 		slices.Sort(e.crashes)
 		e.moments = countMoments(e.crashes, instants[e.subject.pool])
-		if worst == nil || compareEvidence(e, worst) > 0 {
+		if e.sufficient() && (worst == nil || compareEvidence(e, worst) > 0) {
 			worst = e
 		}
 	}
@@ -143,9 +151,12 @@
 	return counts, instants
 }
 
-// compareEvidence orders evidence by how much it weighs.
+// compareEvidence orders evidence by how much it weighs: what was never answered first, then by
+// the number of crashes. Of several fingerprints that were always in flight together, the deepest
+// one weighs most, since the fewest requests hold it.
 func compareEvidence(a, b *evidence) int {
 	return cmp.Or(
+		compareBool(b.answered, a.answered),
 		cmp.Compare(a.moments, b.moments),
 		cmp.Compare(len(a.crashes), len(b.crashes)),
 		cmp.Compare(a.depth, b.depth),
@@ -189,7 +200,7 @@
 		subject: e.subject,
 		crashes: len(e.crashes),
 		since:   e.crashes[0],
-		until:   e.crashes[len(e.crashes)-1] + lifetime,
+		last:    e.crashes[len(e.crashes)-1],
 	}
 }
 
@@ -202,6 +213,7 @@
 	}
 	for key, quarantine := range previous {
 		if q.quarantines[key] == nil {
+			delete(q.trials, key)
 			q.changes = append(q.changes, Change{quarantine: quarantine, ended: true})
 		}
 	}
--- a/quarantiner/message.go
+++ b/quarantiner/message.go
@@ -52,7 +52,7 @@
 	}
 	message := &wire.Crash{Server: p.Server, Born: p.Started, Pool: c.pool, Age: timer.ToMillis(now - c.at)}
 	for id, s := range c.suspects {
-		message.Suspects = append(message.Suspects, &wire.Suspect{Print: id, Depth: uint32(s.depth), Cleared: s.cleared})
+		message.Suspects = append(message.Suspects, &wire.Suspect{Print: id, Depth: uint32(s.depth), Cleared: s.cleared, Seen: s.answered})
 	}
 	slices.SortFunc(message.Suspects, func(a, b *wire.Suspect) int { return cmp.Compare(a.GetPrint(), b.GetPrint()) })
 	return message
@@ -68,7 +68,7 @@
 	changed = q.crashes[p] == nil
 	c := q.crashOf(p, message.GetPool(), now-timer.FromMillis(message.GetAge()))
 	for _, s := range message.GetSuspects() {
-		if q.addSuspect(c, s.GetPrint(), suspect{depth: int(s.GetDepth()), cleared: s.GetCleared()}) {
+		if q.addSuspect(c, s.GetPrint(), suspect{depth: int(s.GetDepth()), cleared: s.GetCleared(), answered: s.GetSeen()}) {
 			changed = true
 		}
 	}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -18,17 +18,25 @@
 // Limits of the records and of the decision.
 const (
 	// minCrashes is the number of crashes, at separate moments, from which a fingerprint is
-	// quarantined.
-	minCrashes = 3
+	// quarantined, and minCrashesAnswered that number for one which was answered before.
+	minCrashes         = 3
+	minCrashesAnswered = 6
 	// momentGap is the shortest time between two separate moments. Servers that end within
 	// it may have a common cause, such as a loss of power.
-	momentGap = 200 * time.Millisecond
+	momentGap = 100 * time.Millisecond
 	// lifetime is how long a crash is counted, and how long after its latest crash a
 	// fingerprint stays quarantined.
 	lifetime = 5 * time.Minute
+	// minTrialWait and maxTrialWait bound the time without a crash after which a process lets
+	// one request with a quarantined fingerprint through as a trial. In between it is the time
+	// over which the crashes are spread, so that trials that crash servers become rarer.
+	minTrialWait = time.Minute
+	maxTrialWait = 4 * time.Minute
 	// maxCrashes bounds the crashes that are kept, maxSuspects the suspects of one crash.
 	maxCrashes  = 256
 	maxSuspects = 64
+	// maxAnswered bounds the fingerprints that are known to have been answered.
+	maxAnswered = 8192
 	// decisionInterval is the longest time between two decisions, so that crashes expire.
 	decisionInterval = time.Second
 )
@@ -59,8 +67,10 @@
 // suspect is a fingerprint of a request that had no answer when a server crashed.
 type suspect struct {
 	depth int
-	// cleared is set once a request with the fingerprint was answered after the crash.
-	cleared bool
+	// cleared is set once a request with the fingerprint was answered after the crash, and
+	// answered if that happened before.
+	cleared  bool
+	answered bool
 }
 
 // crash is what is known of the crash of a server.
@@ -75,7 +85,7 @@
 	subject subject
 	crashes int
 	since   time.Duration
-	until   time.Duration
+	last    time.Duration
 }
 
 // Pool returns the pool whose servers crash on the fingerprint.
@@ -91,7 +101,12 @@
 func (q *Quarantine) Since() time.Duration { return q.since }
 
 // Until returns the instant at which the quarantine ends if there is no other crash.
-func (q *Quarantine) Until() time.Duration { return q.until }
+func (q *Quarantine) Until() time.Duration { return q.last + lifetime }
+
+// RetryAt returns the instant from which a request is let through as a trial.
+func (q *Quarantine) RetryAt() time.Duration {
+	return q.last + min(max(q.last-q.since, minTrialWait), maxTrialWait)
+}
 
 // Quarantiner holds the records of crashes and the quarantines that follow from them. It is
 // not safe for concurrent use.
@@ -107,6 +122,17 @@
 	decidedAt   time.Duration
 	quarantines map[subject]*Quarantine
 	changes     []Change
+	// answered holds fingerprints of answered requests, previouslyAnswered those of the time
+	// before answered was last emptied.
+	answered, previouslyAnswered map[subject]bool
+	// trials holds the latest trials of this process.
+	trials map[subject]trial
+}
+
+// trial is a request that was let through to find out whether servers still crash on it.
+type trial struct {
+	request string
+	at      time.Duration
 }
 
 // New returns a quarantiner without records.
@@ -116,6 +142,8 @@
 		suspected:   map[subject]bool{},
 		unsent:      map[Process]bool{},
 		quarantines: map[subject]*Quarantine{},
+		trials:      map[subject]trial{},
+		answered:    map[subject]bool{},
 	}
 }
 
@@ -131,7 +159,8 @@
 func (q *Quarantiner) RecordCrash(at time.Duration, p Process, pool string, fingerprints []Fingerprint) {
 	c := q.crashOf(p, pool, at)
 	for _, f := range fingerprints {
-		q.addSuspect(c, f.ID, suspect{depth: f.Depth})
+		key := subject{pool, f.ID}
+		q.addSuspect(c, f.ID, suspect{depth: f.Depth, answered: q.answered[key] || q.previouslyAnswered[key]})
 	}
 	q.markChanged(p)
 }
@@ -156,7 +185,7 @@
 	if !ok && len(c.suspects) >= maxSuspects {
 		return false
 	}
-	merged := suspect{depth: max(known.depth, s.depth), cleared: known.cleared || s.cleared}
+	merged := suspect{depth: max(known.depth, s.depth), cleared: known.cleared || s.cleared, answered: known.answered || s.answered}
 	if ok && merged == known {
 		return false
 	}
@@ -171,10 +200,15 @@
 // least in part. It clears them of the crashes up to now.
 func (q *Quarantiner) RecordAnswer(pool string, fingerprints []Fingerprint) {
 	for _, f := range fingerprints {
-		if key := (subject{pool, f.ID}); q.suspected[key] {
+		key := subject{pool, f.ID}
+		q.answered[key] = true
+		if q.suspected[key] {
 			q.clear(key)
 		}
 	}
+	if len(q.answered) >= maxAnswered/2 {
+		q.previouslyAnswered, q.answered = q.answered, map[subject]bool{}
+	}
 }
 
 // clear clears a fingerprint of all crashes.
@@ -185,7 +219,8 @@
 		if c.pool != key.pool || !ok || s.cleared {
 			continue
 		}
-		c.suspects[key.id] = suspect{depth: s.depth, cleared: true}
+		s.cleared = true
+		c.suspects[key.id] = s
 		q.markChanged(p)
 	}
 }
@@ -237,14 +272,30 @@
 	return nil
 }
 
-// Check returns the quarantine of a request with the given fingerprints to a pool, or nil if
-// it may be sent.
-func (q *Quarantiner) Check(now time.Duration, pool string, fingerprints []Fingerprint) *Quarantine {
+// Check returns the quarantine of a request with the given ID and fingerprints to a pool, or nil
+// if it may be sent.
+func (q *Quarantiner) Check(now time.Duration, request, pool string, fingerprints []Fingerprint) *Quarantine {
 	q.Update(now)
 	for _, f := range fingerprints {
-		if found := q.quarantines[subject{pool, f.ID}]; found != nil {
+		found := q.quarantines[subject{pool, f.ID}]
+		if found != nil && !q.isTrial(now, request, found) {
 			return found
 		}
 	}
 	return nil
 }
+
+// isTrial reports whether a request is let through as a trial. There is one for each wait
+// without a crash.
+func (q *Quarantiner) isTrial(now time.Duration, request string, found *Quarantine) bool {
+	wait := found.RetryAt() - found.last
+	last, ok := q.trials[found.subject]
+	if ok && now-last.at < wait {
+		return last.request == request && last.at > found.last
+	}
+	if now < found.RetryAt() {
+		return false
+	}
+	q.trials[found.subject] = trial{request: request, at: now}
+	return true
+}
