explain and metrics name what is quarantined

The timeline of a refused request has the start of the quarantine of its prompt's parts, however long before (TestTimelineOfQuarantine); refused lines name the parts. A quarantined request does not count as refused inside the rate: its own content is the cause. An answer is recorded once for each attempt.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -436,20 +436,20 @@
 }
 
 // recordRefused counts and logs a refusal and returns it. Refusals that are not due to
-// the caller or the workspace's limit also count as refused inside the rate.
+// the caller, the request or the workspace's limit also count as refused inside the rate.
 func (c *Core) recordRefused(p *progress, err error) error {
 	refusal, request := refuser.FromError(err), p.request
 	c.meter.RecordRequest(request.Workspace, refusal.Kind().String())
 	c.meter.RecordRequestDuration(refusal.Kind().String(), c.clock()-request.Started)
 	switch refusal.Kind() {
-	case refuser.RateLimited, refuser.TooLarge, refuser.Canceled:
+	case refuser.RateLimited, refuser.TooLarge, refuser.Canceled, refuser.Quarantined:
 	default:
 		c.meter.RecordRefusedInsideRate(request.Workspace, refusal.Kind().String())
 	}
 	c.recorder.Add(time.Now(), "request/"+request.ID, "workspace "+request.Workspace+", route "+request.Route+", model "+request.Model+": "+refusal.Error())
 	c.log.Info().Str("request", request.ID).Str("workspace", request.Workspace).Str("model", request.Model).
 		Str("adapter", request.Adapter).Str("server", p.server).Str("kind", refusal.Kind().String()).Bool("never", refusal.NeverRan()).
-		Uint64("events", p.nextIndex-request.FirstIndex).Uint64("config", request.ConfigVersion).Float64("tokens", request.Cost).
+		Str("parts", FormatParts(request.Prompt)).Uint64("events", p.nextIndex-request.FirstIndex).Uint64("config", request.ConfigVersion).Float64("tokens", request.Cost).
 		Int64("took", (c.clock()-request.Started).Milliseconds()).Int64("retry", refusal.RetryAfter().Milliseconds()).
 		Str("cause", refusal.Text()).Msg("refused")
 	return refusal
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -125,19 +125,15 @@
 // watchAttempt adds to a reservation that the quarantine learns of the first event of the
 // answer, and of a crash of the backend server.
 func (d *Dispatcher) watchAttempt(r *Request, reservation *Reservation) *Reservation {
-	release, answered := reservation.Release, false
-	reservation.OnActivity = func(time.Duration) {
-		if !answered {
-			answered = true
-			d.quarantine.RecordAnswer(r)
-		}
-	}
+	release := reservation.Release
+	recordAnswer := sync.OnceFunc(func() { d.quarantine.RecordAnswer(r) })
+	reservation.OnActivity = func(time.Duration) { recordAnswer() }
 	reservation.Release = func(result AttemptResult) {
 		release(result)
-		switch crashedAt := refuser.CrashTime(result.Err); {
-		case result.Answered:
-			d.quarantine.RecordAnswer(r)
-		case crashedAt != 0 && result.MayBeCrash():
+		if result.Answered {
+			recordAnswer()
+		}
+		if crashedAt := refuser.CrashTime(result.Err); crashedAt != 0 && result.MayBeCrash() {
 			d.quarantine.RecordCrash(d.clock(), quarantiner.Process{Server: reservation.Name, Started: crashedAt}, r)
 		}
 	}
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -305,7 +305,8 @@
 		Int("load", b.ReportedLoad()).Int64("waited", (now-r.Started).Milliseconds()).Str("parts", dispatcher.FormatParts(r.Prompt)).Msg("send")
 	l.fleet.StartRequest(now, s.ID, names...)
 	l.recordUsage(b, names, 1)
-	promptRead, answered := false, false
+	promptRead := false
+	recordAnswer := sync.OnceFunc(func() { l.quarantine.RecordAnswer(r) })
 	a := l.startAttempt(s, r)
 	return &dispatcher.Reservation{
 		Name:           s.ID,
@@ -319,13 +320,15 @@
 		OnActivity: func(now time.Duration) {
 			a.lastEventAt.Store(int64(now))
 			b.RecordActivity(now)
-			if !answered {
-				answered = true
-				l.quarantine.RecordAnswer(r)
+			recordAnswer()
+		},
+		OnSlow: func(gap time.Duration) { l.recordSlowGap(s.ID, r, gap) },
+		Release: func(result dispatcher.AttemptResult) {
+			if result.Answered {
+				recordAnswer()
 			}
+			l.release(a, names, promptRead, result)
 		},
-		OnSlow:  func(gap time.Duration) { l.recordSlowGap(s.ID, r, gap) },
-		Release: func(result dispatcher.AttemptResult) { l.release(a, names, promptRead, result) },
 	}
 }
 
@@ -424,10 +427,7 @@
 	defer l.mu.Unlock()
 	now, id, r := l.clock(), a.server.ID, a.request
 	l.endAttempt(a)
-	switch {
-	case result.Answered:
-		l.quarantine.RecordAnswer(r)
-	case result.MayBeCrash():
+	if result.MayBeCrash() {
 		l.suspectCrash(now, a.server, r)
 	}
 	if b := l.fleet.Get(id); b != nil {
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -107,12 +107,13 @@
 type scope struct {
 	from, until time.Time
 	instances   map[string]bool
-	// resources holds the names of servers, models and adapters.
+	// resources holds the names of servers, models and adapters, and the IDs of the parts of
+	// prompts.
 	resources map[string]bool
 }
 
 // Timeline returns the lines that contain an ID and the related lines of the same
-// period, sorted by time. Related are events of the request's servers and models,
+// period, sorted by time. Related are events of the request's servers, models and prompt parts,
 // and changes of the state of the instances that handled it, such as their
 // configuration and store. If no line contains the ID, it returns an
 // *UnknownIDError.
@@ -149,6 +150,9 @@
 				s.resources[v] = true
 			}
 		}
+		for _, part := range strings.Split(l.Get("parts"), ",") {
+			s.resources[part] = part != ""
+		}
 	}
 	s.from = s.from.Add(-contextBefore)
 	return s
@@ -158,15 +162,18 @@
 // the scope. The component at the head of the message, before the colon, decides
 // what must match.
 func (s scope) includes(l Line) bool {
-	if l.Time.Before(s.from) || l.Time.After(s.until) || l.Get("request") != "" {
+	component, _, _ := strings.Cut(l.Message, ":")
+	// A quarantine concerns all later requests.
+	if l.Time.Before(s.from) && component != "part" || l.Time.After(s.until) || l.Get("request") != "" {
 		return false
 	}
-	component, _, _ := strings.Cut(l.Message, ":")
 	switch component {
 	case "want", "order", "server", "engine":
 		return s.resources[l.Get("server")] || s.resources[l.Get("model")] || s.resources[l.Get("for")]
 	case "config", "store", "start", "stop", "limit", "log":
 		return s.instances[l.Instance]
+	case "part":
+		return s.instances[l.Instance] && s.resources[l.Get("part")]
 	case "sidecar":
 		return s.instances[l.Instance] && s.resources[l.Get("server")]
 	}
--- a/narrator/narrator_test.go
+++ b/narrator/narrator_test.go
@@ -40,6 +40,23 @@
 `)
 }
 
+// TestTimelineOfQuarantine checks that the timeline of a refused request names the part that is
+// quarantined, since when, also if that was long before.
+func TestTimelineOfQuarantine(t *testing.T) {
+	lines, err := Read(strings.NewReader(`
+{"time":"2026-03-24T14:10:00.000Z","level":"info","instance":"entry-a","pool":"p","part":"bad","crashes":3,"since":900,"message":"part: quarantined"}
+{"time":"2026-03-24T14:10:00.000Z","level":"info","instance":"entry-b","pool":"p","part":"bad","crashes":3,"since":900,"message":"part: quarantined"}
+{"time":"2026-03-24T14:10:01.000Z","level":"info","instance":"entry-a","pool":"p","part":"other","crashes":3,"since":900,"message":"part: quarantined"}
+{"time":"2026-03-24T14:15:13.000Z","level":"info","instance":"entry-a","request":"r1","kind":"quarantined","parts":"a1,bad,77","message":"refused"}
+`))
+	assert.NilError(t, err)
+	timeline, err := Timeline(lines, "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, len(timeline), 2)
+	assert.Equal(t, timeline[0].Get("part"), "bad")
+	assert.Equal(t, timeline[0].Instance, "entry-a")
+}
+
 // TestTimelineUnknownID checks the error for an ID that occurs in no line.
 func TestTimelineUnknownID(t *testing.T) {
 	_, err := Timeline(nil, "r9")
