--- /dev/null
+++ b/quarantiner/bench_test.go
@@ -0,0 +1,46 @@
+package quarantiner
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// fullQuarantiner returns a quarantiner with as many records and suspects as it keeps.
+func fullQuarantiner() *Quarantiner {
+	q := New()
+	for i := range maxCrashes {
+		for j := range maxSuspects {
+			q.RecordCrash(time.Hour+time.Duration(i)*time.Second/4, process(i), "p", prints(uint64(j*j*i)))
+		}
+	}
+	return q
+}
+
+// BenchmarkFullState measures a decision with as many records as are kept, and the size of all
+// records as messages.
+func BenchmarkFullState(b *testing.B) {
+	q, now := fullQuarantiner(), time.Hour+2*time.Minute
+	bytes := 0
+	for _, message := range q.All(now) {
+		bytes += proto.Size(message)
+	}
+	for b.Loop() {
+		q.stale = true
+		q.Update(now)
+	}
+	b.ReportMetric(float64(bytes), "B/all")
+}
+
+// BenchmarkAnswer measures what an answer costs while few crashes are known.
+func BenchmarkAnswer(b *testing.B) {
+	q := New()
+	for i := range 3 {
+		q.RecordCrash(time.Hour+time.Duration(i)*time.Second, process(i), "p", prints(shared, fatal))
+	}
+	for b.Loop() {
+		q.RecordAnswer("p", prints(shared, middle, own))
+		q.Check(time.Hour+10*time.Second, "r", "p", prints(shared, middle, own))
+	}
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -33,8 +33,8 @@
 	minTrialWait = time.Minute
 	maxTrialWait = 4 * time.Minute
 	// maxCrashes bounds the crashes that are kept, maxSuspects the suspects of one crash.
-	maxCrashes  = 256
-	maxSuspects = 64
+	maxCrashes  = 128
+	maxSuspects = 128
 	// maxAnswered bounds the fingerprints that are known to have been answered.
 	maxAnswered = 8192
 	// decisionInterval is the longest time between two decisions, so that crashes expire.
@@ -182,20 +182,31 @@
 // reports whether the crash has changed.
 func (q *Quarantiner) addSuspect(c *crash, id uint64, s suspect) bool {
 	known, ok := c.suspects[id]
-	if !ok && len(c.suspects) >= maxSuspects {
-		return false
-	}
 	merged := suspect{depth: max(known.depth, s.depth), cleared: known.cleared || s.cleared, answered: known.answered || s.answered}
 	if ok && merged == known {
 		return false
 	}
 	c.suspects[id] = merged
+	if len(c.suspects) > maxSuspects && c.dropDeepest() == id {
+		return false
+	}
 	if !merged.cleared {
 		q.suspected[subject{c.pool, id}] = true
 	}
 	return true
 }
 
+// dropDeepest drops the suspect that the fewest requests hold and returns its ID. Of the deepest
+// ones it is that with the highest ID, so that processes which merge the same records keep the
+// same suspects.
+func (c *crash) dropDeepest() uint64 {
+	deepest := slices.MaxFunc(slices.Collect(maps.Keys(c.suspects)), func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(c.suspects[a].depth, c.suspects[b].depth), cmp.Compare(a, b))
+	})
+	delete(c.suspects, deepest)
+	return deepest
+}
+
 // RecordAnswer records that a request with the given fingerprints to a pool was answered, at
 // least in part. It clears them of the crashes up to now.
 func (q *Quarantiner) RecordAnswer(pool string, fingerprints []Fingerprint) {
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -212,6 +212,36 @@
 	}
 }
 
+// TestMergeOfManySuspects checks that processes which merge records with more suspects than are
+// kept, in other orders, keep the same ones, and those that many requests hold before others.
+func TestMergeOfManySuspects(t *testing.T) {
+	var records []*wire.Crash
+	for i := range 3 {
+		source := New()
+		for j := range maxSuspects {
+			source.RecordCrash(time.Hour, process(1), "p", prints(shared, fatal, uint64(own+i*1000+j)))
+		}
+		records = append(records, source.All(time.Hour)...)
+	}
+	merge := func(order ...int) []*wire.Suspect {
+		q := New()
+		for _, i := range order {
+			q.Merge(time.Hour, records[i])
+		}
+		return q.All(time.Hour)[0].GetSuspects()
+	}
+	want := merge(0, 1, 2)
+	assert.Equal(t, len(want), maxSuspects)
+	assert.Equal(t, want[0].GetPrint(), uint64(shared))
+	assert.Equal(t, want[1].GetPrint(), uint64(fatal))
+	for _, order := range [][]int{{2, 1, 0}, {1, 0, 2, 1}} {
+		got := merge(order...)
+		for i := range want {
+			assert.Equal(t, got[i].GetPrint(), want[i].GetPrint())
+		}
+	}
+}
+
 // TestMergeReportsChanges checks that a record is passed on only if it tells something new,
 // and that a message without a server is ignored.
 func TestMergeReportsChanges(t *testing.T) {
