quarantiner: bound the index of suspects

Found by reading: suspected kept the fingerprints of dropped records until no record was left, so a process that sees crashes all the time would have grown without end. TestBounds failed with it (49,155 of 16,384).

--- a/quarantiner/decision.go
+++ b/quarantiner/decision.go
@@ -45,9 +45,26 @@
 		q.quarantines = q.decide()
 	}
 	q.stale, q.decidedAt = false, now
+	q.limitSuspected()
 	q.recordChanges(previous)
 }
 
+// limitSuspected removes the subjects of dropped records from suspected once there are more than
+// the records that are kept can have.
+func (q *Quarantiner) limitSuspected() {
+	if len(q.suspected) <= maxCrashes*maxSuspects {
+		return
+	}
+	clear(q.suspected)
+	for _, c := range q.crashes {
+		for id, s := range c.suspects {
+			if !s.cleared {
+				q.suspected[subject{c.pool, id}] = true
+			}
+		}
+	}
+}
+
 // expire drops the crashes older than lifetime, unless a quarantine that goes on rests on
 // them. It reports whether there were any.
 func (q *Quarantiner) expire(now time.Duration) bool {
@@ -63,9 +80,6 @@
 	for _, p := range expired {
 		q.drop(p)
 	}
-	if q.Idle() {
-		clear(q.suspected)
-	}
 	return len(expired) > 0
 }
 
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -36,7 +36,7 @@
 	maxCrashes  = 128
 	maxSuspects = 128
 	// maxAnswered bounds the fingerprints that are known to have been answered.
-	maxAnswered = 8192
+	maxAnswered = 4096
 	// decisionInterval is the longest time between two decisions, so that crashes expire.
 	decisionInterval = time.Second
 )
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -167,6 +167,8 @@
 	}
 	assert.Assert(t, len(q.answered)+len(q.previouslyAnswered) <= maxAnswered)
 	assert.Equal(t, len(q.crashes), maxCrashes)
+	q.Update(time.Hour + time.Minute)
+	assert.Assert(t, len(q.suspected) <= maxCrashes*maxSuspects, "%d", len(q.suspected))
 	for _, c := range q.crashes {
 		assert.Assert(t, len(c.suspects) <= maxSuspects)
 	}
