Exchange of crash records: fewer calls while an entry does not answer

A relay that has never had all answers asked all entries each second, also with nothing to tell. The stand-in's second fatal request during one crash started two restarts.

--- a/dispatcher/sharing.go
+++ b/dispatcher/sharing.go
@@ -42,27 +42,29 @@
 		if asked && len(crashes) == 0 {
 			continue
 		}
-		if d.sendCrashes(ctx, neighbors, &wire.Crashes{Crashes: crashes, Full: !asked}) {
-			asked = true
+		answers := d.sendCrashes(ctx, neighbors, &wire.Crashes{Crashes: crashes, Full: !asked})
+		asked = asked || answers > 0
+		if answers == len(neighbors) {
 			continue
 		}
-		// The relay may be gone and still be listed, so the records also go to all others.
-		d.sendCrashes(ctx, d.member.Instances("entry"), &wire.Crashes{Crashes: crashes})
-		d.quarantine.MarkUnsent(crashes)
 		nextAt = d.clock() + shareRetry
+		if len(crashes) > 0 {
+			// The relay may be gone and still be listed, so the records also go to all others.
+			d.sendCrashes(ctx, d.member.Instances("entry"), &wire.Crashes{Crashes: crashes})
+			d.quarantine.MarkUnsent(crashes)
+		}
 	}
 }
 
-// sendCrashes sends records to other entries and merges their replies. It reports whether all
-// of them have answered.
-func (d *Dispatcher) sendCrashes(ctx context.Context, entries []storer.Instance, message *wire.Crashes) bool {
+// sendCrashes sends records to other entries and merges their replies. It returns the number of
+// entries that have answered.
+func (d *Dispatcher) sendCrashes(ctx context.Context, entries []storer.Instance, message *wire.Crashes) int {
 	limited, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
 	replies := make([]*wire.Crashes, len(entries))
 	var wg sync.WaitGroup
 	for i, in := range entries {
 		if in.Name == d.member.Self().Name {
-			replies[i] = &wire.Crashes{}
 			continue
 		}
 		wg.Go(func() {
@@ -73,12 +75,14 @@
 		})
 	}
 	wg.Wait()
-	complete := true
+	answers := 0
 	for _, reply := range replies {
+		if reply != nil {
+			answers++
+		}
 		d.mergeCrashes(reply.GetCrashes())
-		complete = complete && reply != nil
 	}
-	return complete
+	return answers
 }
 
 // mergeCrashes adds the records of another entry. The relay of a data centre passes those on
--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -156,11 +156,14 @@
 		return
 	}
 	b.fatalRuns++
+	running := !b.down
 	b.down = true
 	b.models, b.loading, b.sequence = map[string][]string{}, "", 0
 	crash := b.crash
 	b.mu.Unlock()
-	crash()
+	if running {
+		crash()
+	}
 	panic(http.ErrAbortHandler)
 }
 
