A refusal during a trial says when to come back

Found by reading: from the instant at which a trial is due until it is answered or crashes, refusals of the same part had no Retry-After, so that callers would have come back at once. TestRetryAfterDuringTrial failed before.

--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -56,6 +56,9 @@
 	return &Quarantine{clock: clock, recorder: rec, log: l, quarantiner: quarantiner.New()}
 }
 
+// trialTime is the time after which a caller may retry while a trial is under way.
+const trialTime = 5 * time.Second
+
 // Check returns the refusal of a request that holds what backend servers crash on, or nil. The
 // caller may retry when the next trial is due.
 func (q *Quarantine) Check(r *Request) error {
@@ -72,7 +75,7 @@
 	}
 	text := fmt.Sprintf("backend servers crash on part %x of the request: %d times, first %v ago",
 		found.ID(), found.Crashes(), (now - found.Since()).Round(time.Second/10))
-	return refuser.New(refuser.Quarantined, text).WithRetryAfter(found.RetryAt() - now)
+	return refuser.New(refuser.Quarantined, text).WithRetryAfter(max(found.RetryAt()-now, trialTime))
 }
 
 // RecordAnswer records that r was answered, at least in part.
--- a/dispatcher/quarantine_test.go
+++ b/dispatcher/quarantine_test.go
@@ -109,6 +109,23 @@
 	}
 }
 
+// TestRetryAfterDuringTrial guards against refusals without a time to come back: while a trial is
+// under way no later instant is known.
+func TestRetryAfterDuringTrial(t *testing.T) {
+	clock := faker.NewClock()
+	q := NewQuarantine(clock.Now, recorder.New("entry", 16), faker.DiscardLogger())
+	request := func(id string) *Request { return &Request{ID: id, Pool: "p", Digest: 7} }
+	for i := range 3 {
+		q.RecordCrash(clock.Now(), quarantiner.Process{Server: fmt.Sprint("s", i), Started: 1}, request("r"))
+		clock.Advance(time.Second)
+	}
+	clock.Advance(2 * time.Minute)
+	assert.NilError(t, q.Check(request("trial")))
+	err := q.Check(request("other"))
+	assert.Assert(t, refuser.Is(err, refuser.Quarantined))
+	assert.Assert(t, refuser.FromError(err).RetryAfter() > 0)
+}
+
 // TestFatalRequestRetries checks that one request ends at most maxLostUnanswered servers by
 // its retries, however many there are.
 func TestFatalRequestRetries(t *testing.T) {
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -7,7 +7,8 @@
 )
 
 // mergeCrashes adds the records of crashes that an entry or another relay has sent. A crash
-// that is new here is sent on at once, since the entries have to notice what engines crash on.
+// that is new here is sent on at once, so that all entries count it before they send more of
+// the same requests.
 func (fs *FleetState) mergeCrashes(now time.Duration, crashes []*wire.Crash) {
 	for _, message := range crashes {
 		p, changed := fs.quarantiner.Merge(now, message)
