--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -85,15 +85,17 @@
 	q.quarantiner.RecordAnswer(r.Pool, r.Fingerprints())
 }
 
-// RecordCrash records that a process of a backend server crashed at an instant while r had no
-// answer.
-func (q *Quarantine) RecordCrash(at time.Duration, p quarantiner.Process, r *Request) {
+// RecordCrash records that a process of a backend server crashed at an instant while some
+// requests had no answer.
+func (q *Quarantine) RecordCrash(at time.Duration, p quarantiner.Process, requests ...*Request) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !q.quarantiner.Has(p) {
-		q.log.Info().Str("server", p.Server).Int64("born", p.Started).Str("pool", r.Pool).Str("request", r.ID).Msg("server: crashed")
+	for _, r := range requests {
+		if !q.quarantiner.Has(p) {
+			q.log.Info().Str("server", p.Server).Int64("born", p.Started).Str("pool", r.Pool).Str("request", r.ID).Msg("server: crashed")
+		}
+		q.quarantiner.RecordCrash(at, p, r.Pool, r.Fingerprints())
 	}
-	q.quarantiner.RecordCrash(at, p, r.Pool, r.Fingerprints())
 	q.update(q.clock())
 }
 
--- a/locator/quarantine.go
+++ b/locator/quarantine.go
@@ -56,10 +56,9 @@
 	}
 }
 
-// recordCrash records a crash with one of the requests that had no answer. The caller holds
-// the lock.
-func (l *Locator) recordCrash(p quarantiner.Process, at time.Duration, r *dispatcher.Request) {
-	l.quarantine.RecordCrash(at, p, r)
+// recordCrash records a crash with requests that had no answer. The caller holds the lock.
+func (l *Locator) recordCrash(p quarantiner.Process, at time.Duration, requests ...*dispatcher.Request) {
+	l.quarantine.RecordCrash(at, p, requests...)
 	l.wakeQuarantined()
 	l.signalReport()
 }
@@ -114,8 +113,6 @@
 		delete(l.suspected, p)
 		return
 	}
-	for _, r := range suspected.requests {
-		l.recordCrash(p, suspected.at, r)
-	}
+	l.recordCrash(p, suspected.at, suspected.requests...)
 	suspected.confirmed, suspected.checking, suspected.requests = true, false, nil
 }
--- a/member/member.go
+++ b/member/member.go
@@ -262,15 +262,9 @@
 		m.applyResults(sentAt, []*wire.ProbeResult{m.probe(limited, relay.Address, false)}, false)
 		return
 	}
-	var relays []storer.Instance
-	for _, centre := range m.centres() {
-		if centre != m.self.Centre {
-			relays = append(relays, m.relayOf(centre))
-		}
-	}
 	var remote []*wire.ProbeResult
 	var wg sync.WaitGroup
-	wg.Go(func() { remote = m.probeAll(limited, relays, true) })
+	wg.Go(func() { remote = m.probeAll(limited, m.otherRelays(), true) })
 	local := m.probeAll(limited, m.otherLocalEntries(), false)
 	wg.Wait()
 	m.applyResults(sentAt, append(local, remote...), m.complete(local, remote))
@@ -314,13 +308,18 @@
 	if relay.Name != m.self.Name {
 		return []storer.Instance{relay}
 	}
-	neighbors := m.otherLocalEntries()
+	return append(m.otherLocalEntries(), m.otherRelays()...)
+}
+
+// otherRelays returns the relays of the other data centres.
+func (m *Member) otherRelays() []storer.Instance {
+	var relays []storer.Instance
 	for _, centre := range m.centres() {
 		if centre != m.self.Centre {
-			neighbors = append(neighbors, m.relayOf(centre))
+			relays = append(relays, m.relayOf(centre))
 		}
 	}
-	return neighbors
+	return relays
 }
 
 // centres returns the data centres that have entries.
--- a/quarantiner/message.go
+++ b/quarantiner/message.go
@@ -11,13 +11,16 @@
 
 // TakeUnsent returns the records that have changed here since the last call, or all of them.
 func (q *Quarantiner) TakeUnsent(now time.Duration, all bool) []*wire.Crash {
+	defer clear(q.unsent)
+	if all {
+		return q.All(now)
+	}
 	var messages []*wire.Crash
-	for p := range q.crashes {
-		if all || q.unsent[p] {
+	for p := range q.unsent {
+		if q.Has(p) {
 			messages = append(messages, q.Message(now, p))
 		}
 	}
-	clear(q.unsent)
 	return messages
 }
 
