Another copy no longer displaces the only copy of a model in equal use

Cause: a request for another copy counted as two waiting requests, against the expected misses of the model to unload (rate x reload time). With short loads the misses of the only copy of a model in full use are fewer than two, so copies of three models displaced the only copies of three others, whose copies then displaced those. While all residents are asked for, the estimate for a missing model is the longest drain (6 s), so its requests were refused at once, and a demand without waiting requests displaces nothing.

Change: a request for another copy says how many requests a second the copy would take over (rate / (copies + 1)). It displaces only models whose copies serve fewer, in the sidecar (placer.EvictionFor) as in the choice of the engine. Requests that wait are not changed. A waiting demand and a request for another copy of the same model at the same engine are merged; before, the copy replaced the demand.

--- a/allocator/scaleup.go
+++ b/allocator/scaleup.go
@@ -39,9 +39,15 @@
 	expiresAt time.Duration
 	// searchedAt is the instant of the latest search for an engine.
 	searchedAt time.Duration
-	// requestedAt holds the engines that were asked for a copy and do not serve the model
-	// yet: the instant of the request, by server ID.
-	requestedAt map[string]time.Duration
+	// requested holds the requests to engines that do not serve the model yet, by server ID.
+	requested map[string]copyRequest
+}
+
+// copyRequest is a request to an engine for another copy.
+type copyRequest struct {
+	at time.Duration
+	// relief is the rate of requests that the copy would take over, in requests a second.
+	relief float64
 }
 
 // copyCounts returns the number of copies that serve a model, without those about to be
@@ -72,7 +78,7 @@
 	}
 	s := a.scaleUps[model]
 	if s == nil {
-		s = &scaleUp{requestedAt: map[string]time.Duration{}}
+		s = &scaleUp{requested: map[string]copyRequest{}}
 		a.scaleUps[model] = s
 	}
 	s.expiresAt = now + scaleUpLifetime
@@ -95,6 +101,8 @@
 		holders = append(holders, b.Server().ID)
 	}
 	candidates, planned := splitPlanned(a.candidates(now, model, m, holders))
+	relief := a.arrivals.Rate(now, model) / float64(len(holders)+1)
+	candidates = slices.DeleteFunc(candidates, func(c placer.Candidate) bool { return !a.hasRoom(now, c, m.GetBytes(), relief) })
 	if slices.ContainsFunc(planned, func(c placer.Candidate) bool { return c.QueueTime <= moveThreshold }) {
 		return
 	}
@@ -109,7 +117,7 @@
 		return
 	}
 	id := candidates[chosen].ID
-	s.requestedAt[id] = now
+	s.requested[id] = copyRequest{at: now, relief: relief}
 	a.log.Info().Str("model", model).Str("server", id).Int("sites", len(candidates)).
 		Int64("left", cost.Milliseconds()).Int64("load", candidates[chosen].LoadTime.Milliseconds()).Msg("want: another copy")
 }
@@ -118,19 +126,32 @@
 // request does not outlive the load, because an engine that unloads the copy later does so
 // for a more valuable model.
 func (a *Allocator) dropFinished(now time.Duration, model string, s *scaleUp) {
-	for id := range s.requestedAt {
+	for id := range s.requested {
 		b := a.fleet.Get(id)
 		if b == nil || b.Status(now) == nil || b.Inventory(now).Has(model) {
-			delete(s.requestedAt, id)
+			delete(s.requested, id)
+		}
+	}
+}
+
+// hasRoom reports whether a copy of need bytes that takes over relief requests a second fits
+// into an engine in place of models whose copies serve fewer.
+func (a *Allocator) hasRoom(now time.Duration, c placer.Candidate, need uint64, relief float64) bool {
+	room := c.Free
+	b := a.fleet.Get(c.ID)
+	for _, loaded := range slices.Concat(c.Idle, c.Busy) {
+		if b.RequestRate(now, loaded.Model)/float64(max(1, a.Copies(now, loaded.Model))) < relief {
+			room += loaded.Bytes
 		}
 	}
+	return room >= need
 }
 
 // requestedRecently reports whether an engine was asked for another copy less than
 // announceTimeout ago.
 func (s *scaleUp) requestedRecently(now time.Duration) bool {
-	for _, at := range s.requestedAt {
-		if now-at < announceTimeout {
+	for _, r := range s.requested {
+		if now-r.at < announceTimeout {
 			return true
 		}
 	}
@@ -161,8 +182,8 @@
 		}
 		a.dropFinished(now, model, s)
 		a.requestCopy(now, model, s)
-		for id := range s.requestedAt {
-			requests = append(requests, &wire.LoadRequest{Server: id, Model: model, Count: scaleUpCount, Worth: scaleUpValue, Goal: math.MaxInt32})
+		for id, r := range s.requested {
+			requests = append(requests, &wire.LoadRequest{Server: id, Model: model, Count: scaleUpCount, Worth: scaleUpValue, Goal: math.MaxInt32, Rate: r.relief})
 		}
 	}
 	return requests
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -396,13 +396,14 @@
 			}
 			request := merged[m.GetName()]
 			if request == nil {
-				request = &placer.LoadRequest{Model: m.GetName(), Bytes: m.GetBytes(), FirstArrival: a.receivedAt, TargetTime: 1<<62 - 1, LoadTime: o.loadTime(m)}
+				request = &placer.LoadRequest{Model: m.GetName(), Bytes: m.GetBytes(), FirstArrival: a.receivedAt, TargetTime: 1<<62 - 1, LoadTime: o.loadTime(m), Relief: r.GetRate()}
 				merged[m.GetName()] = request
 			}
 			request.Count += int(r.GetCount())
 			request.Value += r.GetWorth()
 			request.TargetTime = min(request.TargetTime, a.receivedAt+time.Duration(r.GetGoal())*time.Millisecond)
 			request.FirstArrival = min(request.FirstArrival, a.receivedAt-timer.FromMillis(r.GetAge()))
+			request.Relief = min(request.Relief, r.GetRate())
 		}
 	}
 	list := make([]placer.LoadRequest, 0, len(merged))
--- a/placer/nextstep.go
+++ b/placer/nextstep.go
@@ -51,9 +51,12 @@
 // ExpectedMisses returns the number of requests expected to miss the model while it is
 // unloaded and loaded again.
 func (m LoadedModel) ExpectedMisses() float64 {
-	return m.Rate / float64(max(1, m.Copies)) * (m.ReloadTime + unloadTime).Seconds()
+	return m.RatePerCopy() * (m.ReloadTime + unloadTime).Seconds()
 }
 
+// RatePerCopy returns the requests per second that each copy of the model serves.
+func (m LoadedModel) RatePerCopy() float64 { return m.Rate / float64(max(1, m.Copies)) }
+
 // LoadRequest is a model that requests wait for, with its load on one engine.
 type LoadRequest struct {
 	Model string
@@ -68,6 +71,9 @@
 	FirstArrival time.Duration
 	// LoadTime is the duration of the load on this engine.
 	LoadTime time.Duration
+	// Relief is the rate of requests that another copy would take over from those that
+	// serve, in requests a second, or 0 if requests wait.
+	Relief float64
 }
 
 // Step is the next order to an engine. Model is the model to load or unload, and Requested
@@ -120,15 +126,21 @@
 	return value * aging / (r.LoadTime + unloadTime).Seconds()
 }
 
+// mayDisplace reports whether a model may be unloaded for r. Another copy does not displace
+// one that serves as many requests itself, or the two models would displace each other.
+func (r LoadRequest) mayDisplace(m LoadedModel) bool {
+	return r.Relief == 0 || m.RatePerCopy() < r.Relief
+}
+
 // EvictionFor returns the models to unload so that r fits, those with the fewest expected
-// misses first. Models in use, requested, or loaded less than minResidence ago stay. It
-// reports false if the requests expected to miss them are at least as many as those that wait
-// for r, or if not enough memory can be freed now.
+// misses first. Models in use, requested, or loaded less than minResidence ago stay, and so
+// do those that r may not displace. It reports false if the requests expected to miss them
+// are at least as many as those that wait for r, or if not enough memory can be freed now.
 func EvictionFor(now time.Duration, free uint64, loaded []LoadedModel, requests []LoadRequest, r LoadRequest) ([]LoadedModel, bool) {
 	var idle []LoadedModel
 	for _, m := range loaded {
 		requested := slices.ContainsFunc(requests, func(o LoadRequest) bool { return o.Model == m.Model })
-		if m.Inflight == 0 && !requested && now-m.LoadedAt >= minResidence {
+		if m.Inflight == 0 && !requested && now-m.LoadedAt >= minResidence && r.mayDisplace(m) {
 			idle = append(idle, m)
 		}
 	}
--- a/placer/nextstep_test.go
+++ b/placer/nextstep_test.go
@@ -19,6 +19,13 @@
 	return LoadRequest{Model: model, Bytes: bytes, Count: 1, Value: value, TargetTime: now + timeLeft, FirstArrival: now, LoadTime: time.Second}
 }
 
+// anotherCopy returns the request for another copy that takes over a rate of requests.
+func anotherCopy(model string, relief float64) LoadRequest {
+	r := loadRequest(model, 60, 1, time.Hour)
+	r.Count, r.Relief = 2, relief
+	return r
+}
+
 // TestNextStep checks the next order to an engine.
 func TestNextStep(t *testing.T) {
 	busy := loadedModel("busy", 60, 0)
@@ -45,6 +52,8 @@
 		{"a request that is not late goes first", 100, nil, []LoadRequest{loadRequest("late", 60, 1, 0), loadRequest("m", 60, 1, 2*time.Second)}, Step{Load, "m", "m"}},
 		{"the higher value goes first", 100, nil, []LoadRequest{loadRequest("a", 60, 1, 2*time.Second), loadRequest("m", 60, 3, 2*time.Second)}, Step{Load, "m", "m"}},
 		{"a model that does not fit does not block the others", 60, []LoadedModel{busy}, []LoadRequest{loadRequest("big", 90, 9, 2*time.Second), loadRequest("m", 60, 1, 2*time.Second)}, Step{Load, "m", "m"}},
+		{"another copy does not displace one that serves as many requests", 0, []LoadedModel{loadedModel("a", 60, 0.5)}, []LoadRequest{anotherCopy("m", 0.5)}, Step{}},
+		{"another copy displaces one that serves fewer requests", 0, []LoadedModel{loadedModel("a", 60, 0.6), loadedModel("b", 60, 0.4)}, []LoadRequest{anotherCopy("m", 0.5)}, Step{Unload, "b", "m"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			assert.DeepEqual(t, NextStep(now, c.free, c.loaded, c.requests), c.step)
--- a/relayer/assignment.go
+++ b/relayer/assignment.go
@@ -19,6 +19,9 @@
 	// the instant at which the first of them arrived.
 	targetTime   time.Duration
 	firstArrival time.Duration
+	// relief is the rate of requests that another copy would take over, in requests a second,
+	// or 0 if requests wait.
+	relief float64
 }
 
 // decodeLoadRequest decodes a load request received at now. It returns false if its count
@@ -29,6 +32,7 @@
 		value:        message.GetWorth(),
 		targetTime:   now + time.Duration(message.GetGoal())*time.Millisecond,
 		firstArrival: now - timer.FromMillis(message.GetAge()),
+		relief:       message.GetRate(),
 	}
 	return request, request.count > 0 || request.value > 0
 }
@@ -43,12 +47,24 @@
 		Worth:  r.value,
 		Goal:   int32(min(math.MaxInt32, (r.targetTime - now).Milliseconds())),
 		Age:    timer.ToMillis(now - r.firstArrival),
+		Rate:   r.relief,
 	}
 }
 
 // merge combines the load requests of two relays for the same model at the same engine.
 func (r loadRequest) merge(other loadRequest) loadRequest {
-	return loadRequest{count: r.count + other.count, value: r.value + other.value, targetTime: min(r.targetTime, other.targetTime), firstArrival: min(r.firstArrival, other.firstArrival)}
+	return loadRequest{
+		count:        r.count + other.count,
+		value:        r.value + other.value,
+		targetTime:   min(r.targetTime, other.targetTime),
+		firstArrival: min(r.firstArrival, other.firstArrival),
+		relief:       min(r.relief, other.relief),
+	}
+}
+
+// same reports whether two load requests are the same apart from times.
+func (r loadRequest) same(other loadRequest) bool {
+	return r.count == other.count && r.value == other.value && r.relief == other.relief
 }
 
 // modelUsage is the usage of a model or an adapter at an engine.
@@ -74,8 +90,7 @@
 	if a == nil || other == nil {
 		return false
 	}
-	sameRequest := func(a, b loadRequest) bool { return a.count == b.count && a.value == b.value }
-	return maps.EqualFunc(a.loadRequests, other.loadRequests, sameRequest) && maps.Equal(a.usage, other.usage)
+	return maps.EqualFunc(a.loadRequests, other.loadRequests, loadRequest.same) && maps.Equal(a.usage, other.usage)
 }
 
 // fillForSidecar adds to a sidecar's batch the rows of its engine in the server list and, if
--- a/relayer/remotefeed.go
+++ b/relayer/remotefeed.go
@@ -243,11 +243,16 @@
 	decision := fs.allocator.Decide(now, fs.isOwner)
 	requests := map[serverModel]loadRequest{}
 	for _, r := range decision.Loads {
-		requests[serverModel{r.GetServer(), r.GetModel()}], _ = decodeLoadRequest(now, r)
+		key := serverModel{r.GetServer(), r.GetModel()}
+		request, _ := decodeLoadRequest(now, r)
+		if known, ok := requests[key]; ok {
+			request = known.merge(request)
+		}
+		requests[key] = request
 	}
 	for key, r := range requests {
 		known, ok := fs.loadRequests.get(key)
-		if !ok || known.count != r.count || known.value != r.value {
+		if !ok || !known.same(r) {
 			fs.loadRequests.set(key, r)
 			fs.markServerUrgent(key.server)
 		}
