An unused entry that is stopped serves for 0.3 s more before it closes

Cause: an entry counted as unused by the time without requests before the drain, so it closed its listener 40 ms after the signal, before a caller could learn that it stops. Ruled out: the order of readiness and listener, which is right.

Change: only the time within the drain counts (drain.phaseAt). A used entry is not changed; an unused one stops 0.3 s later, the last one after the notice period.

--- a/runner/drain.go
+++ b/runner/drain.go
@@ -34,8 +34,9 @@
 
 // Times of a drain.
 const (
-	// minIdleTime is the shortest time without active requests after which an entry
-	// counts as unused.
+	// minIdleTime is the shortest time without active requests, since the drain began, after
+	// which an entry counts as unused. A request sent before its caller learned of the drain
+	// arrives within it.
 	minIdleTime = 300 * time.Millisecond
 	// drainPollInterval is the time between two checks of the phase.
 	drainPollInterval = 20 * time.Millisecond
@@ -61,7 +62,7 @@
 }
 
 // phaseAt returns the phase at now. Requests are active (busy), or none has been for
-// idleFor. The number of other entries that accept requests is otherReady; they may be
+// idleFor, of which only the part within the drain counts. The number of other entries that accept requests is otherReady; they may be
 // draining as well. If there is none, the entry keeps accepting requests, also if they
 // are rarer than minIdleTime, for as long as their answers can end in time.
 func (d drain) phaseAt(now time.Duration, busy bool, idleFor time.Duration, otherReady int64) drainPhase {
@@ -70,6 +71,7 @@
 	if otherReady == 0 && now < acceptUntil {
 		idleLimit = max(idleLimit, d.noticePeriod)
 	}
+	idleFor = min(idleFor, now-d.start)
 	switch {
 	case !busy && idleFor >= idleLimit, now >= d.requestsDeadline():
 		return phaseClosing
