Own interface: a sidecar sends nothing to a crashed server and notices its restart

Cause: a sidecar noted that its engine answers again only with the next status, up to 1 s later, so two crashes within that second counted as one. A model in use was never found to be missing after a restart, since the time of its last use was taken for that of an order in transit. A refused connection and the engine's answer that it lacks the model were passed on as "may have run".

Evidence: the new test on, log of all processes: EOF from engine-b and engine-c without a second `server: crashed`; "engine answered 404: model is not loaded" for 2 s. Ruled out: the exchange between entries, which had each record within 0.2 s.

Change: after a crash a sidecar refuses requests, loads and bids at once (not run), checks each 0.1 s whether the server runs again, and takes the engine's status as it is, for models in use too; it does so too when the engine answers 404. A model loaded after the status was requested stays. Requests without a connection, and those that were answered 404, count as not run.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -1,10 +1,13 @@
-// Package dialer checks what a host answers to a connection attempt.
+// Package dialer checks what a host answers to a connection attempt, and whether a request got a
+// connection.
 package dialer
 
 import (
 	"context"
 	"errors"
 	"net"
+	"net/http/httptrace"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -20,3 +23,11 @@
 	_ = c.Close()
 	return false
 }
+
+// WatchConnection returns a context for one HTTP request, and a function that reports whether
+// the request got a connection. Until then no byte of it was sent.
+func WatchConnection(ctx context.Context) (watched context.Context, connected func() bool) {
+	var got atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { got.Store(true) }}
+	return httptrace.WithClientTrace(ctx, trace), got.Load
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"oleanderstall/dialer"
 )
 
 // maxEvent is the largest line of a server-sent event, in bytes.
@@ -97,6 +99,16 @@
 	Usage        Usage
 }
 
+// ConnectError reports a request of which no byte was sent to the engine, because there was
+// no connection.
+type ConnectError struct{ cause error }
+
+// Error returns a text with the cause.
+func (e *ConnectError) Error() string { return "connect to the engine: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ConnectError) Unwrap() error { return e.cause }
+
 // StatusError reports an answer with an HTTP status other than 200.
 type StatusError struct {
 	Status int
@@ -201,15 +213,20 @@
 }
 
 // Generate runs a request and calls onToken for the text of each token in order. If
-// onToken returns an error, Generate stops and returns it. It returns a StatusError if
-// the engine refused the request, and a StreamError if the stream is incomplete,
-// can't be decoded or belongs to another request.
+// onToken returns an error, Generate stops and returns it. It returns a ConnectError if
+// there was no connection to the engine, a StatusError if the engine refused the request,
+// and a StreamError if the stream is incomplete, can't be decoded or belongs to another
+// request.
 func (c *Client) Generate(ctx context.Context, r Request, onToken func(text string) error) (Result, error) {
-	req, err := c.newRequest(ctx, r)
+	watched, connected := dialer.WatchConnection(ctx)
+	req, err := c.newRequest(watched, r)
 	if err != nil {
 		return Result{}, err
 	}
 	response, err := c.http.Do(req)
+	if err != nil && !connected() {
+		return Result{}, &ConnectError{cause: err}
+	}
 	if err != nil {
 		return Result{}, eris.Wrap(err, "send engine request")
 	}
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -83,3 +83,13 @@
 	var streamErr *StreamError
 	assert.Assert(t, eris.As(err, &streamErr))
 }
+
+// TestConnectError checks that a request to an engine that does not run is known not to have
+// been sent.
+func TestConnectError(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	_, err := New(server.URL).Generate(t.Context(), Request{ID: "r", Body: []byte("{}")}, nil)
+	var connectErr *ConnectError
+	assert.Assert(t, eris.As(err, &connectErr), "%v", err)
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -113,6 +113,10 @@
 	// crashedAt is the time at which the backend server was noticed to have crashed, in Unix
 	// milliseconds, or 0 while it answers.
 	crashedAt int64
+	// mayHaveRestarted is set if the engine may have started again since its status was last
+	// read; restartSuspected then makes Run read it.
+	mayHaveRestarted bool
+	restartSuspected chan struct{}
 	// freedSlots are slots whose holder has not confirmed yet that they are free.
 	freedSlots []*wire.Slot
 }
@@ -137,8 +141,10 @@
 	// lastUsed is the last time at which a request arrived or ended, the load ended
 	// or the replica was adopted.
 	lastUsed time.Duration
-	// loadTime is the duration of the load, or 0 if this sidecar did not load it.
+	// loadTime is the duration of the load, or 0 if this sidecar did not load it, and
+	// loadedAt the time at which the load ended.
 	loadTime time.Duration
+	loadedAt time.Duration
 	// loadDone is closed when this sidecar's load has ended. It is closed from the
 	// start for a replica that an earlier sidecar loaded.
 	loadDone chan struct{}
@@ -177,6 +183,8 @@
 		fences:     map[string]uint64{},
 		cacheTiers: map[string]wire.Tier{},
 		queue:      queuer.New[*ticket](options.QueueLimit),
+
+		restartSuspected: make(chan struct{}, 1),
 	}
 }
 
@@ -186,7 +194,8 @@
 // sweepInterval is the time between two calls of Sweep.
 const sweepInterval = time.Second
 
-// Run calls Sweep at once and then every sweepInterval until ctx ends.
+// Run calls Sweep at once, then every sweepInterval and when the backend server may have
+// started again, until ctx ends.
 func (x *Executor) Run(ctx context.Context) {
 	defer close(x.done)
 	ticker := time.NewTicker(sweepInterval)
@@ -197,6 +206,8 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-x.restartSuspected:
+			x.awaitRestart(ctx)
 		}
 	}
 }
@@ -217,14 +228,19 @@
 // sidecar can no longer be in transit. Until then, and while no replica is known,
 // what the engine has loaded is adopted.
 func (x *Executor) pollEngine(ctx context.Context) {
+	x.mu.Lock()
+	restarted := x.mayHaveRestarted
+	x.mayHaveRestarted = false
+	x.mu.Unlock()
 	requestedAt := x.clock()
 	status, err := x.engine.Status(ctx)
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	if err != nil {
+		x.mayHaveRestarted = x.mayHaveRestarted || restarted
 		x.log.Warn().Err(err).Msg("engine: no state")
 		return
 	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
 	x.recordAlive()
 	now := x.clock()
 	if !x.statusKnown {
@@ -237,17 +253,19 @@
 		x.adopt(status, now)
 	}
 	for _, r := range x.replicas {
-		x.reconcile(status, r, requestedAt)
+		x.reconcile(status, r, requestedAt, restarted)
 	}
 }
 
 // reconcile updates a replica from the engine's status: a load whose outcome was
 // unknown, a load that an earlier sidecar ordered, or a model that the engine has
-// lost. It skips a replica that is in use, loading or unloading, and one for which
-// an order could still have been in transit when the status was requested, at
-// requestedAt. The caller holds the lock.
-func (x *Executor) reconcile(status engine.Status, r *replica, requestedAt time.Duration) {
-	if !r.loadFinished() || r.unloading || r.users > 0 || requestedAt < r.lastUsed+x.options.MaxOrderTransit {
+// lost. It skips a replica that is loading or unloading, and one that was loaded after the
+// status was requested, at requestedAt. Unless the engine may have restarted, it also
+// skips one that is in use, or for which an order could still have been in transit. The
+// caller holds the lock.
+func (x *Executor) reconcile(status engine.Status, r *replica, requestedAt time.Duration, restarted bool) {
+	inUse := r.users > 0 || requestedAt < r.lastUsed+x.options.MaxOrderTransit
+	if !r.loadFinished() || r.unloading || requestedAt < r.loadedAt || inUse && !restarted {
 		return
 	}
 	loaded, found := findLoaded(status, r.model)
@@ -383,13 +401,16 @@
 	return nil
 }
 
-// checkDeadlineAndKey refuses a request whose deadline has passed or whose key is
-// not granted any more. Every request is checked before it waits and again before
-// it is sent. A request without a key is checked for the deadline only.
-func (x *Executor) checkDeadlineAndKey(ctx context.Context, key, workspace string, configVersion uint64, arrived, deadline time.Duration) error {
+// checkRequest refuses a request whose deadline has passed, whose key is not granted any
+// more, or whose backend server has crashed. Every request is checked before it waits and
+// again before it is sent. The key of a request without one is not checked.
+func (x *Executor) checkRequest(ctx context.Context, key, workspace string, configVersion uint64, arrived, deadline time.Duration) error {
 	if x.clock() >= deadline {
 		return refuser.New(refuser.DeadlineExceeded, "the deadline has passed before the request was sent")
 	}
+	if x.crashed() {
+		return refuser.New(refuser.ConnectionLost, "the backend server has crashed and does not run again yet").WithRetryAfter(time.Second)
+	}
 	if key == "" {
 		return nil
 	}
--- a/executor/invoke.go
+++ b/executor/invoke.go
@@ -36,7 +36,7 @@
 	arrived := x.clock()
 	deadline := arrived + timer.FromMillis(req.GetLeft())
 	check := func() error {
-		return x.checkDeadlineAndKey(ctx, req.GetKey(), req.GetWorkspace(), req.GetConfig(), arrived, deadline)
+		return x.checkRequest(ctx, req.GetKey(), req.GetWorkspace(), req.GetConfig(), arrived, deadline)
 	}
 	if err := x.refuseIfDraining(); err != nil {
 		return nil, err
@@ -98,9 +98,6 @@
 	})
 	x.mu.Lock()
 	x.recordServiceTime(x.clock() - started)
-	if err == nil {
-		x.recordAlive()
-	}
 	x.mu.Unlock()
 	if err != nil {
 		return nil, x.withCrash(ctx, refusalFor(err))
--- a/executor/replicas.go
+++ b/executor/replicas.go
@@ -111,6 +111,8 @@
 		return nil, false, refuser.New(refuser.StaleConfiguration, "the model is not in the configuration here")
 	case x.draining:
 		return nil, false, refuser.New(refuser.Leaving, "the instance is leaving")
+	case x.crashedAt != 0:
+		return nil, false, refuser.New(refuser.Busy, "the engine has crashed and does not run again yet").WithRetryAfter(time.Second)
 	case !x.statusKnown || x.clock() < x.ordersFrom:
 		return nil, false, refuser.New(refuser.Busy, "the sidecar is learning the engine's state").WithRetryAfter(x.options.MaxOrderTransit)
 	}
@@ -172,7 +174,7 @@
 	defer x.mu.Unlock()
 	now := x.clock()
 	r.loadTime = now - started
-	r.lastUsed = now
+	r.lastUsed, r.loadedAt = now, now
 	if err == nil {
 		r.state = wire.State_STATE_RESIDENT
 		return
@@ -475,7 +477,7 @@
 func (x *Executor) bid(b *wire.Bid) *wire.Reply {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	ready := x.statusKnown && x.clock() >= x.ordersFrom && (!x.draining || b.GetFence() != nil)
+	ready := x.statusKnown && x.crashedAt == 0 && x.clock() >= x.ordersFrom && (!x.draining || b.GetFence() != nil)
 	if !ready {
 		return refuser.New(refuser.Busy, "the sidecar takes no orders now").WithRetryAfter(x.options.MaxOrderTransit).Reply()
 	}
--- a/executor/run.go
+++ b/executor/run.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"oleanderstall/engine"
 	"oleanderstall/peer"
 	"oleanderstall/queuer"
@@ -30,7 +33,7 @@
 	if err := x.refuseIfDraining(); err != nil {
 		return err
 	}
-	if err := x.checkDeadlineAndKey(ctx, req.GetKey(), req.GetWorkspace(), req.GetConfig(), arrived, deadline); err != nil {
+	if err := x.checkRequest(ctx, req.GetKey(), req.GetWorkspace(), req.GetConfig(), arrived, deadline); err != nil {
 		return err
 	}
 	replica, err := x.acquireReplica(ctx, req, deadline)
@@ -47,7 +50,7 @@
 	}
 	started := x.clock()
 	defer func() { x.completeTicket(t, x.clock()-started) }()
-	if err := x.checkDeadlineAndKey(ctx, req.GetKey(), req.GetWorkspace(), req.GetConfig(), arrived, deadline); err != nil {
+	if err := x.checkRequest(ctx, req.GetKey(), req.GetWorkspace(), req.GetConfig(), arrived, deadline); err != nil {
 		return err
 	}
 	return x.generate(ctx, req, stream, deadline)
@@ -270,7 +273,7 @@
 	case timeoutCtx.Err() != nil:
 		return refuser.MayHaveRun(refuser.DeadlineExceeded, "the deadline passed during the answer").WithRetryAfter(time.Second)
 	default:
-		return x.withCrash(ctx, refuser.MayHaveRun(refuser.ConnectionLost, "engine: "+err.Error()).WithRetryAfter(time.Second))
+		return x.withCrash(ctx, x.engineRefusal(err))
 	}
 	return stream.Send(&wire.Reply{Body: &wire.Reply_Finish{Finish: &wire.Finish{
 		Id:     req.GetId(),
@@ -281,6 +284,22 @@
 	}}})
 }
 
+// engineRefusal returns the refusal for a request that the engine did not answer. It says
+// that the request never ran only if no byte of it was sent, or if the engine answered that
+// it does not have the model.
+func (x *Executor) engineRefusal(err error) *refuser.Refusal {
+	var connectErr *engine.ConnectError
+	if eris.As(err, &connectErr) {
+		return refuser.New(refuser.ConnectionLost, "the engine could not be reached").WithRetryAfter(time.Second)
+	}
+	var statusErr *engine.StatusError
+	if eris.As(err, &statusErr) && statusErr.Status == http.StatusNotFound {
+		x.markModelMissing()
+		return refuser.New(refuser.NotResident, "the engine does not have the model")
+	}
+	return refuser.MayHaveRun(refuser.ConnectionLost, "engine: "+err.Error()).WithRetryAfter(time.Second)
+}
+
 // pendingRequests returns the number of queued and running requests.
 func (x *Executor) pendingRequests() int {
 	x.mu.Lock()
--- a/service/service.go
+++ b/service/service.go
@@ -13,11 +13,11 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"oleanderstall/dialer"
 )
 
 // maxAnswer is the largest body of an answer, in bytes.
@@ -97,12 +97,9 @@
 // Call sends r and returns the complete answer, whatever its status. A request that
 // is not idempotent is sent at most once. Errors are CallErrors.
 func (c *Client) Call(ctx context.Context, r Request) (*Answer, error) {
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	}
-	callError := func(err error) error { return &CallError{Sent: sent.Load(), cause: err} }
-	req, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), r)
+	watched, connected := dialer.WatchConnection(ctx)
+	callError := func(err error) error { return &CallError{Sent: connected(), cause: err} }
+	req, err := c.newRequest(watched, r)
 	if err != nil {
 		return nil, callError(err)
 	}
