soaker: requests with a part on which engines crash

A link now refuses connections while its target does. TestSoakFatalPart is TestSoak with a share of requests that hold a fatal part beside a shared one: after the recovery at most three such requests may reach engines (the rule's own number), and nine of ten sound ones must be served; the other checks hold as before. TestSoak itself sends the same requests as before.

--- a/soaker/caller_test.go
+++ b/soaker/caller_test.go
@@ -70,6 +70,8 @@
 	random       *rand.Rand
 	soakRun      *soakRun
 	requestCount int
+	// fatalRandom draws the requests with fatalPart.
+	fatalRandom *rand.Rand
 }
 
 // run sends requests until ctx ends.
@@ -93,20 +95,45 @@
 	return m, address
 }
 
+// Parts of prompts: sharedPart is in all of them, engines crash on fatalPart.
+const (
+	sharedPart = "a1"
+	fatalPart  = "bad"
+)
+
+// promptHeader returns the header field for a prompt of sharedPart, the given parts and one
+// of its own. It is empty if the run has no requests with fatalPart.
+func (s *soakRun) promptHeader(id string, parts ...string) []string {
+	if s.fatalShare == 0 {
+		return nil
+	}
+	prompt := ""
+	for _, part := range append([]string{sharedPart}, parts...) {
+		prompt += part + ":50,"
+	}
+	return []string{"X-Prefix-Hash", prompt + id + ":10"}
+}
+
 // newRequest returns a request of a random kind and its record.
 func (c *caller) newRequest(ctx context.Context, address string) (*http.Request, requestRecord, error) {
 	c.requestCount++
 	r := requestRecord{id: fmt.Sprintf("%08x%08x", c.random.Uint32(), c.requestCount), sentAt: c.soakRun.clock()}
 	model := imitator.SiteModel(c.random.IntN(c.soakRun.options.Models))
+	kind := c.random.IntN(4)
+	if c.fatalRandom.Float64() < c.soakRun.fatalShare {
+		r.kind = "fatal"
+		req, err := imitator.NewModelRequest(ctx, address, r.id, "/draft/x", model, c.soakRun.promptHeader(r.id, fatalPart)...)
+		return req, r, err
+	}
 	var req *http.Request
 	var err error
-	switch c.random.IntN(4) {
+	switch kind {
 	case 0:
 		r.kind = "draft"
-		req, err = imitator.NewModelRequest(ctx, address, r.id, "/draft/x", model)
+		req, err = imitator.NewModelRequest(ctx, address, r.id, "/draft/x", model, c.soakRun.promptHeader(r.id)...)
 	case 1:
 		r.kind = "brief"
-		req, err = imitator.NewModelRequest(ctx, address, r.id, "/brief/x", model)
+		req, err = imitator.NewModelRequest(ctx, address, r.id, "/brief/x", model, c.soakRun.promptHeader(r.id)...)
 	case 2:
 		r.kind = "order"
 		req, err = imitator.NewRequest(ctx, address, r.id, http.MethodPost, "/order/x")
--- a/soaker/doc.go
+++ b/soaker/doc.go
@@ -3,7 +3,7 @@
 // checks the documented guarantees against what callers and backend servers observed.
 // The package contains only tests:
 //
-//	go test ./soaker -run TestSoak -seeds 50 -first 1 -seconds 30 -entries 4 -sidecars 6
+//	go test ./soaker -run TestSoak$ -seeds 50 -first 1 -seconds 30 -entries 4 -sidecars 6
 //
 // It signals only processes that it started. The logs of a failed seed are kept in
 // the directory that the test prints.
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -49,7 +49,7 @@
 func (m *member) settings() []byte {
 	settings := map[string]any{
 		"role": m.role, "name": m.name, "centre": imitator.SiteCentre, "peer": "127.0.0.1:0", "admin": "127.0.0.1:0",
-		"hosted": map[string]any{"store": m.storeLink.address(), "grace": gracePeriod.String(), "lease": leaseDuration.String()},
+		"hosted": map[string]any{"store": m.storeLink.address, "grace": gracePeriod.String(), "lease": leaseDuration.String()},
 	}
 	if m.role == "entry" {
 		settings["hosted"].(map[string]any)["ready"] = "127.0.0.1:0"
--- a/soaker/link_test.go
+++ b/soaker/link_test.go
@@ -24,14 +24,23 @@
 	faultKinds
 )
 
-const linkDelay = 150 * time.Millisecond
+const (
+	linkDelay = 150 * time.Millisecond
+	// reopenInterval is the time between two checks whether a target that refused a
+	// connection accepts connections again.
+	reopenInterval = 20 * time.Millisecond
+)
 
-// link is a TCP proxy on loopback in front of one address.
+// link is a TCP proxy on loopback in front of one address. While the target refuses
+// connections, the link does too.
 type link struct {
-	listener    net.Listener
-	target      string
-	fault       atomic.Int32
+	address string
+	target  string
+	fault   atomic.Int32
+
 	mu          sync.Mutex
+	listener    net.Listener
+	closed      bool
 	connections map[net.Conn]bool
 }
 
@@ -40,18 +49,70 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{listener: listener, target: target, connections: map[net.Conn]bool{}}
-	go k.accept()
+	k := &link{address: listener.Addr().String(), target: target, listener: listener, connections: map[net.Conn]bool{}}
+	go k.serve(listener)
 	return k, nil
 }
 
-func (k *link) address() string { return k.listener.Addr().String() }
-
 func (k *link) close() {
-	_ = k.listener.Close()
+	k.mu.Lock()
+	k.closed = true
+	k.mu.Unlock()
+	k.refuse()
 	k.resetConnections()
 }
 
+// refuse makes the link refuse connections until serve listens again.
+func (k *link) refuse() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_ = k.listener.Close()
+}
+
+// serve accepts connections until the link is closed.
+func (k *link) serve(listener net.Listener) {
+	for listener != nil {
+		k.accept(listener)
+		listener = k.reopen()
+	}
+}
+
+// reopen listens again once the target accepts connections. It returns nil if the link has
+// been closed.
+func (k *link) reopen() net.Listener {
+	for {
+		k.mu.Lock()
+		closed := k.closed
+		k.mu.Unlock()
+		if closed {
+			return nil
+		}
+		if server, err := net.Dial("tcp", k.target); err == nil {
+			_ = server.Close()
+			if listener := k.listen(); listener != nil {
+				return listener
+			}
+		}
+		time.Sleep(reopenInterval)
+	}
+}
+
+// listen listens at the link's address. It returns nil if the link has been closed or the
+// address is not free yet.
+func (k *link) listen() net.Listener {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closed {
+		return nil
+	}
+	listener, err := net.Listen("tcp", k.address)
+	if err != nil {
+		return nil
+	}
+	k.listener = listener
+	return listener
+}
+
 // setFault replaces the fault of the link. After a fault that dropped bytes all
 // connections are reset, since their streams have gaps.
 func (k *link) setFault(f linkFault) {
@@ -71,9 +132,10 @@
 	}
 }
 
-func (k *link) accept() {
+// accept accepts connections until the listener is closed.
+func (k *link) accept(listener net.Listener) {
 	for {
-		client, err := k.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -89,6 +151,7 @@
 	server, err := net.Dial("tcp", k.target)
 	if err != nil {
 		_ = client.Close()
+		k.refuse()
 		return
 	}
 	k.mu.Lock()
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -26,6 +26,7 @@
 	faultSeconds = flag.Int("seconds", 8, "duration of the faults of each seed, in seconds")
 	entryCount   = flag.Int("entries", 3, "number of entries")
 	sidecarCount = flag.Int("sidecars", 3, "number of engines, each with a sidecar")
+	fatalShare   = flag.Float64("fatal", 0.05, "share of requests with a part on which engines crash, in TestSoakFatalPart")
 )
 
 // Parameters of a run.
@@ -43,6 +44,11 @@
 	callerCount    = 10
 	maxAttempts    = 2
 	restartDelay   = 300 * time.Millisecond
+	// crashTime is the time from the crash of an engine to its next start, and
+	// maxLateFatalRuns the number of requests with fatalPart that may reach engines after
+	// the recovery.
+	crashTime        = time.Second
+	maxLateFatalRuns = 3
 )
 
 // soakRun is the test run of one seed.
@@ -54,20 +60,22 @@
 	sidecars []*member
 	// serverLinks are the links in front of the backend servers.
 	serverLinks []*link
-	results     results
-	random      *rand.Rand
-	clock       timer.Clock
+	// fatalShare is the share of requests with fatalPart.
+	fatalShare float64
+	results    results
+	random     *rand.Rand
+	clock      timer.Clock
 }
 
 // newSoakRun starts the stand-in site and the processes of the fleet, whose settings
 // and logs go into dir. On an error it returns nil and leaves running what it has
 // started.
-func newSoakRun(seed uint64, binary, dir string) (*soakRun, error) {
+func newSoakRun(seed uint64, fatalShare float64, binary, dir string) (*soakRun, error) {
 	start := time.Now()
-	s := &soakRun{binary: binary, random: rand.New(rand.NewPCG(seed, 1)), clock: func() time.Duration { return time.Since(start) }}
+	s := &soakRun{binary: binary, fatalShare: fatalShare, random: rand.New(rand.NewPCG(seed, 1)), clock: func() time.Duration { return time.Since(start) }}
 	s.options = imitator.SiteOptions{
 		Engines: *sidecarCount, Services: 2, Models: 2 * *sidecarCount, ModelsPerEngine: 2, LoadTime: 60 * time.Millisecond, EventInterval: 8 * time.Millisecond,
-		EventsPerStream: eventsPerStream, ServiceTime: 10 * time.Millisecond, Rate: 1e7, Burst: 1e7, Proxy: s.addServerLink,
+		EventsPerStream: eventsPerStream, ServiceTime: 10 * time.Millisecond, Rate: 1e7, Burst: 1e7, Proxy: s.addServerLink, RestartTime: crashTime,
 	}
 	var err error
 	if s.site, err = imitator.NewSite(s.options); err != nil {
@@ -76,6 +84,9 @@
 	if _, err = s.site.Configure(imitator.SiteKey, withdrawnKey); err != nil {
 		return nil, err
 	}
+	for _, b := range s.site.Engines {
+		b.CrashOn(fatalPart)
+	}
 	for i := range *entryCount {
 		s.entries = append(s.entries, &member{name: fmt.Sprintf("entry-%d", i), role: "entry", dir: dir})
 	}
@@ -101,7 +112,7 @@
 		return "", err
 	}
 	s.serverLinks = append(s.serverLinks, k)
-	return k.address(), nil
+	return k.address, nil
 }
 
 func (s *soakRun) members() []*member {
@@ -128,7 +139,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients, faults sync.WaitGroup
 	for i := range callerCount {
-		c := &caller{name: fmt.Sprint("caller-", i), client: &http.Client{Transport: &http.Transport{}}, soakRun: s, random: rand.New(rand.NewPCG(s.random.Uint64(), 2))}
+		seed := s.random.Uint64()
+		c := &caller{
+			name: fmt.Sprint("caller-", i), client: &http.Client{Transport: &http.Transport{}}, soakRun: s,
+			random: rand.New(rand.NewPCG(seed, 2)), fatalRandom: rand.New(rand.NewPCG(seed, 3)),
+		}
 		clients.Go(func() { c.run(ctx) })
 	}
 	clients.Go(func() { s.withdrawKey(ctx) })
@@ -140,9 +155,10 @@
 	}
 	faults.Wait()
 	time.Sleep(recoveryTime)
-	recoveredAt := s.clock()
+	recoveredAt, fatalRuns := s.clock(), s.fatalRuns()
 	time.Sleep(verifyTime)
 	s.checkRecovery(recoveredAt)
+	s.checkFatalRuns(fatalRuns)
 	cancel()
 	clients.Wait()
 	s.checkGuarantees()
@@ -219,14 +235,31 @@
 	}
 }
 
-// checkRecovery checks that at least minServedRatio of the requests sent since a time
-// were served.
+// fatalRuns returns the number of requests with fatalPart that have reached engines.
+func (s *soakRun) fatalRuns() int {
+	n := 0
+	for _, b := range s.site.Engines {
+		n += b.FatalRuns()
+	}
+	return n
+}
+
+// checkFatalRuns checks that at most maxLateFatalRuns requests with fatalPart have reached
+// engines beyond a number.
+func (s *soakRun) checkFatalRuns(before int) {
+	if late := s.fatalRuns() - before; late > maxLateFatalRuns {
+		s.results.addViolation("%d requests with the fatal part reached engines after the recovery, %d before", late, before)
+	}
+}
+
+// checkRecovery checks that at least minServedRatio of the requests without fatalPart sent
+// since a time were served.
 func (s *soakRun) checkRecovery(since time.Duration) {
 	s.results.mu.Lock()
 	defer s.results.mu.Unlock()
 	sent, served := 0, 0
 	for _, r := range s.results.requests {
-		if r.sentAt >= since {
+		if r.sentAt >= since && r.kind != "fatal" {
 			sent++
 			if r.served {
 				served++
@@ -285,7 +318,14 @@
 }
 
 // TestSoak checks the guarantees under random faults, in one run for each seed.
-func TestSoak(t *testing.T) {
+func TestSoak(t *testing.T) { soak(t, 0) }
+
+// TestSoakFatalPart is TestSoak with requests that hold a part on which engines crash. It
+// guards against entries that forget, under faults, what engines crash on.
+func TestSoakFatalPart(t *testing.T) { soak(t, *fatalShare) }
+
+// soak runs all seeds with a share of requests with fatalPart.
+func soak(t *testing.T, share float64) {
 	dir, err := os.MkdirTemp("", "soak")
 	assert.NilError(t, err)
 	t.Cleanup(func() {
@@ -300,13 +340,13 @@
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			logs := filepath.Join(dir, fmt.Sprint(seed))
 			assert.NilError(t, os.Mkdir(logs, 0o700))
-			s, err := newSoakRun(seed, binary, logs)
+			s, err := newSoakRun(seed, share, binary, logs)
 			if s != nil {
 				defer s.stop()
 			}
 			assert.NilError(t, err)
 			s.run()
-			t.Logf("seed %d: %d requests, %d served", seed, len(s.results.requests), s.servedCount())
+			t.Logf("seed %d: %d requests, %d served, %d with the fatal part reached engines", seed, len(s.results.requests), s.servedCount(), s.fatalRuns())
 			for _, text := range s.results.violations {
 				t.Error(text)
 			}
