imitator: one server that can crash, for the stand-in site and the process tests

The logic that ends a stand-in server and starts it again at its address stood twice, in the site of the hosting platform and in the process test of the own interface. It is imitator.Restartable now.

--- a/cmd/oleanderstall/fatal_test.go
+++ b/cmd/oleanderstall/fatal_test.go
@@ -4,10 +4,9 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,98 +21,40 @@
 // fatalText is the message on which the engines crash.
 const fatalText = "fold the sky"
 
-// crashingEngine is an engine that crashes on each request with fatalText: it closes its
-// listener and all connections, and starts again empty at the same address.
+// crashingEngine is an engine that crashes on each request with fatalText and starts again
+// empty.
 type crashingEngine struct {
-	t       testing.TB
-	address string
-
-	mu      sync.Mutex
-	engine  *imitator.Engine
-	server  *http.Server
-	down    bool
-	stopped bool
+	server *imitator.Restartable
 	// fatalRuns counts the requests with fatalText that have arrived.
-	fatalRuns int
+	fatalRuns atomic.Int32
 }
 
 // newCrashingEngine starts an engine that is stopped at the end of the test.
 func newCrashingEngine(t testing.TB) *crashingEngine {
-	e := &crashingEngine{t: t, address: "127.0.0.1:0"}
-	assert.NilError(t, e.listen())
-	t.Cleanup(func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.stopped = true
-		_ = e.server.Close()
-	})
+	e := &crashingEngine{}
+	server, err := imitator.NewRestartable(engineRestartTime, e.newHandler)
+	assert.NilError(t, err)
+	e.server = server
+	t.Cleanup(server.Stop)
 	return e
 }
 
-// listen starts an empty engine at the address.
-func (e *crashingEngine) listen() error {
-	listener, err := net.Listen("tcp", e.address)
-	if err != nil {
-		return err
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.address, e.down = listener.Addr().String(), false
-	e.engine = imitator.NewEngine(imitator.EngineOptions{Capacity: 1 << 30, TokenInterval: 2 * time.Millisecond})
-	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Second}
-	go func(s *http.Server) { _ = s.Serve(listener) }(e.server)
-	return nil
-}
-
-// ServeHTTP implements http.Handler.
-func (e *crashingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	r.Body = io.NopCloser(bytes.NewReader(body))
-	if strings.Contains(string(body), fatalText) {
-		e.crash()
-		panic(http.ErrAbortHandler)
-	}
-	e.mu.Lock()
-	engine := e.engine
-	e.mu.Unlock()
-	engine.ServeHTTP(w, r)
-}
-
-// crash ends the engine, and starts it again after engineRestartTime.
-func (e *crashingEngine) crash() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.fatalRuns++
-	if e.down {
-		return
-	}
-	e.down = true
-	_ = e.server.Close()
-	time.AfterFunc(engineRestartTime, e.restart)
-}
-
-// restart starts the engine again, unless the test has ended.
-func (e *crashingEngine) restart() {
-	e.mu.Lock()
-	stopped := e.stopped
-	e.mu.Unlock()
-	if stopped {
-		return
-	}
-	if err := e.listen(); err != nil {
-		// The system may not have freed the port yet.
-		time.AfterFunc(engineRestartTime, e.restart)
-	}
-}
-
-// runs returns the number of requests with fatalText that have arrived.
-func (e *crashingEngine) runs() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.fatalRuns
+// newHandler returns the handler of an empty engine.
+func (e *crashingEngine) newHandler() http.Handler {
+	engine := imitator.NewEngine(imitator.EngineOptions{Capacity: 1 << 30, TokenInterval: 2 * time.Millisecond})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if strings.Contains(string(body), fatalText) {
+			e.fatalRuns.Add(1)
+			e.server.Crash()
+			panic(http.ErrAbortHandler)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		engine.ServeHTTP(w, r)
+	})
 }
 
 // sendMessages sends a chat with messages and one of its own to an entry.
@@ -145,7 +86,7 @@
 	for _, name := range []string{"engine-a", "engine-b", "engine-c", "engine-d"} {
 		e := newCrashingEngine(t)
 		engines = append(engines, e)
-		c.backends[name] = &proc{t: t, ready: readyLine{Listen: e.address}}
+		c.backends[name] = &proc{t: t, ready: readyLine{Listen: e.server.Address()}}
 		c.startEngineSidecar(name, "")
 	}
 	c.configure(`{
@@ -172,7 +113,7 @@
 	}
 	runs := 0
 	for _, e := range engines {
-		runs += e.runs()
+		runs += int(e.fatalRuns.Load())
 	}
 	t.Logf("%d requests with the fatal message reached engines, %d were quarantined, %d sound ones were served", runs, quarantined, served)
 	assert.Assert(t, runs <= maxFatalRuns, "%d requests with the fatal message reached engines", runs)
--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -156,19 +156,16 @@
 		return
 	}
 	b.fatalRuns++
-	running := !b.down
 	b.down = true
 	b.models, b.loading, b.sequence = map[string][]string{}, "", 0
 	crash := b.crash
 	b.mu.Unlock()
-	if running {
-		crash()
-	}
+	crash()
 	panic(http.ErrAbortHandler)
 }
 
-// restarted records that the server runs again after a crash.
-func (b *Backend) restarted() {
+// started records that the server's process runs, for the first time or again after a crash.
+func (b *Backend) started() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.down = false
--- a/imitator/site.go
+++ b/imitator/site.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -64,9 +63,6 @@
 	stops           []func()
 }
 
-// restartRetry is the time after which a crashed server tries again to listen.
-const restartRetry = 50 * time.Millisecond
-
 // siteModelMB is the size of the weights of each model, in megabytes.
 const siteModelMB = 1000
 
@@ -137,73 +133,19 @@
 	return l.Addr().String(), nil
 }
 
-// listenRestartable serves a backend server like listen. A crash of the server closes its
-// listener and its connections, and after RestartTime it listens at the same address again.
+// listenRestartable serves a backend server like listen. A crash of the server ends it, and it
+// starts again after RestartTime.
 func (s *Site) listenRestartable(backend *Backend) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := NewRestartable(s.options.RestartTime, func() http.Handler {
+		backend.started()
+		return backend
+	})
 	if err != nil {
 		return "", err
 	}
-	p := &restartable{backend: backend, address: l.Addr().String()}
-	backend.crash = func() {
-		p.close()
-		time.AfterFunc(s.options.RestartTime, p.restart)
-	}
-	p.serve(l)
-	s.stops = append(s.stops, p.stop)
-	return p.address, nil
-}
-
-// restartable is the listening process of a backend server.
-type restartable struct {
-	backend *Backend
-	address string
-
-	mu      sync.Mutex
-	server  *http.Server
-	stopped bool
-}
-
-// serve answers requests on l until close is called.
-func (p *restartable) serve(l net.Listener) {
-	server := &http.Server{Handler: p.backend, ReadHeaderTimeout: time.Second}
-	p.mu.Lock()
-	p.server = server
-	p.mu.Unlock()
-	go func() { _ = server.Serve(l) }()
-}
-
-// close closes the listener and all connections.
-func (p *restartable) close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_ = p.server.Close()
-}
-
-// restart listens again, unless the site has been stopped.
-func (p *restartable) restart() {
-	p.mu.Lock()
-	stopped := p.stopped
-	p.mu.Unlock()
-	if stopped {
-		return
-	}
-	l, err := net.Listen("tcp", p.address)
-	if err != nil {
-		// The system may have given the port away, or not freed it yet.
-		time.AfterFunc(restartRetry, p.restart)
-		return
-	}
-	p.backend.restarted()
-	p.serve(l)
-}
-
-// stop closes the server for good.
-func (p *restartable) stop() {
-	p.mu.Lock()
-	p.stopped = true
-	p.mu.Unlock()
-	p.close()
+	backend.crash = server.Crash
+	s.stops = append(s.stops, server.Stop)
+	return server.Address(), nil
 }
 
 // Stop ends all servers of the site, in the reverse order of their start.
