quarantiner: processes take turns with trials

What callers would see: a minute after the last crash each entry let one request with a quarantined part through at the same instant, so that as many engines as there are entries could crash before the first crash was known; docs and OPERATIONS say one request.

Cause: the instant of the trial follows from the shared records alone, so it is the same at every process.

Change: New takes the process's place in the order of trials, drawn at random; the trial waits for a turn of up to a minute more. Early turns are exponentially rarer (timers as in multicast feedback suppression), so that the number of processes near the first one does not grow with their number.

Test: TestTrialsOfManyProcesses, 1 to 400 processes, a crash known after 0.5 s, at most three trials (the rule's number): before, 4 of 4 processes; passes now. TestTrials holds unchanged for the process whose turn is first.

--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -53,7 +54,7 @@
 
 // NewQuarantine returns a quarantine that refuses nothing.
 func NewQuarantine(clock timer.Clock, rec *recorder.Recorder, l *log.Logger) *Quarantine {
-	return &Quarantine{clock: clock, recorder: rec, log: l, quarantiner: quarantiner.New()}
+	return &Quarantine{clock: clock, recorder: rec, log: l, quarantiner: quarantiner.New(rand.Float64())}
 }
 
 // trialTime is the time after which a caller may retry while a trial is under way.
--- a/quarantiner/bench_test.go
+++ b/quarantiner/bench_test.go
@@ -9,7 +9,7 @@
 
 // fullQuarantiner returns a quarantiner with as many records and suspects as it keeps.
 func fullQuarantiner() *Quarantiner {
-	q := New()
+	q := New(0)
 	for i := range maxCrashes {
 		for j := range maxSuspects {
 			q.RecordCrash(time.Hour+time.Duration(i)*time.Second/4, process(i), "p", prints(uint64(j*j*i)))
@@ -35,7 +35,7 @@
 
 // BenchmarkAnswer measures what an answer costs while few crashes are known.
 func BenchmarkAnswer(b *testing.B) {
-	q := New()
+	q := New(0)
 	for i := range 3 {
 		q.RecordCrash(time.Hour+time.Duration(i)*time.Second, process(i), "p", prints(shared, fatal))
 	}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -32,6 +33,11 @@
 	// over which the crashes are spread, so that trials that crash servers become rarer.
 	minTrialWait = time.Minute
 	maxTrialWait = 4 * time.Minute
+	// trialSpread bounds the time by which a process lets its trial through later than another
+	// one. Each doubling of the number of processes makes the earliest of them earlier by a
+	// trialDoublings-th of it, so that few are near the earliest, however many there are.
+	trialSpread    = time.Minute
+	trialDoublings = 12
 	// maxCrashes bounds the crashes that are kept, maxSuspects the suspects of one crash.
 	maxCrashes  = 128
 	maxSuspects = 128
@@ -103,7 +109,7 @@
 // Until returns the instant at which the quarantine ends if there is no other crash.
 func (q *Quarantine) Until() time.Duration { return q.last + lifetime }
 
-// RetryAt returns the instant from which a request is let through as a trial.
+// RetryAt returns the earliest instant at which a process lets a request through as a trial.
 func (q *Quarantine) RetryAt() time.Duration {
 	return q.last + min(max(q.last-q.since, minTrialWait), maxTrialWait)
 }
@@ -111,7 +117,9 @@
 // Quarantiner holds the records of crashes and the quarantines that follow from them. It is
 // not safe for concurrent use.
 type Quarantiner struct {
-	crashes map[Process]*crash
+	// trialDelay is how much later than RetryAt this process lets a trial through.
+	trialDelay time.Duration
+	crashes    map[Process]*crash
 	// suspected holds at least the subjects of which a crash has a suspect that is not
 	// cleared.
 	suspected map[subject]bool
@@ -135,9 +143,11 @@
 	at      time.Duration
 }
 
-// New returns a quarantiner without records.
-func New() *Quarantiner {
+// New returns a quarantiner without records. Its place in the order in which processes let
+// trials through is between 0, the first, and 1; it is drawn at random for each process.
+func New(place float64) *Quarantiner {
 	return &Quarantiner{
+		trialDelay:  time.Duration(max(0, 1+math.Log2(place)/trialDoublings) * float64(trialSpread)),
 		crashes:     map[Process]*crash{},
 		suspected:   map[subject]bool{},
 		unsent:      map[Process]bool{},
@@ -304,7 +314,7 @@
 	if ok && now-last.at < wait {
 		return last.request == request && last.at > found.last
 	}
-	if now < found.RetryAt() {
+	if now < found.RetryAt()+q.trialDelay {
 		return false
 	}
 	q.trials[found.subject] = trial{request: request, at: now}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -85,7 +85,7 @@
 			answer(shared),
 		}, want: []uint64{middle, fatal}},
 	} {
-		q := New()
+		q := New(0)
 		for _, step := range c.steps {
 			step(q)
 		}
@@ -103,7 +103,7 @@
 // TestLifetime checks that a quarantine ends lifetime after its latest crash, and that its
 // records are dropped then and not before.
 func TestLifetime(t *testing.T) {
-	q := New()
+	q := New(0)
 	gap := lifetime * 2 / 5
 	last := time.Duration(0)
 	for i := range 4 {
@@ -128,7 +128,7 @@
 // TestTrials checks when a request is let through while its fingerprint is quarantined: one for
 // each wait without a crash, the same one again, and longer waits after trials that crash.
 func TestTrials(t *testing.T) {
-	q := New()
+	q := New(0)
 	crash := func(i int, at time.Duration) { q.RecordCrash(at, process(i), "p", prints(fatal)) }
 	for i := range 3 {
 		crash(i, time.Hour+time.Duration(i)*time.Second)
@@ -148,10 +148,42 @@
 	assert.Assert(t, passes(second+time.Second, "f"))
 }
 
+// TestTrialsOfManyProcesses guards against trials at all processes at once: each of hundreds
+// would crash a server before it knows of the first crash. The requests with the fatal
+// fingerprint come at all of them without a pause, and a crash is known after half a second.
+func TestTrialsOfManyProcesses(t *testing.T) {
+	const delay, step = 500 * time.Millisecond, 100 * time.Millisecond
+	for _, count := range []int{1, 4, 40, 400} {
+		random := rand.New(rand.NewPCG(uint64(count), 1))
+		var processes []*Quarantiner
+		for range count {
+			q := New(random.Float64())
+			for i := range 3 {
+				q.RecordCrash(time.Hour+time.Duration(i)*time.Second, process(i), "p", prints(fatal))
+			}
+			processes = append(processes, q)
+		}
+		first, trials := time.Duration(0), 0
+		for at := time.Hour; at < time.Hour+maxTrialWait && (first == 0 || at < first+delay); at += step {
+			for _, q := range processes {
+				if q.Check(at, fmt.Sprint(at), "p", prints(fatal)) != nil {
+					continue
+				}
+				if first == 0 {
+					first = at
+				}
+				trials++
+			}
+		}
+		assert.Assert(t, first > 0, "%d processes: no trial", count)
+		assert.Assert(t, trials <= 3, "%d processes: %d trials before the first crash is known", count, trials)
+	}
+}
+
 // TestBounds checks that crashes without number and with suspects without number leave a
 // bounded state, in which the quarantine is kept.
 func TestBounds(t *testing.T) {
-	q := New()
+	q := New(0)
 	for i := range 3 {
 		q.RecordCrash(time.Hour+time.Duration(i)*time.Second, process(i), "p", prints(fatal))
 	}
@@ -180,7 +212,7 @@
 func TestMergeInAnyOrder(t *testing.T) {
 	for seed := range uint64(200) {
 		r := rand.New(rand.NewPCG(seed, 1))
-		sources := []*Quarantiner{New(), New(), New()}
+		sources := []*Quarantiner{New(0), New(0), New(0)}
 		for range 30 {
 			source, at := sources[r.IntN(3)], time.Hour+time.Duration(r.IntN(5000))*time.Millisecond
 			if r.IntN(4) == 0 {
@@ -197,7 +229,7 @@
 		var first []uint64
 		for i := range 3 {
 			r.Shuffle(len(records), func(a, b int) { records[a], records[b] = records[b], records[a] })
-			q := New()
+			q := New(0)
 			for _, record := range append(records, records[:len(records)/2]...) {
 				q.Merge(now, record)
 			}
@@ -219,14 +251,14 @@
 func TestMergeOfManySuspects(t *testing.T) {
 	var records []*wire.Crash
 	for i := range 3 {
-		source := New()
+		source := New(0)
 		for j := range maxSuspects {
 			source.RecordCrash(time.Hour, process(1), "p", prints(shared, fatal, uint64(own+i*1000+j)))
 		}
 		records = append(records, source.All(time.Hour)...)
 	}
 	merge := func(order ...int) []*wire.Suspect {
-		q := New()
+		q := New(0)
 		for _, i := range order {
 			q.Merge(time.Hour, records[i])
 		}
@@ -247,7 +279,7 @@
 // TestMergeReportsChanges checks that a record is passed on only if it tells something new,
 // and that a message without a server is ignored.
 func TestMergeReportsChanges(t *testing.T) {
-	source, q := New(), New()
+	source, q := New(0), New(0)
 	source.RecordCrash(time.Hour, process(1), "p", prints(shared, fatal))
 	message := source.TakeUnsent(time.Hour, false)[0]
 	assert.Equal(t, len(source.TakeUnsent(time.Hour, false)), 0)
@@ -268,7 +300,7 @@
 func TestSoundPartsInOtherCrashes(t *testing.T) {
 	for seed := range uint64(100) {
 		r := rand.New(rand.NewPCG(seed, 2))
-		q, next := New(), 0
+		q, next := New(0), 0
 		for tick := range 600 {
 			now := time.Hour + time.Duration(tick)*50*time.Millisecond
 			switch {
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -101,7 +101,7 @@
 	p := &process{
 		fleet: f, config: configurer.New(), membership: subscriber.NewMembership(), done: make(chan struct{}),
 		link:    &wire.Link{Name: name, Role: role, Centre: fmt.Sprint("c", centre), Started: int64(f.starts), Backend: "engine " + name},
-		demands: map[string]*wire.LoadRequest{}, usage: map[serverModel]uint32{}, tokensUsed: map[string]float64{}, changed: make(chan struct{}, 1), crashes: quarantiner.New(),
+		demands: map[string]*wire.LoadRequest{}, usage: map[serverModel]uint32{}, tokensUsed: map[string]float64{}, changed: make(chan struct{}, 1), crashes: quarantiner.New(0),
 		statuses: map[string]*wire.EngineStatus{}, lost: map[string]bool{}, estimates: map[string]*wire.ReadyEstimate{}, remoteTokens: map[string]float64{},
 	}
 	change := &wire.Change{Version: 1, Pools: []*wire.Pool{{Name: "p", Engines: &wire.Engines{Bytes: 100, Slots: 16}}}}
--- a/relayer/fleetstate.go
+++ b/relayer/fleetstate.go
@@ -113,7 +113,7 @@
 		servers:           newVersionedMap[string, *wire.ListedServer](),
 		members:           newVersionedMap[string, *wire.Member](),
 		crashes:           newVersionedMap[quarantiner.Process, struct{}](),
-		quarantiner:       quarantiner.New(),
+		quarantiner:       quarantiner.New(0),
 		usage:             newVersionedMap[serverModel, uint32](),
 		demands:           newVersionedMap[string, allocator.Demand](),
 		loadRequests:      newVersionedMap[serverModel, loadRequest](),
