quarantiner: five crashes close to each other suffice if they are not simultaneous

Cause: all five engines that could run the model ended within 137 ms. Separate moments are 100 ms apart, so there were two, and three are needed. The requests that waited meanwhile, at all entries, came to the engines when these were back, and ended six to ten of them before the third moment was known.

Ruled out: the exchange (all entries within 18 ms of the first), blame of another part (none).

Change: a fingerprint that was never answered is quarantined also at five crashes that are spread over 30 ms or more and around which most crashes hold it. A common cause ends servers within less, and what many requests share has been answered. Fewer crashes, or answered parts, need separate moments as before.

Tests: four cases of TestCheck; "five servers one after the other within 140 ms" failed before. TestSoundPartsInOtherCrashes and the others hold unchanged.

--- a/quarantiner/decision.go
+++ b/quarantiner/decision.go
@@ -108,13 +108,15 @@
 	depth   int
 	crashes []time.Duration
 	moments int
+	// scattered is set if there are at least minScattered crashes, spread over minSpread.
+	scattered bool
 	// answered is set if a request with the fingerprint was answered before one of the crashes.
 	answered bool
 }
 
 // sufficient reports whether the evidence suffices for a quarantine.
 func (e *evidence) sufficient() bool {
-	return e.moments >= minCrashesAnswered || !e.answered && e.moments >= minCrashes
+	return e.moments >= minCrashesAnswered || !e.answered && (e.moments >= minCrashes || e.scattered)
 }
 
 // mostSuspect returns the evidence that weighs most of what suffices for a quarantine, or nil if
@@ -139,7 +141,8 @@
 	var worst *evidence
 	for _, e := range found {
 		slices.Sort(e.crashes)
-		e.moments = countMoments(e.crashes, instants[e.subject.pool])
+		counted := countedCrashes(e.crashes, instants[e.subject.pool])
+		e.moments, e.scattered = countMoments(counted), scattered(counted)
 		if e.sufficient() && (worst == nil || compareEvidence(e, worst) > 0) {
 			worst = e
 		}
@@ -179,21 +182,39 @@
 	)
 }
 
-// countMoments returns the number of crashes of a fingerprint that are at least momentGap
-// apart. A crash does not count if most crashes of the pool around it lack the fingerprint:
-// servers that end together do so for a common cause. Both lists are sorted.
-func countMoments(crashes, all []time.Duration) int {
+// countedCrashes returns the crashes of a fingerprint that count. A crash does not count if
+// most crashes of the pool around it lack the fingerprint: servers that end together do so
+// for a common cause. Both lists are sorted.
+func countedCrashes(crashes, all []time.Duration) []time.Duration {
+	var counted []time.Duration
+	for _, at := range crashes {
+		if 2*countAround(crashes, at) >= countAround(all, at) {
+			counted = append(counted, at)
+		}
+	}
+	return counted
+}
+
+// countMoments returns the number of crashes that are at least momentGap apart. The list is
+// sorted.
+func countMoments(crashes []time.Duration) int {
 	moments := 0
 	var last time.Duration
 	for _, at := range crashes {
-		if moments > 0 && at-last < momentGap || 2*countAround(crashes, at) < countAround(all, at) {
-			continue
+		if moments == 0 || at-last >= momentGap {
+			moments, last = moments+1, at
 		}
-		moments, last = moments+1, at
 	}
 	return moments
 }
 
+// scattered reports whether there are at least minScattered crashes, spread over at least
+// minSpread. The list is sorted.
+func scattered(crashes []time.Duration) bool {
+	n := len(crashes)
+	return n >= minScattered && crashes[n-1]-crashes[0] >= minSpread
+}
+
 // countAround returns the number of instants of a sorted list that are less than momentGap
 // from an instant.
 func countAround(list []time.Duration, at time.Duration) int {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -25,6 +25,12 @@
 	// momentGap is the shortest time between two separate moments. Servers that end within
 	// it may have a common cause, such as a loss of power.
 	momentGap = 100 * time.Millisecond
+	// minScattered is the number of crashes from which a fingerprint that was never answered is
+	// quarantined also without separate moments, if the crashes are spread over at least
+	// minSpread: all servers that can run a model may crash one after the other before there
+	// is a third moment. Servers that a common cause ends do so within less.
+	minScattered = 5
+	minSpread    = 30 * time.Millisecond
 	// lifetime is how long a crash is counted, and how long after its latest crash a
 	// fingerprint stays quarantined.
 	lifetime = 5 * time.Minute
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -53,6 +53,17 @@
 		{name: "two crashes", steps: []func(*Quarantiner){crashEvery(time.Second, 2, shared, fatal)}},
 		{name: "three crashes", steps: []func(*Quarantiner){crashEvery(time.Second, 3, shared, fatal)}, want: []uint64{fatal}},
 		{name: "all servers within 400 ms", steps: []func(*Quarantiner){crashEvery(36*time.Millisecond, 11, shared, fatal)}, want: []uint64{fatal}},
+		{name: "five servers one after the other within 140 ms", steps: []func(*Quarantiner){crashEvery(34*time.Millisecond, 5, shared, fatal)}, want: []uint64{fatal}},
+		{name: "five servers within 140 ms, an answer before", steps: []func(*Quarantiner){answer(fatal), crashEvery(34*time.Millisecond, 5, shared, fatal)}, want: []uint64{shared}},
+		{name: "four servers within 140 ms", steps: []func(*Quarantiner){crashEvery(34*time.Millisecond, 4, shared, fatal)}},
+		{name: "five servers in a rush of other crashes", steps: []func(*Quarantiner){
+			crashEvery(34*time.Millisecond, 5, shared, fatal),
+			func(q *Quarantiner) {
+				for i := range 12 {
+					q.RecordCrash(start+time.Duration(i)*15*time.Millisecond, process(20+i), "p", prints(uint64(own+i)))
+				}
+			},
+		}},
 		{name: "twenty at one moment", steps: []func(*Quarantiner){crashEvery(time.Millisecond, 20, shared, fatal)}},
 		{name: "among many others at the same moments", steps: []func(*Quarantiner){
 			crashEvery(time.Second, 3, shared, fatal),
