Refused callers who may come back no longer keep models in memory

Cause: after a refusal a demand goes on for six seconds, without waiting requests, since its callers were asked to come back. Such a demand kept its model in memory wherever it was already loaded: it was neither idle nor busy for the estimate, which then was the longest drain (6 s), beyond the deadline of each request for a missing model; and the sidecar did not unload it. The requests for the missing models were refused in turn, which made demands of the same kind.

Change: only requests that wait keep a model (allocator.candidate, placer.EvictionFor).

--- a/allocator/candidates.go
+++ b/allocator/candidates.go
@@ -40,8 +40,8 @@
 	return candidates
 }
 
-// candidate describes an engine as a candidate for a load. Models with demand are neither
-// idle nor busy, so they are not unloaded.
+// candidate describes an engine as a candidate for a load. Models that requests wait for are
+// neither idle nor busy, so they are not unloaded.
 func (a *Allocator) candidate(now time.Duration, b *tracker.Backend, m *wire.Model, score uint64) placer.Candidate {
 	status, inventory := b.Status(now), b.Inventory(now)
 	c := placer.Candidate{ID: b.Server().ID, Free: status.GetFree(), Score: score, Planned: inventory.Has(m.GetName())}
@@ -53,7 +53,7 @@
 	for _, r := range status.GetResidents() {
 		loaded := loadedModel(r)
 		switch {
-		case a.demands[loaded.Model] != nil:
+		case a.waiting(loaded.Model) > 0:
 		case loaded.Inflight == 0:
 			c.Idle = append(c.Idle, loaded)
 		default:
@@ -63,6 +63,14 @@
 	return c
 }
 
+// waiting returns the number of requests that wait for a model.
+func (a *Allocator) waiting(model string) uint32 {
+	if p := a.demands[model]; p != nil {
+		return p.Count
+	}
+	return 0
+}
+
 // setQueueTime sets the duration of the loads ahead of that of a model, and whether the
 // engine already plans that load or cannot start it.
 func (a *Allocator) setQueueTime(now time.Duration, c *placer.Candidate, b *tracker.Backend, model string) {
--- a/allocator/scaleup_test.go
+++ b/allocator/scaleup_test.go
@@ -67,3 +67,21 @@
 	f.report("y", "", 3)
 	assert.DeepEqual(t, f.decide(scaleUpPeriod/2), map[string]string{})
 }
+
+// TestRefusedDemandKeepsNoModel guards against models that are missing for seconds although
+// others could be unloaded: the residents of all engines counted as in demand because callers
+// who were refused may come back, so that each request for a missing model was refused too.
+func TestRefusedDemandKeepsNoModel(t *testing.T) {
+	f := newFixture()
+	f.report("x", "busy", 1)
+	f.report("y", "busy", 1)
+	f.allocator.SetDemand("busy", Demand{Value: 0.05, TargetTime: f.now + time.Hour, FirstArrival: f.now})
+	f.allocator.SetDemand("rare", Demand{Count: 1, Value: 1, TargetTime: f.now + time.Second, FirstArrival: f.now})
+	for _, e := range f.allocator.Decide(f.now, func(string) bool { return true }).Estimates {
+		if e.Model == "rare" {
+			assert.Assert(t, e.Ready-f.now < 2*time.Second, "the model is expected in %v", e.Ready-f.now)
+			return
+		}
+	}
+	t.Fatal("there is no estimate for the missing model")
+}
--- a/placer/nextstep.go
+++ b/placer/nextstep.go
@@ -133,13 +133,13 @@
 }
 
 // EvictionFor returns the models to unload so that r fits, those with the fewest expected
-// misses first. Models in use, requested, or loaded less than minResidence ago stay, and so
-// do those that r may not displace. It reports false if the requests expected to miss them
+// misses first. Models in use, or that requests wait for, or loaded less than minResidence
+// ago stay, and so do those that r may not displace. It reports false if the requests expected to miss them
 // are at least as many as those that wait for r, or if not enough memory can be freed now.
 func EvictionFor(now time.Duration, free uint64, loaded []LoadedModel, requests []LoadRequest, r LoadRequest) ([]LoadedModel, bool) {
 	var idle []LoadedModel
 	for _, m := range loaded {
-		requested := slices.ContainsFunc(requests, func(o LoadRequest) bool { return o.Model == m.Model })
+		requested := slices.ContainsFunc(requests, func(o LoadRequest) bool { return o.Model == m.Model && o.Count > 0 })
 		if m.Inflight == 0 && !requested && now-m.LoadedAt >= minResidence && r.mayDisplace(m) {
 			idle = append(idle, m)
 		}
