quarantiner: an answer counts for records that arrive after it

An entry that had just started answered requests with it for 0.8 s before the records of two crashes reached it, and then took them over as they were.

Change: a process keeps the instant of the latest answer of each fingerprint, and applies it to each record that it makes or merges; what it cleared so is sent on. RecordAnswer takes now.

Test: TestAnswerBeforeRecord failed before. The other tests pass the instants that their names state.

--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -83,7 +83,7 @@
 func (q *Quarantine) RecordAnswer(r *Request) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.quarantiner.RecordAnswer(r.Pool, r.Fingerprints())
+	q.quarantiner.RecordAnswer(q.clock(), r.Pool, r.Fingerprints())
 }
 
 // RecordCrash records that a process of a backend server crashed at an instant while some
--- a/quarantiner/bench_test.go
+++ b/quarantiner/bench_test.go
@@ -40,7 +40,7 @@
 		q.RecordCrash(time.Hour+time.Duration(i)*time.Second, process(i), "p", prints(shared, fatal))
 	}
 	for b.Loop() {
-		q.RecordAnswer("p", prints(shared, middle, own))
+		q.RecordAnswer(time.Hour, "p", prints(shared, middle, own))
 		q.Check(time.Hour+10*time.Second, "r", "p", prints(shared, middle, own))
 	}
 }
--- a/quarantiner/message.go
+++ b/quarantiner/message.go
@@ -71,8 +71,14 @@
 	changed = q.crashes[p] == nil
 	c := q.crashOf(p, message.GetPool(), now-timer.FromMillis(message.GetAge()))
 	for _, s := range message.GetSuspects() {
-		if q.addSuspect(c, s.GetPrint(), suspect{depth: int(s.GetDepth()), cleared: s.GetCleared(), answered: s.GetSeen()}) {
-			changed = true
+		sent := suspect{depth: int(s.GetDepth()), cleared: s.GetCleared(), answered: s.GetSeen()}
+		known := q.withAnswer(c, s.GetPrint(), sent)
+		if !q.addSuspect(c, s.GetPrint(), known) {
+			continue
+		}
+		changed = true
+		if known != sent {
+			q.unsent[p] = true
 		}
 	}
 	q.stale = q.stale || changed
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -136,9 +136,9 @@
 	decidedAt   time.Duration
 	quarantines map[subject]*Quarantine
 	changes     []Change
-	// answered holds fingerprints of answered requests, previouslyAnswered those of the time
-	// before answered was last emptied.
-	answered, previouslyAnswered map[subject]bool
+	// answered holds the latest instants at which requests with a fingerprint were answered,
+	// previouslyAnswered those of the time before answered was last emptied.
+	answered, previouslyAnswered map[subject]time.Duration
 	// trials holds the latest trials of this process.
 	trials map[subject]trial
 }
@@ -159,7 +159,7 @@
 		unsent:      map[Process]bool{},
 		quarantines: map[subject]*Quarantine{},
 		trials:      map[subject]trial{},
-		answered:    map[subject]bool{},
+		answered:    map[subject]time.Duration{},
 	}
 }
 
@@ -175,12 +175,24 @@
 func (q *Quarantiner) RecordCrash(at time.Duration, p Process, pool string, fingerprints []Fingerprint) {
 	c := q.crashOf(p, pool, at)
 	for _, f := range fingerprints {
-		key := subject{pool, f.ID}
-		q.addSuspect(c, f.ID, suspect{depth: f.Depth, answered: q.answered[key] || q.previouslyAnswered[key]})
+		q.addSuspect(c, f.ID, q.withAnswer(c, f.ID, suspect{depth: f.Depth}))
 	}
 	q.markChanged(p)
 }
 
+// withAnswer adds to a suspect of a crash what this process knows of answers: the latest one
+// clears the suspect if it came after the crash, even if the record came after the answer.
+func (q *Quarantiner) withAnswer(c *crash, id uint64, s suspect) suspect {
+	key := subject{c.pool, id}
+	answeredAt, ok := q.answered[key]
+	if !ok {
+		answeredAt, ok = q.previouslyAnswered[key]
+	}
+	s.cleared = s.cleared || ok && answeredAt > c.at
+	s.answered = s.answered || ok && answeredAt <= c.at
+	return s
+}
+
 // crashOf returns the record of the crash of a process, made if there is none yet. Its
 // instant is the earliest one that is known.
 func (q *Quarantiner) crashOf(p Process, pool string, at time.Duration) *crash {
@@ -225,16 +237,16 @@
 
 // RecordAnswer records that a request with the given fingerprints to a pool was answered, at
 // least in part. It clears them of the crashes up to now.
-func (q *Quarantiner) RecordAnswer(pool string, fingerprints []Fingerprint) {
+func (q *Quarantiner) RecordAnswer(now time.Duration, pool string, fingerprints []Fingerprint) {
 	for _, f := range fingerprints {
 		key := subject{pool, f.ID}
-		q.answered[key] = true
+		q.answered[key] = now
 		if q.suspected[key] {
 			q.clear(key)
 		}
 	}
 	if len(q.answered) >= maxAnswered/2 {
-		q.previouslyAnswered, q.answered = q.answered, map[subject]bool{}
+		q.previouslyAnswered, q.answered = q.answered, map[subject]time.Duration{}
 	}
 }
 
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -42,9 +42,12 @@
 			}
 		}
 	}
-	answer := func(ids ...uint64) func(*Quarantiner) {
-		return func(q *Quarantiner) { q.RecordAnswer("p", prints(ids...)) }
+	answerAt := func(at time.Duration) func(ids ...uint64) func(*Quarantiner) {
+		return func(ids ...uint64) func(*Quarantiner) {
+			return func(q *Quarantiner) { q.RecordAnswer(at, "p", prints(ids...)) }
+		}
 	}
+	answer, answerBefore := answerAt(start+9*time.Second), answerAt(start-time.Second)
 	for _, c := range []struct {
 		name  string
 		steps []func(*Quarantiner)
@@ -54,7 +57,7 @@
 		{name: "three crashes", steps: []func(*Quarantiner){crashEvery(time.Second, 3, shared, fatal)}, want: []uint64{fatal}},
 		{name: "all servers within 400 ms", steps: []func(*Quarantiner){crashEvery(36*time.Millisecond, 11, shared, fatal)}, want: []uint64{fatal}},
 		{name: "five servers one after the other within 140 ms", steps: []func(*Quarantiner){crashEvery(34*time.Millisecond, 5, shared, fatal)}, want: []uint64{fatal}},
-		{name: "five servers within 140 ms, an answer before", steps: []func(*Quarantiner){answer(fatal), crashEvery(34*time.Millisecond, 5, shared, fatal)}, want: []uint64{shared}},
+		{name: "five servers within 140 ms, an answer before", steps: []func(*Quarantiner){answerBefore(fatal), crashEvery(34*time.Millisecond, 5, shared, fatal)}, want: []uint64{shared}},
 		{name: "four servers within 140 ms", steps: []func(*Quarantiner){crashEvery(34*time.Millisecond, 4, shared, fatal)}},
 		{name: "five servers in a rush of other crashes", steps: []func(*Quarantiner){
 			crashEvery(34*time.Millisecond, 5, shared, fatal),
@@ -75,9 +78,9 @@
 		}},
 		{name: "an answer to the whole", steps: []func(*Quarantiner){crashEvery(time.Second, 3, shared, fatal), answer(shared, fatal)}},
 		{name: "an answer to a part", steps: []func(*Quarantiner){crashEvery(time.Second, 3, shared, fatal), answer(shared)}, want: []uint64{fatal}},
-		{name: "an answer before", steps: []func(*Quarantiner){answer(fatal), crashEvery(time.Second, 5, fatal)}},
-		{name: "an answer long before", steps: []func(*Quarantiner){answer(fatal), crashEvery(time.Second, 6, fatal)}, want: []uint64{fatal}},
-		{name: "an answer to the others before", steps: []func(*Quarantiner){answer(shared, middle), crashEvery(time.Second, 3, shared, fatal, middle)}, want: []uint64{fatal}},
+		{name: "an answer before", steps: []func(*Quarantiner){answerBefore(fatal), crashEvery(time.Second, 5, fatal)}},
+		{name: "an answer long before", steps: []func(*Quarantiner){answerBefore(fatal), crashEvery(time.Second, 6, fatal)}, want: []uint64{fatal}},
+		{name: "an answer to the others before", steps: []func(*Quarantiner){answerBefore(shared, middle), crashEvery(time.Second, 3, shared, fatal, middle)}, want: []uint64{fatal}},
 		{name: "the first part is the fatal one", steps: []func(*Quarantiner){
 			crashEvery(time.Second, 3, fatal, middle),
 			func(q *Quarantiner) { q.RecordCrash(start+9*time.Second, process(9), "p", prints(fatal, own)) },
@@ -155,7 +158,7 @@
 	assert.Assert(t, !passes(first+2*time.Second+minTrialWait, "d"))
 	second := first + 2*time.Second + (first + 2*time.Second - time.Hour)
 	assert.Assert(t, passes(second, "e"))
-	q.RecordAnswer("p", prints(fatal))
+	q.RecordAnswer(second, "p", prints(fatal))
 	assert.Assert(t, passes(second+time.Second, "f"))
 }
 
@@ -206,7 +209,7 @@
 		}
 	}
 	for i := range 3 * maxAnswered {
-		q.RecordAnswer("p", prints(uint64(i)<<32))
+		q.RecordAnswer(time.Hour, "p", prints(uint64(i)<<32))
 	}
 	assert.Assert(t, len(q.answered)+len(q.previouslyAnswered) <= maxAnswered)
 	assert.Equal(t, len(q.crashes), maxCrashes)
@@ -227,7 +230,7 @@
 		for range 30 {
 			source, at := sources[r.IntN(3)], time.Hour+time.Duration(r.IntN(5000))*time.Millisecond
 			if r.IntN(4) == 0 {
-				source.RecordAnswer("p", prints(uint64(r.IntN(6))))
+				source.RecordAnswer(at, "p", prints(uint64(r.IntN(6))))
 				continue
 			}
 			source.RecordCrash(at, process(r.IntN(12)), "p", prints(uint64(r.IntN(6)), uint64(r.IntN(6))))
@@ -298,13 +301,36 @@
 	assert.Assert(t, changed)
 	_, changed = q.Merge(time.Hour, message)
 	assert.Assert(t, !changed)
-	source.RecordAnswer("p", prints(shared))
+	source.RecordAnswer(time.Hour+time.Second, "p", prints(shared))
 	_, changed = q.Merge(time.Hour, source.TakeUnsent(time.Hour, false)[0])
 	assert.Assert(t, changed)
 	_, changed = q.Merge(time.Hour, &wire.Crash{})
 	assert.Assert(t, !changed)
 }
 
+// TestAnswerBeforeRecord guards against sound parts that are quarantined although another
+// process has answered them since: it had started, or the relay was lost, and the records of
+// the crashes came after its answers.
+func TestAnswerBeforeRecord(t *testing.T) {
+	source, q := New(0), New(0)
+	for i := range 3 {
+		source.RecordCrash(time.Hour+time.Duration(i)*time.Second, process(i), "p", prints(fatal, shared))
+	}
+	now := time.Hour + 10*time.Second
+	assert.Assert(t, source.Check(now, "r", "p", prints(shared)) != nil)
+	q.RecordAnswer(now-time.Second, "p", prints(shared))
+	for _, message := range source.TakeUnsent(now, true) {
+		q.Merge(now, message)
+	}
+	assert.Assert(t, q.Check(now, "r", "p", prints(shared)) == nil)
+	assert.Assert(t, q.Check(now, "r", "p", prints(fatal)) != nil)
+	for _, message := range q.TakeUnsent(now, false) {
+		source.Merge(now, message)
+	}
+	assert.Assert(t, source.Check(now, "r", "p", prints(shared)) == nil)
+	assert.Assert(t, source.Check(now, "r", "p", prints(fatal)) != nil)
+}
+
 // TestSoundPartsInOtherCrashes plays fleets in which servers end for reasons of their own, at
 // single moments and many at once, under a load of sound requests of which some wait long. No
 // fingerprint of theirs may be quarantined. The pattern is drawn by seed.
@@ -319,7 +345,7 @@
 				crashAll(r, q, now, &next, 1+r.IntN(20))
 			default:
 				for range 3 {
-					q.RecordAnswer("p", soundPrints(r))
+					q.RecordAnswer(now, "p", soundPrints(r))
 				}
 			}
 			q.Update(now)
--- a/relayer/crash_test.go
+++ b/relayer/crash_test.go
@@ -114,7 +114,7 @@
 		}
 		f.await("quarantine", time.Second, func() bool { return f.quarantined(7) })
 		other := f.processes[entryName(1, 1)]
-		other.set(func() { other.crashes.RecordAnswer("p", []quarantiner.Fingerprint{{ID: 7}}) })
+		other.set(func() { other.crashes.RecordAnswer(f.clock(), "p", []quarantiner.Fingerprint{{ID: 7}}) })
 		f.await("end of the quarantine", time.Second, func() bool { return !f.quarantined(7) && f.crashesAgree() })
 	})
 }
