--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -41,7 +41,7 @@
 	Prompt          []dispatcher.PromptPart
 	// FirstIndex is the index of the first event that the caller wants.
 	FirstIndex uint64
-	// Digest is the hash of the method, the target and the body.
+	// Digest is the hash of what makes the backend server's work on the request.
 	Digest  uint64
 	Content any
 }
