allocator: one computation of the rate per copy

hasRoom divided the rate by the copies by itself; placer.LoadedModel.RatePerCopy does it, for the sidecar's decision on the same models. Same values, so behaviour is unchanged (slices.Concat copies the candidate's models).

--- a/allocator/scaleup.go
+++ b/allocator/scaleup.go
@@ -140,7 +140,9 @@
 	room := c.Free
 	b := a.fleet.Get(c.ID)
 	for _, loaded := range slices.Concat(c.Idle, c.Busy) {
-		if b.RequestRate(now, loaded.Model)/float64(max(1, a.Copies(now, loaded.Model))) < relief {
+		// The report has the rate apart from the expected misses.
+		loaded.Rate, loaded.Copies = b.RequestRate(now, loaded.Model), a.Copies(now, loaded.Model)
+		if loaded.RatePerCopy() < relief {
 			room += loaded.Bytes
 		}
 	}
