runner: small tests of the ends of streams, repeated answers and odd rows

The stand-in of a backend server plays the faults that the users reported: errors with their own seal, streams that break off at any place, answers written once more, resumes from another event, early answers. Its process takes all of its connections with it when it ends. The store can hold rows that are not base64.

--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -78,6 +79,9 @@
 	fatalRuns  int
 	// down is set while the process has crashed and has not started again.
 	down bool
+	// plan chooses the faults of answers, or is nil. answers are the records by request ID.
+	plan    AnswerPlan
+	answers map[string]AnswerRecord
 }
 
 // NewBackend returns a server that writes its row to the given store after Start.
@@ -89,6 +93,7 @@
 		models:    map[string][]string{},
 		runs:      map[string]int{},
 		tenants:   map[string]string{},
+		answers:   map[string]AnswerRecord{},
 		done:      make(chan struct{}),
 	}
 	m := mux.NewRouter()
@@ -156,12 +161,62 @@
 		return
 	}
 	b.fatalRuns++
+	b.mu.Unlock()
+	b.Crash()
+	panic(http.ErrAbortHandler)
+}
+
+// Crash ends the server's process, with all its connections. It starts again with nothing in
+// memory.
+func (b *Backend) Crash() {
+	b.mu.Lock()
 	b.down = true
 	b.models, b.loading, b.sequence = map[string][]string{}, "", 0
 	crash := b.crash
 	b.mu.Unlock()
 	crash()
-	panic(http.ErrAbortHandler)
+}
+
+// PlanAnswers makes plan choose the faults of the answers to callers' requests from now on,
+// or ends the faults if plan is nil.
+func (b *Backend) PlanAnswers(plan AnswerPlan) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.plan = plan
+}
+
+// hasPlan reports whether a plan of answers is in force.
+func (b *Backend) hasPlan() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.plan != nil
+}
+
+// planFault returns the faults of the answer to a request.
+func (b *Backend) planFault(r *http.Request) AnswerFault {
+	b.mu.Lock()
+	plan := b.plan
+	b.mu.Unlock()
+	if plan == nil {
+		return AnswerFault{}
+	}
+	return plan(r)
+}
+
+// recordAnswer changes the record of the answers to the requests with an ID.
+func (b *Backend) recordAnswer(id string, change func(a *AnswerRecord)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	record := b.answers[id]
+	change(&record)
+	b.answers[id] = record
+}
+
+// Answers returns what was answered while a plan of answers was in force, by request ID.
+func (b *Backend) Answers() map[string]AnswerRecord {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.answers)
 }
 
 // started records that the server's process runs, for the first time or again after a crash.
@@ -378,6 +433,10 @@
 // handleRequest executes a caller's request: a stream if it names a model, otherwise a
 // call of a plain service, whose answer repeats the request.
 func (b *Backend) handleRequest(w http.ResponseWriter, r *http.Request) {
+	if b.hasPlan() {
+		b.serveFaulty(w, r)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- a/imitator/restartable.go
+++ b/imitator/restartable.go
@@ -17,10 +17,12 @@
 	restartTime time.Duration
 	start       func() http.Handler
 
-	mu      sync.Mutex
-	server  *http.Server
-	down    bool
-	stopped bool
+	mu     sync.Mutex
+	server *http.Server
+	// connections are the open connections, those that a handler took over included.
+	connections map[*trackedConn]bool
+	down        bool
+	stopped     bool
 }
 
 // NewRestartable starts a server on a free port. After a crash it starts again once
@@ -31,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Restartable{address: l.Addr().String(), restartTime: restartTime, start: start}
+	r := &Restartable{address: l.Addr().String(), restartTime: restartTime, start: start, connections: map[*trackedConn]bool{}}
 	r.serve(l)
 	return r, nil
 }
@@ -49,18 +51,68 @@
 		_ = l.Close()
 		return
 	}
-	go func() { _ = server.Serve(l) }()
+	go func() { _ = server.Serve(&trackedListener{Listener: l, owner: r}) }()
+}
+
+// trackedListener is a listener whose connections are known to their server.
+type trackedListener struct {
+	net.Listener
+	owner *Restartable
+}
+
+// Accept implements net.Listener.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &trackedConn{TCPConn: conn.(*net.TCPConn), owner: l.owner}
+	l.owner.mu.Lock()
+	defer l.owner.mu.Unlock()
+	l.owner.connections[c] = true
+	return c, nil
+}
+
+// trackedConn is a connection that its server knows until it is closed.
+type trackedConn struct {
+	*net.TCPConn
+	owner *Restartable
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.owner.mu.Lock()
+	delete(c.owner.connections, c)
+	c.owner.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// takeConnections returns the open connections and forgets them. The caller holds the lock.
+func (r *Restartable) takeConnections() map[*trackedConn]bool {
+	open := r.connections
+	r.connections = map[*trackedConn]bool{}
+	return open
+}
+
+// end closes the listener of a server, and then all connections.
+func end(server *http.Server, open map[*trackedConn]bool) {
+	_ = server.Close()
+	for c := range open {
+		_ = c.Close()
+	}
 }
 
 // Crash ends the server. It does nothing while the server is down.
 func (r *Restartable) Crash() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	if r.down {
+		r.mu.Unlock()
 		return
 	}
 	r.down = true
-	_ = r.server.Close()
+	server, open := r.server, r.takeConnections()
+	r.mu.Unlock()
+	end(server, open)
 	time.AfterFunc(r.restartTime, r.restart)
 }
 
@@ -84,7 +136,8 @@
 // Stop ends the server for good.
 func (r *Restartable) Stop() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.stopped = true
-	_ = r.server.Close()
+	server, open := r.server, r.takeConnections()
+	r.mu.Unlock()
+	end(server, open)
 }
--- a/imitator/rows.go
+++ b/imitator/rows.go
@@ -1,7 +1,9 @@
 package imitator
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -44,14 +46,38 @@
 	Value   []byte `json:"value,omitempty"`
 	Ver     uint64 `json:"ver"`
 	Deleted bool   `json:"deleted,omitempty"`
+	// odd is the JSON of the value if another writer has written one that is not base64.
+	odd string
+}
+
+// encode returns the row as JSON, which is not well formed if odd is not.
+func (r Row) encode() []byte {
+	// The fields are plain data, whose encoding can't fail.
+	data, _ := json.Marshal(r)
+	if r.odd == "" {
+		return data
+	}
+	return append(data[:len(data)-1], `,"value":`+r.odd+"}"...)
 }
 
 // rowAnswer is the body of the answer to every call.
 type rowAnswer struct {
-	Rows  []Row  `json:"rows,omitempty"`
-	More  bool   `json:"has_more"`
-	Ver   uint64 `json:"ver"`
-	NowMS int64  `json:"now_ms"`
+	Rows  []Row
+	More  bool
+	Ver   uint64
+	NowMS int64
+}
+
+// write answers with a status and a.
+func (a rowAnswer) write(w http.ResponseWriter, status int) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	encoded := make([][]byte, len(a.Rows))
+	for i, r := range a.Rows {
+		encoded[i] = r.encode()
+	}
+	// A failed write shows at the caller.
+	_, _ = fmt.Fprintf(w, `{"rows":[%s],"has_more":%t,"ver":%d,"now_ms":%d}`, bytes.Join(encoded, []byte(",")), a.More, a.Ver, a.NowMS)
 }
 
 // NewRowStore returns an empty store.
@@ -115,6 +141,20 @@
 	return s.version
 }
 
+// PutOdd writes a row whose value is the given JSON in place of base64, as another writer may,
+// and returns its version.
+func (s *RowStore) PutOdd(table, key, value string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	k := rowKey{table: table, key: key}
+	s.setRow(k, nil, false)
+	row := s.rows[k]
+	row.odd = value
+	s.rows[k] = row
+	return s.version
+}
+
 // Remove marks a row as deleted.
 func (s *RowStore) Remove(table, key string) {
 	s.mu.Lock()
@@ -182,7 +222,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if current, ok := s.checkVersions(tx.Expected); !ok {
-		writeJSON(w, http.StatusPreconditionFailed, s.newAnswer(current))
+		s.newAnswer(current).write(w, http.StatusPreconditionFailed)
 		return
 	}
 	s.version++
@@ -192,7 +232,7 @@
 	for _, row := range tx.Remove {
 		s.setRow(rowKey{row.Table, row.Part, row.Key}, nil, true)
 	}
-	writeJSON(w, http.StatusOK, s.newAnswer(nil))
+	s.newAnswer(nil).write(w, http.StatusOK)
 }
 
 // checkVersions reports whether all rows have their expected versions, with 0 for a
@@ -231,7 +271,7 @@
 	slices.SortFunc(list, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
 	result := s.newAnswer(list[:min(limit, len(list))])
 	result.More = len(list) > limit
-	writeJSON(w, http.StatusOK, result)
+	result.write(w, http.StatusOK)
 }
 
 func (s *RowStore) handleFeed(w http.ResponseWriter, r *http.Request) {
@@ -251,13 +291,13 @@
 			return
 		}
 		if len(result.Rows) > 0 {
-			writeJSON(w, http.StatusOK, result)
+			result.write(w, http.StatusOK)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			writeJSON(w, http.StatusOK, result)
+			result.write(w, http.StatusOK)
 			return
 		case <-r.Context().Done():
 			return
--- a/imitator/site.go
+++ b/imitator/site.go
@@ -90,20 +90,29 @@
 		}
 		s.Engines, s.EngineAddresses = append(s.Engines, backend), append(s.EngineAddresses, address)
 	}
-	for i := range options.Services {
-		backend := NewBackend(BackendOptions{
-			ID: fmt.Sprintf("service-%d", i), Pool: SiteOrders, Centre: SiteCentre, Slots: 6, ServiceTime: options.ServiceTime,
-		}, s.Rows)
-		if _, err := s.startBackend(backend); err != nil {
+	for range options.Services {
+		if err := s.AddService(); err != nil {
 			s.Stop()
 			return nil, err
 		}
-		s.Services = append(s.Services, backend)
 	}
 	_, err = s.Configure(SiteKey)
 	return s, err
 }
 
+// AddService starts a plain service and adds it to Services. It must not be called while the
+// list is read.
+func (s *Site) AddService() error {
+	backend := NewBackend(BackendOptions{
+		ID: fmt.Sprintf("service-%d", len(s.Services)), Pool: SiteOrders, Centre: SiteCentre, Slots: 6, ServiceTime: s.options.ServiceTime,
+	}, s.Rows)
+	if _, err := s.startBackend(backend); err != nil {
+		return err
+	}
+	s.Services = append(s.Services, backend)
+	return nil
+}
+
 // SiteModel returns the name of model i.
 func SiteModel(i int) string { return fmt.Sprintf("model%d", i) }
 
