--- a/dispatcher/abandon_test.go
+++ b/dispatcher/abandon_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"oleanderstall/assembler"
 	"oleanderstall/faker"
 	"oleanderstall/meter"
 	"oleanderstall/recorder"
@@ -41,7 +42,7 @@
 type emptyAnswer struct{}
 
 func (emptyAnswer) Head() any            { return nil }
-func (emptyAnswer) Failed() bool         { return false }
+func (emptyAnswer) Info() assembler.Head { return assembler.Head{} }
 func (emptyAnswer) Next() (Event, error) { return Event{}, io.EOF }
 func (emptyAnswer) End() any             { return nil }
 func (emptyAnswer) Close()               {}
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"oleanderstall/assembler"
 	"oleanderstall/refuser"
 )
 
@@ -15,7 +16,7 @@
 func (c *Core) attempt(ctx context.Context, p *progress, reservation *Reservation) (end any, err error) {
 	started := c.clock()
 	var result AttemptResult
-	p.maxGap = 0
+	p.maxGap, p.answer, p.passed = 0, assembler.Head{}, 0
 	defer func() {
 		result.Err, result.End, result.MaxGap = err, end, p.maxGap
 		if result.MayBeCrash() {
@@ -30,6 +31,7 @@
 		return nil, c.attemptError(ctx, attemptCtx, err)
 	}
 	defer answer.Close()
+	p.answer = answer.Info()
 	for {
 		e, err := answer.Next()
 		if result.TimeToFirst == 0 {
@@ -101,7 +103,7 @@
 	if p.headSent {
 		return nil
 	}
-	if answer.Failed() && p.request.Kind == Idempotent && c.retryPossible(p) {
+	if answer.Info().Failed && p.request.Kind == Idempotent && c.retryPossible(p) {
 		return refuser.MayHaveRun(refuser.BackendFailed, "the backend server answered that it failed")
 	}
 	p.headSent = true
@@ -137,6 +139,7 @@
 	}
 	c.recordEvent(p, reservation, c.clock())
 	p.nextIndex = e.Index + 1
+	p.passed++
 	return nil
 }
 
--- a/dispatcher/completion.go
+++ b/dispatcher/completion.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"oleanderstall/assembler"
 	"oleanderstall/peer"
 	"oleanderstall/refuser"
 	"oleanderstall/router"
@@ -270,8 +272,10 @@
 // Head implements Answer.
 func (s *completionStream) Head() any { return nil }
 
-// Failed implements Answer.
-func (s *completionStream) Failed() bool { return false }
+// Info implements Answer.
+func (s *completionStream) Info() assembler.Head {
+	return assembler.Head{Status: http.StatusOK, Stream: true, Framing: assembler.Message}
+}
 
 // End implements Answer.
 func (s *completionStream) End() any { return s.end }
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 
+	"oleanderstall/assembler"
 	"oleanderstall/meter"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
@@ -194,8 +195,8 @@
 type Answer interface {
 	// Head returns what precedes the first event.
 	Head() any
-	// Failed reports whether the backend server answered that it failed.
-	Failed() bool
+	// Info returns what the head says about the answer.
+	Info() assembler.Head
 	// Next returns the next complete event, or io.EOF after a complete answer. Any
 	// other error is a *refuser.Refusal.
 	Next() (Event, error)
@@ -280,8 +281,11 @@
 	timeToFirst time.Duration
 	lastEvent   time.Duration
 	maxGap      time.Duration
-	// server is the name of the backend server of the last attempt.
+	// server is the name of the backend server of the last attempt, answer the head of its
+	// answer, and passed the number of its events that were passed on.
 	server string
+	answer assembler.Head
+	passed int
 }
 
 // Serve charges for r, sends it to a backend server and passes the answer to out. It
@@ -393,7 +397,8 @@
 	c.meter.RecordRetry(refusal.Kind().String())
 	c.recorder.Add(time.Now(), "request/"+request.ID, "attempt at "+p.server+" ended: "+refusal.Error())
 	c.log.Info().Str("request", request.ID).Str("server", p.server).Str("kind", refusal.Kind().String()).
-		Bool("never", refusal.NeverRan()).Uint64("next", p.nextIndex).Str("cause", refusal.Text()).Msg("retry")
+		Bool("never", refusal.NeverRan()).Uint64("next", p.nextIndex).
+		Str("answer", p.answer.String()).Int("passed", p.passed).Bool("begun", p.headSent).Str("cause", refusal.Text()).Msg("retry")
 	return true
 }
 
@@ -432,7 +437,8 @@
 	c.log.Info().Str("request", request.ID).Str("workspace", request.Workspace).Str("route", request.Route).Str("model", request.Model).
 		Str("adapter", request.Adapter).Str("server", p.server).Uint64("events", p.nextIndex-request.FirstIndex).
 		Int64("first", p.timeToFirst.Milliseconds()).Int64("gap", p.maxGap.Milliseconds()).Int64("took", (c.clock()-request.Started).Milliseconds()).
-		Float64("tokens", request.Cost).Int("tried", len(p.history.Tried)).Msg("served")
+		Float64("tokens", request.Cost).Int("tried", len(p.history.Tried)).
+		Str("answer", p.answer.String()).Int("passed", p.passed).Msg("served")
 }
 
 // recordRefused counts and logs a refusal and returns it. Refusals that are not due to
@@ -451,6 +457,6 @@
 		Str("adapter", request.Adapter).Str("server", p.server).Str("kind", refusal.Kind().String()).Bool("never", refusal.NeverRan()).
 		Str("parts", FormatParts(request.Prompt)).Uint64("events", p.nextIndex-request.FirstIndex).Uint64("config", request.ConfigVersion).Float64("tokens", request.Cost).
 		Int64("took", (c.clock()-request.Started).Milliseconds()).Int64("retry", refusal.RetryAfter().Milliseconds()).
-		Str("cause", refusal.Text()).Msg("refused")
+		Str("answer", p.answer.String()).Int("passed", p.passed).Bool("begun", p.headSent).Str("cause", refusal.Text()).Msg("refused")
 	return refusal
 }
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"oleanderstall/assembler"
 	"oleanderstall/peer"
 	"oleanderstall/refuser"
 	"oleanderstall/router"
@@ -123,8 +124,10 @@
 // Head implements Answer.
 func (serviceAnswer) Head() any { return nil }
 
-// Failed implements Answer.
-func (serviceAnswer) Failed() bool { return false }
+// Info implements Answer.
+func (a serviceAnswer) Info() assembler.Head {
+	return assembler.Head{Status: int(a.answer.GetStatus()), Framing: assembler.Message}
+}
 
 // Next implements Answer.
 func (serviceAnswer) Next() (Event, error) { return Event{}, io.EOF }
