--- /dev/null
+++ b/dispatcher/resume_test.go
@@ -0,0 +1,119 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"oleanderstall/assembler"
+	"oleanderstall/faker"
+	"oleanderstall/meter"
+	"oleanderstall/recorder"
+	"oleanderstall/refuser"
+	"oleanderstall/router"
+)
+
+// scriptedServers is a Finder and Sender of which each attempt gets the next answer.
+type scriptedServers struct{ answers []*scriptedAnswer }
+
+// Find implements Finder.
+func (s *scriptedServers) Find(_ context.Context, _ *Request, h *History) (*Reservation, error) {
+	if len(s.answers) == 0 {
+		return nil, refuser.New(refuser.Busy, "no server left")
+	}
+	return &Reservation{Name: fmt.Sprint("server-", len(h.Tried)), Release: func(AttemptResult) {}}, nil
+}
+
+// Send implements Sender.
+func (s *scriptedServers) Send(context.Context, *Reservation, *Request, uint64) (Answer, error) {
+	answer := s.answers[0]
+	s.answers = s.answers[1:]
+	return answer, nil
+}
+
+// scriptedAnswer is an answer with the given events. It ends with err, or is complete if that
+// is nil.
+type scriptedAnswer struct {
+	head   assembler.Head
+	events []uint64
+	err    error
+}
+
+func (a *scriptedAnswer) Head() any            { return a.head }
+func (a *scriptedAnswer) Info() assembler.Head { return a.head }
+func (a *scriptedAnswer) End() any             { return nil }
+func (a *scriptedAnswer) Close()               {}
+
+// Next implements Answer.
+func (a *scriptedAnswer) Next() (Event, error) {
+	if len(a.events) == 0 && a.err != nil {
+		return Event{}, a.err
+	}
+	if len(a.events) == 0 {
+		return Event{}, io.EOF
+	}
+	e := Event{Index: a.events[0], Data: []byte{byte(a.events[0])}}
+	a.events = a.events[1:]
+	return e, nil
+}
+
+// receivedAnswer is an output that records the heads and the events.
+type receivedAnswer struct {
+	heads  []any
+	events []uint64
+}
+
+// Begin implements Output.
+func (r *receivedAnswer) Begin(head any) error {
+	r.heads = append(r.heads, head)
+	return nil
+}
+
+// Pass implements Output.
+func (r *receivedAnswer) Pass(e Event) error {
+	r.events = append(r.events, e.Index)
+	return nil
+}
+
+// TestResumedStreamEnds guards against a stream that broke off and ends as complete for the
+// caller although the next server answered with something else than the rest of the stream.
+func TestResumedStreamEnds(t *testing.T) {
+	stream := assembler.Head{Status: http.StatusOK, Stream: true, Framing: assembler.Chunks}
+	failure := assembler.Head{Status: http.StatusInternalServerError, Failed: true, Framing: assembler.Length}
+	lost := refuser.MayHaveRun(refuser.ConnectionLost, "the stream broke off")
+	for _, c := range []struct {
+		name   string
+		second *scriptedAnswer
+		events []uint64
+		whole  bool
+	}{
+		{"the rest", &scriptedAnswer{head: stream, events: []uint64{2, 3}}, []uint64{0, 1, 2, 3}, true},
+		{"nothing is left", &scriptedAnswer{head: stream}, []uint64{0, 1}, true},
+		{"a failure", &scriptedAnswer{head: failure}, []uint64{0, 1}, false},
+		{"a refusal with a seal", &scriptedAnswer{head: assembler.Head{Status: http.StatusNotFound}}, []uint64{0, 1}, false},
+		{"a whole answer", &scriptedAnswer{head: assembler.Head{Status: http.StatusOK, Framing: assembler.Length}}, []uint64{0, 1}, false},
+		{"a stream with another status", &scriptedAnswer{head: assembler.Head{Status: http.StatusPartialContent, Stream: true}, events: []uint64{2}}, []uint64{0, 1}, false},
+		{"the whole stream again", &scriptedAnswer{head: stream, events: []uint64{0, 1, 2, 3}}, []uint64{0, 1}, false},
+		{"an event is missing", &scriptedAnswer{head: stream, events: []uint64{3}}, []uint64{0, 1}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			servers := &scriptedServers{answers: []*scriptedAnswer{{head: stream, events: []uint64{0, 1}, err: lost}, c.second}}
+			out := &receivedAnswer{}
+			clock := func() time.Duration { return time.Hour }
+			budget := router.NewRetryBudget(router.RetryLimits{Burst: 5})
+			core := NewCore(clock, freeCharger{}, servers, servers, freeCharger{}, budget, recorder.New("a", 4), meter.New(), faker.DiscardLogger())
+			_, err := core.Serve(t.Context(), &Request{Kind: Resumable, Deadline: 2 * time.Hour}, out)
+			assert.Equal(t, err == nil, c.whole, "%v", err)
+			assert.DeepEqual(t, out.events, c.events)
+			assert.Equal(t, len(out.heads), 1)
+			if err != nil {
+				assert.Assert(t, !refuser.FromError(err).NeverRan(), "%v", err)
+			}
+		})
+	}
+}
