assembler: a begun stream is continued by the rest of a stream and by nothing else

Cause: the core looked at the head of an answer only while the caller had none. The next server's answer, a sealed 500 for instance, has no events, so it was at its end at once, and that end counted as the end of the whole; the entry wrote the last chunk.

Ruled out: the reader of events and the framing to the caller (the attempts before broke off rightly, "unexpected EOF").

Fix: package assembler decides for both faces what may follow what a caller already has. An answer that is no stream, or has another status, breaks the attempt: the request goes to another server while its attempts and the retry budget last, else the caller's connection is cut.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -3,7 +3,11 @@
 // an answer, and to which request an answer on a kept connection belongs.
 package assembler
 
-import "strconv"
+import (
+	"strconv"
+
+	"oleanderstall/refuser"
+)
 
 //go:generate stringer -type=Framing -linecomment
 
@@ -45,3 +49,49 @@
 	}
 	return strconv.Itoa(h.Status) + " " + body + " " + h.Framing.String()
 }
+
+// Assembly is what the caller has of the answer to one request.
+type Assembly struct {
+	begun bool
+	head  Head
+	next  uint64
+}
+
+// New returns an assembly of which the caller has nothing. The first event that the caller
+// wants has the index first.
+func New(first uint64) Assembly { return Assembly{next: first} }
+
+// Begun reports whether the caller has the head of an answer.
+func (a *Assembly) Begun() bool { return a.begun }
+
+// Next returns the index of the next event that the caller needs.
+func (a *Assembly) Next() uint64 { return a.next }
+
+// Begin records that the head of an answer was passed on.
+func (a *Assembly) Begin(h Head) { a.begun, a.head = true, h }
+
+// CheckHead returns a *refuser.Refusal if an answer with the head h cannot be passed on: the
+// caller has the beginning of a stream, which only the rest of a stream with the same status may follow.
+func (a *Assembly) CheckHead(h Head) error {
+	switch {
+	case !a.begun:
+		return nil
+	case h.Failed:
+		return refuser.MayHaveRun(refuser.BackendFailed, "the answer to the rest of a stream is "+h.String())
+	case !h.Stream || h.Status != a.head.Status:
+		return refuser.MayHaveRun(refuser.ConnectionLost, "the answer to the rest of a stream is "+h.String())
+	}
+	return nil
+}
+
+// CheckEvent returns a *refuser.Refusal if the event with an index is not the next one.
+func (a *Assembly) CheckEvent(index uint64) error {
+	if index == a.next {
+		return nil
+	}
+	text := "event " + strconv.FormatUint(index, 10) + " arrived in place of " + strconv.FormatUint(a.next, 10)
+	return refuser.MayHaveRun(refuser.ConnectionLost, text)
+}
+
+// Pass records that the next event was passed on.
+func (a *Assembly) Pass() { a.next++ }
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -26,12 +26,16 @@
 	}()
 	attemptCtx, cancel := c.attemptContext(ctx, p.request, reservation)
 	defer cancel()
-	answer, err := c.sender.Send(attemptCtx, reservation, p.request, p.nextIndex)
+	answer, err := c.sender.Send(attemptCtx, reservation, p.request, p.assembly.Next())
 	if err != nil {
 		return nil, c.attemptError(ctx, attemptCtx, err)
 	}
 	defer answer.Close()
 	p.answer = answer.Info()
+	if err := p.assembly.CheckHead(p.answer); err != nil {
+		result.Answered = true
+		return nil, err
+	}
 	for {
 		e, err := answer.Next()
 		if result.TimeToFirst == 0 {
@@ -40,13 +44,14 @@
 				reservation.OnPromptRead()
 			}
 		}
-		result.Answered = result.Answered || err == nil || errors.Is(err, io.EOF)
 		if errors.Is(err, io.EOF) {
+			result.Answered = true
 			return answer.End(), c.beginAnswer(p, answer)
 		}
 		if err != nil {
 			return nil, c.attemptError(ctx, attemptCtx, err)
 		}
+		result.Answered = true
 		if err := c.passEvent(p, reservation, answer, e); err != nil {
 			return nil, err
 		}
@@ -100,13 +105,13 @@
 // answered that it failed and another attempt is allowed, it returns a refusal instead
 // and the caller does not see the failure.
 func (c *Core) beginAnswer(p *progress, answer Answer) error {
-	if p.headSent {
+	if p.assembly.Begun() {
 		return nil
 	}
 	if answer.Info().Failed && p.request.Kind == Idempotent && c.retryPossible(p) {
 		return refuser.MayHaveRun(refuser.BackendFailed, "the backend server answered that it failed")
 	}
-	p.headSent = true
+	p.assembly.Begin(p.answer)
 	if p.output.Begin(answer.Head()) != nil {
 		return refuser.MayHaveRun(refuser.Canceled, "the caller has given up")
 	}
@@ -122,15 +127,14 @@
 	return attemptsLeft && c.budget.HasRetry(p.request.Pool)
 }
 
-// passEvent passes one event on. It refuses an event whose index is not the next one,
-// and ends the stream if the caller's key was withdrawn.
+// passEvent passes one event on. It refuses an event that is not the next one, and ends the stream if the caller's key was withdrawn.
 func (c *Core) passEvent(p *progress, reservation *Reservation, answer Answer, e Event) error {
-	if e.Index != p.nextIndex {
-		return refuser.MayHaveRun(refuser.ConnectionLost, "an event of another answer or place arrived")
-	}
 	if !c.checker.Granted(p.request.KeyID) {
 		return refuser.MayHaveRun(refuser.Unauthorized, "the key was withdrawn during the answer")
 	}
+	if err := p.assembly.CheckEvent(e.Index); err != nil {
+		return err
+	}
 	if err := c.beginAnswer(p, answer); err != nil {
 		return err
 	}
@@ -138,7 +142,7 @@
 		return refuser.MayHaveRun(refuser.Canceled, "the caller has given up")
 	}
 	c.recordEvent(p, reservation, c.clock())
-	p.nextIndex = e.Index + 1
+	p.assembly.Pass()
 	p.passed++
 	return nil
 }
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -266,10 +266,8 @@
 	request *Request
 	output  Output
 	history History
-	// nextIndex is the index of the next event that the caller needs.
-	nextIndex uint64
-	// headSent is set once the head of the answer was passed on.
-	headSent bool
+	// assembly is what the caller has of the answer.
+	assembly assembler.Assembly
 	// mayHaveRun is set once an attempt has failed at which the request may have run;
 	// possibleRuns counts these attempts.
 	mayHaveRun   bool
@@ -291,7 +289,7 @@
 // Serve charges for r, sends it to a backend server and passes the answer to out. It
 // returns what followed the last event. An error is a *refuser.Refusal.
 func (c *Core) Serve(ctx context.Context, r *Request, out Output) (any, error) {
-	p := &progress{request: r, output: out, nextIndex: r.FirstIndex, history: History{Tried: map[string]bool{}}}
+	p := &progress{request: r, output: out, assembly: assembler.New(r.FirstIndex), history: History{Tried: map[string]bool{}}}
 	bill, err := c.charger.Charge(ctx, r)
 	if err != nil {
 		return nil, c.recordRefused(p, err)
@@ -323,10 +321,10 @@
 		}
 		return r.Cost
 	}
-	if p.nextIndex == r.FirstIndex && refuser.FromError(err).NeverRan() {
+	if p.assembly.Next() == r.FirstIndex && refuser.FromError(err).NeverRan() {
 		return 0
 	}
-	return r.Cost - float64(r.MaxOutputTokens) + float64(p.nextIndex-r.FirstIndex)
+	return r.Cost - float64(r.MaxOutputTokens) + float64(p.assembly.Next()-r.FirstIndex)
 }
 
 // runAttempts makes attempts until one has completed the answer or no other is allowed.
@@ -397,8 +395,8 @@
 	c.meter.RecordRetry(refusal.Kind().String())
 	c.recorder.Add(time.Now(), "request/"+request.ID, "attempt at "+p.server+" ended: "+refusal.Error())
 	c.log.Info().Str("request", request.ID).Str("server", p.server).Str("kind", refusal.Kind().String()).
-		Bool("never", refusal.NeverRan()).Uint64("next", p.nextIndex).
-		Str("answer", p.answer.String()).Int("passed", p.passed).Bool("begun", p.headSent).Str("cause", refusal.Text()).Msg("retry")
+		Bool("never", refusal.NeverRan()).Uint64("next", p.assembly.Next()).
+		Str("answer", p.answer.String()).Int("passed", p.passed).Bool("begun", p.assembly.Begun()).Str("cause", refusal.Text()).Msg("retry")
 	return true
 }
 
@@ -435,7 +433,7 @@
 	c.meter.RecordRequest(request.Workspace, "served")
 	c.meter.RecordRequestDuration("served", c.clock()-request.Started)
 	c.log.Info().Str("request", request.ID).Str("workspace", request.Workspace).Str("route", request.Route).Str("model", request.Model).
-		Str("adapter", request.Adapter).Str("server", p.server).Uint64("events", p.nextIndex-request.FirstIndex).
+		Str("adapter", request.Adapter).Str("server", p.server).Uint64("events", p.assembly.Next()-request.FirstIndex).
 		Int64("first", p.timeToFirst.Milliseconds()).Int64("gap", p.maxGap.Milliseconds()).Int64("took", (c.clock()-request.Started).Milliseconds()).
 		Float64("tokens", request.Cost).Int("tried", len(p.history.Tried)).
 		Str("answer", p.answer.String()).Int("passed", p.passed).Msg("served")
@@ -455,8 +453,8 @@
 	c.recorder.Add(time.Now(), "request/"+request.ID, "workspace "+request.Workspace+", route "+request.Route+", model "+request.Model+": "+refusal.Error())
 	c.log.Info().Str("request", request.ID).Str("workspace", request.Workspace).Str("model", request.Model).
 		Str("adapter", request.Adapter).Str("server", p.server).Str("kind", refusal.Kind().String()).Bool("never", refusal.NeverRan()).
-		Str("parts", FormatParts(request.Prompt)).Uint64("events", p.nextIndex-request.FirstIndex).Uint64("config", request.ConfigVersion).Float64("tokens", request.Cost).
+		Str("parts", FormatParts(request.Prompt)).Uint64("events", p.assembly.Next()-request.FirstIndex).Uint64("config", request.ConfigVersion).Float64("tokens", request.Cost).
 		Int64("took", (c.clock()-request.Started).Milliseconds()).Int64("retry", refusal.RetryAfter().Milliseconds()).
-		Str("answer", p.answer.String()).Int("passed", p.passed).Bool("begun", p.headSent).Str("cause", refusal.Text()).Msg("refused")
+		Str("answer", p.answer.String()).Int("passed", p.passed).Bool("begun", p.assembly.Begun()).Str("cause", refusal.Text()).Msg("refused")
 	return refusal
 }
