dispatcher: an answer that ends with its backend server is not complete

If the engine's process is killed between two events, or in the middle of a body, the kernel closes the connection in the same way, and the entry passed the end on as the last chunk, or as a length.

Evidence: TestAnswerEndsWithServer failed in four of seven cases without the check (two streams, a resumable one, a whole answer: "true (err == nil bool) != false (c.served bool)").

Fix: where only the end of the connection marks the end of an answer, the entry asks whether the server still accepts connections. If its host refuses them the attempt has broken off: a stream that may be resumed goes on elsewhere, other callers' connections are cut. What remains: a server that is back within the time of that one connection attempt.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -95,3 +95,13 @@
 
 // Pass records that the next event was passed on.
 func (a *Assembly) Pass() { a.next++ }
+
+// CheckEnd returns a *refuser.Refusal if the end of an answer with the head h does not show
+// that the answer is complete. The end of a connection shows that only if the process of the
+// backend server still runs.
+func CheckEnd(h Head, serverRuns func() bool) error {
+	if h.Framing == Connection && !serverRuns() {
+		return refuser.MayHaveRun(refuser.ConnectionLost, "the answer ended with its backend server")
+	}
+	return nil
+}
--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -1,11 +1,23 @@
 package assembler
 
 import (
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
 )
 
+// TestCheckEnd checks by which framings the end of an answer counts while the server runs and
+// once it has ended.
+func TestCheckEnd(t *testing.T) {
+	for framing := Message; framing <= Connection; framing++ {
+		h := Head{Status: http.StatusOK, Framing: framing}
+		assert.NilError(t, CheckEnd(h, func() bool { return true }))
+		err := CheckEnd(h, func() bool { return false })
+		assert.Equal(t, err != nil, framing == Connection, "%v: %v", framing, err)
+	}
+}
+
 // TestAssembly checks that events are passed on in their order, none twice and none left out.
 func TestAssembly(t *testing.T) {
 	a := New(3)
--- a/dispatcher/abandon_test.go
+++ b/dispatcher/abandon_test.go
@@ -47,6 +47,9 @@
 func (emptyAnswer) End() any             { return nil }
 func (emptyAnswer) Close()               {}
 
+// ServerRuns implements Answer.
+func (emptyAnswer) ServerRuns(context.Context) bool { return true }
+
 // ignoredOutput discards an answer.
 type ignoredOutput struct{}
 
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -45,6 +45,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if err := c.endAnswer(attemptCtx, p, answer); err != nil {
+				return nil, c.attemptError(ctx, attemptCtx, err)
+			}
 			result.Answered = true
 			return answer.End(), c.beginAnswer(p, answer)
 		}
@@ -101,6 +104,11 @@
 	return refuser.MayHaveRun(kind, text).WithRetryAfter(refusal.RetryAfter())
 }
 
+// endAnswer returns an error if the end of an answer does not show that it is complete.
+func (c *Core) endAnswer(ctx context.Context, p *progress, answer Answer) error {
+	return assembler.CheckEnd(p.answer, func() bool { return answer.ServerRuns(ctx) })
+}
+
 // beginAnswer passes the head of the answer on, once per request. If the backend server
 // answered that it failed and another attempt is allowed, it returns a refusal instead
 // and the caller does not see the failure.
--- a/dispatcher/completion.go
+++ b/dispatcher/completion.go
@@ -277,6 +277,9 @@
 	return assembler.Head{Status: http.StatusOK, Stream: true, Framing: assembler.Message}
 }
 
+// ServerRuns implements Answer. It is not asked, since the end of the answer is a message.
+func (*completionStream) ServerRuns(context.Context) bool { return true }
+
 // End implements Answer.
 func (s *completionStream) End() any { return s.end }
 
--- a/dispatcher/resume_test.go
+++ b/dispatcher/resume_test.go
@@ -42,6 +42,8 @@
 	head   assembler.Head
 	events []uint64
 	err    error
+	// serverEnded is set if the server's process ends with the answer.
+	serverEnded bool
 }
 
 func (a *scriptedAnswer) Head() any            { return a.head }
@@ -49,6 +51,9 @@
 func (a *scriptedAnswer) End() any             { return nil }
 func (a *scriptedAnswer) Close()               {}
 
+// ServerRuns implements Answer.
+func (a *scriptedAnswer) ServerRuns(context.Context) bool { return !a.serverEnded }
+
 // Next implements Answer.
 func (a *scriptedAnswer) Next() (Event, error) {
 	if len(a.events) == 0 && a.err != nil {
@@ -80,6 +85,13 @@
 	return nil
 }
 
+// newTestCore returns a core that sends requests to the servers, with a budget of five retries.
+func newTestCore(servers *scriptedServers) *Core {
+	clock := func() time.Duration { return time.Hour }
+	budget := router.NewRetryBudget(router.RetryLimits{Burst: 5})
+	return NewCore(clock, freeCharger{}, servers, servers, freeCharger{}, budget, recorder.New("a", 4), meter.New(), faker.DiscardLogger())
+}
+
 // TestResumedStreamEnds guards against a stream that broke off and ends as complete for the
 // caller although the next server answered with something else than the rest of the stream.
 func TestResumedStreamEnds(t *testing.T) {
@@ -104,9 +116,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			servers := &scriptedServers{answers: []*scriptedAnswer{{head: stream, events: []uint64{0, 1}, err: lost}, c.second}}
 			out := &receivedAnswer{}
-			clock := func() time.Duration { return time.Hour }
-			budget := router.NewRetryBudget(router.RetryLimits{Burst: 5})
-			core := NewCore(clock, freeCharger{}, servers, servers, freeCharger{}, budget, recorder.New("a", 4), meter.New(), faker.DiscardLogger())
+			core := newTestCore(servers)
 			_, err := core.Serve(t.Context(), &Request{Kind: Resumable, Deadline: 2 * time.Hour}, out)
 			assert.Equal(t, err == nil, c.whole, "%v", err)
 			assert.DeepEqual(t, out.events, c.events)
@@ -117,3 +127,37 @@
 		})
 	}
 }
+
+// TestAnswerEndsWithServer guards against an answer without framing that counts as complete
+// although it ended because its server's process did.
+func TestAnswerEndsWithServer(t *testing.T) {
+	stream := assembler.Head{Status: http.StatusOK, Stream: true, Framing: assembler.Connection}
+	whole := assembler.Head{Status: http.StatusOK, Framing: assembler.Connection}
+	for _, c := range []struct {
+		name   string
+		kind   Kind
+		first  *scriptedAnswer
+		served bool
+		events []uint64
+	}{
+		{"stream, server runs", AtMostOnce, &scriptedAnswer{head: stream, events: []uint64{0, 1}}, true, []uint64{0, 1}},
+		{"stream, server ended", AtMostOnce, &scriptedAnswer{head: stream, events: []uint64{0, 1}, serverEnded: true}, false, []uint64{0, 1}},
+		{"resumable stream, server ended", Resumable, &scriptedAnswer{head: stream, events: []uint64{0, 1}, serverEnded: true}, true, []uint64{0, 1, 2}},
+		{"empty stream, server ended", AtMostOnce, &scriptedAnswer{head: stream, serverEnded: true}, false, nil},
+		{"whole, server runs", AtMostOnce, &scriptedAnswer{head: whole}, true, nil},
+		{"whole, server ended", AtMostOnce, &scriptedAnswer{head: whole, serverEnded: true}, false, nil},
+		{"whole with a length, server ended", AtMostOnce, &scriptedAnswer{head: assembler.Head{Status: http.StatusOK, Framing: assembler.Length}, serverEnded: true}, true, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rest := &scriptedAnswer{head: assembler.Head{Status: http.StatusOK, Stream: true, Framing: assembler.Chunks}, events: []uint64{2}}
+			out := &receivedAnswer{}
+			core := newTestCore(&scriptedServers{answers: []*scriptedAnswer{c.first, rest}})
+			_, err := core.Serve(t.Context(), &Request{Kind: c.kind, Deadline: 2 * time.Hour}, out)
+			assert.Equal(t, err == nil, c.served, "%v", err)
+			assert.DeepEqual(t, out.events, c.events)
+			if err != nil {
+				assert.Assert(t, !refuser.FromError(err).NeverRan(), "%v", err)
+			}
+		})
+	}
+}
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -132,6 +132,9 @@
 // Next implements Answer.
 func (serviceAnswer) Next() (Event, error) { return Event{}, io.EOF }
 
+// ServerRuns implements Answer. It is not asked, since the end of the answer is a message.
+func (serviceAnswer) ServerRuns(context.Context) bool { return true }
+
 // End implements Answer.
 func (a serviceAnswer) End() any { return a.answer }
 
