platform: an earlier refusal that comes once more says nothing about the next request

Ruled out: refusals that name another request were skipped before.

Fix: assembler.FindOwner decides to which request an answer on a connection belongs. A refusal without a name counts on a connection that carried nothing before; on a kept one it says nothing, and the request may have run.

--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -7,6 +7,28 @@
 	"gotest.tools/v3/assert"
 )
 
+// TestFindOwner guards against refusals of earlier requests that are taken for the answer to
+// the next request on a kept connection.
+func TestFindOwner(t *testing.T) {
+	for _, c := range []struct {
+		request, answer string
+		refusal, kept   bool
+		owner           Owner
+	}{
+		{"1", "1", false, false, Own},
+		{"1", "1", true, true, Own},
+		{"1", "2", false, false, Other},
+		{"1", "2", true, true, Other},
+		{"1", "", false, false, Other},
+		{"1", "", true, false, Own},
+		{"1", "", true, true, Unknown},
+		{"", "", false, false, Other},
+		{"", "", true, true, Unknown},
+	} {
+		assert.Equal(t, FindOwner(c.request, c.answer, c.refusal, c.kept), c.owner, "%+v", c)
+	}
+}
+
 // TestCheckEnd checks by which framings the end of an answer counts while the server runs and
 // once it has ended.
 func TestCheckEnd(t *testing.T) {
