resetter: a stream without chunks that broke off does not end as a complete one

What callers could see (ORDER, MIXED): with HTTP/1.0 an answer ends with its connection. A stream that broke off, or whose entry was stopped or killed, closed the connection as a complete one does.

Evidence: TestBrokenStreamLooksBroken failed for HTTP/1.0 (the body ended without an error).

Ruled out: HTTP/1.1, where the answer is in chunks and the last one is missing (two cases of the same test passed before).

Fix: while such an answer is under way the connection lingers for 0 s, so that whatever ends it, the end of the process included, resets it; a complete answer takes that back first.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -23,6 +23,7 @@
 	"oleanderstall/meter"
 	"oleanderstall/peer"
 	"oleanderstall/recorder"
+	"oleanderstall/resetter"
 	"oleanderstall/storer"
 	"oleanderstall/syncer"
 	"oleanderstall/timer"
@@ -229,6 +230,7 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
+			ConnContext:       resetter.WithConn,
 			TLSConfig:         tlsConfig.Clone(),
 		},
 		listener: listener,
