--- /dev/null
+++ b/assembler/assembler_test.go
@@ -0,0 +1,53 @@
+package assembler
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestFindOwner guards against refusals of earlier requests that are taken for the answer to
+// the next request on a kept connection.
+func TestFindOwner(t *testing.T) {
+	for _, c := range []struct {
+		request, answer string
+		refusal, kept   bool
+		owner           Owner
+	}{
+		{"1", "1", false, false, Own},
+		{"1", "1", true, true, Own},
+		{"1", "2", false, false, Other},
+		{"1", "2", true, true, Other},
+		{"1", "", false, false, Other},
+		{"1", "", true, false, Own},
+		{"1", "", true, true, Unknown},
+		{"", "", false, false, Other},
+		{"", "", true, true, Unknown},
+	} {
+		assert.Equal(t, FindOwner(c.request, c.answer, c.refusal, c.kept), c.owner, "%+v", c)
+	}
+}
+
+// TestCheckEnd checks by which framings the end of an answer counts while the server runs and
+// once it has ended.
+func TestCheckEnd(t *testing.T) {
+	for framing := Message; framing <= Connection; framing++ {
+		h := Head{Status: http.StatusOK, Framing: framing}
+		assert.NilError(t, CheckEnd(h, func() bool { return true }))
+		err := CheckEnd(h, func() bool { return false })
+		assert.Equal(t, err != nil, framing == Connection, "%v: %v", framing, err)
+	}
+}
+
+// TestAssembly checks that events are passed on in their order, none twice and none left out.
+func TestAssembly(t *testing.T) {
+	a := New(3)
+	assert.Assert(t, a.CheckEvent(2) != nil)
+	assert.Assert(t, a.CheckEvent(4) != nil)
+	assert.NilError(t, a.CheckEvent(3))
+	a.Pass()
+	assert.Assert(t, a.CheckEvent(3) != nil)
+	assert.Equal(t, a.Next(), uint64(4))
+	assert.Assert(t, !a.Begun())
+}
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"oleanderstall/assembler"
 	"oleanderstall/peer"
 	"oleanderstall/refuser"
 	"oleanderstall/router"
@@ -123,12 +124,17 @@
 // Head implements Answer.
 func (serviceAnswer) Head() any { return nil }
 
-// Failed implements Answer.
-func (serviceAnswer) Failed() bool { return false }
+// Info implements Answer.
+func (a serviceAnswer) Info() assembler.Head {
+	return assembler.Head{Status: int(a.answer.GetStatus()), Framing: assembler.Message}
+}
 
 // Next implements Answer.
 func (serviceAnswer) Next() (Event, error) { return Event{}, io.EOF }
 
+// ServerRuns implements Answer. It is not asked, since the end of the answer is a message.
+func (serviceAnswer) ServerRuns(context.Context) bool { return true }
+
 // End implements Answer.
 func (a serviceAnswer) End() any { return a.answer }
 
