soaker: TestSoakStreamEnds plays faulty answers, crashes of engines and odd rows

Links pass a reset on as a reset, and refuse connections before they pass on the end of a target's process.

--- a/soaker/caller_test.go
+++ b/soaker/caller_test.go
@@ -47,6 +47,7 @@
 type results struct {
 	mu         sync.Mutex
 	requests   []requestRecord
+	outcomes   []outcome
 	violations []string
 }
 
@@ -56,6 +57,14 @@
 	r.requests = append(r.requests, record)
 }
 
+// addOutcome records the outcome of a request.
+func (r *results) addOutcome(o outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests = append(r.requests, o.requestRecord)
+	r.outcomes = append(r.outcomes, o)
+}
+
 // addViolation records a violated guarantee, which fails the test.
 func (r *results) addViolation(format string, args ...any) {
 	r.mu.Lock()
@@ -104,7 +113,7 @@
 // promptHeader returns the header field for a prompt of sharedPart, the given parts and one
 // of its own. It is empty if the run has no requests with fatalPart.
 func (s *soakRun) promptHeader(id string, parts ...string) []string {
-	if s.fatalShare == 0 {
+	if s.mode.fatalShare == 0 {
 		return nil
 	}
 	prompt := ""
@@ -120,7 +129,7 @@
 	r := requestRecord{id: fmt.Sprintf("%08x%08x", c.random.Uint32(), c.requestCount), sentAt: c.soakRun.clock()}
 	model := imitator.SiteModel(c.random.IntN(c.soakRun.options.Models))
 	kind := c.random.IntN(4)
-	if c.fatalRandom.Float64() < c.soakRun.fatalShare {
+	if c.fatalRandom.Float64() < c.soakRun.mode.fatalShare {
 		r.kind = "fatal"
 		req, err := imitator.NewModelRequest(ctx, address, r.id, "/draft/x", model, c.soakRun.promptHeader(r.id, fatalPart)...)
 		return req, r, err
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -114,6 +114,16 @@
 // signal sends a signal to the process.
 func (m *member) signal(sig syscall.Signal) { _ = m.command.Process.Signal(sig) }
 
+// ended reports whether the process has ended.
+func (m *member) ended() bool {
+	select {
+	case <-m.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // recordFault increments the fault count and sets whether the process takes requests
 // and whether it is draining.
 func (m *member) recordFault(serving, draining bool) {
--- a/soaker/link_test.go
+++ b/soaker/link_test.go
@@ -1,10 +1,12 @@
 package soaker
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -87,8 +89,7 @@
 		if closed {
 			return nil
 		}
-		if server, err := net.Dial("tcp", k.target); err == nil {
-			_ = server.Close()
+		if k.targetListens() {
 			if listener := k.listen(); listener != nil {
 				return listener
 			}
@@ -191,7 +192,31 @@
 			}
 		}
 		if err != nil {
+			k.passEnd(to, err, answers)
 			return
 		}
 	}
 }
+
+// passEnd ends the other side of a connection as the first one ended: by a reset if err is one.
+// If the end came from the target and its process has ended, the link refuses connections
+// before that.
+func (k *link) passEnd(to net.Conn, err error, answers bool) {
+	wasReset := errors.Is(err, syscall.ECONNRESET)
+	if answers && (wasReset || errors.Is(err, io.EOF)) && !k.targetListens() {
+		k.refuse()
+	}
+	if wasReset {
+		_ = to.(*net.TCPConn).SetLinger(0)
+	}
+}
+
+// targetListens reports whether the target accepts connections.
+func (k *link) targetListens() bool {
+	conn, err := net.Dial("tcp", k.target)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,6 +27,8 @@
 	faultSeconds = flag.Int("seconds", 8, "duration of the faults of each seed, in seconds")
 	entryCount   = flag.Int("entries", 3, "number of entries")
 	sidecarCount = flag.Int("sidecars", 3, "number of engines, each with a sidecar")
+	program      = flag.String("program", "", "path of the program to test, which is built if this is empty")
+	withRawRows  = flag.Bool("rawrows", true, "odd rows whose value is not base64 too, in TestSoakStreamEnds")
 	fatalShare   = flag.Float64("fatal", 0.05, "share of requests with a part on which engines crash, in TestSoakFatalPart")
 )
 
@@ -42,8 +45,10 @@
 	verifyTime     = 2 * time.Second
 	minServedRatio = 0.9
 	callerCount    = 10
-	maxAttempts    = 2
-	restartDelay   = 300 * time.Millisecond
+	// wireCallerCount is the number of callers of a run with faults of answers.
+	wireCallerCount = 16
+	maxAttempts     = 2
+	restartDelay    = 300 * time.Millisecond
 	// crashTime is the time from the crash of an engine to its next start, and
 	// maxLateFatalRuns the number of requests with fatalPart that may reach engines after
 	// the recovery.
@@ -51,6 +56,23 @@
 	maxLateFatalRuns = 3
 )
 
+// soakMode selects what a run does beside the faults of all runs.
+type soakMode struct {
+	// fatalShare is the share of requests with fatalPart.
+	fatalShare float64
+	// streamEnds adds faults of answers and odd rows, and makes callers read answers byte by
+	// byte.
+	streamEnds bool
+}
+
+// callers returns the number of callers.
+func (m soakMode) callers() int {
+	if m.streamEnds {
+		return wireCallerCount
+	}
+	return callerCount
+}
+
 // soakRun is the test run of one seed.
 type soakRun struct {
 	options  imitator.SiteOptions
@@ -60,19 +82,30 @@
 	sidecars []*member
 	// serverLinks are the links in front of the backend servers.
 	serverLinks []*link
-	// fatalShare is the share of requests with fatalPart.
-	fatalShare float64
-	results    results
-	random     *rand.Rand
-	clock      timer.Clock
+	mode        soakMode
+	// planned holds the backend servers whose answers have faults, guarded by the lock of
+	// results.
+	planned map[*imitator.Backend]bool
+	// faultyAnswers is the number of answers that were to have a fault.
+	faultyAnswers atomic.Int64
+	results       results
+	// paused is the time during which the machine did not run the test, and longestPause the
+	// longest part of it.
+	paused       time.Duration
+	longestPause time.Duration
+	random       *rand.Rand
+	clock        timer.Clock
 }
 
 // newSoakRun starts the stand-in site and the processes of the fleet, whose settings
 // and logs go into dir. On an error it returns nil and leaves running what it has
 // started.
-func newSoakRun(seed uint64, fatalShare float64, binary, dir string) (*soakRun, error) {
+func newSoakRun(seed uint64, mode soakMode, binary, dir string) (*soakRun, error) {
 	start := time.Now()
-	s := &soakRun{binary: binary, fatalShare: fatalShare, random: rand.New(rand.NewPCG(seed, 1)), clock: func() time.Duration { return time.Since(start) }}
+	s := &soakRun{
+		binary: binary, mode: mode, planned: map[*imitator.Backend]bool{},
+		random: rand.New(rand.NewPCG(seed, 1)), clock: func() time.Duration { return time.Since(start) },
+	}
 	s.options = imitator.SiteOptions{
 		Engines: *sidecarCount, Services: 2, Models: 2 * *sidecarCount, ModelsPerEngine: 2, LoadTime: 60 * time.Millisecond, EventInterval: 8 * time.Millisecond,
 		EventsPerStream: eventsPerStream, ServiceTime: 10 * time.Millisecond, Rate: 1e7, Burst: 1e7, Proxy: s.addServerLink, RestartTime: crashTime,
@@ -138,21 +171,13 @@
 	time.Sleep(2 * time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients, faults sync.WaitGroup
-	for i := range callerCount {
-		seed := s.random.Uint64()
-		c := &caller{
-			name: fmt.Sprint("caller-", i), client: &http.Client{Transport: &http.Transport{}}, soakRun: s,
-			random: rand.New(rand.NewPCG(seed, 2)), fatalRandom: rand.New(rand.NewPCG(seed, 3)),
-		}
-		clients.Go(func() { c.run(ctx) })
+	clients.Go(func() { s.measurePauses(ctx) })
+	for i := range s.mode.callers() {
+		run := s.newCaller(fmt.Sprint("caller-", i))
+		clients.Go(func() { run(ctx) })
 	}
 	clients.Go(func() { s.withdrawKey(ctx) })
-	for end := s.clock() + time.Duration(*faultSeconds)*time.Second; s.clock() < end; {
-		if f := s.drawFault(); f != nil {
-			faults.Go(f)
-		}
-		time.Sleep(time.Duration(s.random.Int64N(int64(maxFaultGap))))
-	}
+	s.injectFaults(&faults)
 	faults.Wait()
 	time.Sleep(recoveryTime)
 	recoveredAt, fatalRuns := s.clock(), s.fatalRuns()
@@ -162,6 +187,90 @@
 	cancel()
 	clients.Wait()
 	s.checkGuarantees()
+	s.checkProcesses()
+	if s.mode.streamEnds {
+		s.checkOutcomes()
+		s.checkAddedService()
+	}
+}
+
+// pauseStep is the time between two steps of measurePauses. A step that takes longer by more than
+// minPause counts as a pause.
+const (
+	pauseStep = 5 * time.Millisecond
+	minPause  = 200 * time.Millisecond
+)
+
+// measurePauses adds up the time during which the machine does not run this process, until ctx
+// ends.
+func (s *soakRun) measurePauses(ctx context.Context) {
+	for previous := s.clock(); ctx.Err() == nil; {
+		time.Sleep(pauseStep)
+		now := s.clock()
+		if pause := now - previous; pause > minPause {
+			s.paused += pause
+			s.longestPause = max(s.longestPause, pause)
+		}
+		previous = now
+	}
+}
+
+// newCaller returns the function that sends a caller's requests until its context ends.
+func (s *soakRun) newCaller(name string) func(context.Context) {
+	seed := s.random.Uint64()
+	random := rand.New(rand.NewPCG(seed, 2))
+	if s.mode.streamEnds {
+		return (&wireCaller{name: name, random: random, soakRun: s, connections: map[*member]*wireConn{}}).run
+	}
+	return (&caller{
+		name: name, client: &http.Client{Transport: &http.Transport{}}, soakRun: s,
+		random: random, fatalRandom: rand.New(rand.NewPCG(seed, 3)),
+	}).run
+}
+
+// injectFaults injects faults for faultSeconds. With faults of answers, a service is added
+// beside an odd row, which stays, after half of that.
+func (s *soakRun) injectFaults(faults *sync.WaitGroup) {
+	faultTime := time.Duration(*faultSeconds) * time.Second
+	begin := s.clock()
+	for added := !s.mode.streamEnds; s.clock() < begin+faultTime; {
+		if !added && s.clock() > begin+faultTime/2 {
+			added = true
+			s.drawOddRow().put(s.site.Rows)
+			s.addService()
+		}
+		if f := s.drawFault(); f != nil {
+			faults.Go(f)
+		}
+		for _, f := range s.drawStreamFaults() {
+			faults.Go(f)
+		}
+		time.Sleep(time.Duration(s.random.Int64N(int64(maxFaultGap))))
+	}
+}
+
+// addService adds a plain service to the site.
+func (s *soakRun) addService() {
+	if err := s.site.AddService(); err != nil {
+		s.results.addViolation("add a service: %v", err)
+	}
+}
+
+// streamFaultsPerStep is the number of faults that drawStreamFaults draws.
+const streamFaultsPerStep = 3
+
+// drawStreamFaults draws faults as drawAnswerFault does, in a run with such faults.
+func (s *soakRun) drawStreamFaults() []func() {
+	if !s.mode.streamEnds {
+		return nil
+	}
+	var faults []func()
+	for range streamFaultsPerStep {
+		if f := s.drawAnswerFault(); f != nil {
+			faults = append(faults, f)
+		}
+	}
+	return faults
 }
 
 // drawFault draws a fault and returns a function that injects it and ends it again, or
@@ -214,6 +323,9 @@
 	m.serving, m.draining = false, sig == syscall.SIGTERM
 	m.faultCount++
 	return func() {
+		if m.ended() {
+			s.results.addViolation("%s ended by itself", m.name)
+		}
 		m.signal(sig)
 		time.Sleep(duration)
 		if sig == syscall.SIGSTOP {
@@ -318,14 +430,20 @@
 }
 
 // TestSoak checks the guarantees under random faults, in one run for each seed.
-func TestSoak(t *testing.T) { soak(t, 0) }
+func TestSoak(t *testing.T) { soak(t, soakMode{}) }
 
 // TestSoakFatalPart is TestSoak with requests that hold a part on which engines crash. It
 // guards against entries that forget, under faults, what engines crash on.
-func TestSoakFatalPart(t *testing.T) { soak(t, *fatalShare) }
+func TestSoakFatalPart(t *testing.T) { soak(t, soakMode{fatalShare: *fatalShare}) }
+
+// TestSoakStreamEnds is TestSoak with faulty answers of the backend servers and odd rows of
+// another writer. It guards against streams that end as complete before their last event, bytes
+// that belong to no request, false statements about what ran, and processes that stop following
+// a table.
+func TestSoakStreamEnds(t *testing.T) { soak(t, soakMode{streamEnds: true}) }
 
-// soak runs all seeds with a share of requests with fatalPart.
-func soak(t *testing.T, share float64) {
+// soak runs all seeds in a mode.
+func soak(t *testing.T, mode soakMode) {
 	dir, err := os.MkdirTemp("", "soak")
 	assert.NilError(t, err)
 	t.Cleanup(func() {
@@ -333,20 +451,24 @@
 			_ = os.RemoveAll(dir)
 		}
 	})
-	binary := filepath.Join(dir, "oleanderstall")
-	out, err := exec.Command("go", "build", "-o", binary, "../cmd/oleanderstall").CombinedOutput()
-	assert.NilError(t, err, string(out))
+	binary := *program
+	if binary == "" {
+		binary = filepath.Join(dir, "oleanderstall")
+		out, err := exec.Command("go", "build", "-o", binary, "../cmd/oleanderstall").CombinedOutput()
+		assert.NilError(t, err, string(out))
+	}
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			logs := filepath.Join(dir, fmt.Sprint(seed))
 			assert.NilError(t, os.Mkdir(logs, 0o700))
-			s, err := newSoakRun(seed, share, binary, logs)
+			s, err := newSoakRun(seed, mode, binary, logs)
 			if s != nil {
 				defer s.stop()
 			}
 			assert.NilError(t, err)
 			s.run()
 			t.Logf("seed %d: %d requests, %d served, %d with the fatal part reached engines", seed, len(s.results.requests), s.servedCount(), s.fatalRuns())
+			t.Logf("seed %d: %d faulty answers; the machine did not run the test for %v, at most %v at once", seed, s.faultyAnswers.Load(), s.paused.Round(time.Millisecond), s.longestPause.Round(time.Millisecond))
 			for _, text := range s.results.violations {
 				t.Error(text)
 			}
