--- a/dispatcher/resume_test.go
+++ b/dispatcher/resume_test.go
@@ -161,3 +161,31 @@
 		})
 	}
 }
+
+// TestCallerResumes guards against a caller that resumes a stream itself and gets events that it
+// has already, or a stream with a gap.
+func TestCallerResumes(t *testing.T) {
+	stream := assembler.Head{Status: http.StatusOK, Stream: true, Framing: assembler.Chunks}
+	failure := assembler.Head{Status: http.StatusInternalServerError, Failed: true, Framing: assembler.Length}
+	for _, c := range []struct {
+		name    string
+		answers []*scriptedAnswer
+		heads   []any
+		events  []uint64
+		whole   bool
+	}{
+		{"the rest", []*scriptedAnswer{{head: stream, events: []uint64{5, 6}}}, []any{stream}, []uint64{5, 6}, true},
+		{"the whole stream", []*scriptedAnswer{{head: stream, events: []uint64{0, 1}}}, nil, nil, false},
+		{"a gap", []*scriptedAnswer{{head: stream, events: []uint64{6}}}, nil, nil, false},
+		{"the whole stream, then the rest", []*scriptedAnswer{{head: stream, events: []uint64{0}}, {head: stream, events: []uint64{5}}}, []any{stream}, []uint64{5}, true},
+		{"the rest in two parts", []*scriptedAnswer{{head: stream, events: []uint64{5}, err: refuser.MayHaveRun(refuser.ConnectionLost, "x")}, {head: stream, events: []uint64{6}}}, []any{stream}, []uint64{5, 6}, true},
+		{"a part, then a failure", []*scriptedAnswer{{head: stream, events: []uint64{5}, err: refuser.MayHaveRun(refuser.ConnectionLost, "x")}, {head: failure}}, []any{stream}, []uint64{5}, false},
+	} {
+		out := &receivedAnswer{}
+		core := newTestCore(&scriptedServers{answers: c.answers})
+		_, err := core.Serve(t.Context(), &Request{Kind: Resumable, FirstIndex: 5, Deadline: 2 * time.Hour}, out)
+		assert.Equal(t, err == nil, c.whole, "%s: %v", c.name, err)
+		assert.DeepEqual(t, out.heads, c.heads)
+		assert.DeepEqual(t, out.events, c.events)
+	}
+}
