--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -12,7 +12,7 @@
 func TestFindOwner(t *testing.T) {
 	for _, c := range []struct {
 		request, answer string
-		refusal, kept   bool
+		optional, kept  bool
 		owner           Owner
 	}{
 		{"1", "1", false, false, Own},
@@ -25,7 +25,7 @@
 		{"", "", false, false, Other},
 		{"", "", true, true, Unknown},
 	} {
-		assert.Equal(t, FindOwner(c.request, c.answer, c.refusal, c.kept), c.owner, "%+v", c)
+		assert.Equal(t, FindOwner(c.request, c.answer, c.optional, c.kept), c.owner, "%+v", c)
 	}
 }
 
--- a/assembler/owner.go
+++ b/assembler/owner.go
@@ -16,14 +16,14 @@
 )
 
 // FindOwner returns the owner of an answer to the request requestID that names the request
-// answerID, which is empty if it names none. Only a refusal, which states that a request has
-// not run, may lack the name. On a connection that carried earlier requests (kept) such a refusal may be an earlier
+// answerID, or names none if that is empty, which only an answer with an optional name may. On
+// a connection that carried earlier requests (kept) an answer without a name may be an earlier
 // one, written once more.
-func FindOwner(requestID, answerID string, refusal, kept bool) Owner {
+func FindOwner(requestID, answerID string, optional, kept bool) Owner {
 	switch {
 	case answerID != "" && answerID == requestID:
 		return Own
-	case answerID != "" || !refusal:
+	case answerID != "" || !optional:
 		return Other
 	case kept:
 		return Unknown
