tracker: a status before the listing indexes a server once

Seen: an engine whose sidecar reported before the list named it stood twice among the holders of its models; after its removal one stayed, so that Holders returned a server that no longer exists and the index grew with each replacement.

Cause: UpdateServer evaluated the names before the row was applied and reindexed after it had also applied the kept status, which had reindexed by itself. The names of the status were added by both.

Evidence, before: tracker_test.go: assertion failed: 2 (int) != 1 (int) (TestStatusBeforeListingIndexesOnce).

Ruled out: a status of another process of the server, which UpdateStatus ignores.

Why it works: the row is reindexed first, so that the kept status finds the names of the row and adds only its own.

--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -112,8 +112,9 @@
 	if b.server.Started != s.Started {
 		b.stalledAt, b.backOffUntil = 0, 0
 	}
-	defer f.reindex(b, b.ModelNames())
+	before := b.ModelNames()
 	b.server, b.mismatched = s, false
+	f.reindex(b, before)
 	f.pools = nil
 	if pending, ok := f.unlisted[s.ID]; ok {
 		delete(f.unlisted, s.ID)
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -103,3 +103,14 @@
 	assert.Assert(t, b.RecentlyActive(now+activityWindow))
 	assert.Assert(t, !b.RecentlyActive(now+activityWindow+1))
 }
+
+// TestStatusBeforeListingIndexesOnce guards against a server that stays among the holders of a
+// model after its removal, because a status that came before the listing added it twice.
+func TestStatusBeforeListingIndexesOnce(t *testing.T) {
+	f := New()
+	f.UpdateStatus(time.Hour, &wire.EngineStatus{Server: "a", Born: 1, Models: []string{"m"}})
+	f.UpdateServer(Server{ID: "a", Pool: "p", Address: "x", Started: 1})
+	assert.Equal(t, len(f.Holders("m")), 1)
+	f.RemoveServer("a")
+	assert.Equal(t, len(f.holders["m"]), 0)
+}
