tracker: a saturation that is not a number is ignored

Seen: one saturation that is NaN or minus infinity in a report of an entry, or in a relay's batch, stays in the average of the engine for good, because NaN decays to NaN; one of -1e38 stays for minutes. The engine then never counts as having spare capacity, and its models get another copy again and again.

Evidence, before: tracker_test.go: assertion failed: NaN after NaN (TestOddSaturation).

Ruled out: the entry's own values, whose divisors are checked before.

Why it works: only a value of at least 0 enters the average, and at most 2 of it.

--- a/tracker/backend.go
+++ b/tracker/backend.go
@@ -117,11 +117,13 @@
 	return float64(b.inflight) + others
 }
 
-// saturationDecay is the time constant of the exponential decay of the saturation, and
-// saturationWeight the weight of a new answer in it.
+// saturationDecay is the time constant of the exponential decay of the saturation,
+// saturationWeight the weight of a new answer in it, and maxSaturation the most that an answer
+// counts as.
 const (
 	saturationDecay  = 3 * time.Second
 	saturationWeight = 0.25
+	maxSaturation    = 2
 )
 
 // Saturation returns how near recent answers came to their latency limits, 1 being
@@ -131,9 +133,13 @@
 }
 
 // RecordSaturation records how near an answer came to its latency limit, 1 being exactly
-// at it. Values above 2 count as 2.
+// at it. Values above maxSaturation count as that; a negative one, or one that is not a number,
+// is ignored.
 func (b *Backend) RecordSaturation(now time.Duration, saturation float64) {
-	b.saturation = b.Saturation(now)*(1-saturationWeight) + min(saturation, 2)*saturationWeight
+	if !(saturation >= 0) {
+		return
+	}
+	b.saturation = b.Saturation(now)*(1-saturationWeight) + min(saturation, maxSaturation)*saturationWeight
 	b.saturationAt = now
 }
 
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -114,3 +115,17 @@
 	f.RemoveServer("a")
 	assert.Equal(t, len(f.holders["m"]), 0)
 }
+
+// TestOddSaturation guards against a saturation that is not a number, infinite or far out of
+// range and stays in the average for good or for minutes.
+func TestOddSaturation(t *testing.T) {
+	for _, odd := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1e30, 1e30} {
+		f := New()
+		f.UpdateServer(Server{ID: "a"})
+		b := f.Get("a")
+		b.RecordSaturation(time.Hour, 0.5)
+		b.RecordSaturation(time.Hour, odd)
+		got := b.Saturation(time.Hour)
+		assert.Assert(t, got >= 0 && got <= 2, "%v after %v", got, odd)
+	}
+}
