tracker: an odd number of arrivals is ignored

Seen: one number of arrivals that is NaN or infinite makes the rate of the model NaN or infinite for good. The number of copies that follows from it is converted to an integer, which differs between x86-64 and arm64 (the lowest integer, 0 or the highest): either no copy is added any more or copies are added without end. The assignment of each engine that serves the model never equals the one before, so it is sent with every batch.

Evidence, before: tracker_test.go: assertion failed: NaN (float64) != 1 (float64): after NaN (TestOddArrivals).

Why it works: a count outside 0 to maxArrivals is ignored, the rate of the model stays as its sound counts make it, and other models are not concerned.

--- a/tracker/arrivals.go
+++ b/tracker/arrivals.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// arrivalDecay is the time constant with which past requests decay in a rate.
-const arrivalDecay = 4 * time.Second
+// arrivalDecay is the time constant with which past requests decay in a rate, and maxArrivals
+// the most requests that may be counted at once.
+const (
+	arrivalDecay = 4 * time.Second
+	maxArrivals  = 1e6
+)
 
 // ArrivalMeter measures the requests per second for each model or adapter as an
 // exponentially weighted average.
@@ -23,8 +27,12 @@
 // NewArrivalMeter returns a meter without requests.
 func NewArrivalMeter() *ArrivalMeter { return &ArrivalMeter{rates: map[string]rate{}} }
 
-// Add counts requests for a model or an adapter.
+// Add counts requests for a model or an adapter. It ignores a count that is negative, above
+// maxArrivals or not a number.
 func (m *ArrivalMeter) Add(now time.Duration, name string, count float64) {
+	if !(count >= 0 && count <= maxArrivals) {
+		return
+	}
 	r := m.rates[name]
 	r.value = r.decayed(now) + count/arrivalDecay.Seconds()
 	r.updatedAt = now
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -129,3 +129,15 @@
 		assert.Assert(t, got >= 0 && got <= 2, "%v after %v", got, odd)
 	}
 }
+
+// TestOddArrivals guards against a number of arrivals that spoils the rate of a model for good.
+func TestOddArrivals(t *testing.T) {
+	for _, odd := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1e30, 1e30} {
+		m := NewArrivalMeter()
+		m.Add(time.Hour, "m", 4)
+		m.Add(time.Hour, "m", odd)
+		m.Add(time.Hour, "other", 4)
+		assert.Equal(t, m.Rate(time.Hour, "m"), 1.0, "after %v", odd)
+		assert.Equal(t, m.Rate(time.Hour, "other"), 1.0)
+	}
+}
