tracker, locator, relayer: the load of an engine does not wrap around

Seen: the numbers of running and of queued requests were added in 32 bits. An engine, or a sidecar, that reports one of them as the highest number looks idle, and every entry sends its requests there first.

Evidence, before: tracker_test.go: assertion failed: 0 (int) != (1 << 32 int) (TestOddLoad). Locator.Receive and FleetState.recordLoad had the same sum.

Why it works: the sum is made in 64 bits, so that a huge load stays a huge load: the engine gets requests last, the others are not concerned.

--- a/locator/report.go
+++ b/locator/report.go
@@ -136,7 +136,7 @@
 		l.updateStatus(now, status)
 	}
 	for _, load := range batch.GetTraffic() {
-		l.fleet.RecordLoad(now, load.GetServer(), int(load.GetRunning()+load.GetWaiting()))
+		l.fleet.RecordLoad(now, load.GetServer(), int(load.GetRunning())+int(load.GetWaiting()))
 	}
 	for _, id := range batch.GetLost() {
 		l.fleet.MarkSidecarLost(now, id)
--- a/relayer/fleetstate.go
+++ b/relayer/fleetstate.go
@@ -171,7 +171,7 @@
 		return
 	}
 	fs.engineLoads.set(load.GetServer(), load)
-	fs.allocator.RecordLoad(now, load.GetServer(), int(load.GetRunning()+load.GetWaiting()))
+	fs.allocator.RecordLoad(now, load.GetServer(), int(load.GetRunning())+int(load.GetWaiting()))
 }
 
 // checkReportSources is called after a source of reports about a server has ended, which is
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -163,7 +163,7 @@
 	before := b.ModelNames()
 	b.status, b.statusAt, b.lostAt, b.mismatched = s, now, 0, false
 	f.reindex(b, before)
-	b.otherRequests = max(0, int(s.GetRunning()+s.GetWaiting())-b.inflight)
+	b.otherRequests = max(0, int(s.GetRunning())+int(s.GetWaiting())-b.inflight)
 	b.otherRequestsAt = now
 	return true
 }
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -141,3 +141,11 @@
 		assert.Equal(t, m.Rate(time.Hour, "other"), 1.0)
 	}
 }
+
+// TestOddLoad guards against a load that wraps around, so that the busiest engine looks idle.
+func TestOddLoad(t *testing.T) {
+	f := New()
+	f.UpdateServer(Server{ID: "a", Started: 1})
+	f.UpdateStatus(time.Hour, &wire.EngineStatus{Server: "a", Born: 1, Running: math.MaxUint32, Waiting: 1})
+	assert.Equal(t, f.Get("a").ReportedLoad(), 1<<32)
+}
