tracker: models of a status or a row may come in any order

Seen: Inventory.Has searches the names of the models by halves. A status or a row whose names are not sorted, of another writer or another version, hides models that the engine serves: its requests wait and are refused, and relays load the models once more.

Evidence, before: tracker_test.go: expression is false: b.Inventory(time.Hour).Has(name): c (TestUnsortedModels).

Ruled out: this version's own processes, which sort the names where they read them.

Why it works: the tracker sorts the names where a status or a row enters, in a copy, since relays pass the message on.

--- a/tracker/listed.go
+++ b/tracker/listed.go
@@ -1,6 +1,30 @@
 package tracker
 
-import "oleanderstall/wire"
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"oleanderstall/wire"
+)
+
+// sortedNames returns the names sorted. It does not change the list.
+func sortedNames(names []string) []string {
+	if slices.IsSorted(names) {
+		return names
+	}
+	return slices.Sorted(slices.Values(names))
+}
+
+// withSortedModels returns a status with its models sorted by name. It does not change s.
+func withSortedModels(s *wire.EngineStatus) *wire.EngineStatus {
+	if slices.IsSorted(s.GetModels()) {
+		return s
+	}
+	sorted := proto.CloneOf(s)
+	slices.Sort(sorted.Models)
+	return sorted
+}
 
 // ServerFromList returns the server that a row of the platform's list describes.
 func ServerFromList(listed *wire.ListedServer) Server {
@@ -12,7 +36,7 @@
 		Slots:     int(listed.GetSlots()),
 		Leaving:   listed.GetLeaving(),
 		Started:   listed.GetBorn(),
-		Inventory: Inventory{Models: listed.GetModels()},
+		Inventory: Inventory{Models: sortedNames(listed.GetModels())},
 	}
 }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -161,7 +161,7 @@
 		return true
 	}
 	before := b.ModelNames()
-	b.status, b.statusAt, b.lostAt, b.mismatched = s, now, 0, false
+	b.status, b.statusAt, b.lostAt, b.mismatched = withSortedModels(s), now, 0, false
 	f.reindex(b, before)
 	b.otherRequests = max(0, int(s.GetRunning())+int(s.GetWaiting())-b.inflight)
 	b.otherRequestsAt = now
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -149,3 +149,20 @@
 	f.UpdateStatus(time.Hour, &wire.EngineStatus{Server: "a", Born: 1, Running: math.MaxUint32, Waiting: 1})
 	assert.Equal(t, f.Get("a").ReportedLoad(), 1<<32)
 }
+
+// TestUnsortedModels guards against an engine that gets no requests for a model because the
+// names in a status or in a row are not sorted.
+func TestUnsortedModels(t *testing.T) {
+	models := []string{"c", "a", "b"}
+	f := New()
+	f.UpdateServer(ServerFromList(&wire.ListedServer{Id: "a", Born: 1, Models: models}))
+	b := f.Get("a")
+	for _, name := range models {
+		assert.Assert(t, b.Inventory(time.Hour).Has(name), name)
+	}
+	f.UpdateStatus(time.Hour, &wire.EngineStatus{Server: "a", Born: 1, Models: models})
+	for _, name := range models {
+		assert.Assert(t, b.Inventory(time.Hour).Has(name), name)
+	}
+	assert.DeepEqual(t, models, []string{"c", "a", "b"})
+}
