timer: durations from messages and from numbers are bounded

Seen: durations that other processes or a configuration state in milliseconds go up to 49 days. An engine with some thousand loads of that length, or a wait for as many fetches, adds them up beyond the range of time.Duration; the sum comes out negative and counts as ready now.

Cause: FromMillis passed on whatever a message holds; and there was no common conversion of floats and of instants to messages, so that each place overflowed in its own way, differently on x86-64 and arm64.

Evidence, before: timer_test.go:17: assertion failed: sum is <= 0 (TestFromMillisBounded).

--- a/timer/timer.go
+++ b/timer/timer.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -35,9 +36,35 @@
 	return uint32(min(ms, 1<<32-1))
 }
 
-// FromMillis converts milliseconds to a duration.
+// maxStated is the longest duration in milliseconds that is taken from a message. Sums of
+// thousands of them do not overflow.
+const maxStated = 24 * time.Hour
+
+// FromMillis converts milliseconds to a duration, limited to maxStated.
 func FromMillis(ms uint32) time.Duration {
-	return time.Duration(ms) * time.Millisecond
+	return min(time.Duration(ms)*time.Millisecond, maxStated)
+}
+
+// ToSignedMillis converts d to milliseconds, rounded towards 0 and limited to the range of
+// int32.
+func ToSignedMillis(d time.Duration) int32 {
+	return int32(min(math.MaxInt32, max(math.MinInt32, d.Milliseconds())))
+}
+
+// maxDuration is the longest duration that FromSeconds returns. The sum of two of them does
+// not overflow.
+const maxDuration = 100 * 365 * 24 * time.Hour
+
+// FromSeconds converts seconds to a duration, limited to maxDuration. A value that is not a
+// number counts as the longest.
+func FromSeconds(seconds float64) time.Duration {
+	switch limit := maxDuration.Seconds(); {
+	case seconds <= -limit:
+		return -maxDuration
+	case seconds < limit:
+		return time.Duration(seconds * float64(time.Second))
+	}
+	return maxDuration
 }
 
 // Wait blocks until d has passed, wake is closed or receives a value, or ctx ends.
