locator, relayer, allocator: a far target time does not wrap around

Seen: a route whose target time is more than 24 days ahead (its number of milliseconds goes up to 49 days) was reported to the relay as late by weeks, which quarters the value of its requests; a demand that a relay keeps for long enough wraps the other way.

Cause: the time left was converted to 32 bits without a bound at four places.

Why it works: all four places use timer.ToSignedMillis. The age of a request, which would have wrapped around if it lay in the future, uses timer.ToMillis.

--- a/allocator/decide.go
+++ b/allocator/decide.go
@@ -55,7 +55,7 @@
 		Server: p.server,
 		Count:  p.Count,
 		Worth:  p.Value,
-		Goal:   int32((p.TargetTime - now).Milliseconds()),
+		Goal:   timer.ToSignedMillis(p.TargetTime - now),
 		Age:    timer.ToMillis(now - p.FirstArrival),
 	}
 }
--- a/locator/demand.go
+++ b/locator/demand.go
@@ -135,8 +135,8 @@
 			value *= lateValue
 		}
 		request.Worth += value
-		request.Goal = min(request.Goal, int32((r.TargetTime - now).Milliseconds()))
-		request.Age = max(request.Age, uint32((now - r.Started).Milliseconds()))
+		request.Goal = min(request.Goal, timer.ToSignedMillis(r.TargetTime-now))
+		request.Age = max(request.Age, timer.ToMillis(now-r.Started))
 	}
 	return request
 }
--- a/relayer/assignment.go
+++ b/relayer/assignment.go
@@ -45,7 +45,7 @@
 		Model:  key.model,
 		Count:  r.count,
 		Worth:  r.value,
-		Goal:   int32(min(math.MaxInt32, (r.targetTime - now).Milliseconds())),
+		Goal:   timer.ToSignedMillis(r.targetTime - now),
 		Age:    timer.ToMillis(now - r.firstArrival),
 		Rate:   r.relief,
 	}
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -212,7 +212,7 @@
 		Model: c.key,
 		Count: demand.Count,
 		Worth: demand.Value,
-		Goal:  int32((demand.TargetTime - now).Milliseconds()),
+		Goal:  timer.ToSignedMillis(demand.TargetTime - now),
 		Age:   timer.ToMillis(now - demand.FirstArrival),
 		Avoid: demand.Avoid,
 	}
