limiter: odd numbers of tokens in reports are ignored

Seen: one number of tokens used, or one level, that is NaN or infinite in a report or a batch makes the bucket of that workspace NaN or infinite for good at every process that receives it: on arm64 the workspace has no limit any more, on x86-64 its requests wait forever. The total that relays send each other becomes NaN too, so that the number is sent on again and again after its sender is gone. A finite number such as 1e300 has the workspace refused for good.

Ruled out: the usage of other workspaces in the same report, which counted before as well.

Why it works: a number beyond a billion tokens in either direction, or not a number, is ignored where a report enters a UsageSource and where levels are adopted; relays pass on only what RecordUsage returns.

--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -129,10 +129,10 @@
 }
 
 // AdoptLevels sets the levels of buckets that were kept before this entry started. It changes
-// each bucket once at most.
+// each bucket once at most, and none to a level that is not plausible.
 func (l *Ledger) AdoptLevels(now time.Duration, levels map[string]float64) {
 	for name, level := range levels {
-		if a := l.accounts[name]; a != nil && a.levelUnknown {
+		if a := l.accounts[name]; a != nil && a.levelUnknown && plausible(level) {
 			a.levelUnknown = false
 			a.bucket.Spend(now, a.bucket.Level(now)-level)
 		}
--- a/limiter/usagesource.go
+++ b/limiter/usagesource.go
@@ -1,6 +1,9 @@
 package limiter
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // expectedAfter is how long a source may go without a report before it counts as using
 // tokens at its recent rate.
@@ -13,6 +16,13 @@
 	minRateWindow = 200 * time.Millisecond
 )
 
+// maxReported is the highest number of tokens that is taken from a report.
+const maxReported = 1e9
+
+// plausible reports whether a number of tokens in a report can be right: it is a number, and
+// not above maxReported or below its negative.
+func plausible(tokens float64) bool { return math.Abs(tokens) <= maxReported }
+
 // UsageSource is a part of the fleet that reports its usage of the workspaces' tokens from
 // time to time. While a report is late, tokens are reserved for what it may use. It is not
 // safe for concurrent use.
@@ -36,7 +46,8 @@
 }
 
 // RecordUsage records the tokens used since the last report. It returns them less what was
-// reserved; a negative number returns tokens to the bucket.
+// reserved; a negative number returns tokens to the bucket. It ignores a number that is not
+// plausible.
 func (s *UsageSource) RecordUsage(now time.Duration, used map[string]float64) map[string]float64 {
 	elapsed := max(0, now-s.reportedAt)
 	window := max(elapsed, min(rateWindow, now-s.knownSince))
@@ -46,6 +57,9 @@
 	}
 	unreserved := map[string]float64{}
 	for name, tokens := range used {
+		if !plausible(tokens) {
+			continue
+		}
 		s.rates[name] += tokens / max(window, minRateWindow).Seconds()
 		unreserved[name] += tokens
 	}
