limiter: an odd number of entries is ignored

Seen: a relay that states some billion entries, all of them absent, makes every entry reserve the whole limits for them: all requests of all workspaces are refused.

Evidence, before: odd_test.go:76: assertion failed: 0 (float64) != 100 (float64) (TestOddEntryCount).

Ruled out: more absent entries than entries, which happens while entries start; the share is limited to all already.

Why it works: a count above 65,536 leaves the count known before in force. The source itself is added, so that its usage counts.

--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -113,8 +113,11 @@
 }
 
 // SetEntryCount sets the number of all entries, including this one. The share of the limits
-// of the absent ones is reserved.
+// of the absent ones is reserved. A number that is not plausible is ignored.
 func (l *Ledger) SetEntryCount(now time.Duration, c EntryCount) {
+	if !c.plausible() {
+		return
+	}
 	l.entryCount, l.countReported = c, true
 	l.resizeBuckets(now)
 }
--- a/limiter/odd_test.go
+++ b/limiter/odd_test.go
@@ -61,3 +61,23 @@
 		assert.Equal(t, l.accounts["sound"].bucket.Level(now), 40.0)
 	}
 }
+
+// TestOddEntryCount guards against limits that are cut to nothing because a relay counts more
+// entries than a fleet can have.
+func TestOddEntryCount(t *testing.T) {
+	now := time.Hour
+	odd := EntryCount{Entries: math.MaxUint32, Absent: math.MaxUint32}
+	l := NewLedger(now, 0)
+	l.SetLimits(now, testLimits)
+	l.SetEntryCount(now, EntryCount{Entries: 2})
+	l.AddRemoteUsage(now, nil)
+	l.SetEntryCount(now, odd)
+	assert.Equal(t, l.accounts["odd"].bucket.Burst(), 100.0)
+
+	r := NewRelayLedger()
+	r.SetSource(now, "a", EntryCount{Entries: 2})
+	r.SetSource(now, "b", EntryCount{Entries: 2})
+	r.SetSource(now, "b", odd)
+	r.SetSource(now, "c", odd)
+	assert.Equal(t, r.EntryCount(), EntryCount{Entries: 4})
+}
--- a/limiter/relayledger.go
+++ b/limiter/relayledger.go
@@ -27,6 +27,12 @@
 	Absent  int
 }
 
+// maxEntries is the highest number of entries that is taken from a report.
+const maxEntries = 1 << 16
+
+// plausible reports whether a fleet can have that many entries.
+func (c EntryCount) plausible() bool { return c.Entries >= 0 && c.Entries <= maxEntries }
+
 // NewRelayLedger returns a ledger without workspaces and sources.
 func NewRelayLedger() *RelayLedger {
 	return &RelayLedger{accounts: map[string]*account{}, sources: map[string]*entrySource{}}
@@ -38,14 +44,17 @@
 }
 
 // SetSource adds a source that represents some entries, or changes their number. The source
-// itself reports as used what is reserved for its absent entries.
+// itself reports as used what is reserved for its absent entries. A number that is not plausible
+// is ignored.
 func (l *RelayLedger) SetSource(now time.Duration, name string, c EntryCount) {
 	s := l.sources[name]
 	if s == nil {
 		s = &entrySource{UsageSource: NewUsageSource(now)}
 		l.sources[name] = s
 	}
-	s.entryCount = c
+	if c.plausible() {
+		s.entryCount = c
+	}
 }
 
 // RemoveSource removes a source that uses nothing more or whose usage another source reports.
