limiter: no share of nothing is reserved for a data centre without entries

Seen: a relay to which only sidecars are linked, and whose other data centres have no entries either, reserves for a silent one 0 of 0 entries, which is not a number. When that data centre reports again, the buckets of all workspaces have no level any more, here and at every entry that is linked by then.

Why it works: the share is taken of at least one entry, and is 0.

--- a/limiter/odd_test.go
+++ b/limiter/odd_test.go
@@ -81,3 +81,19 @@
 	r.SetSource(now, "c", odd)
 	assert.Equal(t, r.EntryCount(), EntryCount{Entries: 4})
 }
+
+// TestAbsentSourceWithoutEntries guards against buckets without a level after a data centre that
+// has no entries was silent while no entry was known at all.
+func TestAbsentSourceWithoutEntries(t *testing.T) {
+	now := time.Hour
+	l := NewRelayLedger()
+	l.SetLimits(now, testLimits)
+	l.SetSource(now, "centre", EntryCount{})
+	now += 2 * absentAfter
+	l.Tick(now)
+	l.SetSource(now, "entry", EntryCount{Entries: 1})
+	for _, tokens := range l.RecordUsage(now, "centre", nil) {
+		assert.Equal(t, tokens, 0.0)
+	}
+	assert.Assert(t, l.Levels(now)["sound"] > 0)
+}
--- a/limiter/relayledger.go
+++ b/limiter/relayledger.go
@@ -105,7 +105,7 @@
 // reserve reserves the expected usage of a source, or its whole share if it is absent, and
 // returns what is to be taken out of the buckets.
 func (l *RelayLedger) reserve(now time.Duration, s *entrySource, absent bool) map[string]float64 {
-	taken, entries := map[string]float64{}, l.EntryCount().Entries
+	taken, entries := map[string]float64{}, max(1, l.EntryCount().Entries)
 	for name, a := range l.accounts {
 		tokens := 0.0
 		if absent {
