--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -112,8 +112,9 @@
 	if b.server.Started != s.Started {
 		b.stalledAt, b.backOffUntil = 0, 0
 	}
-	defer f.reindex(b, b.ModelNames())
+	before := b.ModelNames()
 	b.server, b.mismatched = s, false
+	f.reindex(b, before)
 	f.pools = nil
 	if pending, ok := f.unlisted[s.ID]; ok {
 		delete(f.unlisted, s.ID)
@@ -160,9 +161,9 @@
 		return true
 	}
 	before := b.ModelNames()
-	b.status, b.statusAt, b.lostAt, b.mismatched = s, now, 0, false
+	b.status, b.statusAt, b.lostAt, b.mismatched = withSortedModels(s), now, 0, false
 	f.reindex(b, before)
-	b.otherRequests = max(0, int(s.GetRunning()+s.GetWaiting())-b.inflight)
+	b.otherRequests = max(0, int(s.GetRunning())+int(s.GetWaiting())-b.inflight)
 	b.otherRequestsAt = now
 	return true
 }
