engine: a connection for each call, so that no earlier answer is taken for a later one

Seen: an engine that wrote an earlier "model is not loaded" (404) once more on a kept connection had the next request called "not run" although the engine ran it, and the request then ran at a second engine. An earlier 200 without an X-Request-Id was passed on as the answer to the next request; an earlier confirmation counted as that of another load or unload.

Cause: net/http's Transport gives the bytes that arrive on an idle connection just after a request was written to that request. Orders and the status carry no ID.

Ruled out: checking for unread bytes before a request (the old answer comes after it); identifying the answer by X-Request-Id alone (an engine need not send it, orders have none).

Change: dialer.NewClient makes the one HTTP client for such calls: a connection for each call, no redirects, no compression, a bounded head. The engine is on the same instance, so a connection costs little. net/http repeats calls on kept connections only, so nothing is sent twice.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -1,16 +1,39 @@
 // Package dialer checks what a host answers to a connection attempt, and whether a request got a
-// connection.
+// connection. It has the HTTP client for calls whose answers are told apart by their connection.
 package dialer
 
 import (
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
+// maxHeadBytes bounds the head of an answer, in bytes.
+const maxHeadBytes = 64 << 10
+
+// NewClient returns an HTTP client that uses a new connection for each call, which it opens
+// within timeout. What arrives on a connection can then only be the answer to its one call; on
+// a kept connection, net/http takes the bytes that arrive after a request was written for the
+// answer to it, although the server may have written an earlier answer once more. The client
+// sends each call at most once: it follows no redirects, and net/http repeats calls only on
+// kept connections.
+func NewClient(timeout time.Duration) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeadBytes,
+			DialContext:            (&net.Dialer{Timeout: timeout}).DialContext,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // Refuses reports whether the host at an address, IP:port, refuses a connection before ctx
 // ends, so that no process listens there. A host that does not answer does not refuse.
 func Refuses(ctx context.Context, address string) bool {
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -3,7 +3,12 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -20,3 +25,37 @@
 	cancel()
 	assert.Assert(t, !Refuses(ended, address))
 }
+
+// TestClientKeepsNoConnection guards against an earlier answer that is taken for the answer to
+// the next call: no connection may carry two calls, and no call may be sent twice.
+func TestClientKeepsNoConnection(t *testing.T) {
+	var calls, connections atomic.Int64
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch calls.Add(1) {
+		case 3:
+			http.Redirect(w, r, "/", http.StatusTemporaryRedirect)
+		case 4:
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	s.Start()
+	defer s.Close()
+	c := NewClient(time.Second)
+	for i := range 4 {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL, strings.NewReader("order"))
+		assert.NilError(t, err)
+		req.Header.Set("Idempotency-Key", "key")
+		res, err := c.Do(req)
+		assert.Equal(t, err != nil, i == 3)
+		if err == nil {
+			assert.NilError(t, res.Body.Close())
+		}
+	}
+	assert.Equal(t, calls.Load(), int64(4))
+	assert.Equal(t, connections.Load(), int64(4))
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -2,7 +2,8 @@
 //
 // Requests use the OpenAI completion calls and always stream the answer as
 // server-sent events. Orders load and unload models and adapters; each carries a
-// fencing number, which some engines check and others ignore.
+// fencing number, which some engines check and others ignore. Each call uses a
+// connection of its own, so that no earlier answer can be taken for its answer.
 package engine
 
 import (
@@ -12,7 +13,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -139,11 +139,7 @@
 // New returns a client of the engine at the URL base, such as
 // http://10.0.0.5:8000.
 func New(base string) *Client {
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: 64,
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-	}
-	return &Client{base: base, http: &http.Client{Transport: transport}}
+	return &Client{base: base, http: dialer.NewClient(dialTimeout)}
 }
 
 // Status returns the engine's status. The error is a StatusError if the engine
