engine: a refusal that bears another request's ID is not taken

Seen: a 404 with the X-Request-Id of another request was taken as proof that this one never ran. The ID was checked on a 200 only.

Evidence, failing before: --- FAIL: TestRefusalOfOtherRequest: eris.As(err, &streamErr): engine answered 404: model is not loaded

Change: the ID is checked before the status. The error is a StreamError, of which the executor says that the request may have run.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -211,8 +211,8 @@
 // Generate runs a request and calls onToken for the text of each token in order. If
 // onToken returns an error, Generate stops and returns it. It returns a ConnectError if
 // there was no connection to the engine, a StatusError if the engine refused the request,
-// and a StreamError if the stream is incomplete, can't be decoded or belongs to another
-// request.
+// and a StreamError if the stream is incomplete or can't be decoded, or if the answer,
+// whatever its status, belongs to another request.
 func (c *Client) Generate(ctx context.Context, r Request, onToken func(text string) error) (Result, error) {
 	watched, connected := dialer.WatchConnection(ctx)
 	req, err := c.newRequest(watched, r)
@@ -227,13 +227,13 @@
 		return Result{}, eris.Wrap(err, "send engine request")
 	}
 	defer func() { _ = response.Body.Close() }()
+	if id := response.Header.Get("X-Request-Id"); id != "" && id != r.ID {
+		return Result{}, &StreamError{Text: "answers request " + id + " in place of " + r.ID}
+	}
 	if response.StatusCode != http.StatusOK {
 		_, err := readBody(response)
 		return Result{}, err
 	}
-	if id := response.Header.Get("X-Request-Id"); id != "" && id != r.ID {
-		return Result{}, &StreamError{Text: "answers request " + id + " in place of " + r.ID}
-	}
 	return ReadEvents(response.Body, onToken)
 }
 
--- a/engine/owner_test.go
+++ b/engine/owner_test.go
@@ -75,6 +75,17 @@
 	assert.NilError(t, c.Unload(t.Context(), Order{Model: "m"}))
 }
 
+// TestRefusalOfOtherRequest guards against a refusal that bears the ID of another request and
+// was taken as proof that this one did not run.
+func TestRefusalOfOtherRequest(t *testing.T) {
+	c := repeatingEngine(t, func(*http.Request) string {
+		return httpAnswer("404 Not Found", "model is not loaded", "X-Request-Id: other\r\n")
+	})
+	_, err := c.Generate(t.Context(), Request{ID: "mine", Body: []byte("{}")}, nil)
+	var streamErr *StreamError
+	assert.Assert(t, eris.As(err, &streamErr), "%v", err)
+}
+
 // TestOrderIsNotRedirected guards against an order that is carried out twice: the HTTP client
 // repeated it on a redirect.
 func TestOrderIsNotRedirected(t *testing.T) {
