service: a connection for each call, idempotent ones too

Seen: a service that wrote an earlier answer once more on a kept connection had it passed on as the answer to the next call of an idempotent route, whoever made that.

Cause: idempotent calls used kept connections, on which net/http gives the bytes that arrive just after a request to that request.

Change: all calls use dialer.NewClient, as those that are not idempotent did with a client of this package. Request.Idempotent, which chose between the two, goes.

--- a/executor/invoke.go
+++ b/executor/invoke.go
@@ -94,7 +94,6 @@
 		Workspace:      req.GetWorkspace(),
 		IdempotencyKey: req.GetOnce(),
 		Body:           req.GetBody(),
-		Idempotent:     route.GetIdempotent(),
 	})
 	x.mu.Lock()
 	x.recordServiceTime(x.clock() - started)
--- a/service/service.go
+++ b/service/service.go
@@ -3,7 +3,8 @@
 // A call that is not idempotent must be sent at most once. net/http's Transport
 // repeats a request on a new connection if a kept-alive one fails and the request
 // carries an Idempotency-Key, and its Client repeats a POST on a redirect with
-// status 307 or 308. Therefore each call that is not idempotent uses a new
+// status 307 or 308. On a kept-alive connection, an earlier answer that the service
+// writes once more is taken for the next one. Therefore each call uses a new
 // connection, and no call follows redirects.
 package service
 
@@ -11,7 +12,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -40,8 +40,6 @@
 	// IdempotencyKey is the caller's idempotency key, or empty.
 	IdempotencyKey string
 	Body           []byte
-	// Idempotent is set if the call may be sent more than once.
-	Idempotent bool
 }
 
 // Answer is the complete answer to a call.
@@ -66,36 +64,21 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.cause }
 
-// Client is the HTTP client of one plain service. It sends idempotent calls on
-// kept-alive connections and each other call on a connection of its own.
+// Client is the HTTP client of one plain service. It sends each call on a connection
+// of its own.
 type Client struct {
-	base      string
-	reusing   *http.Client
-	singleUse *http.Client
+	base string
+	http *http.Client
 }
 
 // New returns a client of the service at the URL base, such as
 // http://10.0.0.7:8000.
 func New(base string) *Client {
-	return &Client{base: base, reusing: newHTTPClient(false), singleUse: newHTTPClient(true)}
+	return &Client{base: base, http: dialer.NewClient(dialTimeout)}
 }
 
-// newHTTPClient returns an HTTP client that follows no redirects. If singleUse is
-// set, each request uses a new connection.
-func newHTTPClient(singleUse bool) *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DisableKeepAlives:   singleUse,
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: 64,
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
-
-// Call sends r and returns the complete answer, whatever its status. A request that
-// is not idempotent is sent at most once. Errors are CallErrors.
+// Call sends r and returns the complete answer, whatever its status. A request is sent
+// at most once. Errors are CallErrors.
 func (c *Client) Call(ctx context.Context, r Request) (*Answer, error) {
 	watched, connected := dialer.WatchConnection(ctx)
 	callError := func(err error) error { return &CallError{Sent: connected(), cause: err} }
@@ -103,11 +86,7 @@
 	if err != nil {
 		return nil, callError(err)
 	}
-	httpClient := c.singleUse
-	if r.Idempotent {
-		httpClient = c.reusing
-	}
-	response, err := httpClient.Do(req)
+	response, err := c.http.Do(req)
 	if err != nil {
 		return nil, callError(err)
 	}
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
+
+	"oleanderstall/faker"
 )
 
 var orderRequest = Request{ID: "i", Method: http.MethodPost, Path: "/orders", IdempotencyKey: "key", Body: []byte("500 maps")}
@@ -75,3 +79,29 @@
 	assert.Assert(t, eris.As(err, &callErr))
 	assert.Assert(t, callErr.Sent)
 }
+
+// httpAnswer returns an HTTP answer with a status line, headers and a body.
+func httpAnswer(status, body string, header ...string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, strings.Join(header, ""), len(body), body)
+}
+
+// repeatingService starts a service that writes an earlier answer once more on a kept
+// connection, and returns a client of it.
+func repeatingService(t *testing.T, answer func(r *http.Request) string) *Client {
+	t.Helper()
+	p, err := faker.NewRepeater(answer)
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	return New("http://" + p.Address())
+}
+
+// TestRepeatedAnswer guards against callers who get the answer to another call: an earlier
+// answer that is written once more on a kept connection was taken for the next one.
+func TestRepeatedAnswer(t *testing.T) {
+	c := repeatingService(t, func(r *http.Request) string { return httpAnswer("200 OK", r.URL.RawQuery) })
+	for _, query := range []string{"order=1", "order=2", "order=3"} {
+		answer, err := c.Call(t.Context(), Request{ID: query, Method: http.MethodGet, Path: "/status", Query: query})
+		assert.NilError(t, err)
+		assert.Equal(t, string(answer.Body), query)
+	}
+}
