service: an answer that bears another request's ID is not taken

Seen: an answer with the X-Request-Id of another request was passed on to the caller. The ID is sent to services, but was not compared with that of the answer.

Evidence, failing before: --- FAIL: TestAnswerOfOtherRequest: eris.As(err, &callErr): <nil>

Change: such an answer is an AnswerError of a call that was sent, so the refusal says that the call may have run. A service that sets an ID of its own in place of the caller's is not served any more; one that sends none is.

--- a/service/service.go
+++ b/service/service.go
@@ -64,6 +64,14 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.cause }
 
+// AnswerError reports an answer that cannot be the one to the call.
+type AnswerError struct {
+	Text string
+}
+
+// Error describes what is wrong with the answer.
+func (e *AnswerError) Error() string { return "answer: " + e.Text }
+
 // Client is the HTTP client of one plain service. It sends each call on a connection
 // of its own.
 type Client struct {
@@ -91,6 +99,9 @@
 		return nil, callError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := checkHead(response, r.ID); err != nil {
+		return nil, callError(err)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
 		return nil, callError(err)
@@ -101,6 +112,15 @@
 	return &Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// checkHead returns an AnswerError if an answer is to another request than the one with
+// the ID.
+func checkHead(response *http.Response, id string) error {
+	if other := response.Header.Get("X-Request-Id"); other != "" && other != id {
+		return &AnswerError{Text: "to request " + other + " in place of " + id}
+	}
+	return nil
+}
+
 // SizeError reports an answer whose body is larger than 4 MiB.
 type SizeError struct{}
 
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -105,3 +105,15 @@
 		assert.Equal(t, string(answer.Body), query)
 	}
 }
+
+// TestAnswerOfOtherRequest guards against an answer that bears the ID of another request and
+// was passed on. The call must fail as one that was sent.
+func TestAnswerOfOtherRequest(t *testing.T) {
+	c := repeatingService(t, func(*http.Request) string {
+		return httpAnswer("201 Created", "300 maps", "X-Request-Id: other\r\n")
+	})
+	_, err := c.Call(t.Context(), orderRequest)
+	var callErr *CallError
+	assert.Assert(t, eris.As(err, &callErr), "%v", err)
+	assert.Assert(t, callErr.Sent)
+}
