service: a status that ends no call is no answer

Seen: an answer with status 000 or 099 made the entry's handler panic in WriteHeader, with a stack trace in place of an answer; 101 was passed on, after which the caller's connection speaks no HTTP.

Evidence, failing before: --- FAIL: TestNoFinalStatus: eris.As(err, &callErr): 000 None: <nil>

Change: a status under 200 is an AnswerError of a call that was sent.

--- a/service/service.go
+++ b/service/service.go
@@ -11,6 +11,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -112,12 +113,18 @@
 	return &Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// minFinalStatus is the lowest HTTP status of an answer; those below announce one.
+const minFinalStatus = 200
+
 // checkHead returns an AnswerError if an answer is to another request than the one with
-// the ID.
+// the ID, or if its status does not end a call.
 func checkHead(response *http.Response, id string) error {
 	if other := response.Header.Get("X-Request-Id"); other != "" && other != id {
 		return &AnswerError{Text: "to request " + other + " in place of " + id}
 	}
+	if response.StatusCode < minFinalStatus {
+		return &AnswerError{Text: fmt.Sprintf("status %d ends no call", response.StatusCode)}
+	}
 	return nil
 }
 
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -117,3 +117,15 @@
 	assert.Assert(t, eris.As(err, &callErr), "%v", err)
 	assert.Assert(t, callErr.Sent)
 }
+
+// TestNoFinalStatus guards against an answer that an entry cannot pass on, since its status is
+// none of an answer: the entry's handler panicked, or changed the protocol.
+func TestNoFinalStatus(t *testing.T) {
+	for _, status := range []string{"000 None", "099 Odd", "101 Switching Protocols"} {
+		c := repeatingService(t, func(*http.Request) string { return httpAnswer(status, "") })
+		_, err := c.Call(t.Context(), orderRequest)
+		var callErr *CallError
+		assert.Assert(t, eris.As(err, &callErr), "%s: %v", status, err)
+		assert.Assert(t, callErr.Sent)
+	}
+}
