executor: an unframed answer of a service that was killed is not passed on as whole

Seen: a service's answer with neither a length nor chunks ends with its connection. Where the service's process was killed, the half that had been sent was passed on, with a length of its own, as the whole answer.

Evidence, failing before: --- FAIL: TestCutUnframedAnswer/killed: refuser.Is(err, refuser.ConnectionLost): <nil> --- FAIL: TestCutUnframedAnswer/not_known: refuser.Is(err, refuser.ConnectionLost): <nil>

Ruled out: refusing all such answers, since a sound service that speaks HTTP/1.0 sends nothing else.

Change: service.Answer says that it is unframed. The sidecar then waits 20 ms, since a process that ends may close its connections before its listener, and passes the answer on only if somebody still listens at the service's address. Otherwise, or if the address is not known, the refusal says that the call may have run. Not told apart: a service that listens again within that time, or whose listener belongs to another process than the one that was killed.

--- a/executor/crash.go
+++ b/executor/crash.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleanderstall/refuser"
+	"oleanderstall/service"
 	"oleanderstall/timer"
 )
 
@@ -14,6 +15,9 @@
 	// restartPollInterval is the time between two checks whether a crashed backend server
 	// runs again.
 	restartPollInterval = 100 * time.Millisecond
+	// processEndTime is the time within which the host of a process that was killed refuses
+	// connections, once it has closed one of those that the process had.
+	processEndTime = 20 * time.Millisecond
 )
 
 // withCrash returns the refusal of a call that the backend server did not answer. If nobody
@@ -36,6 +40,23 @@
 	return refusal.WithCrash(x.crashedAt)
 }
 
+// refuseCut returns a refusal of a call whose answer may have been cut: its body ended with
+// its connection, and nobody listens at the service's address any more, or that is not known.
+func (x *Executor) refuseCut(ctx context.Context, answer *service.Answer) error {
+	if !answer.Unframed {
+		return nil
+	}
+	refusal := refuser.MayHaveRun(refuser.ConnectionLost, "the service's answer may have been cut")
+	if x.options.Refuses == nil {
+		return refusal
+	}
+	timer.Wait(ctx, processEndTime, nil)
+	if x.backendRefuses(context.WithoutCancel(ctx)) {
+		return x.withCrash(ctx, refusal)
+	}
+	return nil
+}
+
 // backendRefuses reports whether nobody listens at the backend server's address.
 func (x *Executor) backendRefuses(ctx context.Context) bool {
 	if x.options.Refuses == nil {
--- a/executor/cut_test.go
+++ b/executor/cut_test.go
@@ -1,15 +1,68 @@
 package executor
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"oleanderstall/dialer"
 	"oleanderstall/faker"
+	"oleanderstall/refuser"
 	"oleanderstall/service"
 )
 
+// TestCutUnframedAnswer guards against half an answer that is passed on as a whole one: a body
+// with neither a length nor chunks ends with its connection, also where the service's process
+// was killed.
+func TestCutUnframedAnswer(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		killed    bool
+		unchecked bool
+		whole     bool
+	}{
+		{name: "whole", whole: true},
+		{name: "killed", killed: true},
+		{name: "not known", unchecked: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, out, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = out.WriteString("HTTP/1.1 200 OK\r\n\r\n500 maps")
+				_ = out.Flush()
+				if tt.killed {
+					_ = l.Close()
+				}
+				_ = c.Close()
+			})}
+			go func() { _ = server.Serve(l) }()
+			t.Cleanup(func() { _ = server.Close() })
+			f := newFixture(t)
+			if !tt.unchecked {
+				f.options.Refuses = func(ctx context.Context) bool { return dialer.Refuses(ctx, l.Addr().String()) }
+			}
+			x := f.sidecar("a", nil, service.New("http://"+l.Addr().String()))
+			answer, err := x.invoke(t.Context(), invocation("order", ""))
+			if tt.whole {
+				assert.NilError(t, err)
+				assert.Equal(t, string(answer.GetBody()), "500 maps")
+				return
+			}
+			assert.Assert(t, refuser.Is(err, refuser.ConnectionLost), "%v", err)
+			assert.Assert(t, !refuser.FromError(err).NeverRan())
+			assert.Equal(t, refuser.CrashTime(err) > 0, tt.killed)
+		})
+	}
+}
+
 // TestRepeatedAnswerOfService guards against callers who get the answer to another call, from
 // the sidecar's call to the service on.
 func TestRepeatedAnswerOfService(t *testing.T) {
--- a/service/service.go
+++ b/service/service.go
@@ -43,13 +43,16 @@
 	Body           []byte
 }
 
-// Answer is the complete answer to a call.
+// Answer is the answer to a call. It is complete unless Unframed is set.
 type Answer struct {
 	// Status is the HTTP status.
 	Status int
 	// ContentType is the value of the Content-Type header.
 	ContentType string
 	Body        []byte
+	// Unframed is set if the body had neither a length nor chunks. It ended with its
+	// connection, also if it was cut because the service's process was killed.
+	Unframed bool
 }
 
 // CallError reports a call without a complete answer. Sent is false if it is
@@ -86,8 +89,8 @@
 	return &Client{base: base, http: dialer.NewClient(dialTimeout)}
 }
 
-// Call sends r and returns the complete answer, whatever its status. A request is sent
-// at most once. Errors are CallErrors.
+// Call sends r and returns the answer, whatever its status. A request is sent at most
+// once. Errors are CallErrors.
 func (c *Client) Call(ctx context.Context, r Request) (*Answer, error) {
 	watched, connected := dialer.WatchConnection(ctx)
 	callError := func(err error) error { return &CallError{Sent: connected(), cause: err} }
@@ -110,7 +113,12 @@
 	if len(body) > maxAnswer {
 		return nil, callError(&SizeError{})
 	}
-	return &Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
+	return &Answer{
+		Status:      response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+		Body:        body,
+		Unframed:    isUnframed(response),
+	}, nil
 }
 
 // minFinalStatus is the lowest HTTP status of an answer; those below announce one.
@@ -128,6 +136,11 @@
 	return nil
 }
 
+// isUnframed reports whether the body of an answer ends with its connection.
+func isUnframed(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
+}
+
 // SizeError reports an answer whose body is larger than 4 MiB.
 type SizeError struct{}
 
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -129,3 +129,26 @@
 		assert.Assert(t, callErr.Sent)
 	}
 }
+
+// TestUnframed checks which answers are known to be whole by their head, so that the end of
+// their connection is not taken for the end of a body.
+func TestUnframed(t *testing.T) {
+	for _, tt := range []struct {
+		name, method, answer string
+		unframed             bool
+	}{
+		{name: "length", answer: httpAnswer("200 OK", "maps")},
+		{name: "chunks", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmaps\r\n0\r\n\r\n"},
+		{name: "no body", answer: "HTTP/1.1 204 No Content\r\n\r\n"},
+		{name: "head", method: http.MethodHead, answer: "HTTP/1.1 200 OK\r\n\r\n"},
+		{name: "neither", answer: "HTTP/1.1 200 OK\r\n\r\nmaps", unframed: true},
+		{name: "old protocol", answer: "HTTP/1.0 200 OK\r\n\r\nmaps", unframed: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := repeatingService(t, func(*http.Request) string { return tt.answer })
+			answer, err := c.Call(t.Context(), Request{ID: "i", Method: tt.method, Path: "/"})
+			assert.NilError(t, err)
+			assert.Equal(t, answer.Unframed, tt.unframed)
+		})
+	}
+}
