engine: a stream with an error in it, or that goes on after its end, is broken

Seen: an event {"error": ...} in the middle of a stream was skipped; with a finish reason and [DONE] after it, the caller got an answer with a piece missing that ended as complete. Text after the finish reason, a second finish reason, an event whose id is that of another answer, and text of a choice that nobody asked for were joined to the answer.

Cause: ReadEvents looked at text, finish reason and usage of each event alone.

Evidence, failing before (TestEvents): error, error_after_the_reason, error_object, error_by_name, text_after_the_reason, two_reasons, event_of_another_request, another_choice: false (bool) != true (tt.broken bool)

Ruled out, each with a case that passed before: a stream that ends without [DONE], half an event, [DONE] before the first piece. What follows [DONE] belongs to no answer: it is not read. Usage cannot prove a missing piece, since an event may hold several tokens.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -7,7 +7,6 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -22,9 +21,6 @@
 	"oleanderstall/dialer"
 )
 
-// maxEvent is the largest line of a server-sent event, in bytes.
-const maxEvent = 1 << 20
-
 // maxAnswer is the length, in bytes, after which the body of any other answer is
 // cut off.
 const maxAnswer = 4 << 20
@@ -120,9 +116,18 @@
 	return fmt.Sprintf("engine answered %d: %s", e.Status, e.Body)
 }
 
+// maxQuote is the longest text of an engine that is quoted in an error, in bytes.
+const maxQuote = 512
+
+// shorten returns the beginning of a text, which is valid UTF-8 as messages between processes
+// have to be.
+func shorten(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxQuote)], "")
+}
+
 // StreamError reports a stream that can't be used: it ended before its end event or
-// without a finish reason, contains an event that can't be decoded, or belongs to
-// another request.
+// without a finish reason, goes on after that reason, contains an error or an event that
+// can't be decoded, or belongs to another request.
 type StreamError struct {
 	Text string
 }
@@ -284,74 +289,3 @@
 	Text   string `json:"text"`
 	Tokens uint32 `json:"tokens"`
 }
-
-// event is one server-sent event of a text or chat completion.
-type event struct {
-	Choices []struct {
-		Text  string `json:"text"`
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		Reason *string `json:"finish_reason"`
-	} `json:"choices"`
-	Usage *Usage `json:"usage"`
-}
-
-// ReadEvents reads a stream of server-sent events up to its [DONE] event and calls onToken
-// for each text that is not empty. It returns a StreamError if the stream is
-// incomplete or can't be decoded, and the error of onToken if that fails.
-func ReadEvents(r io.Reader, onToken func(text string) error) (Result, error) {
-	var result Result
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(make([]byte, 0, 4096), maxEvent)
-	for scanner.Scan() {
-		data, ok := strings.CutPrefix(scanner.Text(), "data:")
-		if !ok {
-			continue
-		}
-		data = strings.TrimSpace(data)
-		if data == "[DONE]" {
-			return checkReason(result)
-		}
-		if err := result.addEvent(data, onToken); err != nil {
-			return result, err
-		}
-	}
-	if err := scanner.Err(); err != nil {
-		return result, &StreamError{Text: err.Error()}
-	}
-	return result, &StreamError{Text: "ended without [DONE]"}
-}
-
-// checkReason returns r, and a StreamError if the stream had no finish reason.
-func checkReason(r Result) (Result, error) {
-	if r.FinishReason == "" {
-		return r, &StreamError{Text: "ended without a finish reason"}
-	}
-	return r, nil
-}
-
-// addEvent decodes one event, calls onToken for its text and stores its usage and
-// finish reason in r.
-func (r *Result) addEvent(data string, onToken func(text string) error) error {
-	var e event
-	if err := json.Unmarshal([]byte(data), &e); err != nil {
-		return &StreamError{Text: "undecodable event: " + err.Error()}
-	}
-	if e.Usage != nil {
-		r.Usage = *e.Usage
-	}
-	for _, c := range e.Choices {
-		if c.Reason != nil {
-			r.FinishReason = *c.Reason
-		}
-		text := c.Text + c.Delta.Content
-		if text == "" {
-			continue
-		}
-		if err := onToken(text); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -11,6 +11,17 @@
 	"gotest.tools/v3/assert"
 )
 
+// Events of a stream: one with a token, and one with the finish reason.
+const (
+	tokenEvent = `{"choices":[{"text":"a"}]}`
+	stopEvent  = `{"choices":[{"finish_reason":"stop"}]}`
+)
+
+// events returns a stream of server-sent events with the data.
+func events(data ...string) string {
+	return "data: " + strings.Join(data, "\n\ndata: ") + "\n\n"
+}
+
 // TestEvents reads whole and broken streams. Only a stream with a finish reason and
 // a [DONE] event may count as complete.
 func TestEvents(t *testing.T) {
@@ -39,6 +50,25 @@
 		{name: "no end event", stream: "data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"stop\"}]}\n\n", text: "a", broken: true},
 		{name: "no reason", stream: "data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: [DONE]\n\n", text: "a", broken: true},
 		{name: "half an event", stream: "data: {\"choices\":[{\"te", broken: true},
+		{
+			name:   "usage after the reason, no error",
+			stream: events(`{"id":"x","error":null,"choices":[{"text":"a"}]}`, stopEvent, `{"id":"x","choices":[],"usage":{}}`, "[DONE]"),
+			text:   "a",
+		},
+		{name: "more after the end event", stream: events(tokenEvent, stopEvent, "[DONE]", tokenEvent, "[DONE]"), text: "a"},
+		{name: "end event first", stream: events("[DONE]", tokenEvent, stopEvent, "[DONE]"), broken: true},
+		{name: "error", stream: events(tokenEvent, `{"error":{"message":"lost"}}`, tokenEvent, stopEvent, "[DONE]"), text: "a", broken: true},
+		{name: "error after the reason", stream: events(tokenEvent, stopEvent, `{"error":"lost"}`, "[DONE]"), text: "a", broken: true},
+		{name: "error object", stream: events(tokenEvent, `{"object":"error","message":"lost"}`, stopEvent, "[DONE]"), text: "a", broken: true},
+		{name: "error by name", stream: events(tokenEvent) + "event: error\n" + events("{}", stopEvent, "[DONE]"), text: "a", broken: true},
+		{name: "text after the reason", stream: events(tokenEvent, stopEvent, tokenEvent, "[DONE]"), text: "a", broken: true},
+		{name: "two reasons", stream: events(tokenEvent, stopEvent, stopEvent, "[DONE]"), text: "a", broken: true},
+		{
+			name:   "event of another request",
+			stream: events(`{"id":"x","choices":[{"text":"a"}]}`, `{"id":"y","choices":[{"text":"b"}]}`, stopEvent, "[DONE]"),
+			text:   "a", broken: true,
+		},
+		{name: "another choice", stream: events(tokenEvent, `{"choices":[{"index":1,"text":"b"}]}`, stopEvent, "[DONE]"), text: "a", broken: true},
 		{name: "not JSON", stream: "data: hello\n\ndata: [DONE]\n\n", broken: true},
 	}
 	for _, tt := range tests {
