engine: an error quotes the beginning of an engine's answer only

Seen: the body of a refusal by the engine, up to 4 MiB and of any bytes, went into the text of the sidecar's refusal. A message with invalid UTF-8 cannot be sent, so the entry saw a stream without an end in place of the refusal.

Evidence, failing before: --- FAIL: TestErrorTextIsShort: len(err.Error()) < 2*maxQuote

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -111,9 +111,9 @@
 	Body   string
 }
 
-// Error returns a text with the status and the body.
+// Error returns a text with the status and the beginning of the body.
 func (e *StatusError) Error() string {
-	return fmt.Sprintf("engine answered %d: %s", e.Status, e.Body)
+	return fmt.Sprintf("engine answered %d: %s", e.Status, shorten(e.Body))
 }
 
 // maxQuote is the longest text of an engine that is quoted in an error, in bytes.
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
@@ -123,3 +124,12 @@
 	var connectErr *ConnectError
 	assert.Assert(t, eris.As(err, &connectErr), "%v", err)
 }
+
+// TestErrorTextIsShort guards against refusals that cannot be sent, since they quote bytes that
+// are no text, or megabytes of an engine's answer.
+func TestErrorTextIsShort(t *testing.T) {
+	body := strings.Repeat("é", 1<<20) + "\xff"
+	err := &StatusError{Status: http.StatusInternalServerError, Body: body[1:]}
+	assert.Assert(t, len(err.Error()) < 2*maxQuote)
+	assert.Assert(t, utf8.ValidString(err.Error()))
+}
