engine: an answer over 4 MiB fails and is not cut

Seen: the body of a status or a confirmation was cut at 4 MiB without an error, so that the rest did not count: a body that is no JSON at its end was taken for a whole status.

Evidence, failing before: --- FAIL: TestCutAnswer: eris.As(err, &sizeErr): <nil> TestTruncatedRefusal, which passed before, shows that a refusal that ends before its length proves nothing.

Ruled out: answers with neither a length nor chunks. A cut status is no JSON, a stream has [DONE], and a confirmation or a refusal is proved by its head.

Change: a larger body is a SizeError.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -21,8 +21,7 @@
 	"oleanderstall/dialer"
 )
 
-// maxAnswer is the length, in bytes, after which the body of any other answer is
-// cut off.
+// maxAnswer is the largest body of an answer that is not a stream, in bytes.
 const maxAnswer = 4 << 20
 
 // dialTimeout limits the time for connecting to an engine on the same instance.
@@ -135,6 +134,12 @@
 // Error describes what is wrong with the stream.
 func (e *StreamError) Error() string { return "engine stream: " + e.Text }
 
+// SizeError reports an answer whose body is larger than 4 MiB.
+type SizeError struct{}
+
+// Error returns a text with the limit.
+func (e *SizeError) Error() string { return "engine answer is larger than 4 MiB" }
+
 // Client is the HTTP client of one engine.
 type Client struct {
 	base string
@@ -201,12 +206,15 @@
 }
 
 // readBody returns the body of an answer, or a StatusError with it if the status is
-// not 200.
+// not 200. It returns a SizeError if the body is too large, whatever the status.
 func readBody(response *http.Response) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
 		return nil, eris.Wrap(err, "read engine answer")
 	}
+	if len(data) > maxAnswer {
+		return nil, &SizeError{}
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, &StatusError{Status: response.StatusCode, Body: string(data)}
 	}
--- a/engine/owner_test.go
+++ b/engine/owner_test.go
@@ -99,3 +99,27 @@
 	assert.Assert(t, eris.As(err, &statusErr), "%v", err)
 	assert.Equal(t, loads, 1)
 }
+
+// TestCutAnswer guards against an answer that is cut at the limit and then looks complete: a
+// confirmation, or a status whose cut rest is blank.
+func TestCutAnswer(t *testing.T) {
+	c := repeatingEngine(t, func(*http.Request) string {
+		return httpAnswer("200 OK", "{}"+strings.Repeat(" ", maxAnswer)+"no JSON")
+	})
+	_, err := c.Status(t.Context())
+	var sizeErr *SizeError
+	assert.Assert(t, eris.As(err, &sizeErr), "%v", err)
+	err = c.Load(t.Context(), Order{Model: "m"})
+	assert.Assert(t, eris.As(err, &sizeErr), "%v", err)
+}
+
+// TestTruncatedRefusal checks that a refusal that ends before its length proves nothing.
+func TestTruncatedRefusal(t *testing.T) {
+	c := repeatingEngine(t, func(r *http.Request) string {
+		r.Close = true
+		return "HTTP/1.1 404 Not Found\r\nContent-Length: 100\r\n\r\nmodel is not loaded"
+	})
+	_, err := c.Generate(t.Context(), Request{ID: "mine", Body: []byte("{}")}, nil)
+	var statusErr *StatusError
+	assert.Assert(t, err != nil && !eris.As(err, &statusErr), "%v", err)
+}
