orderer: a test that an old report does no harm

Reports stay on a kept connection, on which an engine's earlier report may be taken for a new one. TestRepeatedReports lets each poll get the report of the poll before, with lost orders besides: the engine is never ordered to hold more than fits, and the requested model is loaded.

What an old report costs: an order that the engine refuses, and for the time of one poll a status that lists a model as loaded that no longer is; its requests get a 421.

--- a/orderer/engine_test.go
+++ b/orderer/engine_test.go
@@ -33,6 +33,9 @@
 	loadEndsAt time.Duration
 	down       bool
 	running    int
+	// behind makes the engine answer a request for a report with the report before.
+	behind     bool
+	lastReport Report
 	// nextFault is the fault that the next order meets.
 	nextFault     orderFault
 	delayedOrders []delayedOrder
@@ -92,6 +95,7 @@
 	e.sequence = 0
 	e.loaded = map[string][]string{}
 	e.loading = ""
+	e.lastReport = Report{}
 }
 
 func (e *fakeEngine) Report(context.Context) (Report, error) {
@@ -107,7 +111,13 @@
 		}
 	}
 	slices.Sort(inventory.Models)
-	return Report{Started: e.started, Sequence: e.sequence, Busy: e.loading != "", Inventory: inventory, Running: e.running}, nil
+	report := Report{Started: e.started, Sequence: e.sequence, Busy: e.loading != "", Inventory: inventory, Running: e.running}
+	earlier := e.lastReport
+	e.lastReport = report
+	if e.behind && earlier.Started != 0 {
+		return earlier, nil
+	}
+	return report, nil
 }
 
 func (e *fakeEngine) Order(_ context.Context, o Order) (Outcome, error) {
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -207,6 +207,29 @@
 	})
 }
 
+// TestRepeatedReports draws reports that are written once more for the next poll, so that a
+// report is as old as the poll before. The engine refuses an order that rests on one, so it
+// must never be ordered to hold more than fits, and requested models must be loaded all the
+// same.
+func TestRepeatedReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFixture()
+		names := []string{"a", "b", "c", "d", "a/a1", "b/a1", "b/a2", "c/a3"}
+		for range rapid.IntRange(1, 6).Draw(t, "steps") {
+			f.engine.behind = rapid.Bool().Draw(t, "behind")
+			if rapid.IntRange(0, 7).Draw(t, "fault") == 0 {
+				f.engine.nextFault = orderFault(rapid.IntRange(1, 3).Draw(t, "order fault"))
+			}
+			f.assign(rapid.SliceOfNDistinct(rapid.SampledFrom(names), 0, 3, rapid.ID).Draw(t, "requested"), nil)
+			f.run(time.Duration(rapid.IntRange(1, 20).Draw(t, "ticks")) * 20 * time.Millisecond)
+		}
+		last := rapid.SampledFrom(names).Draw(t, "last")
+		f.assignRepeatedly(2*time.Second, last)
+		assert.Assert(t, f.holds(last), last)
+		assert.Equal(t, f.engine.overloads, 0)
+	})
+}
+
 // TestRequestedModelNotEvicted checks that a model that is still requested is not
 // unloaded for another requested one. An engine with room for one model would otherwise
 // load the two in turn.
