caller: a stream that has failed is cut after the error event

Seen: a stream that had begun and failed (its engines lost, the key withdrawn, the deadline passed) got an error event and no [DONE], but its body then ended properly. A client that looks at HTTP only took it as complete.

Change: after the event, which was flushed, the handler panics with http.ErrAbortHandler, by which net/http closes the connection without the last chunk. The end of a stream that could not be written is cut as well. cutAnswer is the one place for that.

Open: with HTTP/1.0 there are no chunks, and the end of the connection still looks complete; the connection has to be reset there.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -26,10 +26,12 @@
 // fakeFleet implements Dispatcher and Member. It answers admitted requests and keeps
 // the last of each kind.
 type fakeFleet struct {
-	view           *configurer.View
-	stale          bool
-	tokens         []string
-	err            error
+	view   *configurer.View
+	stale  bool
+	tokens []string
+	err    error
+	// answer is the answer to calls of plain services, or nil for one with their body.
+	answer         *wire.Answer
 	lastCompletion *dispatcher.Completion
 	lastCall       *dispatcher.ServiceCall
 	runs           int
@@ -64,6 +66,9 @@
 	if f.err != nil {
 		return nil, f.err
 	}
+	if f.answer != nil {
+		return f.answer, nil
+	}
 	return &wire.Answer{Status: 201, Type: "text/plain", Body: c.Body}, nil
 }
 
--- /dev/null
+++ b/caller/cut_test.go
@@ -0,0 +1,64 @@
+package caller
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"oleanderstall/refuser"
+)
+
+// post sends a request with the key of workspace w and returns the head of the answer, what
+// could be read of its body, and the error of reading it.
+func post(t *testing.T, s *httptest.Server, path, body string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer k.secret")
+	res, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	return res, string(data), err
+}
+
+// TestFailedStreamIsCut guards against a stream that has failed and looks complete to a client
+// that looks at HTTP only. The refusal is the last event, and then the answer breaks off.
+func TestFailedStreamIsCut(t *testing.T) {
+	for _, kind := range []refuser.Kind{refuser.ConnectionLost, refuser.Unauthorized, refuser.DeadlineExceeded} {
+		for path, body := range map[string]string{
+			"/v1/completions":      `{"model":"m","stream":true,"prompt":"how?"}`,
+			"/v1/chat/completions": `{"model":"m","stream":true,"messages":[{"role":"user","content":"how?"}]}`,
+		} {
+			f, s := newFleet(t)
+			f.err = refuser.MayHaveRun(kind, "cut")
+			res, data, err := post(t, s, path, body)
+			assert.Equal(t, res.StatusCode, http.StatusOK)
+			events := strings.Split(strings.TrimSuffix(data, "\n\n"), "\n\n")
+			assert.Equal(t, len(events), 3, data)
+			assert.Assert(t, strings.Contains(events[2], `"code":"`+kind.String()+`"`), data)
+			assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%s %s: %v", kind, path, err)
+		}
+	}
+}
+
+// TestFailedBeforeStream checks that a request that fails before its first token gets a whole
+// refusal, with or without a stream.
+func TestFailedBeforeStream(t *testing.T) {
+	for _, stream := range []string{"true", "false"} {
+		f, s := newFleet(t)
+		f.err = refuser.MayHaveRun(refuser.ConnectionLost, "cut")
+		if stream == "true" {
+			f.tokens = nil
+		}
+		res, data, err := post(t, s, "/v1/completions", `{"model":"m","stream":`+stream+`,"prompt":"how?"}`)
+		assert.NilError(t, err)
+		assert.Equal(t, res.StatusCode, http.StatusBadGateway)
+		assert.Assert(t, strings.Contains(data, `"run":"unknown"`), data)
+	}
+}
--- a/caller/writer.go
+++ b/caller/writer.go
@@ -117,7 +117,7 @@
 }
 
 // finish ends a complete answer. A stream gets an event with the token counts if
-// withUsage is set. Once a write has failed, the rest is not sent.
+// withUsage is set. Once a write has failed, the rest is not sent and the answer is cut.
 func (o *completionWriter) finish(f *wire.Finish, withUsage bool) {
 	tokens := &usage{Prompt: f.GetPrompt(), Output: f.GetOutput(), Total: f.GetPrompt() + f.GetOutput()}
 	reason := f.GetReason()
@@ -125,17 +125,24 @@
 		o.writeWhole(reason, tokens)
 		return
 	}
-	if o.writeEvent(o.newCompletion(o.eventChoice("", &reason))) != nil {
-		return
+	if err := o.endStream(reason, tokens, withUsage); err != nil {
+		cutAnswer(o.w)
+	}
+}
+
+// endStream writes the last events of a complete stream.
+func (o *completionWriter) endStream(reason string, tokens *usage, withUsage bool) error {
+	if err := o.writeEvent(o.newCompletion(o.eventChoice("", &reason))); err != nil {
+		return err
 	}
 	if withUsage {
 		last := o.newCompletion()
 		last.Usage = tokens
-		if o.writeEvent(last) != nil {
-			return
+		if err := o.writeEvent(last); err != nil {
+			return err
 		}
 	}
-	_ = o.writeData("[DONE]")
+	return o.writeData("[DONE]")
 }
 
 // writeWhole writes the collected answer as one document.
@@ -153,11 +160,20 @@
 }
 
 // fail ends an answer with a refusal. If the stream has started, the refusal is sent
-// as an event and [DONE] is left out, so that no client takes the answer as complete.
+// as an event, [DONE] is left out and the answer is cut, so that no client takes it as
+// complete.
 func (o *completionWriter) fail(err error) {
 	if !o.started {
 		writeRefusal(o.w, err)
 		return
 	}
+	// An answer that cannot be written any more is cut as well.
 	_ = o.writeEvent(newErrorResponse(withRetryAfter(err)))
+	cutAnswer(o.w)
+}
+
+// cutAnswer ends an answer that has begun and cannot be completed: it panics, so that
+// net/http closes the connection without the end of the body.
+func cutAnswer(http.ResponseWriter) {
+	panic(http.ErrAbortHandler)
 }
