caller: whole answers have a length, and are cut if they cannot be written

Seen: an answer that is not streamed had a length only up to 2 KiB. A longer one to an HTTP/1.0 client ends with its connection, so that a part of it looks whole where the entry was killed. An error of writing it was dropped and the handler ended as if it had been sent.

Evidence, failing before: --- FAIL: TestWholeAnswerHasLength: -1 (res.ContentLength int64) != 20698 --- FAIL: TestWriteErrorCutsAnswer/whole_answer, refusal, end_of_stream: the answer was ended properly

Change: answers of models, refusals and answers of services are encoded first and written with their length; a failed write panics with http.ErrAbortHandler.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -204,9 +204,13 @@
 
 // writeJSON writes v as a JSON response with the status.
 func writeJSON(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, "the answer cannot be encoded", http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
+	writeBody(w, status, append(data, '\n'))
 }
 
 // newRequestID returns a random request ID.
--- a/caller/cut_test.go
+++ b/caller/cut_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/refuser"
+	"oleanderstall/wire"
 )
 
 // post sends a request with the key of workspace w and returns the head of the answer, what
@@ -62,3 +63,53 @@
 		assert.Assert(t, strings.Contains(data, `"run":"unknown"`), data)
 	}
 }
+
+// TestWholeAnswerHasLength guards against a part of a long answer that looks complete because
+// its end is that of the connection, or a chunk that was not the last one.
+func TestWholeAnswerHasLength(t *testing.T) {
+	f, s := newFleet(t)
+	f.tokens = []string{strings.Repeat("fold ", 1<<12)}
+	res, data, err := post(t, s, "/v1/completions", `{"model":"m","prompt":"how?"}`)
+	assert.NilError(t, err)
+	assert.Equal(t, res.ContentLength, int64(len(data)))
+	f.answer = &wire.Answer{Status: 201, Body: []byte(strings.Repeat("map ", 1<<12))}
+	res, data, err = post(t, s, "/orders", "500 maps")
+	assert.NilError(t, err)
+	assert.Equal(t, res.ContentLength, int64(len(data)))
+	f.answer = &wire.Answer{Status: 204}
+	res, _, err = post(t, s, "/orders", "500 maps")
+	assert.NilError(t, err)
+	assert.Equal(t, res.Header.Get("Content-Length"), "")
+}
+
+// brokenWriter is a response writer whose connection breaks after some writes.
+type brokenWriter struct {
+	*httptest.ResponseRecorder
+	writes int
+}
+
+var errBroken = errors.New("broken")
+
+func (b *brokenWriter) Write(p []byte) (int, error) {
+	if b.writes == 0 {
+		return 0, errBroken
+	}
+	b.writes--
+	return b.ResponseRecorder.Write(p)
+}
+
+// TestWriteErrorCutsAnswer guards against an answer that is ended properly although a part of
+// it could not be written.
+func TestWriteErrorCutsAnswer(t *testing.T) {
+	for name, write := range map[string]func(o *completionWriter){
+		"whole answer":  func(o *completionWriter) { o.finish(&wire.Finish{Reason: "stop"}, false) },
+		"refusal":       func(o *completionWriter) { o.fail(refuser.New(refuser.Busy, "full")) },
+		"end of stream": func(o *completionWriter) { o.stream = true; o.finish(&wire.Finish{Reason: "stop"}, true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			defer func() { assert.Equal(t, recover(), http.ErrAbortHandler) }()
+			write(&completionWriter{w: &brokenWriter{ResponseRecorder: httptest.NewRecorder()}})
+			t.Fatal("the answer was ended properly")
+		})
+	}
+}
--- a/caller/route.go
+++ b/caller/route.go
@@ -31,8 +31,7 @@
 	if answer.GetType() != "" {
 		w.Header().Set("Content-Type", answer.GetType())
 	}
-	w.WriteHeader(int(answer.GetStatus()))
-	_, _ = w.Write(answer.GetBody())
+	writeBody(w, int(answer.GetStatus()), answer.GetBody())
 }
 
 // admitServiceCall finds the route of a request and checks that the caller may use it.
--- a/caller/writer.go
+++ b/caller/writer.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -177,3 +179,15 @@
 func cutAnswer(http.ResponseWriter) {
 	panic(http.ErrAbortHandler)
 }
+
+// writeBody writes a whole answer. Its length shows whether all of it arrived. If it cannot
+// be written, the answer is cut.
+func writeBody(w http.ResponseWriter, status int, body []byte) {
+	if len(body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	w.WriteHeader(status)
+	if _, err := w.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		cutAnswer(w)
+	}
+}
