dispatcher: a refusal after a token does not say that nothing ran

Seen: where a sidecar passed tokens on and then refused with "never", the attempt counted as one that did not run. If no other server took the request, the caller who had tokens was told run "never".

Evidence, failing before: --- FAIL: TestEndOfCompletion/refusal_after_a_token: true (bool) != false (tt.neverRan): busy: there is no other server --- FAIL: TestNothingAfterEnd: errors.Is(err, io.EOF): <nil>

Ruled out, each with a case that passed before: an end with fewer or more tokens than were passed on, a stream that ends without one, an end or token of another request, a token missing or twice (refused by the core), a reply of an unknown or another kind.

Change: after a token of the attempt, the refusal of the sidecar is one of a request that may have run. completionStream reads nothing after the end, so a second end or a token behind it changes nothing.

--- a/dispatcher/completion.go
+++ b/dispatcher/completion.go
@@ -264,7 +264,10 @@
 	requestID string
 	// received counts the tokens of the answer up to now, with those of earlier attempts.
 	received uint64
-	end      completionEnd
+	// begun is set once a token of this attempt has arrived, and ended once its end has.
+	begun bool
+	ended bool
+	end   completionEnd
 }
 
 // Head implements Answer.
@@ -279,19 +282,23 @@
 // Close implements Answer.
 func (s *completionStream) Close() { s.stream.Cancel() }
 
-// Next implements Answer.
+// Next implements Answer. Nothing is read after the end.
 func (s *completionStream) Next() (Event, error) {
+	if s.ended {
+		return Event{}, io.EOF
+	}
 	reply, err := s.stream.Recv()
 	if err != nil {
 		return Event{}, sidecarRefusal(err)
 	}
 	if r := reply.GetRefusal(); r != nil {
-		return Event{}, refuser.FromWire(r)
+		return Event{}, s.refusal(r)
 	}
 	if piece := reply.GetPiece(); piece != nil {
 		if piece.GetId() != s.requestID {
 			return Event{}, refuser.MayHaveRun(refuser.ConnectionLost, "a token of another request arrived")
 		}
+		s.begun = true
 		s.received = uint64(piece.GetIndex()) + 1
 		return Event{Index: uint64(piece.GetIndex()), Data: []byte(piece.GetText())}, nil
 	}
@@ -299,6 +306,16 @@
 	if finish.GetId() != s.requestID || uint64(finish.GetOutput()) != s.received {
 		return Event{}, refuser.MayHaveRun(refuser.ConnectionLost, "the end of another answer arrived")
 	}
-	s.end = completionEnd{Finish: finish}
+	s.ended, s.end = true, completionEnd{Finish: finish}
 	return Event{}, io.EOF
 }
+
+// refusal returns the refusal of a sidecar. A request of which a token has arrived has run,
+// whatever the sidecar says.
+func (s *completionStream) refusal(w *wire.Refusal) error {
+	r := refuser.FromWire(w)
+	if !s.begun || !r.NeverRan() {
+		return r
+	}
+	return refuser.MayHaveRun(r.Kind(), r.Text()).WithRetryAfter(r.RetryAfter())
+}
