dispatcher: an answer of a sidecar without a status is no answer

Seen: a reply with an answer that has no final status, of a sidecar that does not know it or passed one on from its service, made the handler panic in WriteHeader ("invalid WriteHeader code").

Evidence, failing before: --- FAIL: TestAnswerOfOtherCall: refuser.Is(err, refuser.ConnectionLost): <nil> (the case of an answer without a status; the ones of another call or kind passed)

Change: it is refused like the answer to another call, as one that may have run.

--- a/dispatcher/completion_test.go
+++ b/dispatcher/completion_test.go
@@ -38,6 +38,14 @@
 // Cancel implements peer.Stream.
 func (s *scriptedStream) Cancel() { s.canceled = true }
 
+// replyCaller is a Caller whose sidecar sends the given replies to each call.
+type replyCaller struct{ replies []*wire.Reply }
+
+// Open implements peer.Caller.
+func (c replyCaller) Open(context.Context, string, *wire.Call) (peer.Stream, error) {
+	return &scriptedStream{replies: c.replies}, nil
+}
+
 // scriptedServer is the Finder and Sender of one server, whose sidecar sends the given replies
 // to one request, and the Output of that request.
 type scriptedServer struct {
@@ -129,3 +137,20 @@
 		assert.Equal(t, stream.End().(completionEnd).GetOutput(), uint32(1))
 	}
 }
+
+// TestAnswerOfOtherCall guards against an answer to another call, or a reply of another kind,
+// that is passed on as the answer of a service.
+func TestAnswerOfOtherCall(t *testing.T) {
+	for _, reply := range []*wire.Reply{
+		{},
+		finishReply("i", 0),
+		{Body: &wire.Reply_Answer{Answer: &wire.Answer{Id: "other", Status: 201}}},
+		{Body: &wire.Reply_Answer{Answer: &wire.Answer{Id: "i"}}},
+	} {
+		d := &Dispatcher{clock: faker.NewClock().Now, caller: replyCaller{replies: []*wire.Reply{reply}}}
+		call := &ServiceCall{ID: "i"}
+		_, err := d.sendService(t.Context(), &Reservation{}, &Request{}, call)
+		assert.Assert(t, refuser.Is(err, refuser.ConnectionLost), "%v", err)
+		assert.Assert(t, !refuser.FromError(err).NeverRan())
+	}
+}
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"oleanderstall/peer"
@@ -109,10 +110,11 @@
 	if err != nil {
 		return nil, sidecarRefusal(err)
 	}
-	if reply.GetAnswer() == nil || reply.GetAnswer().GetId() != call.ID {
-		return nil, refuser.MayHaveRun(refuser.ConnectionLost, "the answer to another call arrived")
+	answer := reply.GetAnswer()
+	if answer == nil || answer.GetId() != call.ID || answer.GetStatus() < http.StatusOK {
+		return nil, refuser.MayHaveRun(refuser.ConnectionLost, "the answer to another call arrived, or none")
 	}
-	return serviceAnswer{answer: reply.GetAnswer()}, nil
+	return serviceAnswer{answer: answer}, nil
 }
 
 // serviceAnswer is the answer of a plain service. It has no events.
