platform: an odd row of the store costs itself alone

Seen: one row with a value that is not base64, with a version that is too large, negative or a fraction, with a key or table of another type, or nested more than 10,000 levels made the whole answer unreadable, so that the follower of the table stopped following. Callers would see a list of servers or a configuration that no longer changes. A row of another table or another partition took the place of the row with the same key, and a version beyond the store's newest one hid all later changes of its row.

Cause: an answer was decoded as one value, and encoding/json fails at the first wrong field; it also gives up at 10,000 levels of any part of a text.

The follower logs how many rows name no key, each time that there are more than before.

Ruled out: an end of the process by deep nesting (encoding/json bounds its depth), and a repair that falls back to a scan of the text as it is: an answer that is no JSON stays an error, since half of a list would look like removals.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -61,6 +61,8 @@
 	firstAnswer    time.Duration
 	// suspended is set while no calls are to be made.
 	suspended bool
+	// omitted is the largest number of rows without a key that an answer had.
+	omitted int
 }
 
 // New returns a follower that passes each changed row to apply, a removed one marked as
@@ -247,6 +249,7 @@
 		}
 		f.log.Info().Str("table", f.options.Table).Uint64("version", changes.Version).Msg("store: answers")
 	}
+	f.recordOmitted(changes.Omitted)
 	var changed []storer.Row
 	present := map[string]bool{}
 	for _, r := range changes.Rows {
@@ -269,6 +272,16 @@
 	return changed
 }
 
+// recordOmitted logs the number of rows that an answer leaves out, if no answer before left out
+// as many. The caller holds the lock.
+func (f *Follower) recordOmitted(omitted int) {
+	if omitted <= f.omitted {
+		return
+	}
+	f.omitted = omitted
+	f.log.Warn().Str("table", f.options.Table).Int("rows", omitted).Msg("store: rows without a key left out")
+}
+
 // removeMissing removes the rows that a snapshot lacks and returns them, marked as deleted.
 // The snapshot has the given version and the keys in present. Rows newer than the snapshot
 // are kept. The caller holds the lock.
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -83,6 +83,8 @@
 type Changes struct {
 	Rows    []Row
 	Version uint64
+	// Omitted is the number of rows that are left out because they name no key.
+	Omitted int
 }
 
 // ChangeFeed is a store that can be followed for changes to a table. The name of a table is the
