--- a/lister/lister.go
+++ b/lister/lister.go
@@ -43,13 +43,16 @@
 	log      *log.Logger
 	done     chan struct{}
 	rows     chan []storer.Row
+	// omitted holds the number of models that the latest readable row of a server leaves out,
+	// by ID. Only Run uses it.
+	omitted map[string]int
 }
 
 // New returns a lister of a table that passes each changed server to apply, with the instant
 // as of which the list was complete. It also calls apply without servers, so that the
 // instant is known.
 func New(table string, decode Decoder, clock timer.Clock, feed storer.ChangeFeed, apply func(completeAsOf time.Duration, servers []*wire.ListedServer), l *log.Logger) *Lister {
-	s := &Lister{table: table, decode: decode, apply: apply, clock: clock, log: l, done: make(chan struct{}), rows: make(chan []storer.Row)}
+	s := &Lister{table: table, decode: decode, apply: apply, clock: clock, log: l, done: make(chan struct{}), rows: make(chan []storer.Row), omitted: map[string]int{}}
 	s.follower = follower.New(follower.Options{Table: table, LongPollTimeout: LongPollTimeout, MinInterval: minInterval}, clock, feed, s.enqueueRows, l)
 	return s
 }
@@ -103,6 +106,9 @@
 	for _, r := range rows {
 		id := strings.TrimPrefix(r.Key, s.table+"/")
 		delete(pending, id)
+		if r.Deleted {
+			delete(s.omitted, id)
+		}
 		if !r.Deleted {
 			servers = append(servers, s.convertRow(id, r))
 			continue
@@ -126,9 +132,19 @@
 		s.log.Warn().Err(err).Str("server", id).Uint64("row", r.Version).Msg("server: unreadable row, not used")
 		return &wire.ListedServer{Id: id, Row: r.Version, Gone: true}
 	}
+	s.recordOmitted(id, r.Version, server.Omitted)
 	return server.ListedServer(r.Version)
 }
 
+// recordOmitted logs the number of models that a row leaves out, if it has changed.
+func (s *Lister) recordOmitted(id string, version uint64, omitted int) {
+	if omitted == s.omitted[id] {
+		return
+	}
+	s.omitted[id] = omitted
+	s.log.Warn().Str("server", id).Uint64("row", version).Int("models", omitted).Msg("server: unreadable models left out")
+}
+
 // removalGrace returns the instant until which a row that is removed now may reappear. It
 // returns false unless the store recovered from an outage less than relistGrace ago.
 func (s *Lister) removalGrace() (time.Duration, bool) {
--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -1,6 +1,7 @@
 package lister
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"sync"
@@ -8,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/faker"
@@ -196,3 +198,19 @@
 		assert.Assert(t, fx.lists("a"))
 	})
 }
+
+// TestOmittedModelsLog checks that a row that leaves out models is logged when their number
+// changes, and not again each time that the server writes its row.
+func TestOmittedModelsLog(t *testing.T) {
+	var written bytes.Buffer
+	omitted := 0
+	decode := func(storer.Row) (tracker.Server, error) {
+		return tracker.Server{ID: "a", Inventory: tracker.Inventory{Omitted: omitted}}, nil
+	}
+	s := New("servers", decode, func() time.Duration { return time.Hour }, nil, nil, &log.Logger{Writer: &log.IOWriter{Writer: &written}})
+	for version := range uint64(30) {
+		omitted = int(version) / 10
+		s.convertRows([]storer.Row{{Key: "servers/a", Version: version + 1}}, map[string]pendingRemoval{})
+	}
+	assert.Equal(t, bytes.Count(written.Bytes(), []byte("left out")), 2)
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -42,6 +42,9 @@
 	// and on its disk.
 	Memory []string
 	Disk   []string
+	// Omitted is the number of models and adapters that are left out because they cannot be
+	// read.
+	Omitted int
 }
 
 // LoadTime returns the duration of a load of a base model, which depends on where its
