storer: the text of a FormatError is bounded

Seen: an unreadable row was logged with its own data: a number of a million digits gave a log line of a million bytes for each version of the row and each process that reads it.

Cause: encoding/json repeats the number in its error.

Change: Error cuts the text of the cause at 300 bytes.

Evidence: TestFormatErrorLength failed before: 1048656 bytes.

--- a/storer/storer.go
+++ b/storer/storer.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -213,12 +214,20 @@
 	return &FormatError{Text: text, cause: cause}
 }
 
-// Error returns the text and the cause.
+// maxCauseBytes is the length to which Error cuts the text of a cause, which may repeat the data
+// that cannot be decoded.
+const maxCauseBytes = 300
+
+// Error returns the text and the beginning of the cause.
 func (e *FormatError) Error() string {
 	if e.cause == nil {
 		return e.Text
 	}
-	return e.Text + ": " + e.cause.Error()
+	cause := e.cause.Error()
+	if len(cause) > maxCauseBytes {
+		cause = strings.ToValidUTF8(cause[:maxCauseBytes], "") + "..."
+	}
+	return e.Text + ": " + cause
 }
 
 // Unwrap returns the cause.
