platform: each part of a configuration costs itself alone

Seen: one route, service, model, tenant, key or limit of another type or with a number out of range kept the whole new configuration out of force. A part that was null became one without a name. A number of adapters such as 10^9 made the process build that many models until its memory was exhausted. Sizes and times were converted to integers without a range, which arm64 and x86-64 do differently. Of two parts with one name the later one replaced the earlier one; of two workspaces with one key, too.

Cause: the configuration was decoded as one value and converted unchecked.

Change: the lists are of the type list with a check for each part; a new configConverter keeps the first of two parts with one name and at most 50,000 models and adapters, and records an error for each part that is left out, which the runner logs once for each version of the row. A route that is left out still takes the requests to its host and prefix, and admitter refuses them at once (503): otherwise they would run on the service of a shorter prefix. A configuration in which no tenant can be used is an error as a whole, because one without workspaces needs no keys.

Evidence: these failed before, for instance TestOddConfigPart: cannot unmarshal number -1 into Go struct field configRoute.routes.timeout_ms of type uint32 TestOddModelOfService: 4 != 3: null TestOddKey: 3 != 2: null TestOddRouteKeepsItsRequests, TestOddLimits: the configuration cannot be read TestOddWorkspacesStayClosed: null: <nil> TestRouteWithoutPool (admitter): errors.As(err, &refusal): <nil> (the decoder's tests were run with the old signature and without the counts of what is left out; the 10^9 adapters were not run on the old code). FuzzDecodeConfig ran 10 s.

Ruled out: an odd version. It stays an error of the whole: without one nothing tells the order of configurations. NaN and infinity cannot come from JSON.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -18,7 +18,7 @@
 const defaultTimeout = time.Minute
 
 // unconfiguredRetryAfter is the delay after which a caller may retry at a process that has
-// no configuration yet.
+// no configuration yet, or none that says where the request goes.
 const unconfiguredRetryAfter = 500 * time.Millisecond
 
 // CallerRequest is a caller's request before admission.
@@ -55,6 +55,10 @@
 	if route == nil {
 		return nil, refuser.New(refuser.NotFound, "no such route")
 	}
+	pool := choosePool(route, req.ID)
+	if pool == "" {
+		return nil, refuser.New(refuser.StaleConfiguration, "the route cannot be used").WithRetryAfter(unconfiguredRetryAfter)
+	}
 	key, err := authenticate(view, route, req)
 	if err != nil {
 		return nil, err
@@ -65,7 +69,7 @@
 		KeyID:           key.GetId(),
 		Route:           route.GetName(),
 		Kind:            requestKind(route),
-		Pool:            choosePool(route, req.ID),
+		Pool:            pool,
 		Prompt:          req.Prompt,
 		InputTokens:     req.InputTokens,
 		MaxOutputTokens: req.MaxOutputTokens,
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -137,3 +138,13 @@
 	}
 	assert.Assert(t, count["p"] > 850 && count["q"] > 50, "%v", count)
 }
+
+// TestRouteWithoutPool guards against requests that wait until their deadline although their route
+// names no pool.
+func TestRouteWithoutPool(t *testing.T) {
+	v := view(&wire.Change{Version: 1, Routes: []*wire.Route{{Name: "unusable", Host: "h", Prefix: "/u/", Open: true}}})
+	_, err := Admit(started, v, newRequest("/u/1", ""))
+	var refusal *refuser.Refusal
+	assert.Assert(t, errors.As(err, &refusal), "%v", err)
+	assert.Equal(t, refusal.Kind(), refuser.StaleConfiguration)
+}
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -204,6 +204,9 @@
 	h.configApplied(previous, address)
 }
 
+// maxLoggedParts is the number of unusable parts of one configuration that are logged by name.
+const maxLoggedParts = 8
+
 // applyConfigRows brings a new configuration from the store into force. One that cannot
 // be decoded leaves the previous configuration in force.
 func (h *hostedProcess) applyConfigRows(_ time.Duration, rows []storer.Row) {
@@ -211,11 +214,14 @@
 		if r.Key != platform.ConfigKey || r.Deleted {
 			continue
 		}
-		change, err := platform.DecodeConfig(r.Value)
+		change, omitted, err := platform.DecodeConfig(r.Value)
 		if err != nil {
 			h.log.Error().Err(err).Uint64("row", r.Version).Msg("config: row cannot be decoded, the previous configuration stays in force")
 			continue
 		}
+		if len(omitted) > 0 {
+			h.log.Error().Errs("parts", omitted[:min(len(omitted), maxLoggedParts)]).Int("omitted", len(omitted)).Uint64("row", r.Version).Msg("config: parts left out")
+		}
 		previous := h.config.View().Version()
 		h.config.Restore(change)
 		h.configApplied(previous, "store")
