runner: a process's row is used only if it names one that can be reached

Seen: a row with an unknown role, without an address or with a port out of range became a process of the fleet: it was tried as a relay and counted as an entry. A row that could not be read left the process that had it before in place, so that processes that had read the sound row and those started later knew different fleets and chose other relays.

Cause: the row was decoded without a check, and an unreadable one was skipped.

Change: decodeMember checks role, data centre and address. A process whose row cannot be used counts as gone, as a server does; it is back with its next sound row.

Ruled out: a crash by such rows. Names are texts of JSON and so valid UTF-8, which the messages between processes need.

--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -243,8 +242,8 @@
 	h.onConfigChange()
 }
 
-// applyMemberRows applies changed rows of processes to the membership and to the relay.
-// It skips other rows of the table and rows that cannot be decoded.
+// applyMemberRows applies changed rows of processes to the membership and to the relay. A
+// process whose row cannot be used counts as gone. Other rows of the table are skipped.
 func (h *hostedProcess) applyMemberRows(_ time.Duration, rows []storer.Row) {
 	var members []*wire.Member
 	for _, r := range rows {
@@ -252,13 +251,16 @@
 		if !ok {
 			continue
 		}
-		m := &wire.Member{Name: name, Row: r.Version, Gone: r.Deleted}
-		var instance storer.Instance
-		if err := json.Unmarshal(r.Value, &instance); err != nil && !r.Deleted {
-			h.log.Warn().Err(err).Str("process", name).Msg("process: row cannot be decoded")
+		gone := &wire.Member{Name: name, Row: r.Version, Gone: true}
+		if r.Deleted {
+			members = append(members, gone)
 			continue
 		}
-		m.Role, m.Centre, m.Address, m.Started, m.Backend = instance.Role, instance.Centre, instance.Address, instance.Started, instance.Backend
+		m, err := decodeMember(name, r)
+		if err != nil {
+			h.log.Warn().Err(err).Str("process", name).Uint64("row", r.Version).Msg("process: unreadable row, not used")
+			m = gone
+		}
 		members = append(members, m)
 	}
 	if len(members) == 0 {
--- a/runner/joiner.go
+++ b/runner/joiner.go
@@ -5,12 +5,15 @@
 	"crypto/rand"
 	"encoding/json"
 	"errors"
+	"net/netip"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"oleanderstall/relayer"
 	"oleanderstall/storer"
 	"oleanderstall/timer"
+	"oleanderstall/wire"
 )
 
 // Times of the attempts at a call that has to succeed. The pause between two attempts
@@ -67,3 +70,22 @@
 	}
 	return storer.Put{Key: storer.MemberKey(instance.Name), Value: data}, nil
 }
+
+// decodeMember decodes the row of the process with the given name. An error is a
+// *storer.FormatError: the row names no process that can be reached.
+func decodeMember(name string, row storer.Row) (*wire.Member, error) {
+	var instance storer.Instance
+	if err := json.Unmarshal(row.Value, &instance); err != nil {
+		return nil, storer.NewFormatError("the row of a process cannot be read", err)
+	}
+	if instance.Role != relayer.Entry && instance.Role != relayer.Sidecar || instance.Centre == "" {
+		return nil, storer.NewFormatError("the row of a process lacks its role or its data centre", nil)
+	}
+	if address, err := netip.ParseAddrPort(instance.Address); err != nil || address.Port() == 0 {
+		return nil, storer.NewFormatError("the address in the row of a process is not an IP and a port", err)
+	}
+	return &wire.Member{
+		Name: name, Row: row.Version, Role: instance.Role, Centre: instance.Centre, Address: instance.Address,
+		Started: instance.Started, Backend: instance.Backend,
+	}, nil
+}
