One place decides for both faces what ends an answer and whose it is

The own face and the hosted one each had a function for the framing of a response, a wait for the end of a killed process, and a rule for answers that name another request. assembler.FramingOf, CheckEnd and FindOwner and dialer.ProcessEndTime serve both now; the hosted face asks whether the server still runs 20 ms after the end, as the own face did, since a killed process closes its connections and its listener one after the other. A response to HEAD has no body, and so counts as framed.

What callers of the own face could see: with HTTP/1.0 a stream that failed ended as a complete one. TestFailedStreamOfOldCaller failed before ("true (err == nil bool) != false (failure == nil bool)").

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -4,6 +4,7 @@
 package assembler
 
 import (
+	"net/http"
 	"strconv"
 
 	"oleanderstall/refuser"
@@ -27,6 +28,18 @@
 	Connection // connection
 )
 
+// FramingOf returns what marks the end of the body of an HTTP response to a request. An answer without
+// a body counts as one with a length.
+func FramingOf(res *http.Response) Framing {
+	switch {
+	case len(res.TransferEncoding) > 0:
+		return Chunks
+	case res.ContentLength >= 0 || res.Request.Method == http.MethodHead:
+		return Length
+	}
+	return Connection
+}
+
 // Head is what the head of an attempt's answer says about the answer.
 type Head struct {
 	// Status is the HTTP status, or 0 if the answer has none.
@@ -96,11 +109,11 @@
 // Pass records that the next event was passed on.
 func (a *Assembly) Pass() { a.next++ }
 
-// CheckEnd returns a *refuser.Refusal if the end of an answer with the head h does not show
+// CheckEnd returns a *refuser.Refusal if the end of an answer with a framing does not show
 // that the answer is complete. The end of a connection shows that only if the process of the
 // backend server still runs.
-func CheckEnd(h Head, serverRuns func() bool) error {
-	if h.Framing == Connection && !serverRuns() {
+func CheckEnd(f Framing, serverRuns func() bool) error {
+	if f == Connection && !serverRuns() {
 		return refuser.MayHaveRun(refuser.ConnectionLost, "the answer ended with its backend server")
 	}
 	return nil
--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -1,7 +1,9 @@
 package assembler
 
 import (
+	"bufio"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -29,13 +31,32 @@
 	}
 }
 
+// TestFramingOf checks what marks the end of each kind of response.
+func TestFramingOf(t *testing.T) {
+	for _, c := range []struct {
+		method, text string
+		framing      Framing
+	}{
+		{http.MethodGet, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", Length},
+		{http.MethodGet, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", Chunks},
+		{http.MethodGet, "HTTP/1.1 200 OK\r\n\r\na", Connection},
+		{http.MethodGet, "HTTP/1.0 200 OK\r\n\r\na", Connection},
+		{http.MethodGet, "HTTP/1.1 204 No Content\r\n\r\n", Length},
+		{http.MethodHead, "HTTP/1.1 200 OK\r\n\r\n", Length},
+	} {
+		res, err := http.ReadResponse(bufio.NewReader(strings.NewReader(c.text)), &http.Request{Method: c.method})
+		assert.NilError(t, err)
+		assert.Equal(t, FramingOf(res), c.framing, c.text)
+		assert.NilError(t, res.Body.Close())
+	}
+}
+
 // TestCheckEnd checks by which framings the end of an answer counts while the server runs and
 // once it has ended.
 func TestCheckEnd(t *testing.T) {
 	for framing := Message; framing <= Connection; framing++ {
-		h := Head{Status: http.StatusOK, Framing: framing}
-		assert.NilError(t, CheckEnd(h, func() bool { return true }))
-		err := CheckEnd(h, func() bool { return false })
+		assert.NilError(t, CheckEnd(framing, func() bool { return true }))
+		err := CheckEnd(framing, func() bool { return false })
 		assert.Equal(t, err != nil, framing == Connection, "%v: %v", framing, err)
 	}
 }
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -185,7 +185,7 @@
 		return
 	}
 	w.Header().Set("X-Request-Id", call.ID)
-	out := &completionWriter{w: w, id: call.ID, model: request.model, chat: chat, stream: request.stream, created: time.Now().Unix()}
+	out := &completionWriter{w: w, request: r, id: call.ID, model: request.model, chat: chat, stream: request.stream, created: time.Now().Unix()}
 	finish, err := h.dispatcher.Run(r.Context(), call, out.writeToken)
 	if err != nil {
 		out.fail(err)
--- a/caller/cut_test.go
+++ b/caller/cut_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/refuser"
+	"oleanderstall/resetter"
 	"oleanderstall/wire"
 )
 
@@ -108,8 +111,30 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			defer func() { assert.Equal(t, recover(), http.ErrAbortHandler) }()
-			write(&completionWriter{w: &brokenWriter{ResponseRecorder: httptest.NewRecorder()}})
+			write(&completionWriter{w: &brokenWriter{ResponseRecorder: httptest.NewRecorder()}, request: httptest.NewRequest(http.MethodPost, "/", nil)})
 			t.Fatal("the answer was ended properly")
 		})
 	}
 }
+
+// TestFailedStreamOfOldCaller guards against a stream that has failed and ends as a complete one
+// for a caller of HTTP/1.0, to whom it has neither length nor chunks.
+func TestFailedStreamOfOldCaller(t *testing.T) {
+	for _, failure := range []error{nil, refuser.MayHaveRun(refuser.ConnectionLost, "cut")} {
+		f, s := newFleet(t)
+		s.Close()
+		s = httptest.NewUnstartedServer(s.Config.Handler)
+		s.Config.ConnContext = resetter.WithConn
+		s.Start()
+		f.err = failure
+		conn, err := net.Dial("tcp", s.Listener.Addr().String())
+		assert.NilError(t, err)
+		body := `{"model":"m","stream":true,"prompt":"how?"}`
+		_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer k.secret\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		assert.NilError(t, err)
+		_, err = io.ReadAll(conn)
+		assert.Equal(t, err == nil, failure == nil, "%v", err)
+		_ = conn.Close()
+		s.Close()
+	}
+}
--- a/caller/writer.go
+++ b/caller/writer.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"oleanderstall/resetter"
 	"oleanderstall/wire"
 )
 
@@ -23,6 +24,10 @@
 	created int64
 	// started is set with the first event, which writes the headers.
 	started bool
+	// request is the caller's request, and disarm is called at the end of a complete stream; see
+	// resetter.Arm.
+	request *http.Request
+	disarm  func()
 	// text collects the answer if it is not streamed.
 	text strings.Builder
 }
@@ -108,6 +113,7 @@
 func (o *completionWriter) writeData(data string) error {
 	if !o.started {
 		o.started = true
+		o.disarm = resetter.Arm(o.request)
 		o.w.Header().Set("Content-Type", "text/event-stream")
 		o.w.Header().Set("Cache-Control", "no-store")
 		o.w.WriteHeader(http.StatusOK)
@@ -128,8 +134,9 @@
 		return
 	}
 	if err := o.endStream(reason, tokens, withUsage); err != nil {
-		cutAnswer(o.w)
+		cutAnswer()
 	}
+	o.disarm()
 }
 
 // endStream writes the last events of a complete stream.
@@ -171,12 +178,12 @@
 	}
 	// An answer that cannot be written any more is cut as well.
 	_ = o.writeEvent(newErrorResponse(withRetryAfter(err)))
-	cutAnswer(o.w)
+	cutAnswer()
 }
 
 // cutAnswer ends an answer that has begun and cannot be completed: it panics, so that
 // net/http closes the connection without the end of the body.
-func cutAnswer(http.ResponseWriter) {
+func cutAnswer() {
 	panic(http.ErrAbortHandler)
 }
 
@@ -188,6 +195,6 @@
 	}
 	w.WriteHeader(status)
 	if _, err := w.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		cutAnswer(w)
+		cutAnswer()
 	}
 }
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -34,6 +34,10 @@
 	}
 }
 
+// ProcessEndTime is the time within which the host of a process that was killed refuses
+// connections, once it has closed one of those that the process had.
+const ProcessEndTime = 20 * time.Millisecond
+
 // Refuses reports whether the host at an address, IP:port, refuses a connection before ctx
 // ends, so that no process listens there. A host that does not answer does not refuse.
 func Refuses(ctx context.Context, address string) bool {
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -106,7 +106,7 @@
 
 // endAnswer returns an error if the end of an answer does not show that it is complete.
 func (c *Core) endAnswer(ctx context.Context, p *progress, answer Answer) error {
-	return assembler.CheckEnd(p.answer, func() bool { return answer.ServerRuns(ctx) })
+	return assembler.CheckEnd(p.answer.Framing, func() bool { return answer.ServerRuns(ctx) })
 }
 
 // beginAnswer passes the head of the answer on, once per request. If the backend server
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -18,6 +18,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"oleanderstall/assembler"
 	"oleanderstall/dialer"
 )
 
@@ -240,7 +241,7 @@
 		return Result{}, eris.Wrap(err, "send engine request")
 	}
 	defer func() { _ = response.Body.Close() }()
-	if id := response.Header.Get("X-Request-Id"); id != "" && id != r.ID {
+	if id := response.Header.Get("X-Request-Id"); assembler.FindOwner(r.ID, id, true, false) != assembler.Own {
 		return Result{}, &StreamError{Text: "answers request " + id + " in place of " + r.ID}
 	}
 	if response.StatusCode != http.StatusOK {
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"oleanderstall/assembler"
+	"oleanderstall/dialer"
 	"oleanderstall/refuser"
 	"oleanderstall/service"
 	"oleanderstall/timer"
@@ -15,9 +17,6 @@
 	// restartPollInterval is the time between two checks whether a crashed backend server
 	// runs again.
 	restartPollInterval = 100 * time.Millisecond
-	// processEndTime is the time within which the host of a process that was killed refuses
-	// connections, once it has closed one of those that the process had.
-	processEndTime = 20 * time.Millisecond
 )
 
 // withCrash returns the refusal of a call that the backend server did not answer. If nobody
@@ -40,21 +39,17 @@
 	return refusal.WithCrash(x.crashedAt)
 }
 
-// refuseCut returns a refusal of a call whose answer may have been cut: its body ended with
-// its connection, and nobody listens at the service's address any more, or that is not known.
-func (x *Executor) refuseCut(ctx context.Context, answer *service.Answer) error {
-	if !answer.Unframed {
-		return nil
+// checkEnd returns a refusal of a call whose answer may have been cut: its body ended with its
+// connection, and nobody listens at the service's address any more, or that is not known.
+func (x *Executor) checkEnd(ctx context.Context, answer *service.Answer) error {
+	err := assembler.CheckEnd(answer.Framing, func() bool {
+		timer.Wait(ctx, dialer.ProcessEndTime, nil)
+		return x.options.Refuses != nil && !x.backendRefuses(context.WithoutCancel(ctx))
+	})
+	if err == nil || x.options.Refuses == nil {
+		return err
 	}
-	refusal := refuser.MayHaveRun(refuser.ConnectionLost, "the service's answer may have been cut")
-	if x.options.Refuses == nil {
-		return refusal
-	}
-	timer.Wait(ctx, processEndTime, nil)
-	if x.backendRefuses(context.WithoutCancel(ctx)) {
-		return x.withCrash(ctx, refusal)
-	}
-	return nil
+	return x.withCrash(ctx, refuser.FromError(err))
 }
 
 // backendRefuses reports whether nobody listens at the backend server's address.
--- a/executor/invoke.go
+++ b/executor/invoke.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return nil, x.withCrash(ctx, refusalFor(err))
 	}
-	if err := x.refuseCut(ctx, answer); err != nil {
+	if err := x.checkEnd(ctx, answer); err != nil {
 		return nil, err
 	}
 	return &wire.Answer{Id: req.GetId(), Status: uint32(answer.Status), Type: answer.ContentType, Body: answer.Body}, nil
--- a/service/service.go
+++ b/service/service.go
@@ -18,6 +18,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"oleanderstall/assembler"
 	"oleanderstall/dialer"
 )
 
@@ -43,16 +44,16 @@
 	Body           []byte
 }
 
-// Answer is the answer to a call. It is complete unless Unframed is set.
+// Answer is the answer to a call. If its body ends with its connection, it may have been
+// cut because the service's process was killed.
 type Answer struct {
 	// Status is the HTTP status.
 	Status int
 	// ContentType is the value of the Content-Type header.
 	ContentType string
 	Body        []byte
-	// Unframed is set if the body had neither a length nor chunks. It ended with its
-	// connection, also if it was cut because the service's process was killed.
-	Unframed bool
+	// Framing is what marks the end of the body.
+	Framing assembler.Framing
 }
 
 // CallError reports a call without a complete answer. Sent is false if it is
@@ -117,7 +118,7 @@
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
 		Body:        body,
-		Unframed:    isUnframed(response),
+		Framing:     assembler.FramingOf(response),
 	}, nil
 }
 
@@ -127,7 +128,7 @@
 // checkHead returns an AnswerError if an answer is to another request than the one with
 // the ID, or if its status does not end a call.
 func checkHead(response *http.Response, id string) error {
-	if other := response.Header.Get("X-Request-Id"); other != "" && other != id {
+	if other := response.Header.Get("X-Request-Id"); assembler.FindOwner(id, other, true, false) != assembler.Own {
 		return &AnswerError{Text: "to request " + other + " in place of " + id}
 	}
 	if response.StatusCode < minFinalStatus {
@@ -136,11 +137,6 @@
 	return nil
 }
 
-// isUnframed reports whether the body of an answer ends with its connection.
-func isUnframed(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
-}
-
 // SizeError reports an answer whose body is larger than 4 MiB.
 type SizeError struct{}
 
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
 
+	"oleanderstall/assembler"
 	"oleanderstall/faker"
 )
 
@@ -148,7 +149,7 @@
 			c := repeatingService(t, func(*http.Request) string { return tt.answer })
 			answer, err := c.Call(t.Context(), Request{ID: "i", Method: tt.method, Path: "/"})
 			assert.NilError(t, err)
-			assert.Equal(t, answer.Unframed, tt.unframed)
+			assert.Equal(t, answer.Framing == assembler.Connection, tt.unframed)
 		})
 	}
 }
