--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -202,8 +202,8 @@
 	Next() (Event, error)
 	// End returns what followed the last event.
 	End() any
-	// ServerRuns reports whether the backend server still accepts connections. It is asked
-	// if the answer ended with its connection.
+	// ServerRuns reports whether the backend server certainly still accepts connections. It
+	// is asked if the answer ended with its connection.
 	ServerRuns(ctx context.Context) bool
 	// Close releases the answer, also before it is complete.
 	Close()
