Merge the review's finding: a process that is ending does not count as one that listens

The wait before the question is gone: the question is asked twice, 100 ms apart, and each attempt has 400 ms. The own face waits as long before it asks whether the service's host refuses.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"oleanderstall/timer"
 )
 
 // maxHeadBytes bounds the head of an answer, in bytes.
@@ -34,10 +36,6 @@
 	}
 }
 
-// ProcessEndTime is the time within which the host of a process that was killed refuses
-// connections, once it has closed one of those that the process had.
-const ProcessEndTime = 20 * time.Millisecond
-
 // Refuses reports whether the host at an address, IP:port, refuses a connection before ctx
 // ends, so that no process listens there. A host that does not answer does not refuse.
 func Refuses(ctx context.Context, address string) bool {
@@ -51,6 +49,33 @@
 	return false
 }
 
+// SettleTime is the time within which the host of a process that was killed closes all of the
+// process's connections and listeners, which it does in any order.
+const SettleTime = 100 * time.Millisecond
+
+// acceptTimeout is the time within which a host accepts a connection.
+const acceptTimeout = 400 * time.Millisecond
+
+// Listens reports whether a process listens at an address, IP:port, and still does after
+// SettleTime. It returns false if the host does not answer in time or ctx ends before that is
+// found out.
+func Listens(ctx context.Context, address string) bool {
+	return accepts(ctx, address) && timer.Wait(ctx, SettleTime, nil) && accepts(ctx, address)
+}
+
+// accepts reports whether the host at an address accepts a connection. A server that has too
+// many connections resets it after that.
+func accepts(ctx context.Context, address string) bool {
+	d := net.Dialer{Timeout: acceptTimeout}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNRESET)
+	}
+	// Nothing was sent, so there is nothing to lose.
+	_ = c.Close()
+	return true
+}
+
 // WatchConnection returns a context for one HTTP request, and a function that reports whether
 // the request got a connection. Until then no byte of it was sent.
 func WatchConnection(ctx context.Context) (watched context.Context, connected func() bool) {
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -43,7 +43,7 @@
 // connection, and nobody listens at the service's address any more, or that is not known.
 func (x *Executor) checkEnd(ctx context.Context, answer *service.Answer) error {
 	err := assembler.CheckEnd(answer.Framing, func() bool {
-		timer.Wait(ctx, dialer.ProcessEndTime, nil)
+		timer.Wait(ctx, dialer.SettleTime, nil)
 		return x.options.Refuses != nil && !x.backendRefuses(context.WithoutCancel(ctx))
 	})
 	if err == nil || x.options.Refuses == nil {
