--- a/engine/engine.go
+++ b/engine/engine.go
@@ -2,31 +2,27 @@
 //
 // Requests use the OpenAI completion calls and always stream the answer as
 // server-sent events. Orders load and unload models and adapters; each carries a
-// fencing number, which some engines check and others ignore.
+// fencing number, which some engines check and others ignore. Each call uses a
+// connection of its own, so that no earlier answer can be taken for its answer.
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"oleanderstall/assembler"
 	"oleanderstall/dialer"
 )
 
-// maxEvent is the largest line of a server-sent event, in bytes.
-const maxEvent = 1 << 20
-
-// maxAnswer is the length, in bytes, after which the body of any other answer is
-// cut off.
+// maxAnswer is the largest body of an answer that is not a stream, in bytes.
 const maxAnswer = 4 << 20
 
 // dialTimeout limits the time for connecting to an engine on the same instance.
@@ -115,14 +111,23 @@
 	Body   string
 }
 
-// Error returns a text with the status and the body.
+// Error returns a text with the status and the beginning of the body.
 func (e *StatusError) Error() string {
-	return fmt.Sprintf("engine answered %d: %s", e.Status, e.Body)
+	return fmt.Sprintf("engine answered %d: %s", e.Status, shorten(e.Body))
+}
+
+// maxQuote is the longest text of an engine that is quoted in an error, in bytes.
+const maxQuote = 512
+
+// shorten returns the beginning of a text, which is valid UTF-8 as messages between processes
+// have to be.
+func shorten(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxQuote)], "")
 }
 
 // StreamError reports a stream that can't be used: it ended before its end event or
-// without a finish reason, contains an event that can't be decoded, or belongs to
-// another request.
+// without a finish reason, goes on after that reason, contains an error or an event that
+// can't be decoded, or belongs to another request.
 type StreamError struct {
 	Text string
 }
@@ -130,6 +135,12 @@
 // Error describes what is wrong with the stream.
 func (e *StreamError) Error() string { return "engine stream: " + e.Text }
 
+// SizeError reports an answer whose body is larger than 4 MiB.
+type SizeError struct{}
+
+// Error returns a text with the limit.
+func (e *SizeError) Error() string { return "engine answer is larger than 4 MiB" }
+
 // Client is the HTTP client of one engine.
 type Client struct {
 	base string
@@ -139,11 +150,7 @@
 // New returns a client of the engine at the URL base, such as
 // http://10.0.0.5:8000.
 func New(base string) *Client {
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: 64,
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-	}
-	return &Client{base: base, http: &http.Client{Transport: transport}}
+	return &Client{base: base, http: dialer.NewClient(dialTimeout)}
 }
 
 // Status returns the engine's status. The error is a StatusError if the engine
@@ -200,12 +207,15 @@
 }
 
 // readBody returns the body of an answer, or a StatusError with it if the status is
-// not 200.
+// not 200. It returns a SizeError if the body is too large, whatever the status.
 func readBody(response *http.Response) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
 		return nil, eris.Wrap(err, "read engine answer")
 	}
+	if len(data) > maxAnswer {
+		return nil, &SizeError{}
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, &StatusError{Status: response.StatusCode, Body: string(data)}
 	}
@@ -215,8 +225,8 @@
 // Generate runs a request and calls onToken for the text of each token in order. If
 // onToken returns an error, Generate stops and returns it. It returns a ConnectError if
 // there was no connection to the engine, a StatusError if the engine refused the request,
-// and a StreamError if the stream is incomplete, can't be decoded or belongs to another
-// request.
+// and a StreamError if the stream is incomplete or can't be decoded, or if the answer,
+// whatever its status, belongs to another request.
 func (c *Client) Generate(ctx context.Context, r Request, onToken func(text string) error) (Result, error) {
 	watched, connected := dialer.WatchConnection(ctx)
 	req, err := c.newRequest(watched, r)
@@ -231,13 +241,13 @@
 		return Result{}, eris.Wrap(err, "send engine request")
 	}
 	defer func() { _ = response.Body.Close() }()
+	if id := response.Header.Get("X-Request-Id"); assembler.FindOwner(r.ID, id, true, false) != assembler.Own {
+		return Result{}, &StreamError{Text: "answers request " + id + " in place of " + r.ID}
+	}
 	if response.StatusCode != http.StatusOK {
 		_, err := readBody(response)
 		return Result{}, err
 	}
-	if id := response.Header.Get("X-Request-Id"); id != "" && id != r.ID {
-		return Result{}, &StreamError{Text: "answers request " + id + " in place of " + r.ID}
-	}
 	return ReadEvents(response.Body, onToken)
 }
 
@@ -288,74 +298,3 @@
 	Text   string `json:"text"`
 	Tokens uint32 `json:"tokens"`
 }
-
-// event is one server-sent event of a text or chat completion.
-type event struct {
-	Choices []struct {
-		Text  string `json:"text"`
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		Reason *string `json:"finish_reason"`
-	} `json:"choices"`
-	Usage *Usage `json:"usage"`
-}
-
-// ReadEvents reads a stream of server-sent events up to its [DONE] event and calls onToken
-// for each text that is not empty. It returns a StreamError if the stream is
-// incomplete or can't be decoded, and the error of onToken if that fails.
-func ReadEvents(r io.Reader, onToken func(text string) error) (Result, error) {
-	var result Result
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(make([]byte, 0, 4096), maxEvent)
-	for scanner.Scan() {
-		data, ok := strings.CutPrefix(scanner.Text(), "data:")
-		if !ok {
-			continue
-		}
-		data = strings.TrimSpace(data)
-		if data == "[DONE]" {
-			return checkReason(result)
-		}
-		if err := result.addEvent(data, onToken); err != nil {
-			return result, err
-		}
-	}
-	if err := scanner.Err(); err != nil {
-		return result, &StreamError{Text: err.Error()}
-	}
-	return result, &StreamError{Text: "ended without [DONE]"}
-}
-
-// checkReason returns r, and a StreamError if the stream had no finish reason.
-func checkReason(r Result) (Result, error) {
-	if r.FinishReason == "" {
-		return r, &StreamError{Text: "ended without a finish reason"}
-	}
-	return r, nil
-}
-
-// addEvent decodes one event, calls onToken for its text and stores its usage and
-// finish reason in r.
-func (r *Result) addEvent(data string, onToken func(text string) error) error {
-	var e event
-	if err := json.Unmarshal([]byte(data), &e); err != nil {
-		return &StreamError{Text: "undecodable event: " + err.Error()}
-	}
-	if e.Usage != nil {
-		r.Usage = *e.Usage
-	}
-	for _, c := range e.Choices {
-		if c.Reason != nil {
-			r.FinishReason = *c.Reason
-		}
-		text := c.Text + c.Delta.Content
-		if text == "" {
-			continue
-		}
-		if err := onToken(text); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"oleanderstall/assembler"
+	"oleanderstall/dialer"
 	"oleanderstall/refuser"
+	"oleanderstall/service"
 	"oleanderstall/timer"
 )
 
@@ -36,6 +39,19 @@
 	return refusal.WithCrash(x.crashedAt)
 }
 
+// checkEnd returns a refusal of a call whose answer may have been cut: its body ended with its
+// connection, and nobody listens at the service's address any more, or that is not known.
+func (x *Executor) checkEnd(ctx context.Context, answer *service.Answer) error {
+	err := assembler.CheckEnd(answer.Framing, func() bool {
+		timer.Wait(ctx, dialer.SettleTime, nil)
+		return x.options.Refuses != nil && !x.backendRefuses(context.WithoutCancel(ctx))
+	})
+	if err == nil || x.options.Refuses == nil {
+		return err
+	}
+	return x.withCrash(ctx, refuser.FromError(err))
+}
+
 // backendRefuses reports whether nobody listens at the backend server's address.
 func (x *Executor) backendRefuses(ctx context.Context) bool {
 	if x.options.Refuses == nil {
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -204,6 +203,9 @@
 	h.configApplied(previous, address)
 }
 
+// maxLoggedParts is the number of unusable parts of one configuration that are logged by name.
+const maxLoggedParts = 8
+
 // applyConfigRows brings a new configuration from the store into force. One that cannot
 // be decoded leaves the previous configuration in force.
 func (h *hostedProcess) applyConfigRows(_ time.Duration, rows []storer.Row) {
@@ -211,11 +213,14 @@
 		if r.Key != platform.ConfigKey || r.Deleted {
 			continue
 		}
-		change, err := platform.DecodeConfig(r.Value)
+		change, omitted, err := platform.DecodeConfig(r.Value)
 		if err != nil {
 			h.log.Error().Err(err).Uint64("row", r.Version).Msg("config: row cannot be decoded, the previous configuration stays in force")
 			continue
 		}
+		if len(omitted) > 0 {
+			h.log.Error().Errs("parts", omitted[:min(len(omitted), maxLoggedParts)]).Int("omitted", len(omitted)).Uint64("row", r.Version).Msg("config: parts left out")
+		}
 		previous := h.config.View().Version()
 		h.config.Restore(change)
 		h.configApplied(previous, "store")
@@ -237,8 +242,8 @@
 	h.onConfigChange()
 }
 
-// applyMemberRows applies changed rows of processes to the membership and to the relay.
-// It skips other rows of the table and rows that cannot be decoded.
+// applyMemberRows applies changed rows of processes to the membership and to the relay. A
+// process whose row cannot be used counts as gone. Other rows of the table are skipped.
 func (h *hostedProcess) applyMemberRows(_ time.Duration, rows []storer.Row) {
 	var members []*wire.Member
 	for _, r := range rows {
@@ -246,13 +251,16 @@
 		if !ok {
 			continue
 		}
-		m := &wire.Member{Name: name, Row: r.Version, Gone: r.Deleted}
-		var instance storer.Instance
-		if err := json.Unmarshal(r.Value, &instance); err != nil && !r.Deleted {
-			h.log.Warn().Err(err).Str("process", name).Msg("process: row cannot be decoded")
+		gone := &wire.Member{Name: name, Row: r.Version, Gone: true}
+		if r.Deleted {
+			members = append(members, gone)
 			continue
 		}
-		m.Role, m.Centre, m.Address, m.Started, m.Backend = instance.Role, instance.Centre, instance.Address, instance.Started, instance.Backend
+		m, err := decodeMember(name, r)
+		if err != nil {
+			h.log.Warn().Err(err).Str("process", name).Uint64("row", r.Version).Msg("process: unreadable row, not used")
+			m = gone
+		}
 		members = append(members, m)
 	}
 	if len(members) == 0 {
--- a/service/service.go
+++ b/service/service.go
@@ -3,20 +3,22 @@
 // A call that is not idempotent must be sent at most once. net/http's Transport
 // repeats a request on a new connection if a kept-alive one fails and the request
 // carries an Idempotency-Key, and its Client repeats a POST on a redirect with
-// status 307 or 308. Therefore each call that is not idempotent uses a new
+// status 307 or 308. On a kept-alive connection, an earlier answer that the service
+// writes once more is taken for the next one. Therefore each call uses a new
 // connection, and no call follows redirects.
 package service
 
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"oleanderstall/assembler"
 	"oleanderstall/dialer"
 )
 
@@ -40,17 +42,18 @@
 	// IdempotencyKey is the caller's idempotency key, or empty.
 	IdempotencyKey string
 	Body           []byte
-	// Idempotent is set if the call may be sent more than once.
-	Idempotent bool
 }
 
-// Answer is the complete answer to a call.
+// Answer is the answer to a call. If its body ends with its connection, it may have been
+// cut because the service's process was killed.
 type Answer struct {
 	// Status is the HTTP status.
 	Status int
 	// ContentType is the value of the Content-Type header.
 	ContentType string
 	Body        []byte
+	// Framing is what marks the end of the body.
+	Framing assembler.Framing
 }
 
 // CallError reports a call without a complete answer. Sent is false if it is
@@ -66,36 +69,29 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.cause }
 
-// Client is the HTTP client of one plain service. It sends idempotent calls on
-// kept-alive connections and each other call on a connection of its own.
+// AnswerError reports an answer that cannot be the one to the call.
+type AnswerError struct {
+	Text string
+}
+
+// Error describes what is wrong with the answer.
+func (e *AnswerError) Error() string { return "answer: " + e.Text }
+
+// Client is the HTTP client of one plain service. It sends each call on a connection
+// of its own.
 type Client struct {
-	base      string
-	reusing   *http.Client
-	singleUse *http.Client
+	base string
+	http *http.Client
 }
 
 // New returns a client of the service at the URL base, such as
 // http://10.0.0.7:8000.
 func New(base string) *Client {
-	return &Client{base: base, reusing: newHTTPClient(false), singleUse: newHTTPClient(true)}
+	return &Client{base: base, http: dialer.NewClient(dialTimeout)}
 }
 
-// newHTTPClient returns an HTTP client that follows no redirects. If singleUse is
-// set, each request uses a new connection.
-func newHTTPClient(singleUse bool) *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DisableKeepAlives:   singleUse,
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: 64,
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
-
-// Call sends r and returns the complete answer, whatever its status. A request that
-// is not idempotent is sent at most once. Errors are CallErrors.
+// Call sends r and returns the answer, whatever its status. A request is sent at most
+// once. Errors are CallErrors.
 func (c *Client) Call(ctx context.Context, r Request) (*Answer, error) {
 	watched, connected := dialer.WatchConnection(ctx)
 	callError := func(err error) error { return &CallError{Sent: connected(), cause: err} }
@@ -103,15 +99,14 @@
 	if err != nil {
 		return nil, callError(err)
 	}
-	httpClient := c.singleUse
-	if r.Idempotent {
-		httpClient = c.reusing
-	}
-	response, err := httpClient.Do(req)
+	response, err := c.http.Do(req)
 	if err != nil {
 		return nil, callError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := checkHead(response, r.ID); err != nil {
+		return nil, callError(err)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
 		return nil, callError(err)
@@ -119,7 +114,27 @@
 	if len(body) > maxAnswer {
 		return nil, callError(&SizeError{})
 	}
-	return &Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
+	return &Answer{
+		Status:      response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+		Body:        body,
+		Framing:     assembler.FramingOf(response),
+	}, nil
+}
+
+// minFinalStatus is the lowest HTTP status of an answer; those below announce one.
+const minFinalStatus = 200
+
+// checkHead returns an AnswerError if an answer is to another request than the one with
+// the ID, or if its status does not end a call.
+func checkHead(response *http.Response, id string) error {
+	if other := response.Header.Get("X-Request-Id"); assembler.FindOwner(id, other, true, false) != assembler.Own {
+		return &AnswerError{Text: "to request " + other + " in place of " + id}
+	}
+	if response.StatusCode < minFinalStatus {
+		return &AnswerError{Text: fmt.Sprintf("status %d ends no call", response.StatusCode)}
+	}
+	return nil
 }
 
 // SizeError reports an answer whose body is larger than 4 MiB.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -42,6 +42,9 @@
 	// and on its disk.
 	Memory []string
 	Disk   []string
+	// Omitted is the number of models and adapters that are left out because they cannot be
+	// read.
+	Omitted int
 }
 
 // LoadTime returns the duration of a load of a base model, which depends on where its
@@ -112,8 +115,9 @@
 	if b.server.Started != s.Started {
 		b.stalledAt, b.backOffUntil = 0, 0
 	}
-	defer f.reindex(b, b.ModelNames())
+	before := b.ModelNames()
 	b.server, b.mismatched = s, false
+	f.reindex(b, before)
 	f.pools = nil
 	if pending, ok := f.unlisted[s.ID]; ok {
 		delete(f.unlisted, s.ID)
@@ -160,9 +164,9 @@
 		return true
 	}
 	before := b.ModelNames()
-	b.status, b.statusAt, b.lostAt, b.mismatched = s, now, 0, false
+	b.status, b.statusAt, b.lostAt, b.mismatched = withSortedModels(s), now, 0, false
 	f.reindex(b, before)
-	b.otherRequests = max(0, int(s.GetRunning()+s.GetWaiting())-b.inflight)
+	b.otherRequests = max(0, int(s.GetRunning())+int(s.GetWaiting())-b.inflight)
 	b.otherRequestsAt = now
 	return true
 }
