--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -105,6 +105,9 @@
 	return b
 }
 
+// ID returns the ID under which the server is listed.
+func (b *Backend) ID() string { return b.options.ID }
+
 // SetFault replaces the faults of the server.
 func (b *Backend) SetFault(f Fault) { b.faultInjector.setFault(f) }
 
--- a/soaker/answerfault_test.go
+++ b/soaker/answerfault_test.go
@@ -24,14 +24,19 @@
 	resumeShare float64
 	// crashesLeft is the number of answers that may still end the server's process.
 	crashesLeft int
-	// faulty counts the faulty answers.
+	// faulty counts the faulty answers. log logs those of server.
 	faulty *atomic.Int64
+	log    func(format string, args ...any)
+	server string
 }
 
-// newAnswerPlan draws a plan, which adds its faulty answers to faulty.
-func newAnswerPlan(seed uint64, faulty *atomic.Int64) *answerPlan {
+// newAnswerPlan draws a plan for the answers of a server.
+func (s *soakRun) newAnswerPlan(seed uint64, server string) *answerPlan {
 	random := rand.New(rand.NewPCG(seed, 4))
-	return &answerPlan{random: random, share: 0.2 + 0.4*random.Float64(), resumeShare: 0.6, crashesLeft: random.IntN(3), faulty: faulty}
+	return &answerPlan{
+		random: random, share: 0.2 + 0.4*random.Float64(), resumeShare: 0.6, crashesLeft: random.IntN(3),
+		faulty: &s.faultyAnswers, log: s.logFault, server: server,
+	}
 }
 
 // choose is an imitator.AnswerPlan.
@@ -47,6 +52,7 @@
 	if p.random.Float64() < share {
 		p.faulty.Add(1)
 		p.addFault(&f, r.Header.Get("X-Model") != "", lastEvent)
+		p.log("%s: answer to %s after %d: %+v", p.server, r.Header.Get("X-Request-Id"), lastEvent, f)
 	}
 	if f.Ending == imitator.EndCrashed {
 		p.crashesLeft--
@@ -169,6 +175,7 @@
 func (s *soakRun) oddRowFunc(duration time.Duration) func() {
 	r := s.drawOddRow()
 	return func() {
+		s.logFault("odd row %s/%s, raw %t: %.40q", r.table, r.key, r.raw, r.value)
 		r.put(s.site.Rows)
 		time.Sleep(duration)
 		s.site.Rows.Remove(r.table, r.key)
@@ -184,13 +191,15 @@
 	case 0, 1:
 		return s.oddRowFunc(duration)
 	case 2:
-		return s.drawBackend().Crash
+		return s.crashFunc(s.drawBackend())
 	}
-	b, plan := s.drawBackend(), newAnswerPlan(s.random.Uint64(), &s.faultyAnswers)
+	b := s.drawBackend()
+	plan := s.newAnswerPlan(s.random.Uint64(), b.ID())
 	if !s.setPlanned(b, true) {
 		return nil
 	}
 	return func() {
+		s.logFault("%s: faulty answers for %v", b.ID(), duration)
 		b.PlanAnswers(plan.choose)
 		time.Sleep(duration)
 		b.PlanAnswers(nil)
@@ -198,6 +207,14 @@
 	}
 }
 
+// crashFunc returns a function that ends the process of a backend server.
+func (s *soakRun) crashFunc(b *imitator.Backend) func() {
+	return func() {
+		s.logFault("%s: crash", b.ID())
+		b.Crash()
+	}
+}
+
 // setPlanned records whether the answers of a server have faults, and reports whether that is a
 // change.
 func (s *soakRun) setPlanned(b *imitator.Backend, planned bool) bool {
--- a/soaker/link_test.go
+++ b/soaker/link_test.go
@@ -123,12 +123,15 @@
 	}
 }
 
-// resetConnections closes all connections with a TCP reset.
+// resetConnections closes all connections with a TCP reset. Each is set to end so before the
+// first is closed, since the end of one side makes copyBytes close the other.
 func (k *link) resetConnections() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for c := range k.connections {
 		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+	for c := range k.connections {
 		_ = c.Close()
 	}
 }
@@ -182,8 +185,10 @@
 		case f == delaying:
 			time.Sleep(linkDelay)
 		case f == blackhole, f == losingAnswers && answers:
-			// The bytes just read are lost, so the connection can't be used again.
+			// The bytes just read are lost, so the connection can't be used again. Its end
+			// is a reset, since the other side would miss the bytes before a proper end.
 			_, _ = io.Copy(io.Discard, from)
+			_ = to.(*net.TCPConn).SetLinger(0)
 			return
 		}
 		if n > 0 {
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -93,8 +94,10 @@
 	// longest part of it.
 	paused       time.Duration
 	longestPause time.Duration
-	random       *rand.Rand
-	clock        timer.Clock
+	// faultLog has a line for each fault.
+	faultLog io.WriteCloser
+	random   *rand.Rand
+	clock    timer.Clock
 }
 
 // newSoakRun starts the stand-in site and the processes of the fleet, whose settings
@@ -111,6 +114,9 @@
 		EventsPerStream: eventsPerStream, ServiceTime: 10 * time.Millisecond, Rate: 1e7, Burst: 1e7, Proxy: s.addServerLink, RestartTime: crashTime,
 	}
 	var err error
+	if s.faultLog, err = os.Create(filepath.Join(dir, "faults.log")); err != nil {
+		return nil, err
+	}
 	if s.site, err = imitator.NewSite(s.options); err != nil {
 		return nil, err
 	}
@@ -163,6 +169,7 @@
 		k.close()
 	}
 	s.site.Stop()
+	_ = s.faultLog.Close()
 }
 
 // run injects faults for faultSeconds while callers send requests, waits for the fleet
@@ -287,7 +294,10 @@
 		return s.linkFaultFunc(m.storeLink, duration, m)
 	case 4:
 		k := s.serverLinks[s.random.IntN(len(s.serverLinks))]
-		return k.resetConnections
+		return func() {
+			s.logFault("link to %s: reset", k.target)
+			k.resetConnections()
+		}
 	case 5:
 		return s.processFaultFunc(m, duration, syscall.SIGSTOP)
 	case 6:
@@ -305,12 +315,22 @@
 		f = losingAnswers
 	}
 	return func() {
+		s.logFault("link to %s: fault %d for %v", k.target, f, duration)
 		k.setFault(f)
 		time.Sleep(duration)
 		k.setFault(noFault)
+		s.logFault("link to %s: no fault", k.target)
 	}
 }
 
+// logFault writes a line about a fault to the folder with the logs, with the time in UTC as in
+// the logs of the processes.
+func (s *soakRun) logFault(format string, args ...any) {
+	s.results.mu.Lock()
+	defer s.results.mu.Unlock()
+	_, _ = fmt.Fprintf(s.faultLog, "%s "+format+"\n", append([]any{time.Now().UTC().Format("15:04:05.000")}, args...)...)
+}
+
 // processFaultFunc returns a function that stops a process by a signal and starts it
 // again, or continues it after SIGSTOP. It returns nil if the process already has a
 // fault.
@@ -326,6 +346,7 @@
 		if m.ended() {
 			s.results.addViolation("%s ended by itself", m.name)
 		}
+		s.logFault("%s: %v", m.name, sig)
 		m.signal(sig)
 		time.Sleep(duration)
 		if sig == syscall.SIGSTOP {
