--- a/soaker/answerfault_test.go
+++ b/soaker/answerfault_test.go
@@ -160,23 +160,24 @@
 	return r
 }
 
-// put writes the row, unless the run is to have none of its kind.
-func (r oddRow) put(rows *imitator.RowStore) {
-	switch {
-	case r.raw && !*withRawRows:
-	case r.raw:
-		rows.PutOdd(r.table, r.key, r.value)
-	default:
-		rows.PutRaw(r.table, r.key, []byte(r.value))
+// putOddRow writes an odd row, unless the run is to have none of its kind.
+func (s *soakRun) putOddRow(r oddRow) {
+	if r.raw && !*withRawRows {
+		return
+	}
+	s.logFault("odd row %s/%s, raw %t: %.40q", r.table, r.key, r.raw, r.value)
+	if r.raw {
+		s.site.Rows.PutOdd(r.table, r.key, r.value)
+		return
 	}
+	s.site.Rows.PutRaw(r.table, r.key, []byte(r.value))
 }
 
 // oddRowFunc draws an odd row and returns a function that writes it and removes it again.
 func (s *soakRun) oddRowFunc(duration time.Duration) func() {
 	r := s.drawOddRow()
 	return func() {
-		s.logFault("odd row %s/%s, raw %t: %.40q", r.table, r.key, r.raw, r.value)
-		r.put(s.site.Rows)
+		s.putOddRow(r)
 		time.Sleep(duration)
 		s.site.Rows.Remove(r.table, r.key)
 	}
--- a/soaker/doc.go
+++ b/soaker/doc.go
@@ -5,6 +5,10 @@
 //
 //	go test ./soaker -run TestSoak$ -seeds 50 -first 1 -seconds 30 -entries 4 -sidecars 6
 //
+// TestSoakFatalPart adds requests on which engines crash, TestSoakStreamEnds faulty answers of the
+// backend servers and odd rows of another writer. Each promise that the latter checks is a
+// function in promise_test.go. With -program FILE another build of the program is tested.
+//
 // It signals only processes that it started. The logs of a failed seed are kept in
-// the directory that the test prints.
+// the directory that the test prints, with the faults and their times in faults.log.
 package soaker
--- a/soaker/wirecaller_test.go
+++ b/soaker/wirecaller_test.go
@@ -108,7 +108,8 @@
 		c.sendAndResume(ctx, c.drawRequest())
 		time.Sleep(time.Duration(5+c.random.IntN(40)) * time.Millisecond)
 	}
-	for _, w := range c.connections {
+	for m, w := range c.connections {
+		c.checkIdle(m, w)
 		w.close()
 	}
 }
@@ -165,11 +166,7 @@
 func (c *wireCaller) chooseEntry() (*member, *wireConn) {
 	m := c.soakRun.entries[c.random.IntN(len(c.soakRun.entries))]
 	if w := c.connections[m]; w != nil {
-		open, err := w.isOpen()
-		if err != nil {
-			c.soakRun.results.addViolation("%s at %s: %v", c.name, m.name, err)
-		}
-		if open {
+		if c.checkIdle(m, w) {
 			return m, w
 		}
 		c.forget(m)
@@ -186,6 +183,16 @@
 	return m, w
 }
 
+// checkIdle reports whether the connection to an entry is open. Bytes with no request waiting
+// violate a guarantee.
+func (c *wireCaller) checkIdle(m *member, w *wireConn) bool {
+	open, err := w.isOpen()
+	if err != nil {
+		c.soakRun.results.addViolation("%s at %s: %v", c.name, m.name, err)
+	}
+	return open
+}
+
 // forget closes the connection to an entry.
 func (c *wireCaller) forget(m *member) {
 	c.connections[m].close()
