cmd/oleanderstall: tests of streams and answers of killed and repeating processes

Engines, sidecars and an entry are killed in the middle of streams; a service is killed in the middle of a body that ends with its connection; an engine and a service write each earlier answer once more on a kept connection.

--- a/cmd/oleanderstall/main_test.go
+++ b/cmd/oleanderstall/main_test.go
@@ -28,6 +28,9 @@
 var binary string
 
 func TestMain(m *testing.M) {
+	if address := os.Getenv(halfServiceEnv); address != "" {
+		panic(serveHalfService(address))
+	}
 	os.Exit(buildAndRun(m))
 }
 
@@ -65,7 +68,13 @@
 // launch starts the binary and waits for its ready line.
 func launch(t testing.TB, args ...string) *proc {
 	t.Helper()
-	p := &proc{t: t, command: exec.Command(binary, args...), logs: make(chan string, 1<<14)}
+	return launchCommand(t, exec.Command(binary, args...))
+}
+
+// launchCommand starts a command and waits for its ready line.
+func launchCommand(t testing.TB, command *exec.Cmd) *proc {
+	t.Helper()
+	p := &proc{t: t, command: command, logs: make(chan string, 1<<14)}
 	stdout, err := p.command.StdoutPipe()
 	assert.NilError(t, err)
 	assert.NilError(t, p.command.Start())
@@ -75,7 +84,7 @@
 	select {
 	case p.ready = <-ready:
 	case <-time.After(waitLimit):
-		t.Fatalf("%v did not become ready", args)
+		t.Fatalf("%v did not become ready", command.Args)
 	}
 	return p
 }
