service: an answer in an encoding that nobody asked for is no answer

Seen: the body of an answer with Content-Encoding was passed on without that header, so the caller got bytes that are not the service's answer.

Evidence, failing before: --- FAIL: TestEncodedAnswer: false (bool) != true (broken bool): gzip

Change: such an answer is an AnswerError of a call that was sent. The client asks for no encoding.

--- a/service/service.go
+++ b/service/service.go
@@ -125,7 +125,8 @@
 const minFinalStatus = 200
 
 // checkHead returns an AnswerError if an answer is to another request than the one with
-// the ID, or if its status does not end a call.
+// the ID, if its status does not end a call, or if its body is encoded: no encoding was asked
+// for, and the caller would not learn of it.
 func checkHead(response *http.Response, id string) error {
 	if other := response.Header.Get("X-Request-Id"); other != "" && other != id {
 		return &AnswerError{Text: "to request " + other + " in place of " + id}
@@ -133,6 +134,9 @@
 	if response.StatusCode < minFinalStatus {
 		return &AnswerError{Text: fmt.Sprintf("status %d ends no call", response.StatusCode)}
 	}
+	if encoding := response.Header.Get("Content-Encoding"); encoding != "" && encoding != "identity" {
+		return &AnswerError{Text: "encoded unasked"}
+	}
 	return nil
 }
 
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -152,3 +152,17 @@
 		})
 	}
 }
+
+// TestEncodedAnswer guards against a body that callers cannot read: the encoding that a service
+// chose unasked is not passed on with it.
+func TestEncodedAnswer(t *testing.T) {
+	for encoding, broken := range map[string]bool{"gzip": true, "br": true, "identity": false} {
+		c := repeatingService(t, func(*http.Request) string {
+			return httpAnswer("200 OK", "encoded", "Content-Encoding: "+encoding+"\r\n")
+		})
+		_, err := c.Call(t.Context(), orderRequest)
+		var callErr *CallError
+		assert.Equal(t, eris.As(err, &callErr), broken, encoding)
+		assert.Assert(t, !broken || callErr.Sent)
+	}
+}
