--- a/cmd/oleanderstall/cut_test.go
+++ b/cmd/oleanderstall/cut_test.go
@@ -89,7 +89,7 @@
 
 // TestStreamsOfKilledProcesses guards against streams that end as complete before their last
 // token, or have tokens missing, twice or of another run: engines, sidecars and an entry are
-// killed in the middle of streams.
+// killed or stopped in the middle of streams.
 func TestStreamsOfKilledProcesses(t *testing.T) {
 	t.Parallel()
 	for _, tt := range []struct {
@@ -109,6 +109,8 @@
 			c.backends["engine-a"].signal(syscall.SIGKILL)
 			c.sidecars["engine-b"].signal(syscall.SIGKILL)
 		}},
+		{name: "entry stops", kill: func(c *cluster, _ string) { c.entries[0].signal(syscall.SIGTERM) }, whole: true},
+		{name: "sidecar stops", kill: func(c *cluster, serving string) { c.sidecars[serving].signal(syscall.SIGTERM) }, whole: true},
 		{name: "entry", kill: func(c *cluster, _ string) { c.entries[0].signal(syscall.SIGKILL) }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
