relayer: load requests with odd numbers are ignored

Seen: a demand or a load request whose value is not a number never equals the one before, so that each report of the entry, and each round of the relay, is a change: batches go to all relays and to the engine's sidecar without end. A value that is infinite or 1e300 goes before all sound ones, and a number of requests near 2^32 makes the sum with others wrap around to nothing, so that the demand of the sound ones disappears. A request without a name reaches the engines as well.

Ruled out: unknown models, which the allocator and the orderer pass over.

Why it works: a load request is taken only if it names a model and its numbers are between 0 and bounds whose sums over all processes stay in range. It is checked at the three places where one enters: needs of an entry, needs and wants of another relay. The others of the same message count.

Tests: go test -race ./relayer passed.

--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -202,12 +202,15 @@
 	}
 }
 
-// replaceDemands replaces the demands of an entry. The entry is sent the ready estimate of
-// each model that is new among them.
+// replaceDemands replaces the demands of an entry, and ignores those that are not plausible.
+// The entry is sent the ready estimate of each model that is new among them.
 func (fs *FleetState) replaceDemands(now time.Duration, lp *linkedProcess, requests []*wire.LoadRequest) {
 	previous := lp.demands
 	lp.demands = map[string]allocator.Demand{}
 	for _, r := range requests {
+		if !plausible(r) {
+			continue
+		}
 		lp.demands[r.GetModel()] = decodeDemand(now, r)
 		if _, ok := previous[r.GetModel()]; !ok {
 			lp.estimatesDue[r.GetModel()] = true
--- /dev/null
+++ b/relayer/odd_test.go
@@ -0,0 +1,90 @@
+package relayer
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"oleanderstall/configurer"
+	"oleanderstall/faker"
+	"oleanderstall/wire"
+)
+
+// newTestState returns the state of a relay with a configuration.
+func newTestState() *FleetState {
+	config := configurer.New()
+	config.Restore(&wire.Change{
+		Version: 1,
+		Pools:   []*wire.Pool{{Name: "p", Engines: &wire.Engines{Bytes: 100, Slots: 16}}},
+		Models:  []*wire.Model{{Name: "odd", Pool: "p", Bytes: 40}, {Name: "sound", Pool: "p", Bytes: 40}},
+	})
+	return NewFleetState("relay", "c0", config, faker.DiscardLogger())
+}
+
+// joinEntry links an entry to the relay.
+func joinEntry(fs *FleetState, name string) uint64 {
+	return fs.Join(time.Hour, &wire.Link{Name: name, Role: Entry, Centre: "c0"})
+}
+
+// byModel returns load requests by the names of their models.
+func byModel(list []*wire.LoadRequest) map[string]*wire.LoadRequest {
+	requests := map[string]*wire.LoadRequest{}
+	for _, r := range list {
+		requests[r.GetModel()] = r
+	}
+	return requests
+}
+
+// oddRequests are load requests with numbers that no process can mean.
+var oddRequests = []*wire.LoadRequest{
+	{Model: "odd", Count: 1, Worth: math.NaN()},
+	{Model: "odd", Count: 1, Worth: math.Inf(1)},
+	{Model: "odd", Count: 1, Worth: -1},
+	{Model: "odd", Count: 1, Worth: 1e300},
+	{Model: "odd", Count: math.MaxUint32, Worth: 1},
+	{Model: "", Count: 1, Worth: 1},
+}
+
+// TestOddDemand guards against a demand with an odd number that never equals itself, so that
+// every report of the entry causes batches to all relays, and that outweighs all sound ones.
+func TestOddDemand(t *testing.T) {
+	for _, odd := range oddRequests {
+		fs := newTestState()
+		fs.Join(time.Hour, &wire.Link{Name: "other", Role: Relay, Centre: "c1"})
+		relay := fs.lastLinkID
+		report := &wire.Report{Waiting: true, Needs: []*wire.LoadRequest{odd, {Model: "sound", Count: 2, Worth: 2}}}
+		id := joinEntry(fs, "entry")
+		fs.Report(time.Hour, id, report)
+		needs := byModel(fs.Batch(time.Hour, relay).GetNeeds())
+		assert.Equal(t, len(needs), 1, "%v", odd)
+		assert.Equal(t, needs["sound"].GetWorth(), 2.0)
+		fs.Report(time.Hour, id, proto.CloneOf(report))
+		assert.Equal(t, len(fs.Batch(time.Hour, relay).GetNeeds()), 0, "%v", odd)
+
+		fs.OpenFeed(time.Hour, "c1", "other")
+		fs.ApplyFeed(time.Hour, "c1", &wire.Batch{Needs: report.GetNeeds()})
+		assert.Equal(t, len(fs.remoteFeeds["c1"].demands), 1, "%v", odd)
+	}
+}
+
+// TestOddLoadRequest guards against a load request of another relay with an odd number, which a
+// sidecar is then sent with every batch.
+func TestOddLoadRequest(t *testing.T) {
+	oddRate := &wire.LoadRequest{Model: "odd", Count: 1, Worth: 1, Rate: math.NaN()}
+	for _, odd := range append(oddRequests, oddRate) {
+		fs := newTestState()
+		id := fs.Join(time.Hour, &wire.Link{Name: "side", Role: Sidecar, Centre: "c0"})
+		fs.Report(time.Hour, id, &wire.Report{Condition: &wire.EngineStatus{Server: "e", Born: 1, Started: 1}})
+		fs.OpenFeed(time.Hour, "c1", "other")
+		message := proto.CloneOf(odd)
+		message.Server = "e"
+		fs.ApplyFeed(time.Hour, "c1", &wire.Batch{Wants: []*wire.LoadRequest{message, {Server: "e", Model: "sound", Count: 1, Worth: 1}}})
+		wants := byModel(fs.Batch(time.Hour, id).GetTell().GetWants())
+		assert.Equal(t, len(wants), 1, "%v", odd)
+		assert.Assert(t, wants["sound"] != nil)
+		assert.Assert(t, fs.Batch(time.Hour, id).GetTell() == nil)
+	}
+}
--- a/relayer/remotefeed.go
+++ b/relayer/remotefeed.go
@@ -101,7 +101,7 @@
 }
 
 // applyDemands applies usage, demands, arrivals and saturations from the entries of another
-// data centre.
+// data centre. It ignores demands that are not plausible.
 func (fs *FleetState) applyDemands(now time.Duration, rf *remoteFeed, batch *wire.Batch) {
 	for _, u := range batch.GetUses() {
 		key := serverModel{u.GetServer(), u.GetModel()}
@@ -115,6 +115,9 @@
 		}
 	}
 	for _, r := range batch.GetNeeds() {
+		if !plausible(r) {
+			continue
+		}
 		if r.GetCount() == 0 && r.GetWorth() == 0 {
 			delete(rf.demands, r.GetModel())
 		} else {
@@ -126,9 +129,13 @@
 	fs.recordSaturations(now, batch.GetFelt())
 }
 
-// applyDecisions applies the load requests and ready estimates of another relay.
+// applyDecisions applies the load requests and ready estimates of another relay. It ignores
+// load requests that are not plausible.
 func (fs *FleetState) applyDecisions(now time.Duration, rf *remoteFeed, batch *wire.Batch) {
 	for _, r := range batch.GetWants() {
+		if !plausible(r) {
+			continue
+		}
 		key := serverModel{r.GetServer(), r.GetModel()}
 		if request, ok := decodeLoadRequest(now, r); ok {
 			rf.loadRequests[key] = request
