relayer: numbers of requests in flight do not wrap around

Seen: the requests in flight for a model at an engine are added up over the entries in 32 bits. With one number near 2^32 the sum wraps around, the model looks unused, and its engine may unload it under the requests of sound entries.

Evidence, before: odd_test.go:101: assertion failed: inflight is <= 0 (TestOddUsage).

--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -177,7 +177,7 @@
 		if u.GetInflight() == 0 {
 			delete(lp.usage, key)
 		} else {
-			lp.usage[key] = u.GetInflight()
+			lp.usage[key] = min(u.GetInflight(), maxRequests)
 		}
 		fs.updateUsage(key)
 	}
--- a/relayer/odd_test.go
+++ b/relayer/odd_test.go
@@ -88,3 +88,18 @@
 		assert.Assert(t, fs.Batch(time.Hour, id).GetTell() == nil)
 	}
 }
+
+// TestOddUsage guards against a number of requests in flight that wraps around when the numbers
+// of two entries are added, so that a model in use looks idle and is unloaded.
+func TestOddUsage(t *testing.T) {
+	fs := newTestState()
+	id := fs.Join(time.Hour, &wire.Link{Name: "side", Role: Sidecar, Centre: "c0"})
+	fs.Report(time.Hour, id, &wire.Report{Condition: &wire.EngineStatus{Server: "e", Born: 1, Started: 1, Models: []string{"odd"}}})
+	odd := []*wire.EngineUsage{{Server: "e", Model: "odd", Inflight: math.MaxUint32}}
+	fs.Report(time.Hour, joinEntry(fs, "a"), &wire.Report{Uses: odd})
+	fs.Report(time.Hour, joinEntry(fs, "b"), &wire.Report{Uses: []*wire.EngineUsage{{Server: "e", Model: "odd", Inflight: 1}}})
+	assert.Assert(t, fs.modelUsageAt(time.Hour, "e")["odd"].inflight > 0)
+	fs.OpenFeed(time.Hour, "c1", "other")
+	fs.ApplyFeed(time.Hour, "c1", &wire.Batch{Uses: odd})
+	assert.Assert(t, fs.modelUsageAt(time.Hour, "e")["odd"].inflight > 0)
+}
--- a/relayer/remotefeed.go
+++ b/relayer/remotefeed.go
@@ -106,7 +106,7 @@
 	for _, u := range batch.GetUses() {
 		key := serverModel{u.GetServer(), u.GetModel()}
 		previous := rf.usage[key]
-		rf.usage[key] = u.GetInflight()
+		rf.usage[key] = min(u.GetInflight(), maxRequests)
 		if u.GetInflight() == 0 {
 			delete(rf.usage, key)
 		}
