relayer: the age of a waiting request is bounded

Seen: the value of a load request grows with the time that its first request has waited. One that says it has waited for weeks goes before all others at its engine.

Evidence, before: odd_test.go:111: assertion failed: -23h0m0s != 50m0s (TestOddAge).

Why it works: an age counts as ten minutes at most, longer than any request waits.

--- a/relayer/assignment.go
+++ b/relayer/assignment.go
@@ -31,7 +31,7 @@
 		count:        message.GetCount(),
 		value:        message.GetWorth(),
 		targetTime:   now + time.Duration(message.GetGoal())*time.Millisecond,
-		firstArrival: now - timer.FromMillis(message.GetAge()),
+		firstArrival: now - min(timer.FromMillis(message.GetAge()), maxWait),
 		relief:       message.GetRate(),
 	}
 	return request, request.count > 0 || request.value > 0
--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -231,7 +231,7 @@
 		Count:        r.GetCount(),
 		Value:        r.GetWorth(),
 		TargetTime:   now + time.Duration(r.GetGoal())*time.Millisecond,
-		FirstArrival: now - timer.FromMillis(r.GetAge()),
+		FirstArrival: now - min(timer.FromMillis(r.GetAge()), maxWait),
 		Avoid:        r.GetAvoid(),
 	}
 }
--- a/relayer/odd_test.go
+++ b/relayer/odd_test.go
@@ -103,3 +103,12 @@
 	fs.ApplyFeed(time.Hour, "c1", &wire.Batch{Uses: odd})
 	assert.Assert(t, fs.modelUsageAt(time.Hour, "e")["odd"].inflight > 0)
 }
+
+// TestOddAge guards against a request that says that it has waited for weeks and therefore goes
+// before all others at an engine.
+func TestOddAge(t *testing.T) {
+	odd := &wire.LoadRequest{Model: "odd", Count: 1, Age: math.MaxUint32}
+	assert.Equal(t, decodeDemand(time.Hour, odd).FirstArrival, time.Hour-maxWait)
+	request, _ := decodeLoadRequest(time.Hour, odd)
+	assert.Equal(t, request.firstArrival, time.Hour-maxWait)
+}
--- a/relayer/plausible.go
+++ b/relayer/plausible.go
@@ -1,6 +1,10 @@
 package relayer
 
-import "oleanderstall/wire"
+import (
+	"time"
+
+	"oleanderstall/wire"
+)
 
 // Highest numbers that are taken from the message of another process.
 const (
@@ -9,6 +13,8 @@
 	maxValue    = 1e6
 	// maxRate is a rate of requests, in requests a second.
 	maxRate = 1e6
+	// maxWait is how long ago the first of the waiting requests arrived.
+	maxWait = 10 * time.Minute
 )
 
 // plausible reports whether a load request names a model and its numbers can be right. The
