allocator: a model in memory with odd numbers is not counted as room

Seen: the cost of an unload comes from the sidecar's status as a float. Minus infinity, -1e300 or, on x86-64, a value that is not a number becomes the lowest duration: that engine is chosen for every model of the pool, and the callers are told that the model has been ready for centuries, so that they wait for it in vain. A size near 2^64 wraps the sum of the memory that can be freed, and free memory beyond the engine's capacity has it chosen for every model.

Ruled out: the sidecar's own decisions, which use the sizes of the configuration.

Why it works: a resident model is a candidate for an unload only if it has a name, fits the capacity in the configuration and has a cost between 0 and a million requests; free memory beyond the capacity counts as none. The other residents and engines are compared as before.

--- a/allocator/candidates.go
+++ b/allocator/candidates.go
@@ -40,17 +40,34 @@
 	return candidates
 }
 
+// maxMisses is the highest number of expected misses that is taken from a report.
+const maxMisses = 1e6
+
+// plausible reports whether a model in the memory of an engine of that capacity has a name, and
+// its numbers can be right.
+func plausible(r *wire.Resident, capacity uint64) bool {
+	return r.GetModel() != "" && r.GetBytes() <= capacity && r.GetKeep() >= 0 && r.GetKeep() <= maxMisses
+}
+
 // candidate describes an engine as a candidate for a load. Models that requests wait for are
-// neither idle nor busy, so they are not unloaded.
+// neither idle nor busy, so they are not unloaded, and neither are those whose description is
+// not plausible. Free memory beyond the engine's capacity counts as none.
 func (a *Allocator) candidate(now time.Duration, b *tracker.Backend, m *wire.Model, score uint64) placer.Candidate {
 	status, inventory := b.Status(now), b.Inventory(now)
-	c := placer.Candidate{ID: b.Server().ID, Free: status.GetFree(), Score: score, Planned: inventory.Has(m.GetName())}
+	capacity := a.config.View().Pool(m.GetPool()).GetEngines().GetBytes()
+	c := placer.Candidate{ID: b.Server().ID, Score: score, Planned: inventory.Has(m.GetName())}
+	if status.GetFree() <= capacity {
+		c.Free = status.GetFree()
+	}
 	c.LoadTime, c.Fetch = inventory.LoadTime(m)
 	if c.Fetch {
 		c.LoadTime = a.fetchQueue.LoadTime(c.LoadTime)
 	}
 	a.setQueueTime(now, &c, b, m.GetName())
 	for _, r := range status.GetResidents() {
+		if !plausible(r, capacity) {
+			continue
+		}
 		loaded := loadedModel(r)
 		switch {
 		case a.waiting(loaded.Model) > 0:
