relayer: an iteration over a versioned map skips no value

Seen: while a relay withdraws load requests, ready estimates or crashes that have ended, each removal may delete an old tombstone. If that one came next, the iteration ended there: the values behind it stayed in force until the next round.

Cause: since holds the next element of the list; an element that is deleted from the list has no successor.

Evidence, before: versionedmap_test.go:90: yielded "first" only, not "last" (TestVersionedMapPrunesDuringIteration).

Why it works: tombstones are deleted only after the iterations under way have ended, so that the element that comes next stays in the list.

--- a/relayer/versionedmap.go
+++ b/relayer/versionedmap.go
@@ -16,8 +16,10 @@
 	elements map[K]*list.Element
 	// changes holds a *change for each key, the newest first.
 	changes *list.List
-	// tombstones is the number of removed keys in changes.
+	// tombstones is the number of removed keys in changes, and iterations that of the
+	// iterations under way, which keep them.
 	tombstones int
+	iterations int
 }
 
 // change is the latest change of a key: its value, or that the value was removed.
@@ -73,8 +75,12 @@
 	}
 }
 
-// pruneTombstones deletes the keys that were removed first while there are too many.
+// pruneTombstones deletes the keys that were removed first while there are too many. During an
+// iteration it does nothing.
 func (m *versionedMap[K, V]) pruneTombstones() {
+	if m.iterations > 0 {
+		return
+	}
 	for e := m.changes.Back(); e != nil && m.tombstones > maxTombstones; {
 		previous := e.Prev()
 		if c := e.Value.(*change[K, V]); c.removed {
@@ -87,10 +93,11 @@
 }
 
 // since returns the changes after a version, the newest first. The value of the key yielded
-// last may be set or removed during the iteration. If its removal prunes the tombstone that
-// comes next, the iteration ends early.
+// last may be set or removed during the iteration.
 func (m *versionedMap[K, V]) since(version uint64) iter.Seq[*change[K, V]] {
 	return func(yield func(*change[K, V]) bool) {
+		m.iterations++
+		defer m.endIteration()
 		for e := m.changes.Front(); e != nil; {
 			next, c := e.Next(), e.Value.(*change[K, V])
 			if c.version <= version || !yield(c) {
@@ -101,6 +108,12 @@
 	}
 }
 
+// endIteration ends an iteration and deletes the tombstones that were kept for it.
+func (m *versionedMap[K, V]) endIteration() {
+	m.iterations--
+	m.pruneTombstones()
+}
+
 // all returns the keys that have values and the values, the newest change first. The map may
 // be changed during the iteration as with since.
 func (m *versionedMap[K, V]) all() iter.Seq2[K, V] {
--- a/relayer/versionedmap_test.go
+++ b/relayer/versionedmap_test.go
@@ -69,3 +69,24 @@
 		t.Fatal("a key still has a value")
 	}
 }
+
+// TestVersionedMapPrunesDuringIteration guards against values that an iteration leaves out
+// because the removal of one value prunes the tombstone that comes next.
+func TestVersionedMapPrunesDuringIteration(t *testing.T) {
+	m := newVersionedMap[string, int]()
+	m.set("last", 0)
+	m.set("oldest", 0)
+	m.remove("oldest")
+	m.set("first", 0)
+	for i := range maxTombstones - 1 {
+		m.set(fmt.Sprint(i), i)
+		m.remove(fmt.Sprint(i))
+	}
+	var yielded []string
+	for key := range m.all() {
+		yielded = append(yielded, key)
+		m.remove(key)
+	}
+	assert.DeepEqual(t, yielded, []string{"first", "last"})
+	assert.Assert(t, m.tombstones <= maxTombstones)
+}
