limiter: waits out of range are the longest ones

Seen: the time until tokens accrue is computed as a float. With a rate close to 0 it is beyond the range of a duration: on x86-64 the wait becomes negative, so that a request neither is charged nor refused and checks again each millisecond until its caller leaves; on arm64 it becomes the longest duration, which overflows when an instant is added, with the same end. Tokens that are not a number, in a call of another entry, gave a wait of 0.

Why it works: Ledger uses timer.FromSeconds, whose result can be added to an instant, and Bucket.Wait compares with maxWait before it converts.

--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"oleanderstall/timer"
 )
 
 // absentAfter is how long the rest of the fleet may go without a report before its share of
@@ -243,7 +245,7 @@
 	if level >= min(need, a.bucket.Burst()) {
 		return 0
 	}
-	return time.Duration((need - level) / a.limit.Rate * float64(time.Second))
+	return timer.FromSeconds((need - level) / a.limit.Rate)
 }
 
 // Charge charges a workspace for tokens. It reports false and charges nothing if they are
@@ -296,5 +298,5 @@
 	a.deferred = max(0, a.deferred-a.limit.Rate*(now-a.deferredAt).Seconds())
 	a.deferredAt = now
 	a.deferred += max(0, tokens-a.bucket.Level(now))
-	return time.Duration(a.deferred / a.limit.Rate * float64(time.Second))
+	return timer.FromSeconds(a.deferred / a.limit.Rate)
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -111,8 +111,11 @@
 	if tokens > b.burst || b.rate <= 0 {
 		return maxWait
 	}
-	wait := missing / b.rate * float64(time.Second)
-	return min(maxWait, time.Duration(math.Ceil(wait)))
+	wait := math.Ceil(missing / b.rate * float64(time.Second))
+	if !(wait < float64(maxWait)) {
+		return maxWait
+	}
+	return time.Duration(wait)
 }
 
 // refill adds the tokens that have accrued since the last operation. If the clock went
--- a/limiter/odd_test.go
+++ b/limiter/odd_test.go
@@ -97,3 +97,17 @@
 	}
 	assert.Assert(t, l.Levels(now)["sound"] > 0)
 }
+
+// TestOddWait guards against a wait that is negative or 0, differently on each kind of machine,
+// because the tokens missing or the time until they accrue are out of range.
+func TestOddWait(t *testing.T) {
+	now := time.Hour
+	assert.Equal(t, NewBucket(now, 10, 100).Wait(now, math.NaN()), maxWait)
+	assert.Equal(t, NewBucket(now, 1e-300, 100).Wait(now, 50), maxWait)
+	l := NewLedger(now, 0)
+	l.SetEntryCount(now, EntryCount{Entries: 1})
+	l.SetLimits(now, []Limit{{Workspace: "w", Rate: 1e-300, Burst: 100}})
+	for _, wait := range []time.Duration{l.TimeUntil(now, "w", 50), l.RetryAfter(now, "w", 50)} {
+		assert.Assert(t, now+wait > now, "%v", wait)
+	}
+}
