locator: versions of removed servers are bounded

Seen: an entry keeps the version of the latest row of each server for good, also of those that were removed: its memory grows with each replacement, and with each row of a writer that makes up names.

Evidence, before: report_test.go:28: 12289 != 4097 (TestRowVersionsBounded).

Ruled out: to forget a version at once: rows come by way of the relay and from the store, and an older one that arrives later would list the server again.

Repeated removals of the same server count once.

--- a/locator/locator.go
+++ b/locator/locator.go
@@ -49,8 +49,10 @@
 	// demands are the models and adapters that requests wait for, by name.
 	demands    map[string]*demand
 	unreported unreported
-	// rowVersions are the versions of the latest rows of the list, by server.
+	// rowVersions are the versions of the latest rows of the list, by server. removedRows
+	// names the servers among them that were removed, the earliest first.
 	rowVersions map[string]uint64
+	removedRows []string
 	// firstListedAt is the instant at which the first server was listed, or 0.
 	// lastBatchAt is the instant of the latest batch from a relay or, before the first
 	// one, of the start.
@@ -112,12 +114,16 @@
 // that the server had or has. The caller holds the lock.
 func (l *Locator) updateServer(listed *wire.ListedServer) {
 	id := listed.GetId()
-	if l.rowVersions[id] > listed.GetRow() {
+	version, known := l.rowVersions[id]
+	if version > listed.GetRow() {
 		return
 	}
 	l.rowVersions[id] = listed.GetRow()
 	l.notifyServer(l.fleet.Get(id))
 	if listed.GetGone() {
+		if !known || l.fleet.Get(id) != nil {
+			l.limitRemovedRows(id)
+		}
 		l.fleet.RemoveServer(id)
 		return
 	}
@@ -128,6 +134,23 @@
 	l.notifyServer(l.fleet.Get(id))
 }
 
+// maxRemovedRows bounds the removed servers whose versions are kept, so that an older row that
+// arrives late does not list them again.
+const maxRemovedRows = 4096
+
+// limitRemovedRows adds a server to those that were removed, and forgets the version of the one
+// that was removed first if there are too many. The caller holds the lock.
+func (l *Locator) limitRemovedRows(id string) {
+	l.removedRows = append(l.removedRows, id)
+	if len(l.removedRows) <= maxRemovedRows {
+		return
+	}
+	if first := l.removedRows[0]; l.fleet.Get(first) == nil {
+		delete(l.rowVersions, first)
+	}
+	l.removedRows = l.removedRows[1:]
+}
+
 // updateStatus applies a sidecar's status of its engine and wakes the requests that wait
 // for a model that the engine had or has. The caller holds the lock.
 func (l *Locator) updateStatus(now time.Duration, s *wire.EngineStatus) {
