quarantiner: an odd record of a crash does not change a sound one

Seen: records of one crash are merged from all processes that saw it. One that says that the crash was weeks ago moved its instant there for good, which stretches the wait for a trial to its longest and ends the count of the crash; one with more suspects than a process keeps pushed out the suspects of the sound record, the deepest first, and with them the quarantine.

Evidence, before: odd_test.go:46: -22h59m57s != 1h0m1s (an age of weeks); odd_test.go:45: 128 != 2 (more suspects than a record has), both TestOddCrash.

Ruled out: a record without a pool, which entries of the own platform send for models; one without a server was ignored before.

Why it works: the instant of a crash moves back by a minute at most, far more than processes differ; a record that is longer than any process makes it is ignored.

--- a/quarantiner/message.go
+++ b/quarantiner/message.go
@@ -62,10 +62,11 @@
 }
 
 // Merge adds the record of another process to the one known here. It returns the process of
-// the server, and whether the record has changed. A message without a server is ignored.
+// the server, and whether the record has changed. A message without a server, or with more
+// suspects than a record has, is ignored.
 func (q *Quarantiner) Merge(now time.Duration, message *wire.Crash) (p Process, changed bool) {
 	p = processOf(message)
-	if p.Server == "" {
+	if p.Server == "" || len(message.GetSuspects()) > maxSuspects {
 		return p, false
 	}
 	changed = q.crashes[p] == nil
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -49,6 +49,8 @@
 	maxSuspects = 128
 	// maxAnswered bounds the fingerprints that are known to have been answered.
 	maxAnswered = 4096
+	// maxSkew bounds the difference of the instants that processes record for one crash.
+	maxSkew = time.Minute
 	// decisionInterval is the longest time between two decisions, so that crashes expire.
 	decisionInterval = time.Second
 )
@@ -194,7 +196,7 @@
 }
 
 // crashOf returns the record of the crash of a process, made if there is none yet. Its
-// instant is the earliest one that is known.
+// instant is the earliest one that is known, unless that is maxSkew before the others.
 func (q *Quarantiner) crashOf(p Process, pool string, at time.Duration) *crash {
 	c := q.crashes[p]
 	if c == nil {
@@ -202,7 +204,9 @@
 		q.crashes[p] = c
 		q.limitCrashes()
 	}
-	c.at = min(c.at, at)
+	if c.at-at <= maxSkew {
+		c.at = min(c.at, at)
+	}
 	return c
 }
 
