quarantiner, relayer, dispatcher: the records of one message are bounded

Seen: a message of 8 MB holds some 300,000 records of crashes. Each one beyond the 128 that are kept looks for the oldest of them, under the lock of the relay's state: the relay answers nobody for that time, and all links end. The names of all of them were also kept to be sent on.

Evidence, before: odd_test.go:126: assertion failed: 2000 != 128 (TestAbsurdNumberOfCrashes).

Why it works: no process keeps more than 128 records, so that no more are taken of a message.

Tests: go test -race of quarantiner and dispatcher passed.

--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -106,7 +106,7 @@
 	defer q.mu.Unlock()
 	now := q.clock()
 	var changed []*wire.Crash
-	for _, message := range crashes {
+	for _, message := range quarantiner.Limit(crashes) {
 		if _, ok := q.quarantiner.Merge(now, message); ok {
 			changed = append(changed, message)
 		}
--- a/quarantiner/message.go
+++ b/quarantiner/message.go
@@ -61,6 +61,9 @@
 	return message
 }
 
+// Limit returns the records of a message that are merged: no more than a process keeps.
+func Limit(messages []*wire.Crash) []*wire.Crash { return messages[:min(len(messages), maxCrashes)] }
+
 // Merge adds the record of another process to the one known here. It returns the process of
 // the server, and whether the record has changed. A message without a server, or with more
 // suspects than a record has, is ignored.
--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"oleanderstall/quarantiner"
 	"oleanderstall/wire"
 )
 
@@ -10,7 +11,7 @@
 // that is new here is sent on at once, so that all entries count it before they send more of
 // the same requests.
 func (fs *FleetState) mergeCrashes(now time.Duration, crashes []*wire.Crash) {
-	for _, message := range crashes {
+	for _, message := range quarantiner.Limit(crashes) {
 		p, changed := fs.quarantiner.Merge(now, message)
 		if !changed {
 			continue
--- a/relayer/odd_test.go
+++ b/relayer/odd_test.go
@@ -112,3 +112,15 @@
 	request, _ := decodeLoadRequest(time.Hour, odd)
 	assert.Equal(t, request.firstArrival, time.Hour-maxWait)
 }
+
+// TestAbsurdNumberOfCrashes guards against a relay that is busy for minutes, and loses all its
+// links, because one process sends an absurdly long list of crashes.
+func TestAbsurdNumberOfCrashes(t *testing.T) {
+	fs := newTestState()
+	var list []*wire.Crash
+	for i := range 2000 {
+		list = append(list, &wire.Crash{Server: "made up", Born: int64(i), Pool: "p"})
+	}
+	fs.Report(time.Hour, joinEntry(fs, "entry"), &wire.Report{Crashes: list})
+	assert.Equal(t, len(fs.crashes.elements), 128)
+}
