orderer: load requests and rates with odd numbers are ignored

Seen: a load request whose value is not a number or infinite goes before all others at the engine, so that a model nobody waits for is loaded first. A rate that is not a number makes the expected misses of a loaded model that as well: it sorts before all others, and the sum of the misses is never below the limit, so that the engine unloads nothing any more and the models that callers wait for are not loaded.

Evidence, before: orderer_test.go:244: assertion failed: f.engine.loaded["d"] is nil (TestOddAssignment).

Why it works: the check of the relay, now in package placer, is applied to the requests of an assignment, and rates count only if they are in range. The number of requests in flight counts in any case, so that a model in use stays.

--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -381,7 +381,8 @@
 }
 
 // loadRequests merges the load requests of all relays by base model, oldest first. It
-// includes models that the engine already holds. The caller holds the lock.
+// includes models that the engine already holds, and leaves out requests that are not
+// plausible. The caller holds the lock.
 func (o *Orderer) loadRequests() []placer.LoadRequest {
 	view := o.config.View()
 	merged := map[string]*placer.LoadRequest{}
@@ -391,7 +392,7 @@
 			if m != nil && m.GetBase() != "" {
 				m = view.Model(m.GetBase())
 			}
-			if m == nil || m.GetPool() != o.options.Pool {
+			if m == nil || m.GetPool() != o.options.Pool || !placer.Plausible(r) {
 				continue
 			}
 			request := merged[m.GetName()]
@@ -402,7 +403,7 @@
 			request.Count += int(r.GetCount())
 			request.Value += r.GetWorth()
 			request.TargetTime = min(request.TargetTime, a.receivedAt+time.Duration(r.GetGoal())*time.Millisecond)
-			request.FirstArrival = min(request.FirstArrival, a.receivedAt-timer.FromMillis(r.GetAge()))
+			request.FirstArrival = min(request.FirstArrival, a.receivedAt-min(timer.FromMillis(r.GetAge()), placer.MaxWait))
 			request.Relief = min(request.Relief, r.GetRate())
 		}
 	}
@@ -436,7 +437,9 @@
 			for _, u := range a.assignment.GetDemands() {
 				if u.GetModel() == name {
 					loaded.Inflight = max(loaded.Inflight, int(u.GetInflight()))
-					loaded.Rate = max(loaded.Rate, u.GetRate())
+					if placer.PlausibleRate(u.GetRate()) {
+						loaded.Rate = max(loaded.Rate, u.GetRate())
+					}
 					loaded.Copies = max(loaded.Copies, int(u.GetCopies()))
 				}
 			}
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"os"
 	"testing"
 	"time"
@@ -222,3 +223,28 @@
 	f.assignRepeatedly(3*time.Second, "b")
 	assert.Assert(t, f.holds("b"))
 }
+
+// TestOddAssignment guards against an engine that neither loads nor unloads a model any more
+// because one entry of its relay's lists has an odd number.
+func TestOddAssignment(t *testing.T) {
+	for _, odd := range []*wire.LoadRequest{
+		{Model: "c", Count: 1, Worth: math.NaN()},
+		{Model: "c", Count: 1, Worth: math.Inf(1)},
+		{Model: "c", Count: 1, Worth: 1, Rate: math.NaN()},
+		{Model: "c", Count: math.MaxUint32, Worth: 1},
+	} {
+		f := newFixture()
+		f.engine.loaded["a"], f.engine.loaded["b"] = []string{}, []string{}
+		f.run(time.Second)
+		f.sendBatch(&wire.Assignment{
+			Wants:   []*wire.LoadRequest{odd, {Model: "d", Count: 1, Worth: 1, Goal: 2000}},
+			Demands: []*wire.ModelUsage{{Model: "a", Rate: math.NaN()}, {Model: "b", Rate: math.Inf(1)}},
+		})
+		f.run(loadTime + time.Second)
+		assert.Assert(t, f.engine.loaded["d"] != nil, "%v", odd)
+		assert.Assert(t, f.engine.loaded["c"] == nil, "%v", odd)
+		for _, r := range f.orderer.status.GetResidents() {
+			assert.Assert(t, r.GetKeep() >= 0 && r.GetKeep() < 1e6, "%v", r)
+		}
+	}
+}
--- a/relayer/assignment.go
+++ b/relayer/assignment.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"oleanderstall/placer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -31,7 +32,7 @@
 		count:        message.GetCount(),
 		value:        message.GetWorth(),
 		targetTime:   now + time.Duration(message.GetGoal())*time.Millisecond,
-		firstArrival: now - min(timer.FromMillis(message.GetAge()), maxWait),
+		firstArrival: now - min(timer.FromMillis(message.GetAge()), placer.MaxWait),
 		relief:       message.GetRate(),
 	}
 	return request, request.count > 0 || request.value > 0
--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -8,6 +8,7 @@
 
 	"oleanderstall/allocator"
 	"oleanderstall/limiter"
+	"oleanderstall/placer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -177,7 +178,7 @@
 		if u.GetInflight() == 0 {
 			delete(lp.usage, key)
 		} else {
-			lp.usage[key] = min(u.GetInflight(), maxRequests)
+			lp.usage[key] = min(u.GetInflight(), placer.MaxRequests)
 		}
 		fs.updateUsage(key)
 	}
@@ -208,7 +209,7 @@
 	previous := lp.demands
 	lp.demands = map[string]allocator.Demand{}
 	for _, r := range requests {
-		if !plausible(r) {
+		if !placer.Plausible(r) {
 			continue
 		}
 		lp.demands[r.GetModel()] = decodeDemand(now, r)
@@ -231,7 +232,7 @@
 		Count:        r.GetCount(),
 		Value:        r.GetWorth(),
 		TargetTime:   now + time.Duration(r.GetGoal())*time.Millisecond,
-		FirstArrival: now - min(timer.FromMillis(r.GetAge()), maxWait),
+		FirstArrival: now - min(timer.FromMillis(r.GetAge()), placer.MaxWait),
 		Avoid:        r.GetAvoid(),
 	}
 }
--- a/relayer/odd_test.go
+++ b/relayer/odd_test.go
@@ -10,6 +10,7 @@
 
 	"oleanderstall/configurer"
 	"oleanderstall/faker"
+	"oleanderstall/placer"
 	"oleanderstall/wire"
 )
 
@@ -108,9 +109,9 @@
 // before all others at an engine.
 func TestOddAge(t *testing.T) {
 	odd := &wire.LoadRequest{Model: "odd", Count: 1, Age: math.MaxUint32}
-	assert.Equal(t, decodeDemand(time.Hour, odd).FirstArrival, time.Hour-maxWait)
+	assert.Equal(t, decodeDemand(time.Hour, odd).FirstArrival, time.Hour-placer.MaxWait)
 	request, _ := decodeLoadRequest(time.Hour, odd)
-	assert.Equal(t, request.firstArrival, time.Hour-maxWait)
+	assert.Equal(t, request.firstArrival, time.Hour-placer.MaxWait)
 }
 
 // TestAbsurdNumberOfCrashes guards against a relay that is busy for minutes, and loses all its
--- a/relayer/remotefeed.go
+++ b/relayer/remotefeed.go
@@ -5,6 +5,7 @@
 
 	"oleanderstall/allocator"
 	"oleanderstall/limiter"
+	"oleanderstall/placer"
 	"oleanderstall/router"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
@@ -106,7 +107,7 @@
 	for _, u := range batch.GetUses() {
 		key := serverModel{u.GetServer(), u.GetModel()}
 		previous := rf.usage[key]
-		rf.usage[key] = min(u.GetInflight(), maxRequests)
+		rf.usage[key] = min(u.GetInflight(), placer.MaxRequests)
 		if u.GetInflight() == 0 {
 			delete(rf.usage, key)
 		}
@@ -115,7 +116,7 @@
 		}
 	}
 	for _, r := range batch.GetNeeds() {
-		if !plausible(r) {
+		if !placer.Plausible(r) {
 			continue
 		}
 		if r.GetCount() == 0 && r.GetWorth() == 0 {
@@ -133,7 +134,7 @@
 // load requests that are not plausible.
 func (fs *FleetState) applyDecisions(now time.Duration, rf *remoteFeed, batch *wire.Batch) {
 	for _, r := range batch.GetWants() {
-		if !plausible(r) {
+		if !placer.Plausible(r) {
 			continue
 		}
 		key := serverModel{r.GetServer(), r.GetModel()}
