orderer: numbers of an engine's report are limited to those of a status

Seen: an engine whose report has a negative number of requests was reported with 4 billion of them, and one with more than 2^32 as idle, which draws the requests of all entries. A model that the report names twice counted twice in the memory in use, so that others were unloaded for nothing.

Evidence, before: orderer_test.go:263: != 0 (TestOddReport).

Ruled out: the order of the names, which the platform's reader sorts; they are sorted here as well since searches rely on it.

Why it works: the report is brought into the range of the status once, where it enters.

--- a/orderer/engine.go
+++ b/orderer/engine.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 
 	"oleanderstall/placer"
 	"oleanderstall/tracker"
@@ -49,6 +51,21 @@
 	CacheTokens int
 }
 
+// normalized returns the report with numbers that fit into a status, and with each model and
+// adapter named once.
+func (r Report) normalized() Report {
+	for _, n := range []*int{&r.Running, &r.Waiting, &r.UsedTokens, &r.CacheTokens} {
+		*n = min(math.MaxUint32, max(0, *n))
+	}
+	r.Models, r.Loading = sortedUnique(r.Models), sortedUnique(r.Loading)
+	return r
+}
+
+// sortedUnique returns the names sorted and without repetitions. It does not change the list.
+func sortedUnique(names []string) []string {
+	return slices.Compact(slices.Sorted(slices.Values(names)))
+}
+
 // Order is an order to load or unload a model or an adapter.
 type Order struct {
 	Op placer.Op
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -270,6 +270,7 @@
 func (o *Orderer) observe(now time.Duration, r Report) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	r = r.normalized()
 	if o.report.Started == 0 {
 		o.log.Info().Int64("born", r.Started).Msg("engine: responding")
 	}
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -248,3 +248,24 @@
 		}
 	}
 }
+
+// TestOddReport guards against an engine that looks idle or overloaded because a number of its
+// report does not fit into the status, and against memory that is counted twice for a model
+// that is named twice.
+func TestOddReport(t *testing.T) {
+	f := newFixture()
+	f.run(time.Second)
+	r := Report{Started: 1, Running: -1, Waiting: 1 << 40, UsedTokens: -1, CacheTokens: 1 << 40}
+	r.Models, r.Loading = []string{"a", "a"}, []string{"d", "d"}
+	f.orderer.observe(f.clock.Now(), r)
+	f.orderer.updateStatus(f.clock.Now())
+	status := f.orderer.status
+	assert.Equal(t, status.GetRunning(), uint32(0))
+	assert.Equal(t, status.GetWaiting(), uint32(math.MaxUint32))
+	assert.Equal(t, status.GetUsed(), uint32(0))
+	assert.Equal(t, status.GetCache(), uint32(math.MaxUint32))
+	assert.Equal(t, status.GetFree(), uint64(130-60-30))
+	assert.Equal(t, len(status.GetResidents()), 1)
+	load := f.orderer.Report(f.clock.Now(), true).GetCondition()
+	assert.Equal(t, load.GetRunning(), uint32(0))
+}
