orderer: load requests that arrived together keep an order

Seen: requests whose first arrival is the same instant, as in one assignment, came in the order of a map. The pending loads changed their places and times from poll to poll, and each change is a new status, which goes to the relay and from there to all entries.

Evidence, before: orderer_test.go:284: names c, b, a, d instead of a, b, c, d (TestEqualRequestsKeepOrder).

Why it works: equal instants are ordered by the name of the model.

--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -9,6 +9,7 @@
 package orderer
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -381,8 +382,8 @@
 	return outcome
 }
 
-// loadRequests merges the load requests of all relays by base model, oldest first. It
-// includes models that the engine already holds, and leaves out requests that are not
+// loadRequests merges the load requests of all relays by base model, oldest first and then by
+// name. It includes models that the engine already holds, and leaves out requests that are not
 // plausible. The caller holds the lock.
 func (o *Orderer) loadRequests() []placer.LoadRequest {
 	view := o.config.View()
@@ -412,7 +413,9 @@
 	for _, r := range merged {
 		list = append(list, *r)
 	}
-	slices.SortFunc(list, func(a, b placer.LoadRequest) int { return int(a.FirstArrival - b.FirstArrival) })
+	slices.SortFunc(list, func(a, b placer.LoadRequest) int {
+		return cmp.Or(cmp.Compare(a.FirstArrival, b.FirstArrival), cmp.Compare(a.Model, b.Model))
+	})
 	return list
 }
 
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -269,3 +269,18 @@
 	load := f.orderer.Report(f.clock.Now(), true).GetCondition()
 	assert.Equal(t, load.GetRunning(), uint32(0))
 }
+
+// TestEqualRequestsKeepOrder guards against pending loads that change their order, and with it
+// the status, from one poll to the next because their first requests arrived together.
+func TestEqualRequestsKeepOrder(t *testing.T) {
+	f := newFixture()
+	f.run(time.Second)
+	f.assign([]string{"d", "c", "b", "a"}, nil)
+	for range 50 {
+		var names []string
+		for _, r := range f.orderer.loadRequests() {
+			names = append(names, r.Model)
+		}
+		assert.DeepEqual(t, names, []string{"a", "b", "c", "d"})
+	}
+}
