relayer: the estimates of a closed feed are withdrawn

Seen: when the relay of another data centre is gone, its ready estimates stay for good: callers that wait for one of its models are refused because of an estimate that nobody renews, or wait for one that has passed, until the new owner of the model makes its own.

Cause: CloseFeed dropped the demands and servers of the feed, but an estimate did not say whose it was. For the same reason the withdrawal of one relay removed the estimate of another.

Evidence, before: fleetstate_test.go:86: assertion failed: known is true (TestCloseFeedWithdrawsEstimates).

Why it works: an estimate names the data centre whose relay made it, and only that one's withdrawal or end removes it. The removal is sent to the entries, which then wait on.

Tests: go test -race ./relayer passed.

--- a/relayer/fleetstate.go
+++ b/relayer/fleetstate.go
@@ -40,8 +40,9 @@
 // readyEstimate is the instant at which a model is expected to serve.
 type readyEstimate struct {
 	ready time.Duration
-	// local is set if this relay made the estimate.
-	local bool
+	// local is set if this relay made the estimate. Otherwise that of the data centre did.
+	local  bool
+	centre string
 }
 
 // FleetState is the state of the fleet as one relay knows it. It is not safe for
--- a/relayer/fleetstate_test.go
+++ b/relayer/fleetstate_test.go
@@ -67,3 +67,21 @@
 		})
 	}
 }
+
+// TestCloseFeedWithdrawsEstimates guards against callers that are refused, or wait, because of
+// the ready estimate of a relay that is gone. Estimates of other relays stay.
+func TestCloseFeedWithdrawsEstimates(t *testing.T) {
+	fs := NewFleetState("relay", "c0", configurer.New(), faker.DiscardLogger())
+	for _, centre := range []string{"c1", "c2"} {
+		fs.OpenFeed(time.Hour, centre, "relay of "+centre)
+		fs.ApplyFeed(time.Hour, centre, &wire.Batch{Outlooks: []*wire.ReadyEstimate{{Model: "model of " + centre, Left: 5000}}})
+	}
+	fs.estimates.set("own", readyEstimate{local: true})
+	fs.CloseFeed(time.Hour, "c1", "relay of c1")
+	for _, name := range []string{"model of c2", "own"} {
+		_, known := fs.estimates.get(name)
+		assert.Assert(t, known, name)
+	}
+	_, known := fs.estimates.get("model of c1")
+	assert.Assert(t, !known)
+}
--- a/relayer/remotefeed.go
+++ b/relayer/remotefeed.go
@@ -63,11 +63,21 @@
 	for name := range rf.demands {
 		fs.updateTotalDemand(name)
 	}
+	for name := range fs.estimates.all() {
+		fs.withdrawEstimate(centre, name)
+	}
 	fs.decisionStale = true
 	fs.markUrgent(Entry)
 	fs.log.Info().Str("centre", centre).Str("relay", relay).Msg("relay: lost")
 }
 
+// withdrawEstimate removes the ready estimate of a model if the relay of a data centre made it.
+func (fs *FleetState) withdrawEstimate(centre, name string) {
+	if known, ok := fs.estimates.get(name); ok && !known.local && known.centre == centre {
+		fs.estimates.remove(name)
+	}
+}
+
 // ApplyFeed applies a batch of another data centre's relay, if its feed is open.
 func (fs *FleetState) ApplyFeed(now time.Duration, centre string, batch *wire.Batch) {
 	rf := fs.remoteFeeds[centre]
@@ -94,7 +104,7 @@
 	fs.mergeCrashes(now, batch.GetCrashes())
 	fs.UpdateServers(now-timer.FromMillis(batch.GetAge()), batch.GetItems())
 	fs.applyDemands(now, rf, batch)
-	fs.applyDecisions(now, rf, batch)
+	fs.applyDecisions(now, centre, rf, batch)
 	fs.applyEntryCounts(now, centre, rf, batch)
 	if len(batch.GetConditions())+len(batch.GetLost())+len(batch.GetParted())+len(batch.GetOutlooks()) > 0 {
 		fs.markUrgent(Entry)
@@ -132,7 +142,7 @@
 
 // applyDecisions applies the load requests and ready estimates of another relay. It ignores
 // load requests that are not plausible.
-func (fs *FleetState) applyDecisions(now time.Duration, rf *remoteFeed, batch *wire.Batch) {
+func (fs *FleetState) applyDecisions(now time.Duration, centre string, rf *remoteFeed, batch *wire.Batch) {
 	for _, r := range batch.GetWants() {
 		if !placer.Plausible(r) {
 			continue
@@ -147,9 +157,9 @@
 	}
 	for _, e := range batch.GetOutlooks() {
 		if e.GetGone() {
-			fs.estimates.remove(e.GetModel())
+			fs.withdrawEstimate(centre, e.GetModel())
 		} else {
-			fs.estimates.set(e.GetModel(), readyEstimate{ready: now + timer.FromMillis(e.GetLeft())})
+			fs.estimates.set(e.GetModel(), readyEstimate{ready: now + timer.FromMillis(e.GetLeft()), centre: centre})
 		}
 	}
 }
