--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"os"
 	"testing"
 	"time"
@@ -245,3 +246,64 @@
 	f.assignRepeatedly(3*time.Second, "b")
 	assert.Assert(t, f.holds("b"))
 }
+
+// TestOddAssignment guards against an engine that neither loads nor unloads a model any more
+// because one entry of its relay's lists has an odd number.
+func TestOddAssignment(t *testing.T) {
+	for _, odd := range []*wire.LoadRequest{
+		{Model: "c", Count: 1, Worth: math.NaN()},
+		{Model: "c", Count: 1, Worth: math.Inf(1)},
+		{Model: "c", Count: 1, Worth: 1, Rate: math.NaN()},
+		{Model: "c", Count: math.MaxUint32, Worth: 1},
+	} {
+		f := newFixture()
+		f.engine.loaded["a"], f.engine.loaded["b"] = []string{}, []string{}
+		f.run(time.Second)
+		f.sendBatch(&wire.Assignment{
+			Wants:   []*wire.LoadRequest{odd, {Model: "d", Count: 1, Worth: 1, Goal: 2000}},
+			Demands: []*wire.ModelUsage{{Model: "a", Rate: math.NaN()}, {Model: "b", Rate: math.Inf(1)}},
+		})
+		f.run(loadTime + time.Second)
+		assert.Assert(t, f.engine.loaded["d"] != nil, "%v", odd)
+		assert.Assert(t, f.engine.loaded["c"] == nil, "%v", odd)
+		for _, r := range f.orderer.status.GetResidents() {
+			assert.Assert(t, r.GetKeep() >= 0 && r.GetKeep() < 1e6, "%v", r)
+		}
+	}
+}
+
+// TestOddReport guards against an engine that looks idle or overloaded because a number of its
+// report does not fit into the status, and against memory that is counted twice for a model
+// that is named twice.
+func TestOddReport(t *testing.T) {
+	f := newFixture()
+	f.run(time.Second)
+	r := Report{Started: 1, Running: -1, Waiting: 1 << 40, UsedTokens: -1, CacheTokens: 1 << 40}
+	r.Models, r.Loading = []string{"a", "a"}, []string{"d", "d"}
+	f.orderer.observe(f.clock.Now(), r)
+	f.orderer.updateStatus(f.clock.Now())
+	status := f.orderer.status
+	assert.Equal(t, status.GetRunning(), uint32(0))
+	assert.Equal(t, status.GetWaiting(), uint32(math.MaxUint32))
+	assert.Equal(t, status.GetUsed(), uint32(0))
+	assert.Equal(t, status.GetCache(), uint32(math.MaxUint32))
+	assert.Equal(t, status.GetFree(), uint64(130-60-30))
+	assert.Equal(t, len(status.GetResidents()), 1)
+	load := f.orderer.Report(f.clock.Now(), true).GetCondition()
+	assert.Equal(t, load.GetRunning(), uint32(0))
+}
+
+// TestEqualRequestsKeepOrder guards against pending loads that change their order, and with it
+// the status, from one poll to the next because their first requests arrived together.
+func TestEqualRequestsKeepOrder(t *testing.T) {
+	f := newFixture()
+	f.run(time.Second)
+	f.assign([]string{"d", "c", "b", "a"}, nil)
+	for range 50 {
+		var names []string
+		for _, r := range f.orderer.loadRequests() {
+			names = append(names, r.Model)
+		}
+		assert.DeepEqual(t, names, []string{"a", "b", "c", "d"})
+	}
+}
