runner: an odd holder row does not keep an engine from its sidecar

Seen: with a row in the place of an engine's holder row that cannot be read, the engine's sidecar tried to acquire the engine every second for ever and never ordered it: no model was loaded or unloaded there. A row such as {} counted as no holder: the sidecar ordered at once, and an adopter took the engine, although the row may have replaced that of another holder whose orders are still on their way.

Cause: acquire returned the decoding error, and an empty name meant that there is no row.

Change: a row that names no holder counts as that of another sidecar. The engine's own sidecar takes it over and waits for a lease before its first order; an adopter leaves the engine alone, since a sidecar may order it unnoticed.

--- a/runner/ownership.go
+++ b/runner/ownership.go
@@ -51,10 +51,10 @@
 	Adopted bool `json:"adopted,omitempty"`
 }
 
-// HasSidecarError reports that an engine has a sidecar. No other process may acquire the
-// engine, since the sidecar might continue to order it without noticing.
+// HasSidecarError reports that an engine has a sidecar, or may have one. No other process may
+// acquire the engine, since the sidecar might continue to order it without noticing.
 type HasSidecarError struct {
-	// Holder is the sidecar's name.
+	// Holder is the sidecar's name, or empty if the holder row does not tell.
 	Holder string
 }
 
@@ -65,18 +65,16 @@
 // the holder row is still the given one. It writes nothing if the row names this process
 // already. The fencing number is the version of the row, which grows with each
 // acquisition. If another process was the holder before, the first order waits for a
-// lease. An adopting process does not acquire an engine from its sidecar; the error is
+// lease. A row that cannot be read counts as that of another process, a sidecar. An adopting process does not acquire an engine from its sidecar; the error is
 // then a *HasSidecarError. If the row has another version by now, it is a
 // *storer.ConflictError.
 func (o *ownership) acquire(ctx context.Context, table storer.Table, row storer.Row, puts ...storer.Put) error {
-	current, err := decodeHolder(row)
-	if err != nil {
-		return err
-	}
-	if o.self.Adopted && current.Holder != "" && !current.Adopted {
+	current := decodeHolder(row)
+	held := row.Version > 0
+	if o.self.Adopted && held && !current.Adopted {
 		return &HasSidecarError{Holder: current.Holder}
 	}
-	if current.Holder != "" && current.Holder != o.self.Holder {
+	if held && current.Holder != o.self.Holder {
 		o.takeoverWait = o.lease
 	}
 	if current == o.self {
@@ -115,14 +113,12 @@
 	return o.acquire(ctx, table, row, puts...)
 }
 
-// decodeHolder decodes an engine's holder row. The result is empty if there is no row.
-func decodeHolder(row storer.Row) (holderRow, error) {
+// decodeHolder decodes an engine's holder row. The result is empty if there is no row or if the
+// row names no holder.
+func decodeHolder(row storer.Row) holderRow {
 	var holder holderRow
-	if row.Version == 0 {
-		return holder, nil
-	}
 	if err := json.Unmarshal(row.Value, &holder); err != nil {
-		return holder, storer.NewFormatError("the row of an engine's holder cannot be read", err)
+		return holderRow{}
 	}
-	return holder, nil
+	return holder
 }
