runner: an odd row of the fleet's secret is replaced

Seen: whatever another writer left in the row became the fleet's secret, also an empty text, with which any process can join.

Cause: the value was taken unchecked.

Change: a value of less than 16 bytes is no secret. The process replaces it under the version that it has read, so that all processes agree on one.

Evidence: TestOddSecretRow failed before: "errors.As(err, &formatErr): "": <nil>".

Not covered: a longer odd value counts as a secret, and processes that started before it keep theirs and refuse those that start later. The table is the system's own.

--- a/runner/joiner.go
+++ b/runner/joiner.go
@@ -43,15 +43,19 @@
 	}
 }
 
+// minFleetSecretBytes is the length of the shortest secret of a fleet, in bytes.
+const minFleetSecretBytes = 16
+
 // fleetSecret returns the fleet's secret: from its row, if that is known, or else from the
-// store. If the store has none yet, it creates one.
+// store. If the store has none yet, or the known row holds none, it creates one. A
+// *storer.FormatError reports that the row in the store, which is newer, holds none.
 func fleetSecret(ctx context.Context, table storer.Table, known storer.Row) (string, error) {
-	if known.Version > 0 {
+	if len(known.Value) >= minFleetSecretBytes {
 		return string(known.Value), nil
 	}
 	created := rand.Text()
 	_, err := table.Commit(ctx, storer.Transaction{
-		Checks: []storer.Check{{Key: storer.SecretKey}},
+		Checks: []storer.Check{{Key: storer.SecretKey, Version: known.Version}},
 		Puts:   []storer.Put{{Key: storer.SecretKey, Value: []byte(created)}},
 	})
 	var conflict *storer.ConflictError
@@ -59,6 +63,9 @@
 		return "", err
 	}
 	row, err := table.Get(ctx, storer.SecretKey)
+	if err == nil && len(row.Value) < minFleetSecretBytes {
+		return "", storer.NewFormatError("the row of the fleet's secret holds none", nil)
+	}
 	return string(row.Value), err
 }
 
--- a/runner/joiner_test.go
+++ b/runner/joiner_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -45,3 +46,21 @@
 		})
 	}
 }
+
+// TestOddSecretRow guards against a fleet whose secret is what another writer left in its row, an
+// empty one at worst: it is replaced, and all processes read the same one.
+func TestOddSecretRow(t *testing.T) {
+	for _, odd := range []string{``, `x`, "\xff"} {
+		table := newRowTable(t)
+		row := putRow(t, table, storer.SecretKey, odd)
+		_, err := fleetSecret(t.Context(), table, storer.Row{})
+		var formatErr *storer.FormatError
+		assert.Assert(t, errors.As(err, &formatErr), "%q: %v", odd, err)
+		first, err := fleetSecret(t.Context(), table, row)
+		assert.NilError(t, err)
+		second, err := fleetSecret(t.Context(), table, row)
+		assert.NilError(t, err)
+		assert.Equal(t, first, second)
+		assert.Assert(t, len(first) >= minFleetSecretBytes)
+	}
+}
