tracker: a server that is not at its address hides no other one there

Seen: another writer's row with the address of a sound server and a later start took the place of the sound one: the first request was answered with 421 and the address then got no work at all until one of the rows changed.

Cause: of the servers listed at one address the one that started last was chosen before it was asked whether its address had answered for another server.

Change: a mismatched server is left out of the choice.

Evidence: TestMismatchedServerShadowsNone failed before: "0 != 1".

Ruled out: work for a server that has ended. If it is chosen because the newer one at its address is mismatched, its requests name it and are refused there without being run; then it is mismatched too.

--- a/tracker/backend.go
+++ b/tracker/backend.go
@@ -52,7 +52,7 @@
 	// backOffUntil is the end of the back-off that the server has asked for.
 	backOffUntil time.Duration
 	// serving is set if the server takes new work according to the list, and none that
-	// started later is listed at its address.
+	// started later is listed at its address, apart from mismatched ones.
 	serving bool
 	// mismatched is set if an answer from the server's address came from a server
 	// other than the listed one.
@@ -195,7 +195,8 @@
 // is listed again or its sidecar reports. A current status from the sidecar takes
 // precedence: the answer is then ignored.
 func (b *Backend) MarkMismatched(now time.Duration) {
-	if b.Status(now) == nil {
+	if b.Status(now) == nil && !b.mismatched {
 		b.mismatched = true
+		b.fleet.pools = nil
 	}
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -77,7 +77,7 @@
 type Fleet struct {
 	backends map[string]*Backend
 	// pools are the servers whose serving is set, by pool and sorted by ID, or nil if the
-	// list has changed since they were computed.
+	// list or a mismatch has changed since they were computed.
 	pools map[string][]*Backend
 	// unlisted holds the latest statuses of servers that are not listed yet, by ID.
 	unlisted map[string]unlistedStatus
@@ -163,6 +163,9 @@
 		return true
 	}
 	before := b.ModelNames()
+	if b.mismatched {
+		f.pools = nil
+	}
 	b.status, b.statusAt, b.lostAt, b.mismatched = s, now, 0, false
 	f.reindex(b, before)
 	b.otherRequests = max(0, int(s.GetRunning()+s.GetWaiting())-b.inflight)
@@ -239,7 +242,8 @@
 }
 
 // Pool returns the servers of a pool that take new work, sorted by ID. Of several servers
-// listed at one address, only the one that started last can still exist.
+// listed at one address, only the one that started last can still exist, unless its address
+// answered for another server.
 func (f *Fleet) Pool(name string) []*Backend {
 	f.rebuildPools()
 	var list []*Backend
@@ -259,7 +263,7 @@
 }
 
 // rebuildPools groups the servers that take new work according to the list by pool, if the
-// list has changed.
+// list or a mismatch has changed.
 func (f *Fleet) rebuildPools() {
 	if f.pools != nil {
 		return
@@ -267,6 +271,9 @@
 	newest := map[string]*Backend{}
 	for _, b := range f.backends {
 		b.serving = false
+		if b.mismatched {
+			continue
+		}
 		if n := newest[b.server.Address]; n == nil || b.server.Started > n.server.Started {
 			newest[b.server.Address] = b
 		}
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -103,3 +103,17 @@
 	assert.Assert(t, b.RecentlyActive(now+activityWindow))
 	assert.Assert(t, !b.RecentlyActive(now+activityWindow+1))
 }
+
+// TestMismatchedServerShadowsNone guards against a sound server that gets no work because another
+// writer's row lists a server at its address that claims a later start.
+func TestMismatchedServerShadowsNone(t *testing.T) {
+	f := New()
+	f.UpdateServer(Server{ID: "a", Pool: "p", Address: "x", Started: 1})
+	f.UpdateServer(Server{ID: "odd", Pool: "p", Address: "x", Started: 1 << 60})
+	f.Get("odd").MarkMismatched(time.Hour)
+	list := f.Pool("p")
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0].Server().ID, "a")
+	f.Get("a").MarkMismatched(time.Hour)
+	assert.Equal(t, len(f.Pool("p")), 0)
+}
