checker: deeply nested settings do not end the process

Seen: a settings file of 1 MB that is nested without end ended the process that read it: "runtime: goroutine stack exceeds-byte limit, fatal error: stack overflow", which nothing can recover from. The file is read again while the process runs, so a running process ends too.

Cause: the parser of JSON with comments calls itself for each level and has no bound.

Change: before the file is parsed, each list or object nested deeper than 100 levels is replaced by a number and spaces, so that all else keeps its line. No setting has as many levels: what is replaced is reported as a value of the wrong type, by its field, together with all other faults.

Evidence: TestNestedSettings ended the test process before with the text above.

Ruled out: encoding/json, which is used for all that comes from the platform: it gives up at 10,000 levels.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -229,7 +229,7 @@
 		f.addFault(1, "", fmt.Sprintf("the file is larger than %d bytes", maxFileSize))
 		return nil, f.settingsError()
 	}
-	root, err := hujson.Parse(data)
+	root, err := hujson.Parse(limitNesting(data))
 	if err != nil {
 		f.addFault(syntaxFault(err))
 		return nil, f.settingsError()
