checker: ports, times and numbers of the hosted face are checked

Seen: settings with a port such as 65536 or "http", port 0 of the store, a lease below zero or numbers such as 1e300 were accepted; the process failed later, where nothing names the field. The limit of memory was converted to an integer beyond its range, which arm64 and x86-64 do differently.

Cause: only the IP of an address was checked, and most numbers only for their sign.

Change: addresses have to parse as IP and port, that of the store and the one in a URL with a port from 1; numbers are from 0 to 1e12, the lease is at least 10 ms and the window not negative. All faults are reported in one pass, as before.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -9,9 +9,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
+	"net/netip"
 	"net/url"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -341,22 +342,32 @@
 	}
 }
 
+// minEngineLease is the shortest lease time of an engine.
+const minEngineLease = 10 * time.Millisecond
+
+// maxNumber is the greatest number of megabytes, tokens or retries.
+const maxNumber = 1e12
+
+// checkNumber adds a fault if value is not from 0 to maxNumber.
+func (f *fileChecker) checkNumber(field string, value float64) {
+	if value < 0 {
+		f.addValueFault(field, "must not be negative")
+	}
+	if value > maxNumber {
+		f.addValueFault(field, fmt.Sprintf("%g is above %g", value, float64(maxNumber)))
+	}
+}
+
 // checkHosted validates the settings for a platform that hosts the process.
 func (f *fileChecker) checkHosted(h *Hosted) {
-	f.checkAddress("hosted.store", h.StoreAddress, true)
+	f.checkRemoteAddress("hosted.store", h.StoreAddress)
 	f.checkAddress("hosted.ready", h.ReadinessAddress, false)
-	if h.MaxMemoryMB < 0 {
-		f.addValueFault("hosted.memory", "must not be negative")
-	}
-	if h.TokenSlack < 0 {
-		f.addValueFault("hosted.slack", "must not be negative")
-	}
-	if h.Retries.Ratio < 0 {
-		f.addValueFault("hosted.retries.ratio", "must not be negative")
-	}
-	if h.Retries.Burst < 0 {
-		f.addValueFault("hosted.retries.slack", "must not be negative")
-	}
+	f.checkNumber("hosted.memory", h.MaxMemoryMB)
+	f.checkNumber("hosted.slack", h.TokenSlack)
+	f.checkNumber("hosted.retries.ratio", h.Retries.Ratio)
+	f.checkNumber("hosted.retries.slack", h.Retries.Burst)
+	f.checkAtLeast("hosted.lease", time.Duration(h.EngineLease), minEngineLease)
+	f.checkAtLeast("hosted.window", time.Duration(h.LimitWindow), 0)
 	f.checkAtLeast("hosted.grace", time.Duration(h.GracePeriod), time.Second)
 }
 
@@ -418,22 +429,34 @@
 }
 
 // checkAddress adds a fault if value is not of the form IP:port. Host names are not
-// allowed. An empty value is a fault only if the address is required.
+// allowed; port 0 stands for any free one. An empty value is a fault only if the address is
+// required.
 func (f *fileChecker) checkAddress(field, value string, required bool) {
 	if value == "" && !required {
 		return
 	}
-	host, _, err := net.SplitHostPort(value)
-	if err != nil || net.ParseIP(host) == nil {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		f.addValueFault(field, fmt.Sprintf("%q is not an IP number and a port", value))
+	}
+}
+
+// checkRemoteAddress adds a fault if value is not the IP:port of another host.
+func (f *fileChecker) checkRemoteAddress(field, value string) {
+	if address, err := netip.ParseAddrPort(value); err != nil || address.Port() == 0 {
 		f.addValueFault(field, fmt.Sprintf("%q is not an IP number and a port", value))
 	}
 }
 
-// checkURL adds a fault if value is not an http or https URL with a host.
+// checkURL adds a fault if value is not an http or https URL with a host and, if it names one, a
+// port from 1 to 65535.
 func (f *fileChecker) checkURL(field, value string) {
 	u, err := url.Parse(value)
 	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
 		f.addValueFault(field, fmt.Sprintf("%q is not an http or https URL", value))
+		return
+	}
+	if port, err := strconv.ParseUint(u.Port(), 10, 16); u.Port() != "" && (err != nil || port == 0) {
+		f.addValueFault(field, fmt.Sprintf("the port of %q is not from 1 to 65535", value))
 	}
 }
 
--- a/checker/odd_test.go
+++ b/checker/odd_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 
@@ -58,6 +59,56 @@
 	return fields
 }
 
+// TestOddHostedSettings guards against a process that starts with an address that cannot be, a
+// time below zero or a number that no integer holds, and ends later.
+func TestOddHostedSettings(t *testing.T) {
+	assert.Equal(t, len(faultFields(t, hostedSettings(nil))), 0)
+	addresses := []string{`"127.0.0.1:65536"`, `"127.0.0.1:99999999999"`, `"127.0.0.1:-1"`, `"127.0.0.1:http"`, `"127.0.0.1:"`, `"host:80"`, `7`, `[]`, nested(20_000)}
+	for field, values := range map[string][]string{
+		"peer":                 addresses,
+		"admin":                addresses,
+		"hosted.ready":         addresses,
+		"entry.callers":        addresses,
+		"hosted.store":         append([]string{`"127.0.0.1:0"`, `""`}, addresses...),
+		"hosted.lease":         {`"-3s"`, `"1ns"`, `"9999999999h"`, `3`, `null`},
+		"hosted.window":        {`"-1s"`, `"x"`},
+		"hosted.memory":        {`-1`, `1e300`, `1e999`, `"1"`},
+		"hosted.slack":         {`-1`, `1e300`, `1e999`},
+		"hosted.grace":         {`"-8s"`, `8`},
+		"hosted.retries.ratio": {`-1`, `1e300`},
+		"hosted.retries.slack": {`-1`, `1e300`},
+	} {
+		for _, value := range values {
+			changes := map[string]string{field: value}
+			if name, ok := strings.CutPrefix(field, "hosted.retries."); ok {
+				changes = map[string]string{"hosted.retries": fmt.Sprintf(`{%q:%s}`, name, value)}
+			}
+			fields := faultFields(t, hostedSettings(changes))
+			assert.Check(t, len(fields) == 1 && fields[0] == field, "%s %.40s: %q", field, value, fields)
+		}
+	}
+}
+
+// TestOddURL guards against a sidecar that starts with a port that no engine can have.
+func TestOddURL(t *testing.T) {
+	const settings = `{"role":"sidecar","name":"s","centre":"c","peer":"127.0.0.1:1","hosted":{"store":"10.0.0.1:80"},
+	  "sidecar":{"kind":"engine","pool":"p","backend":%q}}`
+	for _, c := range []struct {
+		url   string
+		wrong bool
+	}{
+		{"http://127.0.0.1:8000", false},
+		{"http://127.0.0.1", false},
+		{"http://127.0.0.1:0", true},
+		{"http://127.0.0.1:65536", true},
+		{"http://127.0.0.1:99999999999999999999", true},
+		{"http://127.0.0.1:-1", true},
+	} {
+		fields := faultFields(t, fmt.Sprintf(settings, c.url))
+		assert.Check(t, len(fields) == 1 == c.wrong, "%s: %q", c.url, fields)
+	}
+}
+
 // nested returns a JSON list in lists of the given depth.
 func nested(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
 
@@ -107,8 +158,9 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		_, err := Check(data, noEnvironment)
+		s, err := Check(data, noEnvironment)
 		if err == nil {
+			assert.Assert(t, s.Hosted == nil || s.Hosted.MaxMemoryMB >= 0 && s.Hosted.MaxMemoryMB < math.MaxInt64/1e6)
 			return
 		}
 		var settingsErr *SettingsError
