dispatcher: a begun stream that may not be resumed is not continued

What callers could see (ORDER): a stream put together from the events of two runs. Where a server of an idempotent route answers with a stream of events that breaks off, the request was sent to another server with Last-Event-Id, and the events of that one followed.

Evidence: TestStreamIsNotJoined failed for idempotent requests ("true (err == nil bool) != false (kind == Resumable bool): idempotent: <nil>").

Ruled out: requests that run at most once (not repeated before).

Fix: once the caller has a part of an answer, only requests that may be resumed get another attempt.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -377,11 +377,12 @@
 // cause.
 const maxLostUnanswered = 3
 
-// shouldRetry reports whether to make another attempt after err. The retry budget is
-// charged unless the request certainly did not reach the backend server.
+// shouldRetry reports whether to make another attempt after err. A request of whose answer the
+// caller has a part goes on only if it may be resumed. The retry budget is charged unless the
+// request certainly did not reach the backend server.
 func (c *Core) shouldRetry(p *progress, err error) bool {
 	refusal, request := refuser.FromError(err), p.request
-	if !refusal.NeverRan() && request.Kind == AtMostOnce {
+	if !refusal.NeverRan() && request.Kind == AtMostOnce || p.assembly.Begun() && request.Kind != Resumable {
 		return false
 	}
 	if p.lostUnanswered >= maxLostUnanswered || request.MaxAttempts > 0 && p.possibleRuns >= request.MaxAttempts {
--- a/dispatcher/resume_test.go
+++ b/dispatcher/resume_test.go
@@ -189,3 +189,17 @@
 		assert.DeepEqual(t, out.events, c.events)
 	}
 }
+
+// TestStreamIsNotJoined guards against a stream that is put together from the events of two runs
+// although its route does not allow it to be resumed.
+func TestStreamIsNotJoined(t *testing.T) {
+	stream := assembler.Head{Status: http.StatusOK, Stream: true, Framing: assembler.Chunks}
+	lost := refuser.MayHaveRun(refuser.ConnectionLost, "the stream broke off")
+	for kind, events := range map[Kind][]uint64{AtMostOnce: {0, 1}, Idempotent: {0, 1}, Resumable: {0, 1, 2}} {
+		servers := &scriptedServers{answers: []*scriptedAnswer{{head: stream, events: []uint64{0, 1}, err: lost}, {head: stream, events: []uint64{2}}}}
+		out := &receivedAnswer{}
+		_, err := newTestCore(servers).Serve(t.Context(), &Request{Kind: kind, Deadline: 2 * time.Hour}, out)
+		assert.Equal(t, err == nil, kind == Resumable, "%v: %v", kind, err)
+		assert.DeepEqual(t, out.events, events)
+	}
+}
