--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -1,7 +1,9 @@
 package assembler
 
 import (
+	"bufio"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -12,7 +14,7 @@
 func TestFindOwner(t *testing.T) {
 	for _, c := range []struct {
 		request, answer string
-		refusal, kept   bool
+		optional, kept  bool
 		owner           Owner
 	}{
 		{"1", "1", false, false, Own},
@@ -25,7 +27,27 @@
 		{"", "", false, false, Other},
 		{"", "", true, true, Unknown},
 	} {
-		assert.Equal(t, FindOwner(c.request, c.answer, c.refusal, c.kept), c.owner, "%+v", c)
+		assert.Equal(t, FindOwner(c.request, c.answer, c.optional, c.kept), c.owner, "%+v", c)
+	}
+}
+
+// TestFramingOf checks what marks the end of each kind of response.
+func TestFramingOf(t *testing.T) {
+	for _, c := range []struct {
+		method, text string
+		framing      Framing
+	}{
+		{http.MethodGet, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", Length},
+		{http.MethodGet, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", Chunks},
+		{http.MethodGet, "HTTP/1.1 200 OK\r\n\r\na", Connection},
+		{http.MethodGet, "HTTP/1.0 200 OK\r\n\r\na", Connection},
+		{http.MethodGet, "HTTP/1.1 204 No Content\r\n\r\n", Length},
+		{http.MethodHead, "HTTP/1.1 200 OK\r\n\r\n", Length},
+	} {
+		res, err := http.ReadResponse(bufio.NewReader(strings.NewReader(c.text)), &http.Request{Method: c.method})
+		assert.NilError(t, err)
+		assert.Equal(t, FramingOf(res), c.framing, c.text)
+		assert.NilError(t, res.Body.Close())
 	}
 }
 
@@ -33,9 +55,8 @@
 // once it has ended.
 func TestCheckEnd(t *testing.T) {
 	for framing := Message; framing <= Connection; framing++ {
-		h := Head{Status: http.StatusOK, Framing: framing}
-		assert.NilError(t, CheckEnd(h, func() bool { return true }))
-		err := CheckEnd(h, func() bool { return false })
+		assert.NilError(t, CheckEnd(framing, func() bool { return true }))
+		err := CheckEnd(framing, func() bool { return false })
 		assert.Equal(t, err != nil, framing == Connection, "%v: %v", framing, err)
 	}
 }
--- a/limiter/ledger.go
+++ b/limiter/ledger.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"oleanderstall/timer"
 )
 
 // absentAfter is how long the rest of the fleet may go without a report before its share of
@@ -113,8 +115,11 @@
 }
 
 // SetEntryCount sets the number of all entries, including this one. The share of the limits
-// of the absent ones is reserved.
+// of the absent ones is reserved. A number that is not plausible is ignored.
 func (l *Ledger) SetEntryCount(now time.Duration, c EntryCount) {
+	if !c.plausible() {
+		return
+	}
 	l.entryCount, l.countReported = c, true
 	l.resizeBuckets(now)
 }
@@ -129,10 +134,10 @@
 }
 
 // AdoptLevels sets the levels of buckets that were kept before this entry started. It changes
-// each bucket once at most.
+// each bucket once at most, and none to a level that is not plausible.
 func (l *Ledger) AdoptLevels(now time.Duration, levels map[string]float64) {
 	for name, level := range levels {
-		if a := l.accounts[name]; a != nil && a.levelUnknown {
+		if a := l.accounts[name]; a != nil && a.levelUnknown && plausible(level) {
 			a.levelUnknown = false
 			a.bucket.Spend(now, a.bucket.Level(now)-level)
 		}
@@ -240,7 +245,7 @@
 	if level >= min(need, a.bucket.Burst()) {
 		return 0
 	}
-	return time.Duration((need - level) / a.limit.Rate * float64(time.Second))
+	return timer.FromSeconds((need - level) / a.limit.Rate)
 }
 
 // Charge charges a workspace for tokens. It reports false and charges nothing if they are
@@ -293,5 +298,5 @@
 	a.deferred = max(0, a.deferred-a.limit.Rate*(now-a.deferredAt).Seconds())
 	a.deferredAt = now
 	a.deferred += max(0, tokens-a.bucket.Level(now))
-	return time.Duration(a.deferred / a.limit.Rate * float64(time.Second))
+	return timer.FromSeconds(a.deferred / a.limit.Rate)
 }
--- a/relayer/assignment.go
+++ b/relayer/assignment.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"oleanderstall/placer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -31,7 +32,7 @@
 		count:        message.GetCount(),
 		value:        message.GetWorth(),
 		targetTime:   now + time.Duration(message.GetGoal())*time.Millisecond,
-		firstArrival: now - timer.FromMillis(message.GetAge()),
+		firstArrival: now - min(timer.FromMillis(message.GetAge()), placer.MaxWait),
 		relief:       message.GetRate(),
 	}
 	return request, request.count > 0 || request.value > 0
@@ -45,7 +46,7 @@
 		Model:  key.model,
 		Count:  r.count,
 		Worth:  r.value,
-		Goal:   int32(min(math.MaxInt32, (r.targetTime - now).Milliseconds())),
+		Goal:   timer.ToSignedMillis(r.targetTime - now),
 		Age:    timer.ToMillis(now - r.firstArrival),
 		Rate:   r.relief,
 	}
--- a/relayer/fleetstate.go
+++ b/relayer/fleetstate.go
@@ -40,8 +40,9 @@
 // readyEstimate is the instant at which a model is expected to serve.
 type readyEstimate struct {
 	ready time.Duration
-	// local is set if this relay made the estimate.
-	local bool
+	// local is set if this relay made the estimate. Otherwise that of the data centre did.
+	local  bool
+	centre string
 }
 
 // FleetState is the state of the fleet as one relay knows it. It is not safe for
@@ -171,7 +172,7 @@
 		return
 	}
 	fs.engineLoads.set(load.GetServer(), load)
-	fs.allocator.RecordLoad(now, load.GetServer(), int(load.GetRunning()+load.GetWaiting()))
+	fs.allocator.RecordLoad(now, load.GetServer(), int(load.GetRunning())+int(load.GetWaiting()))
 }
 
 // checkReportSources is called after a source of reports about a server has ended, which is
--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -8,6 +8,7 @@
 
 	"oleanderstall/allocator"
 	"oleanderstall/limiter"
+	"oleanderstall/placer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -177,7 +178,7 @@
 		if u.GetInflight() == 0 {
 			delete(lp.usage, key)
 		} else {
-			lp.usage[key] = u.GetInflight()
+			lp.usage[key] = min(u.GetInflight(), placer.MaxRequests)
 		}
 		fs.updateUsage(key)
 	}
@@ -202,12 +203,15 @@
 	}
 }
 
-// replaceDemands replaces the demands of an entry. The entry is sent the ready estimate of
-// each model that is new among them.
+// replaceDemands replaces the demands of an entry, and ignores those that are not plausible.
+// The entry is sent the ready estimate of each model that is new among them.
 func (fs *FleetState) replaceDemands(now time.Duration, lp *linkedProcess, requests []*wire.LoadRequest) {
 	previous := lp.demands
 	lp.demands = map[string]allocator.Demand{}
 	for _, r := range requests {
+		if !placer.Plausible(r) {
+			continue
+		}
 		lp.demands[r.GetModel()] = decodeDemand(now, r)
 		if _, ok := previous[r.GetModel()]; !ok {
 			lp.estimatesDue[r.GetModel()] = true
@@ -228,7 +232,7 @@
 		Count:        r.GetCount(),
 		Value:        r.GetWorth(),
 		TargetTime:   now + time.Duration(r.GetGoal())*time.Millisecond,
-		FirstArrival: now - timer.FromMillis(r.GetAge()),
+		FirstArrival: now - min(timer.FromMillis(r.GetAge()), placer.MaxWait),
 		Avoid:        r.GetAvoid(),
 	}
 }
--- a/runner/joiner.go
+++ b/runner/joiner.go
@@ -5,12 +5,15 @@
 	"crypto/rand"
 	"encoding/json"
 	"errors"
+	"net/netip"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"oleanderstall/relayer"
 	"oleanderstall/storer"
 	"oleanderstall/timer"
+	"oleanderstall/wire"
 )
 
 // Times of the attempts at a call that has to succeed. The pause between two attempts
@@ -40,15 +43,19 @@
 	}
 }
 
+// minFleetSecretBytes is the length of the shortest secret of a fleet, in bytes.
+const minFleetSecretBytes = 16
+
 // fleetSecret returns the fleet's secret: from its row, if that is known, or else from the
-// store. If the store has none yet, it creates one.
+// store. If the store has none yet, or the known row holds none, it creates one. A
+// *storer.FormatError reports that the row in the store, which is newer, holds none.
 func fleetSecret(ctx context.Context, table storer.Table, known storer.Row) (string, error) {
-	if known.Version > 0 {
+	if len(known.Value) >= minFleetSecretBytes {
 		return string(known.Value), nil
 	}
 	created := rand.Text()
 	_, err := table.Commit(ctx, storer.Transaction{
-		Checks: []storer.Check{{Key: storer.SecretKey}},
+		Checks: []storer.Check{{Key: storer.SecretKey, Version: known.Version}},
 		Puts:   []storer.Put{{Key: storer.SecretKey, Value: []byte(created)}},
 	})
 	var conflict *storer.ConflictError
@@ -56,6 +63,9 @@
 		return "", err
 	}
 	row, err := table.Get(ctx, storer.SecretKey)
+	if err == nil && len(row.Value) < minFleetSecretBytes {
+		return "", storer.NewFormatError("the row of the fleet's secret holds none", nil)
+	}
 	return string(row.Value), err
 }
 
@@ -67,3 +77,22 @@
 	}
 	return storer.Put{Key: storer.MemberKey(instance.Name), Value: data}, nil
 }
+
+// decodeMember decodes the row of the process with the given name. An error is a
+// *storer.FormatError: the row names no process that can be reached.
+func decodeMember(name string, row storer.Row) (*wire.Member, error) {
+	var instance storer.Instance
+	if err := json.Unmarshal(row.Value, &instance); err != nil {
+		return nil, storer.NewFormatError("the row of a process cannot be read", err)
+	}
+	if instance.Role != relayer.Entry && instance.Role != relayer.Sidecar || instance.Centre == "" {
+		return nil, storer.NewFormatError("the row of a process lacks its role or its data centre", nil)
+	}
+	if address, err := netip.ParseAddrPort(instance.Address); err != nil || address.Port() == 0 {
+		return nil, storer.NewFormatError("the address in the row of a process is not an IP and a port", err)
+	}
+	return &wire.Member{
+		Name: name, Row: row.Version, Role: instance.Role, Centre: instance.Centre, Address: instance.Address,
+		Started: instance.Started, Backend: instance.Backend,
+	}, nil
+}
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
+
+	"oleanderstall/assembler"
+	"oleanderstall/faker"
 )
 
 var orderRequest = Request{ID: "i", Method: http.MethodPost, Path: "/orders", IdempotencyKey: "key", Body: []byte("500 maps")}
@@ -75,3 +80,90 @@
 	assert.Assert(t, eris.As(err, &callErr))
 	assert.Assert(t, callErr.Sent)
 }
+
+// httpAnswer returns an HTTP answer with a status line, headers and a body.
+func httpAnswer(status, body string, header ...string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, strings.Join(header, ""), len(body), body)
+}
+
+// repeatingService starts a service that writes an earlier answer once more on a kept
+// connection, and returns a client of it.
+func repeatingService(t *testing.T, answer func(r *http.Request) string) *Client {
+	t.Helper()
+	p, err := faker.NewRepeater(answer)
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	return New("http://" + p.Address())
+}
+
+// TestRepeatedAnswer guards against callers who get the answer to another call: an earlier
+// answer that is written once more on a kept connection was taken for the next one.
+func TestRepeatedAnswer(t *testing.T) {
+	c := repeatingService(t, func(r *http.Request) string { return httpAnswer("200 OK", r.URL.RawQuery) })
+	for _, query := range []string{"order=1", "order=2", "order=3"} {
+		answer, err := c.Call(t.Context(), Request{ID: query, Method: http.MethodGet, Path: "/status", Query: query})
+		assert.NilError(t, err)
+		assert.Equal(t, string(answer.Body), query)
+	}
+}
+
+// TestAnswerOfOtherRequest guards against an answer that bears the ID of another request and
+// was passed on. The call must fail as one that was sent.
+func TestAnswerOfOtherRequest(t *testing.T) {
+	c := repeatingService(t, func(*http.Request) string {
+		return httpAnswer("201 Created", "300 maps", "X-Request-Id: other\r\n")
+	})
+	_, err := c.Call(t.Context(), orderRequest)
+	var callErr *CallError
+	assert.Assert(t, eris.As(err, &callErr), "%v", err)
+	assert.Assert(t, callErr.Sent)
+}
+
+// TestNoFinalStatus guards against an answer that an entry cannot pass on, since its status is
+// none of an answer: the entry's handler panicked, or changed the protocol.
+func TestNoFinalStatus(t *testing.T) {
+	for _, status := range []string{"000 None", "099 Odd", "101 Switching Protocols"} {
+		c := repeatingService(t, func(*http.Request) string { return httpAnswer(status, "") })
+		_, err := c.Call(t.Context(), orderRequest)
+		var callErr *CallError
+		assert.Assert(t, eris.As(err, &callErr), "%s: %v", status, err)
+		assert.Assert(t, callErr.Sent)
+	}
+}
+
+// TestUnframed checks which answers are known to be whole by their head, so that the end of
+// their connection is not taken for the end of a body.
+func TestUnframed(t *testing.T) {
+	for _, tt := range []struct {
+		name, method, answer string
+		unframed             bool
+	}{
+		{name: "length", answer: httpAnswer("200 OK", "maps")},
+		{name: "chunks", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmaps\r\n0\r\n\r\n"},
+		{name: "no body", answer: "HTTP/1.1 204 No Content\r\n\r\n"},
+		{name: "head", method: http.MethodHead, answer: "HTTP/1.1 200 OK\r\n\r\n"},
+		{name: "neither", answer: "HTTP/1.1 200 OK\r\n\r\nmaps", unframed: true},
+		{name: "old protocol", answer: "HTTP/1.0 200 OK\r\n\r\nmaps", unframed: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := repeatingService(t, func(*http.Request) string { return tt.answer })
+			answer, err := c.Call(t.Context(), Request{ID: "i", Method: tt.method, Path: "/"})
+			assert.NilError(t, err)
+			assert.Equal(t, answer.Framing == assembler.Connection, tt.unframed)
+		})
+	}
+}
+
+// TestEncodedAnswer guards against a body that callers cannot read: the encoding that a service
+// chose unasked is not passed on with it.
+func TestEncodedAnswer(t *testing.T) {
+	for encoding, broken := range map[string]bool{"gzip": true, "br": true, "identity": false} {
+		c := repeatingService(t, func(*http.Request) string {
+			return httpAnswer("200 OK", "encoded", "Content-Encoding: "+encoding+"\r\n")
+		})
+		_, err := c.Call(t.Context(), orderRequest)
+		var callErr *CallError
+		assert.Equal(t, eris.As(err, &callErr), broken, encoding)
+		assert.Assert(t, !broken || callErr.Sent)
+	}
+}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -83,6 +84,8 @@
 type Changes struct {
 	Rows    []Row
 	Version uint64
+	// Omitted is the number of rows that are left out because they name no key.
+	Omitted int
 }
 
 // ChangeFeed is a store that can be followed for changes to a table. The name of a table is the
@@ -211,12 +214,20 @@
 	return &FormatError{Text: text, cause: cause}
 }
 
-// Error returns the text and the cause.
+// maxCauseBytes is the length to which Error cuts the text of a cause, which may repeat the data
+// that cannot be decoded.
+const maxCauseBytes = 300
+
+// Error returns the text and the beginning of the cause.
 func (e *FormatError) Error() string {
 	if e.cause == nil {
 		return e.Text
 	}
-	return e.Text + ": " + e.cause.Error()
+	cause := e.cause.Error()
+	if len(cause) > maxCauseBytes {
+		cause = strings.ToValidUTF8(cause[:maxCauseBytes], "") + "..."
+	}
+	return e.Text + ": " + cause
 }
 
 // Unwrap returns the cause.
