cmd/oleanderstall: calls of a service killed before, in and after parts of an answer

With and without a length, and sent again with their idempotency key: the caller learns that the call may have run, and the service is not called again.

--- a/cmd/oleanderstall/cut_test.go
+++ b/cmd/oleanderstall/cut_test.go
@@ -135,9 +135,15 @@
 // halfServiceEnv is set in the environment of a process that serves halfService.
 const halfServiceEnv = "OLEANDERSTALL_TEST_HALF_SERVICE"
 
+// Halves of the answer of halfService.
+const (
+	firstHalf  = "the first half"
+	secondHalf = " and the second"
+)
+
 // serveHalfService is a plain service at an address whose answers have neither a length nor
-// chunks. It kills its process in the middle of the answer to a call whose body begins with
-// "kill".
+// chunks, unless the call asks for a length. In the middle of an answer, or before it, it kills
+// its process if the call asks for that.
 func serveHalfService(address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -154,22 +160,37 @@
 			return
 		}
 		defer func() { _ = c.Close() }()
-		_, _ = out.WriteString("HTTP/1.1 201 Created\r\n\r\nthe first half")
-		_ = out.Flush()
-		if strings.HasPrefix(string(body), "kill") {
-			_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
-			select {}
-		}
-		_, _ = out.WriteString(" and the second")
-		_ = out.Flush()
+		answerInHalves(out, string(body))
 	}))
 }
 
-// halfServiceRounds is the number of times that the service is killed.
-const halfServiceRounds = 3
+// answerInHalves writes the answer of halfService to a call with a body.
+func answerInHalves(out *bufio.ReadWriter, body string) {
+	if strings.HasPrefix(body, "kill early") {
+		killSelf()
+	}
+	_, _ = out.WriteString("HTTP/1.1 201 Created\r\n")
+	if strings.Contains(body, "length") {
+		_, _ = fmt.Fprintf(out, "Content-Length: %d\r\n", len(firstHalf+secondHalf))
+	}
+	_, _ = out.WriteString("\r\n" + firstHalf)
+	_ = out.Flush()
+	if strings.HasPrefix(body, "kill") {
+		killSelf()
+	}
+	_, _ = out.WriteString(secondHalf)
+	_ = out.Flush()
+}
+
+// killSelf kills this process.
+func killSelf() {
+	_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+	select {}
+}
 
 // TestKilledServiceMidAnswer guards against half an answer that is passed on as a whole one,
 // since the service's process was killed while it sent a body that ends with its connection.
+// The caller must learn that the call may have run, also when it sends it again with its key.
 func TestKilledServiceMidAnswer(t *testing.T) {
 	t.Parallel()
 	c := &cluster{t: t, backends: map[string]*proc{}, sidecars: map[string]*proc{}}
@@ -182,17 +203,21 @@
 	key := c.grantKey("tourism").Key
 	placed := func() bool {
 		r := c.send(c.entries[0], key, "/orders", "place")
-		return r.status == http.StatusCreated && r.body == "the first half and the second"
+		return r.status == http.StatusCreated && r.body == firstHalf+secondHalf
 	}
 	c.eventually("an order is placed", placed)
-	for i := range halfServiceRounds {
-		// Equal calls would be quarantined.
-		lost := c.send(c.entries[0], key, "/orders", fmt.Sprint("kill ", i))
+	assert.Equal(t, c.send(c.entries[0], key, "/orders", "place with length").body, firstHalf+secondHalf)
+	// Calls are told apart, since equal ones would be quarantined.
+	for _, body := range []string{"kill", "kill with length", "kill early", "kill again"} {
+		lost := c.send(c.entries[0], key, "/orders", body, "Idempotency-Key", body)
 		assert.Equal(t, lost.status, http.StatusBadGateway, lost.body)
 		assert.Equal(t, lost.run(), "unknown")
 		address := c.backends["orders-a"].ready.Listen
 		c.backends["orders-a"] = launchHalfService(t, address)
 		c.eventually("an order is placed again", placed)
+		again := c.send(c.entries[1], key, "/orders", body, "Idempotency-Key", body, "X-Deadline-Ms", "500")
+		assert.Equal(t, again.run(), "unknown", again.body)
+		assert.Assert(t, placed(), "the service was called again")
 	}
 }
 
