--- a/cmd/oleanderstall/cut_test.go
+++ b/cmd/oleanderstall/cut_test.go
@@ -89,29 +89,33 @@
 
 // TestStreamsOfKilledProcesses guards against streams that end as complete before their last
 // token, or have tokens missing, twice or of another run: engines, sidecars and an entry are
-// killed or stopped in the middle of streams.
+// killed or stopped, and the caller's key is withdrawn, in the middle of streams.
 func TestStreamsOfKilledProcesses(t *testing.T) {
 	t.Parallel()
 	for _, tt := range []struct {
 		name  string
-		kill  func(c *cluster, serving string)
+		kill  func(c *cluster, serving, key string)
 		whole bool
 		// refused is set if a stream that is not whole has an error event.
 		refused bool
 	}{
-		{name: "engine", kill: func(c *cluster, serving string) { c.backends[serving].signal(syscall.SIGKILL) }, whole: true},
-		{name: "sidecar", kill: func(c *cluster, serving string) { c.sidecars[serving].signal(syscall.SIGKILL) }, whole: true},
-		{name: "all engines", refused: true, kill: func(c *cluster, _ string) {
+		{name: "engine", kill: func(c *cluster, serving, _ string) { c.backends[serving].signal(syscall.SIGKILL) }, whole: true},
+		{name: "sidecar", kill: func(c *cluster, serving, _ string) { c.sidecars[serving].signal(syscall.SIGKILL) }, whole: true},
+		{name: "all engines", refused: true, kill: func(c *cluster, _, _ string) {
 			c.backends["engine-a"].signal(syscall.SIGKILL)
 			c.backends["engine-b"].signal(syscall.SIGKILL)
 		}},
-		{name: "engine and sidecar", refused: true, kill: func(c *cluster, _ string) {
+		{name: "engine and sidecar", refused: true, kill: func(c *cluster, _, _ string) {
 			c.backends["engine-a"].signal(syscall.SIGKILL)
 			c.sidecars["engine-b"].signal(syscall.SIGKILL)
 		}},
-		{name: "entry stops", kill: func(c *cluster, _ string) { c.entries[0].signal(syscall.SIGTERM) }, whole: true},
-		{name: "sidecar stops", kill: func(c *cluster, serving string) { c.sidecars[serving].signal(syscall.SIGTERM) }, whole: true},
-		{name: "entry", kill: func(c *cluster, _ string) { c.entries[0].signal(syscall.SIGKILL) }},
+		{name: "key withdrawn", refused: true, kill: func(c *cluster, _, key string) {
+			id, _, _ := strings.Cut(key, ".")
+			c.runOperatorCommand("", nil, "key", "withdraw", id)
+		}},
+		{name: "entry stops", kill: func(c *cluster, _, _ string) { c.entries[0].signal(syscall.SIGTERM) }, whole: true},
+		{name: "sidecar stops", kill: func(c *cluster, serving, _ string) { c.sidecars[serving].signal(syscall.SIGTERM) }, whole: true},
+		{name: "entry", kill: func(c *cluster, _, _ string) { c.entries[0].signal(syscall.SIGKILL) }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
@@ -121,7 +125,7 @@
 			for range 2 {
 				go func() { answers <- c.readStream(c.entries[0], key) }()
 			}
-			tt.kill(c, c.waitForServingEngine(before))
+			tt.kill(c, c.waitForServingEngine(before), key)
 			for range 2 {
 				s := <-answers
 				whole := s.check(t)
