--- a/executor/cut_test.go
+++ b/executor/cut_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/dialer"
+	"oleanderstall/engine"
 	"oleanderstall/faker"
 	"oleanderstall/refuser"
 	"oleanderstall/service"
@@ -80,3 +81,37 @@
 		assert.Equal(t, string(answer.GetBody()), query)
 	}
 }
+
+// TestProofOfNoRun guards against requests that are called not run although the engine may have
+// run them: only an engine that cannot be reached, or that refuses this request because it does
+// not have the model, proves that.
+func TestProofOfNoRun(t *testing.T) {
+	for _, tt := range []struct {
+		name, answer string
+		neverRan     bool
+	}{
+		{name: "not reached", neverRan: true},
+		{name: "refused", answer: "HTTP/1.1 404 Not Found\r\nX-Request-Id: r\r\nContent-Length: 0\r\n\r\n", neverRan: true},
+		{name: "refusal of another request", answer: "HTTP/1.1 404 Not Found\r\nX-Request-Id: s\r\nContent-Length: 0\r\n\r\n"},
+		{name: "half a refusal", answer: "HTTP/1.1 404 Not Found\r\nContent-Length: 9\r\n\r\nmodel"},
+		{name: "half a head", answer: "HTTP/1.1 404 Not"},
+		{name: "no answer", answer: "\r\n"},
+		{name: "failure", answer: "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"},
+		{name: "error in the stream", answer: "HTTP/1.1 200 OK\r\n\r\ndata: {\"error\":\"model is not loaded\"}\n\n"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p, err := faker.NewRepeater(func(r *http.Request) string {
+				r.Close = true
+				return tt.answer
+			})
+			assert.NilError(t, err)
+			t.Cleanup(p.Close)
+			if tt.answer == "" {
+				p.Close()
+			}
+			x := newFixture(t).sidecar("a", newEngine(100), nil)
+			_, err = engine.New("http://"+p.Address()).Generate(t.Context(), engine.Request{ID: "r", Body: []byte("{}")}, nil)
+			assert.Equal(t, x.engineRefusal(err).NeverRan(), tt.neverRan, "%v", err)
+		})
+	}
+}
