--- a/caller/cut_test.go
+++ b/caller/cut_test.go
@@ -101,14 +101,20 @@
 // TestWriteErrorCutsAnswer guards against an answer that is ended properly although a part of
 // it could not be written.
 func TestWriteErrorCutsAnswer(t *testing.T) {
-	for name, write := range map[string]func(o *completionWriter){
-		"whole answer":  func(o *completionWriter) { o.finish(&wire.Finish{Reason: "stop"}, false) },
-		"refusal":       func(o *completionWriter) { o.fail(refuser.New(refuser.Busy, "full")) },
-		"end of stream": func(o *completionWriter) { o.stream = true; o.finish(&wire.Finish{Reason: "stop"}, true) },
+	for _, tt := range []struct {
+		name   string
+		writes int
+		write  func(o *completionWriter)
+	}{
+		{name: "whole answer", write: func(o *completionWriter) { o.finish(&wire.Finish{Reason: "stop"}, false) }},
+		{name: "refusal", write: func(o *completionWriter) { o.fail(refuser.New(refuser.Busy, "full")) }},
+		{name: "finish reason", write: func(o *completionWriter) { o.stream = true; o.finish(&wire.Finish{Reason: "stop"}, true) }},
+		{name: "usage", writes: 1, write: func(o *completionWriter) { o.stream = true; o.finish(&wire.Finish{Reason: "stop"}, true) }},
+		{name: "end event", writes: 2, write: func(o *completionWriter) { o.stream = true; o.finish(&wire.Finish{Reason: "stop"}, true) }},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(tt.name, func(t *testing.T) {
 			defer func() { assert.Equal(t, recover(), http.ErrAbortHandler) }()
-			write(&completionWriter{w: &brokenWriter{ResponseRecorder: httptest.NewRecorder()}})
+			tt.write(&completionWriter{w: &brokenWriter{ResponseRecorder: httptest.NewRecorder(), writes: tt.writes}})
 			t.Fatal("the answer was ended properly")
 		})
 	}
