--- a/dispatcher/abandon_test.go
+++ b/dispatcher/abandon_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"oleanderstall/assembler"
 	"oleanderstall/faker"
 	"oleanderstall/meter"
 	"oleanderstall/recorder"
@@ -41,11 +42,14 @@
 type emptyAnswer struct{}
 
 func (emptyAnswer) Head() any            { return nil }
-func (emptyAnswer) Failed() bool         { return false }
+func (emptyAnswer) Info() assembler.Head { return assembler.Head{} }
 func (emptyAnswer) Next() (Event, error) { return Event{}, io.EOF }
 func (emptyAnswer) End() any             { return nil }
 func (emptyAnswer) Close()               {}
 
+// ServerRuns implements Answer.
+func (emptyAnswer) ServerRuns(context.Context) bool { return true }
+
 // ignoredOutput discards an answer.
 type ignoredOutput struct{}
 
--- a/dispatcher/completion.go
+++ b/dispatcher/completion.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"oleanderstall/assembler"
 	"oleanderstall/peer"
 	"oleanderstall/refuser"
 	"oleanderstall/router"
@@ -273,8 +275,13 @@
 // Head implements Answer.
 func (s *completionStream) Head() any { return nil }
 
-// Failed implements Answer.
-func (s *completionStream) Failed() bool { return false }
+// Info implements Answer.
+func (s *completionStream) Info() assembler.Head {
+	return assembler.Head{Status: http.StatusOK, Stream: true, Framing: assembler.Message}
+}
+
+// ServerRuns implements Answer. It is not asked, since the end of the answer is a message.
+func (*completionStream) ServerRuns(context.Context) bool { return true }
 
 // End implements Answer.
 func (s *completionStream) End() any { return s.end }
--- a/tracker/backend.go
+++ b/tracker/backend.go
@@ -52,7 +52,7 @@
 	// backOffUntil is the end of the back-off that the server has asked for.
 	backOffUntil time.Duration
 	// serving is set if the server takes new work according to the list, and none that
-	// started later is listed at its address.
+	// started later is listed at its address, apart from mismatched ones.
 	serving bool
 	// mismatched is set if an answer from the server's address came from a server
 	// other than the listed one.
@@ -117,11 +117,13 @@
 	return float64(b.inflight) + others
 }
 
-// saturationDecay is the time constant of the exponential decay of the saturation, and
-// saturationWeight the weight of a new answer in it.
+// saturationDecay is the time constant of the exponential decay of the saturation,
+// saturationWeight the weight of a new answer in it, and maxSaturation the most that an answer
+// counts as.
 const (
 	saturationDecay  = 3 * time.Second
 	saturationWeight = 0.25
+	maxSaturation    = 2
 )
 
 // Saturation returns how near recent answers came to their latency limits, 1 being
@@ -131,9 +133,13 @@
 }
 
 // RecordSaturation records how near an answer came to its latency limit, 1 being exactly
-// at it. Values above 2 count as 2.
+// at it. Values above maxSaturation count as that; a negative one, or one that is not a number,
+// is ignored.
 func (b *Backend) RecordSaturation(now time.Duration, saturation float64) {
-	b.saturation = b.Saturation(now)*(1-saturationWeight) + min(saturation, 2)*saturationWeight
+	if !(saturation >= 0) {
+		return
+	}
+	b.saturation = b.Saturation(now)*(1-saturationWeight) + min(saturation, maxSaturation)*saturationWeight
 	b.saturationAt = now
 }
 
@@ -195,7 +201,8 @@
 // is listed again or its sidecar reports. A current status from the sidecar takes
 // precedence: the answer is then ignored.
 func (b *Backend) MarkMismatched(now time.Duration) {
-	if b.Status(now) == nil {
+	if b.Status(now) == nil && !b.mismatched {
 		b.mismatched = true
+		b.fleet.pools = nil
 	}
 }
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -103,3 +104,79 @@
 	assert.Assert(t, b.RecentlyActive(now+activityWindow))
 	assert.Assert(t, !b.RecentlyActive(now+activityWindow+1))
 }
+
+// TestStatusBeforeListingIndexesOnce guards against a server that stays among the holders of a
+// model after its removal, because a status that came before the listing added it twice.
+func TestStatusBeforeListingIndexesOnce(t *testing.T) {
+	f := New()
+	f.UpdateStatus(time.Hour, &wire.EngineStatus{Server: "a", Born: 1, Models: []string{"m"}})
+	f.UpdateServer(Server{ID: "a", Pool: "p", Address: "x", Started: 1})
+	assert.Equal(t, len(f.Holders("m")), 1)
+	f.RemoveServer("a")
+	assert.Equal(t, len(f.holders["m"]), 0)
+}
+
+// TestOddSaturation guards against a saturation that is not a number, infinite or far out of
+// range and stays in the average for good or for minutes.
+func TestOddSaturation(t *testing.T) {
+	for _, odd := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1e30, 1e30} {
+		f := New()
+		f.UpdateServer(Server{ID: "a"})
+		b := f.Get("a")
+		b.RecordSaturation(time.Hour, 0.5)
+		b.RecordSaturation(time.Hour, odd)
+		got := b.Saturation(time.Hour)
+		assert.Assert(t, got >= 0 && got <= 2, "%v after %v", got, odd)
+	}
+}
+
+// TestOddArrivals guards against a number of arrivals that spoils the rate of a model for good.
+func TestOddArrivals(t *testing.T) {
+	for _, odd := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1e30, 1e30} {
+		m := NewArrivalMeter()
+		m.Add(time.Hour, "m", 4)
+		m.Add(time.Hour, "m", odd)
+		m.Add(time.Hour, "other", 4)
+		assert.Equal(t, m.Rate(time.Hour, "m"), 1.0, "after %v", odd)
+		assert.Equal(t, m.Rate(time.Hour, "other"), 1.0)
+	}
+}
+
+// TestOddLoad guards against a load that wraps around, so that the busiest engine looks idle.
+func TestOddLoad(t *testing.T) {
+	f := New()
+	f.UpdateServer(Server{ID: "a", Started: 1})
+	f.UpdateStatus(time.Hour, &wire.EngineStatus{Server: "a", Born: 1, Running: math.MaxUint32, Waiting: 1})
+	assert.Equal(t, f.Get("a").ReportedLoad(), 1<<32)
+}
+
+// TestUnsortedModels guards against an engine that gets no requests for a model because the
+// names in a status or in a row are not sorted.
+func TestUnsortedModels(t *testing.T) {
+	models := []string{"c", "a", "b"}
+	f := New()
+	f.UpdateServer(ServerFromList(&wire.ListedServer{Id: "a", Born: 1, Models: models}))
+	b := f.Get("a")
+	for _, name := range models {
+		assert.Assert(t, b.Inventory(time.Hour).Has(name), name)
+	}
+	f.UpdateStatus(time.Hour, &wire.EngineStatus{Server: "a", Born: 1, Models: models})
+	for _, name := range models {
+		assert.Assert(t, b.Inventory(time.Hour).Has(name), name)
+	}
+	assert.DeepEqual(t, models, []string{"c", "a", "b"})
+}
+
+// TestMismatchedServerShadowsNone guards against a sound server that gets no work because another
+// writer's row lists a server at its address that claims a later start.
+func TestMismatchedServerShadowsNone(t *testing.T) {
+	f := New()
+	f.UpdateServer(Server{ID: "a", Pool: "p", Address: "x", Started: 1})
+	f.UpdateServer(Server{ID: "odd", Pool: "p", Address: "x", Started: 1 << 60})
+	f.Get("odd").MarkMismatched(time.Hour)
+	list := f.Pool("p")
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0].Server().ID, "a")
+	f.Get("a").MarkMismatched(time.Hour)
+	assert.Equal(t, len(f.Pool("p")), 0)
+}
