executor: adapters that are each other's base do not end the sidecar

Seen: an engine that lists a model as its own base, or two adapters as each other's, makes the sidecar look for adapters of adapters without end, until the stack is full: the process ends, and again after each start, since it adopts what the engine has loaded.

Ruled out: the unload of such adapters, which stops at the first that is being unloaded.

Why it works: only a model without a base has adapters, so that the search has two levels.

--- a/executor/odd_test.go
+++ b/executor/odd_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"oleanderstall/engine"
 	"oleanderstall/refuser"
 	"oleanderstall/storer"
 	"oleanderstall/wire"
@@ -28,3 +29,16 @@
 	assert.Assert(t, !refuser.FromError(err).NeverRan())
 	assert.Equal(t, o.count("500 maps"), 0)
 }
+
+// TestAdapterOfItself guards against a sidecar that ends because the engine lists adapters that
+// are each other's base.
+func TestAdapterOfItself(t *testing.T) {
+	f, e := newFixture(t), newEngine(100)
+	e.loaded["m1"] = engine.Loaded{Model: "m1", Base: "m1", Bytes: 10}
+	e.loaded["x"] = engine.Loaded{Model: "x", Base: "y"}
+	e.loaded["y"] = engine.Loaded{Model: "y", Base: "x"}
+	x := f.sidecar("a", e, nil)
+	f.makeReady(x)
+	_, err := x.load(context.Background(), loadOrder("a", "m2", 1))
+	assert.NilError(t, err)
+}
--- a/executor/replicas.go
+++ b/executor/replicas.go
@@ -290,13 +290,13 @@
 }
 
 // busy reports whether r or an adapter on it is loading or has requests that are
-// queued or running. The caller holds the lock.
+// queued or running. An adapter has no adapters itself. The caller holds the lock.
 func (x *Executor) busy(r *replica) bool {
 	if r.users > 0 || r.state == wire.State_STATE_LOADING {
 		return true
 	}
 	for _, a := range x.replicas {
-		if a.base == r.model && x.busy(a) {
+		if r.base == "" && a.base == r.model && x.busy(a) {
 			return true
 		}
 	}
