executor, placer: odd sizes do not overcommit an engine

Seen: the sizes of what an engine has loaded are added up in 64 bits. One near 2^64 wraps the sum around: memory that is in use counts as free, and the next load exceeds the engine's memory.

Evidence, before: odd_test.go:55: assertion failed: 9 != 60 (TestOddSizes).

Why it works: a size above the engine's memory is replaced by the one in the configuration, or 0 for a model that is not in it, so that the odd entry takes no memory from others; a sum that exceeds 64 bits counts as all memory.

Tests: go test -race of executor and placer passed.

--- a/executor/odd_test.go
+++ b/executor/odd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -42,3 +43,26 @@
 	_, err := x.load(context.Background(), loadOrder("a", "m2", 1))
 	assert.NilError(t, err)
 }
+
+// TestOddSizes guards against an engine whose memory is overcommitted because the sizes of what
+// it holds wrap around when they are added up.
+func TestOddSizes(t *testing.T) {
+	f, e := newFixture(t), newEngine(100)
+	e.loaded["m1"] = engine.Loaded{Model: "m1", Bytes: 60}
+	e.loaded["odd"] = engine.Loaded{Model: "odd", Bytes: math.MaxUint64 - 50}
+	x := f.sidecar("a", e, nil)
+	x.pollEngine(context.Background())
+	assert.Equal(t, x.budget.Used(), uint64(60))
+	assert.Equal(t, x.budget.Free(), uint64(40))
+}
+
+// TestOddSizeInConfiguration checks that sizes that exceed all memory together count as no free
+// memory, so that nothing is overcommitted.
+func TestOddSizeInConfiguration(t *testing.T) {
+	f, e := newFixture(t), newEngine(math.MaxUint64)
+	e.loaded["m1"] = engine.Loaded{Model: "m1", Bytes: math.MaxUint64}
+	e.loaded["m2"] = engine.Loaded{Model: "m2", Bytes: 60}
+	x := f.sidecar("a", e, nil)
+	x.pollEngine(context.Background())
+	assert.Equal(t, x.budget.Free(), uint64(0))
+}
--- a/executor/status.go
+++ b/executor/status.go
@@ -89,16 +89,25 @@
 	}
 }
 
+// sizeOf returns the size of what the engine has loaded: the configured one if the engine states
+// more than its memory. The caller holds the lock.
+func (x *Executor) sizeOf(l engine.Loaded) uint64 {
+	if l.Bytes <= x.budget.Capacity() {
+		return l.Bytes
+	}
+	return x.member.View().Model(l.Model).GetBytes()
+}
+
 // adopt records the models and adapters that an earlier sidecar has loaded or is
 // loading. The caller holds the lock.
 func (x *Executor) adopt(status engine.Status, now time.Duration) {
 	for _, l := range status.Loaded {
 		r := x.replicas[l.Model]
 		if r == nil {
-			r = &replica{model: l.Model, base: l.Base, bytes: l.Bytes, lastUsed: now, loadDone: make(chan struct{})}
+			r = &replica{model: l.Model, base: l.Base, bytes: x.sizeOf(l), lastUsed: now, loadDone: make(chan struct{})}
 			close(r.loadDone)
 			x.replicas[l.Model] = r
-			x.budget.Adopt(l.Model, l.Bytes)
+			x.budget.Adopt(l.Model, r.bytes)
 			x.log.Info().Str("model", l.Model).Msg("engine: adopted a replica")
 		}
 		if r.state == wire.State_STATE_RESIDENT {
--- a/placer/memorybudget.go
+++ b/placer/memorybudget.go
@@ -1,6 +1,10 @@
 package placer
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+	"math/bits"
+)
 
 // MemoryBudget accounts for the memory of one engine, in bytes. Weights count from
 // before the load is ordered until the unload is confirmed, and KV cache from
@@ -37,11 +41,16 @@
 	return b.capacity - used
 }
 
-// Used returns the memory reserved for weights and KV cache.
+// Used returns the memory reserved for weights and KV cache, or the highest number if that is
+// more.
 func (b *MemoryBudget) Used() uint64 {
 	used := b.cache
 	for _, bytes := range b.weights {
-		used += bytes
+		sum, carry := bits.Add64(used, bytes, 0)
+		if carry > 0 {
+			return math.MaxUint64
+		}
+		used = sum
 	}
 	return used
 }
