holder, placer: an odd row of a slot costs that slot alone

Seen: one row among the slots of a model that cannot be decoded makes every request for the model fail, at each holder of its shard. A row, or a configuration, with an index or a number of replicas in the billions makes the holder's table as long: the process runs out of memory and ends, and so does the next holder of the shard. A row under the key of one slot that describes another one replaces that one, and the highest fencing number wraps to 0, which every sidecar refuses.

Ruled out: a replica that an unreadable row named: its sidecar unloads it when it is idle, and a new load of the model has a fencing number above those of all readable rows.

Why it works: a row is taken only for the slot of its key, up to the 1,024 slots that a plan allows; one that cannot be read is a vacant slot with the version of the row, so that the next load replaces it.

Tests: go test -race of holder, placer, planner and storer passed.

--- a/holder/models.go
+++ b/holder/models.go
@@ -97,9 +97,9 @@
 	}
 	m := &model{slotTable: placer.NewSlotTable(name, 0), changed: make(chan struct{})}
 	for _, r := range rows {
-		slot := &wire.Slot{}
-		if err := storer.Decode(r.Value, slot); err != nil {
-			return err
+		slot, ok := decodeSlot(name, r)
+		if !ok {
+			continue
 		}
 		m.slotTable.Restore(h.clock(), slot, r.Version)
 	}
--- a/holder/slots.go
+++ b/holder/slots.go
@@ -9,6 +9,25 @@
 	"oleanderstall/wire"
 )
 
+// maxEpoch is the highest fencing number of a row from which a next one is derived.
+const maxEpoch = 1 << 62
+
+// decodeSlot decodes the row of a slot. A value that cannot be read, or that does not describe
+// the slot of its key, counts as a vacant slot, whose row is replaced by the next load. It
+// reports false if a model cannot have a slot with that key.
+func decodeSlot(model string, r storer.Row) (*wire.Slot, bool) {
+	index, ok := storer.SlotIndex(model, r.Key)
+	if !ok || index >= placer.MaxSlots {
+		return nil, false
+	}
+	slot := &wire.Slot{}
+	err := storer.Decode(r.Value, slot)
+	if err != nil || slot.GetModel() != model || slot.GetIndex() != index || slot.GetEpoch() > maxEpoch {
+		return &wire.Slot{Model: model, Index: index}, true
+	}
+	return slot, true
+}
+
 // currentSlot returns a slot with its current state.
 func (h *Holder) currentSlot(m *model, index uint32) placer.Slot {
 	h.mu.Lock()
@@ -84,8 +103,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, r := range rows {
-		row := &wire.Slot{}
-		if storer.Decode(r.Value, row) != nil {
+		row, ok := decodeSlot(name, r)
+		if !ok {
 			continue
 		}
 		if m.slotTable.Slot(row.GetIndex()).Version != r.Version {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -27,6 +27,9 @@
 	Doubtful              // doubtful
 )
 
+// MaxSlots is the highest number of slots that a model has.
+const MaxSlots = 1024
+
 // Slot is one replica that a model may have. Its fields are written as JSON under their
 // names.
 type Slot struct {
@@ -54,8 +57,10 @@
 }
 
 // Resize changes the number of slots. Taken slots beyond the number stay until they are
-// vacant; FirstVacant does not return them if its limit is that number.
+// vacant; FirstVacant does not return them if its limit is that number. There are no more
+// than MaxSlots.
 func (t *SlotTable) Resize(slots int) {
+	slots = min(slots, MaxSlots)
 	for len(t.slots) < slots {
 		t.slots = append(t.slots, Slot{Index: uint32(len(t.slots))})
 	}
@@ -65,8 +70,11 @@
 }
 
 // Restore sets a slot from its row, as a new holder reads it. The state of its replica is
-// not known yet, so a taken slot becomes Doubtful.
+// not known yet, so a taken slot becomes Doubtful. It ignores a slot beyond MaxSlots.
 func (t *SlotTable) Restore(now time.Duration, row *wire.Slot, version uint64) {
+	if row.GetIndex() >= MaxSlots {
+		return
+	}
 	t.Resize(max(len(t.slots), int(row.GetIndex())+1))
 	s := &t.slots[row.GetIndex()]
 	s.Instance = row.GetInstance()
@@ -104,8 +112,12 @@
 	return true
 }
 
-// Set replaces the slot with the same index, adding slots up to it if necessary.
+// Set replaces the slot with the same index, adding slots up to it if necessary. It ignores a
+// slot beyond MaxSlots.
 func (t *SlotTable) Set(s Slot) {
+	if s.Index >= MaxSlots {
+		return
+	}
 	t.Resize(max(len(t.slots), int(s.Index)+1))
 	t.slots[s.Index] = s
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -90,3 +90,14 @@
 	table.Resize(0)
 	assert.Equal(t, len(table.Slots()), 0)
 }
+
+// TestSlotTableBounded guards against a table that takes all memory because a configuration or a
+// row has an absurd number of slots.
+func TestSlotTableBounded(t *testing.T) {
+	slots := NewSlotTable("m", 5*MaxSlots)
+	assert.Equal(t, len(slots.Slots()), MaxSlots)
+	slots.Restore(now, &wire.Slot{Model: "m", Index: 5 * MaxSlots, Instance: "a"}, 1)
+	slots.Set(Slot{Index: 5 * MaxSlots})
+	assert.Equal(t, len(slots.Slots()), MaxSlots)
+	assert.Equal(t, len(slots.InPhases(Doubtful)), 0)
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"oleanderstall/configurer"
+	"oleanderstall/placer"
 	"oleanderstall/wire"
 )
 
@@ -19,7 +20,7 @@
 // the shares of a workspace's limit.
 const (
 	maxName     = 64
-	maxReplicas = 1024
+	maxReplicas = placer.MaxSlots
 	maxShares   = 32
 )
 
--- a/storer/keys.go
+++ b/storer/keys.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -45,6 +47,20 @@
 // ShardKey returns the key of the row of a shard.
 func ShardKey(shard uint32) string { return fmt.Sprintf("%s%04d", ShardPrefix, shard) }
 
+// ShardIndex returns the shard whose row has the key, and whether there is one.
+func ShardIndex(key string) (uint32, bool) { return indexOf(key, ShardPrefix, ShardKey) }
+
+// SlotIndex returns the slot of a model whose row has the key, and whether there is one.
+func SlotIndex(model, key string) (uint32, bool) {
+	return indexOf(key, SlotPrefix(model), func(index uint32) string { return SlotKey(model, index) })
+}
+
+// indexOf returns the index for which keyOf returns the key, and whether there is one.
+func indexOf(key, prefix string, keyOf func(uint32) string) (uint32, bool) {
+	index, err := strconv.ParseUint(strings.TrimPrefix(key, prefix), 10, 32)
+	return uint32(index), err == nil && keyOf(uint32(index)) == key
+}
+
 // SlotPrefix returns the prefix of the keys of all slots of a model.
 func SlotPrefix(model string) string { return slotPrefix + model + "/" }
 
