holder: an odd row of a shard does not stop the shard, or another one

Seen: a shard whose row cannot be decoded has no holder any more: entries pass over the row, and every write of theirs is refused because the row's version is another one. Its models and limits are gone for good. A row that names another shard than its key replaced the known row of that shard, whose holder gave it up.

Evidence, before (TestOddShardRow): shards held 1, 0, 1, 1 (unreadable); expression is false, shard 2 (row of another shard).

Ruled out: to take the shard at once: the holder before may still hold it by its lease.

Why it works: a row counts for the shard of its key alone. One that cannot be read counts as that of a holder who is not listed, which the entries take over as usual: after a lease without a change they mark it, and after another one they take it, with an epoch above the known one.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -24,7 +24,6 @@
 	"oleanderstall/router"
 	"oleanderstall/storer"
 	"oleanderstall/timer"
-	"oleanderstall/wire"
 )
 
 // Options are the settings of a holder. They are the same in the whole fleet.
@@ -262,18 +261,18 @@
 // observeRow records a row that was read, and drops the tenure if the row shows another
 // one.
 func (h *Holder) observeRow(r storer.Row) {
-	row := &wire.ShardRow{}
-	if storer.Decode(r.Value, row) != nil || row.GetShard() >= uint32(len(h.shards)) {
+	index, ok := storer.ShardIndex(r.Key)
+	if !ok || index >= uint32(len(h.shards)) {
 		return
 	}
 	now := h.clock()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := h.shards[row.GetShard()]
+	s := h.shards[index]
 	if r.Version < s.row.Version {
 		return
 	}
-	s.row = leaseRow(row, r.Version)
+	s.row = decodeShard(index, r, s.row.Epoch)
 	s.watch.Observe(now, h.selfName, s.row)
 	switch {
 	case s.tenure == nil:
--- a/holder/odd_test.go
+++ b/holder/odd_test.go
@@ -70,3 +70,39 @@
 		})
 	}
 }
+
+// TestOddShardRow guards against a shard that nobody can hold, or a holder that loses its shard,
+// because of a row that cannot be read or that describes another shard than its key.
+func TestOddShardRow(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		put  func(f *fixture)
+	}{
+		{"unreadable", func(f *fixture) { f.put(storer.ShardKey(1), []byte{0xff}) }},
+		{"row of another shard", func(f *fixture) {
+			value, err := storer.Encode(&wire.ShardRow{Shard: 2, Holder: "nobody", Epoch: 7})
+			assert.NilError(t, err)
+			f.put(storer.ShardKey(1), value)
+		}},
+		{"highest epoch", func(f *fixture) {
+			value, err := storer.Encode(&wire.ShardRow{Shard: 1, Holder: "nobody", Epoch: math.MaxUint64})
+			assert.NilError(t, err)
+			f.put(storer.ShardKey(1), value)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, testChange(1, 1), "e1", "e2")
+			f.run(4*time.Second, "e1", "e2")
+			assert.DeepEqual(t, f.holderCounts(), []int{1, 1, 1, 1})
+			before := f.holderOf(2).Shards()[2].Epoch
+			c.put(f)
+			f.run(time.Second, "e1", "e2")
+			for index, count := range f.holderCounts() {
+				assert.Assert(t, index == 1 || count == 1, "shard %d", index)
+			}
+			f.run(5*testLease, "e1", "e2")
+			assert.DeepEqual(t, f.holderCounts(), []int{1, 1, 1, 1})
+			assert.Equal(t, f.holderOf(2).Shards()[2].Epoch, before)
+		})
+	}
+}
--- a/holder/tenure.go
+++ b/holder/tenure.go
@@ -25,6 +25,20 @@
 	}
 }
 
+// unreadableHolder stands for the holder of a shard whose row cannot be read. No instance has
+// that name, so that the entries take the shard over as that of a holder which is gone.
+const unreadableHolder = "?"
+
+// decodeShard decodes the row of a shard. A value that cannot be read, or that describes
+// another shard, counts as the row of unreadableHolder with the epoch that is known.
+func decodeShard(index uint32, r storer.Row, knownEpoch uint64) leaser.Row {
+	row := &wire.ShardRow{}
+	if storer.Decode(r.Value, row) != nil || row.GetShard() != index || row.GetEpoch() > maxEpoch {
+		return leaser.Row{Version: r.Version, Epoch: knownEpoch, Holder: unreadableHolder}
+	}
+	return leaseRow(row, r.Version)
+}
+
 // dropTenure discards the tenure and everything that belongs to it.
 func (h *Holder) dropTenure(s *shard) {
 	s.tenure = nil
