engine, decoder: an odd element of an engine's status costs itself alone

Seen: one element of the lists of an engine's status (loaded, memory, disk) that is null, has a number out of range or another form, or is nested more than 10,000 levels, makes the whole status unreadable. The sidecar then takes no orders, or forgets that the engine runs: all models of the engine are lost for one of them.

Ruled out: to drop such an element altogether: the sidecar would believe that the engine no longer has the model, report its slot as free and overcommit the memory.

Of an element that cannot be read the name is kept if there is one: the replica is neither removed nor taken as loaded, and its memory counts with the configured size.

Only Client.Status and the type Loaded are changed in engine/engine.go.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -42,6 +42,8 @@
 	Fence uint64 `json:"fence"`
 	// Loading is set until the load is complete.
 	Loading bool `json:"loading,omitempty"`
+	// Unreadable is set if only the name could be read.
+	Unreadable bool `json:"-"`
 }
 
 // Status is the status that an engine reports about itself.
@@ -156,12 +158,11 @@
 // Status returns the engine's status. The error is a StatusError if the engine
 // answered with one.
 func (c *Client) Status(ctx context.Context) (Status, error) {
-	var status Status
 	data, err := c.call(ctx, http.MethodGet, "/v1/state", nil)
 	if err != nil {
-		return status, err
+		return Status{}, err
 	}
-	return status, eris.Wrap(json.Unmarshal(data, &status), "decode engine state")
+	return decodeStatus(data)
 }
 
 // Load loads a model, or an adapter if the order names a base. It returns when the
--- a/executor/odd_test.go
+++ b/executor/odd_test.go
@@ -66,3 +66,21 @@
 	x.pollEngine(context.Background())
 	assert.Equal(t, x.budget.Free(), uint64(0))
 }
+
+// TestUnreadableReplica checks that a replica of which only the name can be read keeps its
+// memory, so that it is neither forgotten nor overcommitted.
+func TestUnreadableReplica(t *testing.T) {
+	f, e := newFixture(t), newEngine(100)
+	x := f.sidecar("a", e, nil)
+	f.makeReady(x)
+	_, err := x.load(context.Background(), loadOrder("a", "m1", 1))
+	assert.NilError(t, err)
+	e.loaded["m1"] = engine.Loaded{Model: "m1", Unreadable: true}
+	f.clock.Advance(maxOrderTransit)
+	x.pollEngine(context.Background())
+	assert.Equal(t, x.budget.Used(), uint64(60))
+
+	restarted := f.sidecar("a", e, nil)
+	restarted.pollEngine(context.Background())
+	assert.Equal(t, restarted.budget.Used(), uint64(60))
+}
--- a/executor/replicas.go
+++ b/executor/replicas.go
@@ -239,7 +239,7 @@
 		if err == nil {
 			loaded, found := findLoaded(status, r.model)
 			switch {
-			case found && !loaded.Loading:
+			case found && !loaded.Loading && !loaded.Unreadable:
 				return nil
 			case !found && requestedAt >= arrivedBy:
 				return cause
--- a/executor/status.go
+++ b/executor/status.go
@@ -56,6 +56,7 @@
 	}
 	loaded, found := findLoaded(status, r.model)
 	switch {
+	case loaded.Unreadable:
 	case !found:
 		x.removeReplica(r, "the engine does not have it")
 	case !loaded.Loading:
@@ -90,9 +91,9 @@
 }
 
 // sizeOf returns the size of what the engine has loaded: the configured one if the engine states
-// more than its memory. The caller holds the lock.
+// more than its memory, or nothing that can be read. The caller holds the lock.
 func (x *Executor) sizeOf(l engine.Loaded) uint64 {
-	if l.Bytes <= x.budget.Capacity() {
+	if !l.Unreadable && l.Bytes <= x.budget.Capacity() {
 		return l.Bytes
 	}
 	return x.member.View().Model(l.Model).GetBytes()
