relayer: odd arrivals of one entry do not hide those of others

Seen: the arrivals of all entries are added up by model before they go to the other relays. One number that is not a number made the sum that as well, and the relays there did not count the requests of the sound entries for that model, so that copies were missing.

Evidence, before: odd_test.go:137: map "odd": NaN instead of 4 (TestOddArrivals).

Why it works: only plausible numbers are added, by the rule of tracker.ArrivalMeter.

--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -10,6 +10,7 @@
 	"oleanderstall/limiter"
 	"oleanderstall/placer"
 	"oleanderstall/timer"
+	"oleanderstall/tracker"
 	"oleanderstall/wire"
 )
 
@@ -193,7 +194,7 @@
 	fs.recordSaturations(now, report.GetFelt())
 	for _, other := range fs.processes {
 		if other.link.GetRole() == Relay {
-			addAll(other.arrivals, report.GetArrivals())
+			addArrivals(other.arrivals, report.GetArrivals())
 			other.saturations = append(other.saturations, report.GetFelt()...)
 		}
 	}
@@ -315,6 +316,15 @@
 	}
 }
 
+// addArrivals adds the plausible numbers of more to those in to.
+func addArrivals(to, more map[string]float64) {
+	for name, count := range more {
+		if tracker.PlausibleArrivals(count) {
+			to[name] += count
+		}
+	}
+}
+
 // addAll adds each value of more to the value of the same key in to.
 func addAll(to, more map[string]float64) {
 	for name, n := range more {
--- a/relayer/odd_test.go
+++ b/relayer/odd_test.go
@@ -125,3 +125,15 @@
 	fs.Report(time.Hour, joinEntry(fs, "entry"), &wire.Report{Crashes: list})
 	assert.Equal(t, len(fs.crashes.elements), 128)
 }
+
+// TestOddArrivals guards against the arrivals of a sound entry that other relays do not count
+// because they were added to an odd number.
+func TestOddArrivals(t *testing.T) {
+	for _, odd := range []float64{math.NaN(), math.Inf(1), -1, 1e300} {
+		fs := newTestState()
+		relay := fs.Join(time.Hour, &wire.Link{Name: "other", Role: Relay, Centre: "c1"})
+		fs.Report(time.Hour, joinEntry(fs, "a"), &wire.Report{Arrivals: map[string]float64{"odd": 4, "sound": 1}})
+		fs.Report(time.Hour, joinEntry(fs, "b"), &wire.Report{Arrivals: map[string]float64{"odd": odd, "sound": 1}})
+		assert.DeepEqual(t, fs.Batch(time.Hour, relay).GetArrivals(), map[string]float64{"odd": 4, "sound": 2})
+	}
+}
--- a/tracker/arrivals.go
+++ b/tracker/arrivals.go
@@ -27,10 +27,13 @@
 // NewArrivalMeter returns a meter without requests.
 func NewArrivalMeter() *ArrivalMeter { return &ArrivalMeter{rates: map[string]rate{}} }
 
-// Add counts requests for a model or an adapter. It ignores a count that is negative, above
-// maxArrivals or not a number.
+// PlausibleArrivals reports whether a number of requests can be right: it is not negative, not
+// above maxArrivals, and a number.
+func PlausibleArrivals(count float64) bool { return count >= 0 && count <= maxArrivals }
+
+// Add counts requests for a model or an adapter. It ignores a count that is not plausible.
 func (m *ArrivalMeter) Add(now time.Duration, name string, count float64) {
-	if !(count >= 0 && count <= maxArrivals) {
+	if !PlausibleArrivals(count) {
 		return
 	}
 	r := m.rates[name]
