relayer, locator, subscriber: rows without a name are ignored

Seen: a row of the list of servers without an ID became a server: if it started later than the one that really is at its address, it took its place, and the sound one got no requests. A row of the list of processes without a name became a relay candidate under which none can answer; a process linked to such a relay counts as using none, so that several relays work at once.

Ruled out: names that are repeated, which are rows of one server or process by their versions.

Why it works: the three places where rows enter pass over those without a name.

Tests: go test -race of relayer, subscriber, locator and tracker passed.

--- a/locator/locator.go
+++ b/locator/locator.go
@@ -103,7 +103,7 @@
 }
 
 // UpdateServer applies a row of the platform's list, unless a later version of the row is
-// known.
+// known or the row has no ID.
 func (l *Locator) UpdateServer(listed *wire.ListedServer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -115,7 +115,7 @@
 func (l *Locator) updateServer(listed *wire.ListedServer) {
 	id := listed.GetId()
 	version, known := l.rowVersions[id]
-	if version > listed.GetRow() {
+	if id == "" || version > listed.GetRow() {
 		return
 	}
 	l.rowVersions[id] = listed.GetRow()
--- a/relayer/odd_test.go
+++ b/relayer/odd_test.go
@@ -137,3 +137,20 @@
 		assert.DeepEqual(t, fs.Batch(time.Hour, relay).GetArrivals(), map[string]float64{"odd": 4, "sound": 2})
 	}
 }
+
+// TestEmptyServerName guards against a server without a name that takes the place of the one
+// which really is at its address.
+func TestEmptyServerName(t *testing.T) {
+	fs := newTestState()
+	id := joinEntry(fs, "entry")
+	fs.UpdateServers(time.Hour, []*wire.ListedServer{
+		{Id: "", Row: 1, Pool: "p", Address: "x", Born: 9},
+		{Id: "e", Row: 1, Pool: "p", Address: "x", Born: 1},
+	})
+	fs.UpdateMembers([]*wire.Member{{Name: "", Row: 1, Address: "x"}, {Name: "side", Row: 1, Address: "y"}})
+	batch := fs.Batch(time.Hour, id)
+	assert.Equal(t, len(batch.GetItems()), 1)
+	assert.Equal(t, batch.GetItems()[0].GetId(), "e")
+	assert.Equal(t, len(batch.GetMembers()), 1)
+	assert.Equal(t, fs.members.version, uint64(1))
+}
--- a/relayer/serverlist.go
+++ b/relayer/serverlist.go
@@ -10,12 +10,13 @@
 )
 
 // UpdateServers applies changes to the platform's list of backend servers, which was
-// complete as of the instant completeAsOf. It ignores rows older than the ones known.
+// complete as of the instant completeAsOf. It ignores rows older than the ones known, and those
+// without an ID.
 func (fs *FleetState) UpdateServers(completeAsOf time.Duration, servers []*wire.ListedServer) {
 	fs.serversCompleteAsOf = max(fs.serversCompleteAsOf, completeAsOf)
 	for _, server := range servers {
 		known, ok := fs.servers.get(server.GetId())
-		if ok && known.GetRow() > server.GetRow() {
+		if server.GetId() == "" || ok && known.GetRow() > server.GetRow() {
 			continue
 		}
 		fs.updateServer(server, known)
@@ -60,10 +61,10 @@
 }
 
 // UpdateMembers applies changes to the list of processes. It ignores rows that are not
-// newer than the ones known.
+// newer than the ones known, and those without a name.
 func (fs *FleetState) UpdateMembers(members []*wire.Member) {
 	for _, m := range members {
-		if known, ok := fs.members.get(m.GetName()); ok && known.GetRow() >= m.GetRow() {
+		if known, ok := fs.members.get(m.GetName()); m.GetName() == "" || ok && known.GetRow() >= m.GetRow() {
 			continue
 		}
 		fs.members.set(m.GetName(), m)
--- a/subscriber/membership.go
+++ b/subscriber/membership.go
@@ -37,13 +37,13 @@
 }
 
 // Update applies rows of the list of processes. It ignores a row that is not newer than the
-// one known. A process that was restarted has no back-off.
+// one known, or that has no name. A process that was restarted has no back-off.
 func (ms *Membership) Update(members ...*wire.Member) {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
 	for _, m := range members {
 		known := ms.members[m.GetName()]
-		if known.GetRow() >= m.GetRow() && known != nil {
+		if m.GetName() == "" || known != nil && known.GetRow() >= m.GetRow() {
 			continue
 		}
 		if known.GetStarted() != m.GetStarted() {
