--- a/relayer/odd_test.go
+++ b/relayer/odd_test.go
@@ -41,12 +41,12 @@
 
 // oddRequests are load requests with numbers that no process can mean.
 var oddRequests = []*wire.LoadRequest{
-	{Model: "odd", Count: 1, Worth: math.NaN()},
 	{Model: "odd", Count: 1, Worth: math.Inf(1)},
 	{Model: "odd", Count: 1, Worth: -1},
 	{Model: "odd", Count: 1, Worth: 1e300},
 	{Model: "odd", Count: math.MaxUint32, Worth: 1},
 	{Model: "", Count: 1, Worth: 1},
+	{Model: "odd", Count: 1, Worth: math.NaN()},
 }
 
 // TestOddDemand guards against a demand with an odd number that never equals itself, so that
