planner: an infinite limit or cost is refused with the name of its field

Seen: JSON can state an infinite number as a text, "Infinity". An intent with such a rate, burst, weight or idle cost was accepted and got into the configuration of all processes.

Evidence, before: planner_test.go:126: only workspaces[0].burst, which was NaN, is named (TestInfiniteNumbers).

Ruled out: null elements and numbers out of range in the lists of an intent, which the decoder of the message refuses with the field.

Why it works: the four numbers have to be above 0 (an idle cost may be 0) and at most 1e15, which NaN and infinity are not.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -138,18 +138,24 @@
 	}
 }
 
-// checkWorkspace adds the faults of a workspace. Its comparisons are negated so that
-// they also reject NaN.
+// maxNumber is the highest number that a rate, a burst, a weight or a cost may have.
+const maxNumber = 1e15
+
+// positive reports whether a number is above 0 and not above maxNumber. It is false for a value
+// that is not a number.
+func positive(number float64) bool { return number > 0 && number <= maxNumber }
+
+// checkWorkspace adds the faults of a workspace.
 func checkWorkspace(e *IntentError, field string, w *wire.Workspace) {
 	checkName(e, field+".name", w.GetName())
-	if !(w.GetRate() > 0) {
-		e.add(field+".rate", "must be above 0 tokens a second")
+	if !positive(w.GetRate()) {
+		e.add(field+".rate", "must be above 0 tokens a second and at most %g", maxNumber)
 	}
-	if !(w.GetBurst() > 0) {
-		e.add(field+".burst", "must be above 0 tokens")
+	if !positive(w.GetBurst()) {
+		e.add(field+".burst", "must be above 0 tokens and at most %g", maxNumber)
 	}
-	if !(w.GetWeight() > 0) {
-		e.add(field+".weight", "must be above 0")
+	if !positive(w.GetWeight()) {
+		e.add(field+".weight", "must be above 0 and at most %g", maxNumber)
 	}
 	if w.GetShares() > maxShares {
 		e.add(field+".shares", "must be at most %d", maxShares)
@@ -165,8 +171,8 @@
 	if m.GetReplicas() > maxReplicas {
 		e.add(field+".replicas", "must be at most %d", maxReplicas)
 	}
-	if !(m.GetIdle() >= 0) {
-		e.add(field+".idle", "must not be negative")
+	if m.GetIdle() != 0 && !positive(m.GetIdle()) {
+		e.add(field+".idle", "must not be negative, and at most %g", maxNumber)
 	}
 	checkBase(e, field, next, m)
 	checkWorkspaces(e, field, next, m.GetWorkspaces())
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -108,3 +108,20 @@
 		assert.NilError(t, err, file)
 	}
 }
+
+// TestInfiniteNumbers guards against a limit or a cost that is infinite, which JSON can state as
+// a text: the intent is refused with the names of the fields.
+func TestInfiniteNumbers(t *testing.T) {
+	intent := `{"workspaces": [{"name": "w", "rate": "Infinity", "burst": "NaN", "weight": "Infinity"}], "models": [{"name": "m", "bytes": 1, "idle": "Infinity"}]}`
+	change := &wire.Change{}
+	assert.NilError(t, protojson.Unmarshal([]byte(intent), change))
+	_, err := Plan("p", baseView(t), change)
+	var faults *IntentError
+	assert.Assert(t, eris.As(err, &faults))
+	var fields []string
+	for _, f := range faults.Faults() {
+		fields = append(fields, f.Field)
+	}
+	got := strings.Join(fields, " ")
+	assert.Assert(t, sameFields(got, "workspaces[0].rate workspaces[0].burst workspaces[0].weight models[0].idle"), got)
+}
