dispatcher: an odd number of bucket shares costs its workspace alone

Seen: a workspace without bucket shares in the configuration, of another writer or version, is a division by zero at each of its requests. One with billions of them makes each request build a list of as many, until the process has no memory left and ends with all other requests.

Evidence, before: panic: runtime error: integer divide by zero (TestOddShares).

Ruled out: intents, which are planned with 2 shares by default and 32 at most.

Why it works: no share is charged if there is none, and the first 32 at most; the requests of that workspace are refused as without a holder, or have fewer tokens.

--- a/dispatcher/charge.go
+++ b/dispatcher/charge.go
@@ -99,13 +99,21 @@
 		WithRetryAfter(max(retryAfter, 10*time.Millisecond))
 }
 
+// maxShares is the highest number of shares of a workspace that are charged.
+const maxShares = 32
+
 // shareOrder returns the shares of a workspace, those held in this data centre first.
-// Entries begin at different shares, so that charges spread over the holders.
+// Entries begin at different shares, so that charges spread over the holders. There are no
+// more than maxShares.
 func (d *Dispatcher) shareOrder(workspace *wire.Workspace) []uint32 {
 	var localShares, remoteShares []uint32
-	first := uint32(router.Score(d.member.Self().Name, router.Hash(workspace.GetName())) % uint64(workspace.GetShares()))
-	for i := range workspace.GetShares() {
-		share := (first + i) % workspace.GetShares()
+	shares := min(workspace.GetShares(), maxShares)
+	if shares == 0 {
+		return nil
+	}
+	first := uint32(router.Score(d.member.Self().Name, router.Hash(workspace.GetName())) % uint64(shares))
+	for i := range shares {
+		share := (first + i) % shares
 		address, self := d.holder.HolderAddress(holder.BucketShard(workspace.GetName(), share, d.shards))
 		if self || d.inLocalCentre(address) {
 			localShares = append(localShares, share)
@@ -127,8 +135,8 @@
 }
 
 // chargeShare takes tokens from one bucket share, in this process or by a call to the
-// share's holder. It may grant fewer tokens than the charge asks for. After a call that
-// fails, the shard rows are read again; a holder that sent no reply is skipped for
+// share's holder. It may grant fewer tokens than the charge asks for; any other number is an
+// unexpected reply. After a call that fails, the shard rows are read again; a holder that sent no reply is skipped for
 // holderBackOff.
 func (d *Dispatcher) chargeShare(ctx context.Context, charge *wire.Charge) (*wire.Grant, error) {
 	address, self := d.holder.HolderAddress(holder.BucketShard(charge.GetWorkspace(), charge.GetShare(), d.shards))
