dispatcher: an odd grant of one holder does not refuse the request

Seen: a holder that grants a number of tokens that is not a number leaves the request with an unknown number missing: the other shares, which have enough, cannot make it up, and the request is refused. One that grants more than asked, or less than nothing, spoils the settlement.

Evidence, before: odd_test.go:44: rate_limited: the workspace has used its rate and burst: NaN (TestOddGrant).

Why it works: a grant outside 0 to the number asked for is an unexpected reply, after which the next share is charged.

Tests: go test -race of dispatcher and planner passed.

--- a/dispatcher/charge.go
+++ b/dispatcher/charge.go
@@ -157,10 +157,11 @@
 		}
 		return nil, err
 	}
-	if reply.GetGrant() == nil {
+	grant := reply.GetGrant()
+	if grant == nil || !(grant.GetTokens() >= 0 && grant.GetTokens() <= charge.GetWant()) {
 		return nil, peer.UnexpectedReply(reply)
 	}
-	return reply.GetGrant(), nil
+	return grant, nil
 }
 
 // holderBackingOff reports whether the holder at address failed to answer less than
