--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -266,6 +266,11 @@
 func (c *Configurer) Apply(change *wire.Change) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.apply(change)
+}
+
+// apply does the work of Apply. The caller holds the lock.
+func (c *Configurer) apply(change *wire.Change) error {
 	v := c.view.Load()
 	if change.GetVersion() <= v.version {
 		return nil
@@ -281,6 +286,23 @@
 	return nil
 }
 
+// Skip advances the copy by one version without a change, because the change cannot be read. The
+// kept changes are discarded, so that none is sent to other processes across the gap. It ignores
+// a version that the copy already includes, and returns a *GapError if earlier changes are
+// missing.
+func (c *Configurer) Skip(version uint64) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version <= c.view.Load().version {
+		return nil
+	}
+	err := c.apply(&wire.Change{Version: version})
+	if err == nil {
+		c.changes = nil
+	}
+	return err
+}
+
 // Restore replaces the copy by a snapshot if the snapshot is newer. The kept
 // changes are discarded.
 func (c *Configurer) Restore(snapshot *wire.Change) {
--- a/member/member.go
+++ b/member/member.go
@@ -135,12 +135,15 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { m.refreshInstances(limited) })
-	previous := m.View().Version()
+	previous, gaps := m.View().Version(), len(m.syncer.Gaps())
 	err := m.syncer.Pull(limited, sentAt)
 	wg.Wait()
 	if current := m.View().Version(); current != previous {
 		m.log.Info().Uint64("version", current).Msg("config: in force")
 	}
+	for _, version := range m.syncer.Gaps()[gaps:] {
+		m.log.Error().Uint64("version", version).Msg("config: a change cannot be read and is skipped")
+	}
 	if err != nil && ctx.Err() == nil {
 		m.log.Warn().Err(err).Msg("config: platform gave no proof")
 		m.probeEntries(ctx)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -419,13 +419,16 @@
 type Status struct {
 	Rollout
 	Instances []storer.Instance `json:"instances"`
+	// Skipped are the versions of the changes that this entry lacks because they cannot be
+	// read. What they set or withdrew has to be set or withdrawn again.
+	Skipped []uint64 `json:"skipped,omitempty"`
 }
 
 // handleStatus answers with the configuration version here, the entries that have it
 // and the listed instances.
 func (o *Server) handleStatus(w http.ResponseWriter, r *http.Request) {
 	_ = o.syncer.Pull(r.Context(), o.clock())
-	status := Status{Rollout: Rollout{Version: o.config.View().Version()}}
+	status := Status{Rollout: Rollout{Version: o.config.View().Version()}, Skipped: o.syncer.Gaps()}
 	limited, cancel := context.WithTimeout(r.Context(), dumpTimeout)
 	defer cancel()
 	status.InForce, status.Pending = o.member.RolloutStatus(limited, status.Version)
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -24,6 +24,7 @@
 // fixture holds the operator APIs of two entries that share one platform.
 type fixture struct {
 	platform *faker.Platform
+	clock    *faker.Clock
 	members  []*member.Member
 	clients  []*Client
 	urls     []string
@@ -33,9 +34,9 @@
 // entry b.
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	fx := &fixture{platform: faker.NewPlatform()}
-	network := faker.NewNetwork()
 	clock := faker.NewClock()
+	fx := &fixture{platform: faker.NewPlatform(), clock: clock}
+	network := faker.NewNetwork()
 	l := faker.DiscardLogger()
 	var list []storer.Instance
 	for _, name := range []string{"a", "b"} {
@@ -201,3 +202,30 @@
 	assert.NilError(t, err)
 	assert.Assert(t, strings.Index(string(data), "loaded") < strings.Index(string(data), "unloaded"), string(data))
 }
+
+// TestStatusNamesSkippedChanges guards against a gap in the configuration that nobody notices.
+func TestStatusNamesSkippedChanges(t *testing.T) {
+	fx := newFixture(t)
+	ctx := context.Background()
+	status := fx.status(t)
+	assert.Equal(t, len(status.Skipped), 0)
+	head, err := storer.Encode(&wire.Head{Version: status.Version + 1})
+	assert.NilError(t, err)
+	_, err = fx.platform.Commit(ctx, storer.Transaction{Puts: []storer.Put{
+		{Key: storer.ConfigHeadKey, Value: head},
+		{Key: storer.ChangeKey(status.Version + 1), Value: []byte{0xff}},
+	}})
+	assert.NilError(t, err)
+	fx.members[0].Poll(ctx)
+	fx.clock.Advance(time.Minute)
+	assert.DeepEqual(t, fx.status(t).Skipped, []uint64{status.Version + 1})
+}
+
+// status returns the state of the fleet as entry a shows it.
+func (fx *fixture) status(t *testing.T) Status {
+	data, err := fx.clients[0].Status(context.Background())
+	assert.NilError(t, err)
+	var status Status
+	assert.NilError(t, json.Unmarshal(data, &status))
+	return status
+}
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,27 @@
 // snapshotInterval is the number of changes between two snapshot objects.
 const snapshotInterval = 32
 
+// gapTimeout is how long a change that cannot be read holds up the copy. Other processes that
+// have the change can supply it meanwhile.
+const gapTimeout = 2 * time.Second
+
+// UnreadableChangeError reports a change whose row cannot be read.
+type UnreadableChangeError struct {
+	Version uint64
+	cause   error
+}
+
+// Error names the version, with the cause if there is one.
+func (e *UnreadableChangeError) Error() string {
+	if e.cause == nil {
+		return fmt.Sprintf("the row of change %d holds another change", e.Version)
+	}
+	return fmt.Sprintf("change %d cannot be read: %v", e.Version, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreadableChangeError) Unwrap() error { return e.cause }
+
 // StaleBaseError reports that a change was not accepted because the configuration
 // is no longer at the version that the change is based on.
 type StaleBaseError struct {
@@ -46,6 +68,11 @@
 	// newest configuration. It is valid if everCurrent is set.
 	currentAt   time.Duration
 	everCurrent bool
+	// unreadable is the version of the change that could not be read since unreadableSince,
+	// or 0. gaps are the versions of the changes that the copy lacks for that reason.
+	unreadable      uint64
+	unreadableSince time.Duration
+	gaps            []uint64
 }
 
 // New returns a syncer that updates the copy config.
@@ -61,6 +88,14 @@
 	return s.currentAt, s.everCurrent
 }
 
+// Gaps returns the versions of the changes that the copy lacks because they cannot be read. What
+// they set or withdrew has to be set or withdrawn again.
+func (s *Syncer) Gaps() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.gaps)
+}
+
 // MarkCurrent records that the copy was the newest configuration at the instant at. It
 // has no effect if a later instant is already recorded.
 func (s *Syncer) MarkCurrent(at time.Duration) {
@@ -80,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.applyUpTo(ctx, head); err != nil {
+	if err := s.applyUpTo(ctx, now, head); err != nil {
 		return err
 	}
 	if s.config.View().Version() >= head.GetVersion() {
@@ -101,33 +136,64 @@
 }
 
 // applyUpTo loads the newest snapshot if the copy is older than it, and applies
-// the changes that follow up to head. A missing change is a
-// *configurer.GapError.
-func (s *Syncer) applyUpTo(ctx context.Context, head *wire.Head) error {
+// the changes that follow up to head. If the snapshot cannot be used, it applies the
+// changes before it as well. A missing change is a *configurer.GapError.
+func (s *Syncer) applyUpTo(ctx context.Context, now time.Duration, head *wire.Head) error {
+	var snapshotErr error
 	if s.config.View().Version() < head.GetSnapshot() {
-		if err := s.loadSnapshot(ctx, head.GetSnapshot()); err != nil {
-			return err
-		}
+		snapshotErr = s.loadSnapshot(ctx, head.GetSnapshot())
 	}
 	for v := s.config.View().Version() + 1; v <= head.GetVersion(); v++ {
-		row, err := s.table.Get(ctx, storer.ChangeKey(v))
-		if err != nil {
-			return err
+		err := s.applyChange(ctx, now, v, head)
+		if err != nil && snapshotErr != nil {
+			return snapshotErr
 		}
-		if row.Version == 0 {
-			return &configurer.GapError{Have: v - 1, Got: head.GetVersion()}
-		}
-		change := &wire.Change{}
-		if err := storer.Decode(row.Value, change); err != nil {
-			return err
-		}
-		if err := s.config.Apply(change); err != nil {
+		if err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// applyChange applies the change of a version. One that cannot be read is an
+// *UnreadableChangeError until gapTimeout has passed, and is then skipped.
+func (s *Syncer) applyChange(ctx context.Context, now time.Duration, version uint64, head *wire.Head) error {
+	row, err := s.table.Get(ctx, storer.ChangeKey(version))
+	if err != nil {
+		return err
+	}
+	if row.Version == 0 {
+		return &configurer.GapError{Have: version - 1, Got: head.GetVersion()}
+	}
+	change := &wire.Change{}
+	err = storer.Decode(row.Value, change)
+	if err != nil || change.GetVersion() != version {
+		return s.skip(now, &UnreadableChangeError{Version: version, cause: err})
+	}
+	return s.config.Apply(change)
+}
+
+// skip skips a change that cannot be read, or returns unreadable if gapTimeout has not passed yet.
+// It does nothing if another process has supplied the change.
+func (s *Syncer) skip(now time.Duration, unreadable *UnreadableChangeError) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config.View().Version() >= unreadable.Version {
+		return nil
+	}
+	if s.unreadable != unreadable.Version {
+		s.unreadable, s.unreadableSince = unreadable.Version, now
+	}
+	if now-s.unreadableSince < gapTimeout {
+		return unreadable
+	}
+	if err := s.config.Skip(unreadable.Version); err != nil {
+		return err
+	}
+	s.gaps = append(s.gaps, unreadable.Version)
+	return nil
+}
+
 // loadSnapshot restores the copy from the snapshot of a version.
 func (s *Syncer) loadSnapshot(ctx context.Context, version uint64) error {
 	data, err := s.store.Load(ctx, storer.SnapshotName(version))
@@ -138,6 +204,9 @@
 	if err := storer.Decode(data, snapshot); err != nil {
 		return err
 	}
+	if snapshot.GetVersion() != version {
+		return storer.NewFormatError("the snapshot is of another version", nil)
+	}
 	s.config.Restore(snapshot)
 	return nil
 }
