relayer: the feed of one relay is read once, whatever the list of processes says

Seen: a row of the list of processes whose data centre does not exist, or all of whose processes are gone, makes each relay look for a relay of that data centre among all processes. If it finds one whose feed it reads already, or itself, the tokens and demands there count twice: workspaces are refused at half of their limits. And since a relay keeps one link of each process, the two feeds end each other's link every 650 ms without end: the relay stops following sound ones.

Cause: nothing compared the relays of the feeds. A relay publishes what is linked to it of all data centres, so that a second feed of it holds nothing more.

Ruled out: to pass over data centres with odd names: a data centre that has lost all its processes has the same effect until its rows are gone.

Why it works: a feed is not read from the process itself, nor from one whose feed is open for another data centre. If two readers reach the same relay at once, the second does not open its feed, and one of them finds another process when its link times out.

--- a/relayer/feedreader.go
+++ b/relayer/feedreader.go
@@ -59,8 +59,9 @@
 // newSubscriber returns a subscriber to the relay of another data centre.
 func (r *Relayer) newSubscriber(centre string, caller peer.DuplexCaller, membership *subscriber.Membership) *subscriber.Subscriber {
 	self := &wire.Link{Name: r.self.GetName(), Role: Relay, Centre: r.self.GetCentre(), Started: r.self.GetStarted()}
-	host := subscriber.Host{Name: r.self.GetName(), Clock: r.clock, Caller: caller, Local: r.Handle, Membership: membership, Log: r.log}
-	return subscriber.New(host, self, centre, subscriber.EntryTiming, &feedReader{relayer: r, centre: centre})
+	reader := &feedReader{relayer: r, centre: centre}
+	host := subscriber.Host{Name: r.self.GetName(), Clock: r.clock, Caller: caller, Local: r.Handle, Membership: membership, Excluded: reader.excluded, Log: r.log}
+	return subscriber.New(host, self, centre, subscriber.EntryTiming, reader)
 }
 
 // feedReader applies the feed of another data centre's relay. It implements
@@ -70,6 +71,14 @@
 	centre  string
 }
 
+// excluded reports whether the feed is not to be read from a process: this one itself, or one
+// whose feed is read already, which holds what is linked to it of all data centres.
+func (r *feedReader) excluded(name string) bool {
+	r.relayer.mu.Lock()
+	defer r.relayer.mu.Unlock()
+	return name == r.relayer.self.GetName() || r.relayer.state.readsFeedOf(name, r.centre)
+}
+
 // Report implements subscriber.Process. A report only says whether processes are linked to
 // this relay: the other relay subscribes to this one's state itself.
 func (r *feedReader) Report(time.Duration, bool) *wire.Report {
@@ -78,11 +87,12 @@
 	return &wire.Report{Ready: r.relayer.serving}
 }
 
-// Receive implements subscriber.Process. The first batch of a link opens the feed.
+// Receive implements subscriber.Process. The first batch of a link opens the feed, unless that of
+// the same relay has been opened for another data centre meanwhile.
 func (r *feedReader) Receive(now time.Duration, _ string, batch *wire.Batch, first bool) {
 	r.relayer.mu.Lock()
 	defer r.relayer.mu.Unlock()
-	if first {
+	if first && !r.relayer.state.readsFeedOf(batch.GetRelay(), r.centre) {
 		r.relayer.state.OpenFeed(now, r.centre, batch.GetRelay())
 	}
 	r.relayer.state.ApplyFeed(now, r.centre, batch)
--- a/relayer/remotefeed.go
+++ b/relayer/remotefeed.go
@@ -49,6 +49,17 @@
 	fs.log.Info().Str("centre", centre).Str("relay", relay).Msg("relay: answers")
 }
 
+// readsFeedOf reports whether the feed of a relay is open for another data centre than the given
+// one.
+func (fs *FleetState) readsFeedOf(relay, centre string) bool {
+	for other, rf := range fs.remoteFeeds {
+		if rf.relay == relay && other != centre {
+			return true
+		}
+	}
+	return false
+}
+
 // CloseFeed closes the feed of another data centre if the named relay publishes it. The data
 // centre stays in the ledger, which reserves tokens for its further usage.
 func (fs *FleetState) CloseFeed(now time.Duration, centre, relay string) {
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -75,6 +75,7 @@
 	hostName   string
 	local      peer.Handler
 	membership *Membership
+	excluded   func(name string) bool
 	process    Process
 	log        *log.Logger
 	done       chan struct{}
@@ -97,8 +98,10 @@
 	// Caller opens links to other processes, and Local handles one to this process.
 	Caller peer.DuplexCaller
 	Local  peer.Handler
-	// Membership holds the processes of the fleet.
+	// Membership holds the processes of the fleet. Excluded reports whether one of them is not
+	// to be used as the relay, and is nil if all are.
 	Membership *Membership
+	Excluded   func(name string) bool
 	Log        *log.Logger
 }
 
@@ -106,7 +109,7 @@
 // process that is to be linked.
 func New(h Host, self *wire.Link, centre string, timing Timing, process Process) *Subscriber {
 	return &Subscriber{
-		self: self, centre: centre, timing: timing, clock: h.Clock, caller: h.Caller, hostName: h.Name, local: h.Local, membership: h.Membership,
+		self: self, centre: centre, timing: timing, clock: h.Clock, caller: h.Caller, hostName: h.Name, local: h.Local, membership: h.Membership, excluded: h.Excluded,
 		process: process, log: h.Log, done: make(chan struct{}), startedAt: h.Clock(),
 	}
 }
@@ -153,7 +156,7 @@
 // which accepts the link only if it uses no other relay itself. A candidate that refuses
 // because of that is tried again.
 func (s *Subscriber) open(ctx context.Context, before string) *session {
-	candidates := s.membership.RelayCandidates(s.clock(), s.centre, before)
+	candidates := s.candidates(before)
 	attempts := make(chan attempt)
 	pending := 0
 	defer func() { go closeLate(attempts, pending) }()
@@ -187,6 +190,16 @@
 	}
 }
 
+// candidates returns the processes that may be the relay, those preferred first. If before names
+// a process, only those preferred to it are returned.
+func (s *Subscriber) candidates(before string) []*wire.Member {
+	candidates := s.membership.RelayCandidates(s.clock(), s.centre, before)
+	if s.excluded == nil {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(m *wire.Member) bool { return s.excluded(m.GetName()) })
+}
+
 // attempt is the result of an attempt to link to a process.
 type attempt struct {
 	member  *wire.Member
