--- a/relayer/odd_test.go
+++ b/relayer/odd_test.go
@@ -41,12 +41,12 @@
 
 // oddRequests are load requests with numbers that no process can mean.
 var oddRequests = []*wire.LoadRequest{
-	{Model: "odd", Count: 1, Worth: math.NaN()},
 	{Model: "odd", Count: 1, Worth: math.Inf(1)},
 	{Model: "odd", Count: 1, Worth: -1},
 	{Model: "odd", Count: 1, Worth: 1e300},
 	{Model: "odd", Count: math.MaxUint32, Worth: 1},
 	{Model: "", Count: 1, Worth: 1},
+	{Model: "odd", Count: 1, Worth: math.NaN()},
 }
 
 // TestOddDemand guards against a demand with an odd number that never equals itself, so that
@@ -125,3 +125,32 @@
 	fs.Report(time.Hour, joinEntry(fs, "entry"), &wire.Report{Crashes: list})
 	assert.Equal(t, len(fs.crashes.elements), 128)
 }
+
+// TestOddArrivals guards against the arrivals of a sound entry that other relays do not count
+// because they were added to an odd number.
+func TestOddArrivals(t *testing.T) {
+	for _, odd := range []float64{math.NaN(), math.Inf(1), -1, 1e300} {
+		fs := newTestState()
+		relay := fs.Join(time.Hour, &wire.Link{Name: "other", Role: Relay, Centre: "c1"})
+		fs.Report(time.Hour, joinEntry(fs, "a"), &wire.Report{Arrivals: map[string]float64{"odd": 4, "sound": 1}})
+		fs.Report(time.Hour, joinEntry(fs, "b"), &wire.Report{Arrivals: map[string]float64{"odd": odd, "sound": 1}})
+		assert.DeepEqual(t, fs.Batch(time.Hour, relay).GetArrivals(), map[string]float64{"odd": 4, "sound": 2})
+	}
+}
+
+// TestEmptyServerName guards against a server without a name that takes the place of the one
+// which really is at its address.
+func TestEmptyServerName(t *testing.T) {
+	fs := newTestState()
+	id := joinEntry(fs, "entry")
+	fs.UpdateServers(time.Hour, []*wire.ListedServer{
+		{Id: "", Row: 1, Pool: "p", Address: "x", Born: 9},
+		{Id: "e", Row: 1, Pool: "p", Address: "x", Born: 1},
+	})
+	fs.UpdateMembers([]*wire.Member{{Name: "", Row: 1, Address: "x"}, {Name: "side", Row: 1, Address: "y"}})
+	batch := fs.Batch(time.Hour, id)
+	assert.Equal(t, len(batch.GetItems()), 1)
+	assert.Equal(t, batch.GetItems()[0].GetId(), "e")
+	assert.Equal(t, len(batch.GetMembers()), 1)
+	assert.Equal(t, fs.members.version, uint64(1))
+}
