runner: settings of another kind of process are not taken over

Seen: a settings file that becomes that of a sidecar, or one without the section of the hosting platform, was applied to a running hosted entry. The next read of the missing section is a nil pointer: the process ends at the next configuration or while it stops.

Cause: a reload checked the file alone, not against the running process.

Change: settings with another role or without the same section are logged and left.

Evidence: TestReloadOtherRole failed before: "1 (applied) != 0".

--- a/runner/reloader.go
+++ b/runner/reloader.go
@@ -81,6 +81,10 @@
 		r.log.Info().Str("cause", cause).Msg("reload: settings unchanged")
 		return
 	}
+	if !sameSections(loaded, r.current) {
+		r.log.Error().Str("cause", cause).Msg("reload: settings of another kind of process, the previous ones stay in force")
+		return
+	}
 	if fixedSettings(loaded) != fixedSettings(r.current) {
 		r.log.Warn().Str("cause", cause).Msg("reload: changed names and addresses take effect only after a restart")
 	}
@@ -90,6 +94,12 @@
 	r.log.Info().Str("cause", cause).Str("level", loaded.Log.Level).Msg("reload: settings in force")
 }
 
+// sameSections reports whether two settings are for the same kind of process, so that they have
+// the same sections.
+func sameSections(a, b *checker.Settings) bool {
+	return a.Role == b.Role && (a.Hosted == nil) == (b.Hosted == nil)
+}
+
 // fixedSettings returns the settings that take effect only after a restart, joined into one
 // text that can be compared with that of other settings.
 func fixedSettings(s *checker.Settings) string {
--- a/runner/reloader_test.go
+++ b/runner/reloader_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"oleanderstall/checker"
+	"oleanderstall/faker"
 	"oleanderstall/logger"
 	"oleanderstall/timer"
 )
@@ -63,3 +64,24 @@
 func errorLogger(name string) *log.Logger {
 	return logger.New(logger.DefaultOptions("error"), name, os.Stderr, timer.Now).Log()
 }
+
+// TestReloadOtherRole guards against a process that ends because its settings file has become that
+// of another kind of process, whose sections it lacks.
+func TestReloadOtherRole(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	current, err := checker.Check([]byte(hostedSettings("8s")), os.LookupEnv)
+	assert.NilError(t, err)
+	for _, text := range []string{
+		`{"role":"sidecar","name":"e","centre":"c","peer":"127.0.0.1:0","hosted":{"store":"127.0.0.1:1"},"sidecar":{"kind":"engine","backend":"http://127.0.0.1:1","pool":"p"}}`,
+		`{"role":"entry","name":"e","centre":"c","peer":"127.0.0.1:0","platform":"http://p","secret":"a long enough secret","entry":{"callers":"127.0.0.1:0"}}`,
+	} {
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		_, err := checker.Read(path)
+		assert.NilError(t, err)
+		applied := 0
+		r := NewReloader(path, current, func(*checker.Settings) { applied++ }, faker.DiscardLogger())
+		r.reload("test")
+		assert.Equal(t, applied, 0)
+		assert.Equal(t, r.current, current)
+	}
+}
