lister: test that an odd row written again and again costs itself alone

The row is passed on as gone once for each version, and a sound server is not listed again, also when the table is read as a whole.

--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -25,6 +25,8 @@
 	version uint64
 	down    bool
 	calls   int
+	// compacted is set while changes are not available.
+	compacted bool
 }
 
 func (s *store) put(id, value string) {
@@ -47,6 +49,12 @@
 	s.down = down
 }
 
+func (s *store) setCompacted(compacted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted = compacted
+}
+
 func (s *store) Snapshot(ctx context.Context, table string) (storer.Changes, error) {
 	return s.Follow(ctx, table, 0, 0)
 }
@@ -58,6 +66,9 @@
 	if s.down {
 		return storer.Changes{}, &faker.OutageError{}
 	}
+	if s.compacted && after > 0 {
+		return storer.Changes{}, &storer.CompactedError{After: after}
+	}
 	c := storer.Changes{Version: s.version}
 	for _, r := range s.rows {
 		if r.Version > after {
@@ -82,12 +93,14 @@
 	mu           sync.Mutex
 	listed       map[string]*wire.ListedServer
 	completeAsOf time.Duration
-	cancel       context.CancelFunc
+	// changes counts the changes that were passed on, by ID.
+	changes map[string]int
+	cancel  context.CancelFunc
 }
 
 func newFixture() *fixture {
 	start := time.Now()
-	fx := &fixture{store: &store{rows: map[string]storer.Row{}}, listed: map[string]*wire.ListedServer{}}
+	fx := &fixture{store: &store{rows: map[string]storer.Row{}}, listed: map[string]*wire.ListedServer{}, changes: map[string]int{}}
 	clock := func() time.Duration { return time.Hour + time.Since(start) }
 	fx.lister = New("servers", decode, clock, fx.store, fx.apply, faker.DiscardLogger())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -101,6 +114,7 @@
 	defer fx.mu.Unlock()
 	fx.completeAsOf = completeAsOf
 	for _, server := range servers {
+		fx.changes[server.GetId()]++
 		fx.listed[server.GetId()] = server
 		if server.GetGone() {
 			delete(fx.listed, server.GetId())
@@ -157,6 +171,29 @@
 	})
 }
 
+// TestOddRowIsWrittenAgain checks that a row that stays unreadable is passed on as gone once for each
+// version that is read, and that sound servers are not listed again because of it, also when
+// the table is read as a whole.
+func TestOddRowIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture()
+		defer fx.stop()
+		fx.store.put("a", "p")
+		const writes = 20
+		for i := range writes {
+			fx.store.put("odd", "")
+			fx.store.setCompacted(i%2 == 0)
+			time.Sleep(time.Second)
+			assert.Assert(t, fx.lists("a") && !fx.lists("odd"))
+		}
+		time.Sleep(10 * time.Second)
+		fx.mu.Lock()
+		defer fx.mu.Unlock()
+		assert.Equal(t, fx.changes["a"], 1)
+		assert.Equal(t, fx.changes["odd"], writes)
+	})
+}
+
 // TestLapsedRowsAreKept checks that servers whose rows expired during an outage of the store
 // stay listed until relistGrace has passed after it.
 func TestLapsedRowsAreKept(t *testing.T) {
