runner: test odd rows in the places of sound ones as well

The rows of an engine and of a service are overwritten by each kind of odd row; the servers write them again 200 ms later. The list is waited for, since it is read twice a second at most.

--- a/runner/oddrows_test.go
+++ b/runner/oddrows_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -87,8 +88,9 @@
 		for range 6 {
 			assert.Equal(f.t, f.send(i, http.MethodPost, "/order/x").status, http.StatusOK)
 		}
-		assert.Equal(f.t, e.locator.ServingServers(imitator.SiteModels), len(f.site.Engines))
-		assert.Equal(f.t, e.locator.ServingServers(imitator.SiteOrders), len(f.site.Services))
+		f.waitFor("the list", func() bool {
+			return e.locator.ServingServers(imitator.SiteModels) == len(f.site.Engines) && e.locator.ServingServers(imitator.SiteOrders) == len(f.site.Services)
+		})
 		assert.Equal(f.t, e.locator.ServingServers(""), 0)
 	}
 	for _, c := range f.sidecars {
@@ -120,7 +122,8 @@
 }
 
 // TestOddRowsLater guards against entries and sidecars that end, stop serving or stop following
-// when odd rows come to the store one by one, and again after their removal.
+// when odd rows come to the store one by one, take the places of sound ones for a moment, and come
+// again after their removal.
 func TestOddRowsLater(t *testing.T) {
 	f := startFleet(t, newSite(t))
 	f.assertServes()
@@ -130,6 +133,12 @@
 	}
 	putOddRows(f.site, "-later")
 	f.assertServes()
+	for _, value := range oddServerRows {
+		f.site.Rows.PutRaw("servers", "engine-0", []byte(value))
+		f.site.Rows.PutRaw("servers", "service-1", []byte(value))
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.assertServes()
 	for id := range oddServerRows {
 		f.site.Rows.Remove("servers", id)
 	}
