--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -9,6 +9,7 @@
 package orderer
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -270,6 +271,7 @@
 func (o *Orderer) observe(now time.Duration, r Report) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	r = r.normalized()
 	if o.report.Started == 0 {
 		o.log.Info().Int64("born", r.Started).Msg("engine: responding")
 	}
@@ -380,8 +382,9 @@
 	return outcome
 }
 
-// loadRequests merges the load requests of all relays by base model, oldest first. It
-// includes models that the engine already holds. The caller holds the lock.
+// loadRequests merges the load requests of all relays by base model, oldest first and then by
+// name. It includes models that the engine already holds, and leaves out requests that are not
+// plausible. The caller holds the lock.
 func (o *Orderer) loadRequests() []placer.LoadRequest {
 	view := o.config.View()
 	merged := map[string]*placer.LoadRequest{}
@@ -391,7 +394,7 @@
 			if m != nil && m.GetBase() != "" {
 				m = view.Model(m.GetBase())
 			}
-			if m == nil || m.GetPool() != o.options.Pool {
+			if m == nil || m.GetPool() != o.options.Pool || !placer.Plausible(r) {
 				continue
 			}
 			request := merged[m.GetName()]
@@ -402,7 +405,7 @@
 			request.Count += int(r.GetCount())
 			request.Value += r.GetWorth()
 			request.TargetTime = min(request.TargetTime, a.receivedAt+time.Duration(r.GetGoal())*time.Millisecond)
-			request.FirstArrival = min(request.FirstArrival, a.receivedAt-timer.FromMillis(r.GetAge()))
+			request.FirstArrival = min(request.FirstArrival, a.receivedAt-min(timer.FromMillis(r.GetAge()), placer.MaxWait))
 			request.Relief = min(request.Relief, r.GetRate())
 		}
 	}
@@ -410,7 +413,9 @@
 	for _, r := range merged {
 		list = append(list, *r)
 	}
-	slices.SortFunc(list, func(a, b placer.LoadRequest) int { return int(a.FirstArrival - b.FirstArrival) })
+	slices.SortFunc(list, func(a, b placer.LoadRequest) int {
+		return cmp.Or(cmp.Compare(a.FirstArrival, b.FirstArrival), cmp.Compare(a.Model, b.Model))
+	})
 	return list
 }
 
@@ -436,7 +441,9 @@
 			for _, u := range a.assignment.GetDemands() {
 				if u.GetModel() == name {
 					loaded.Inflight = max(loaded.Inflight, int(u.GetInflight()))
-					loaded.Rate = max(loaded.Rate, u.GetRate())
+					if placer.PlausibleRate(u.GetRate()) {
+						loaded.Rate = max(loaded.Rate, u.GetRate())
+					}
 					loaded.Copies = max(loaded.Copies, int(u.GetCopies()))
 				}
 			}
--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -8,7 +8,9 @@
 
 	"oleanderstall/allocator"
 	"oleanderstall/limiter"
+	"oleanderstall/placer"
 	"oleanderstall/timer"
+	"oleanderstall/tracker"
 	"oleanderstall/wire"
 )
 
@@ -177,7 +179,7 @@
 		if u.GetInflight() == 0 {
 			delete(lp.usage, key)
 		} else {
-			lp.usage[key] = u.GetInflight()
+			lp.usage[key] = min(u.GetInflight(), placer.MaxRequests)
 		}
 		fs.updateUsage(key)
 	}
@@ -192,7 +194,7 @@
 	fs.recordSaturations(now, report.GetFelt())
 	for _, other := range fs.processes {
 		if other.link.GetRole() == Relay {
-			addAll(other.arrivals, report.GetArrivals())
+			addArrivals(other.arrivals, report.GetArrivals())
 			other.saturations = append(other.saturations, report.GetFelt()...)
 		}
 	}
@@ -202,12 +204,15 @@
 	}
 }
 
-// replaceDemands replaces the demands of an entry. The entry is sent the ready estimate of
-// each model that is new among them.
+// replaceDemands replaces the demands of an entry, and ignores those that are not plausible.
+// The entry is sent the ready estimate of each model that is new among them.
 func (fs *FleetState) replaceDemands(now time.Duration, lp *linkedProcess, requests []*wire.LoadRequest) {
 	previous := lp.demands
 	lp.demands = map[string]allocator.Demand{}
 	for _, r := range requests {
+		if !placer.Plausible(r) {
+			continue
+		}
 		lp.demands[r.GetModel()] = decodeDemand(now, r)
 		if _, ok := previous[r.GetModel()]; !ok {
 			lp.estimatesDue[r.GetModel()] = true
@@ -228,7 +233,7 @@
 		Count:        r.GetCount(),
 		Value:        r.GetWorth(),
 		TargetTime:   now + time.Duration(r.GetGoal())*time.Millisecond,
-		FirstArrival: now - timer.FromMillis(r.GetAge()),
+		FirstArrival: now - min(timer.FromMillis(r.GetAge()), placer.MaxWait),
 		Avoid:        r.GetAvoid(),
 	}
 }
@@ -311,6 +316,15 @@
 	}
 }
 
+// addArrivals adds the plausible numbers of more to those in to.
+func addArrivals(to, more map[string]float64) {
+	for name, count := range more {
+		if tracker.PlausibleArrivals(count) {
+			to[name] += count
+		}
+	}
+}
+
 // addAll adds each value of more to the value of the same key in to.
 func addAll(to, more map[string]float64) {
 	for name, n := range more {
