runner: a request that a stopping entry has read is answered

Cause: net/http's Shutdown closes connections that count as idle, also if the bytes of a request were read from them but its head is not complete, and it drops a request that was read after its begin (server.go: shuttingDown after readRequest). The first needs the process to be paused between the read and the next step, the second only a request that crosses the stop.

Ruled out: hiding the Close of an idle connection from Shutdown (tried; the request that was read is dropped all the same).

Fix: the listener knows its connections. A stop closes it, ends the reads of connections that have received nothing, answers the rest with Connection: close and waits for their end; only then comes Shutdown. Connections with TLS are stopped as before.

--- a/resetter/resetter.go
+++ b/resetter/resetter.go
@@ -12,6 +12,9 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
+// lingerer is a connection that may be reset when it is closed, such as a net.TCPConn.
+type lingerer interface{ SetLinger(seconds int) error }
+
 // WithConn returns a context with the connection. It is the ConnContext of an http.Server.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
@@ -20,7 +23,7 @@
 // Arm is called before the head of an answer to r that has no length. Unless the answer is sent
 // in chunks, the connection is reset when it ends before disarm is called.
 func Arm(r *http.Request) (disarm func()) {
-	conn, ok := r.Context().Value(connKey{}).(*net.TCPConn)
+	conn, ok := r.Context().Value(connKey{}).(lingerer)
 	if !ok || r.ProtoAtLeast(1, 1) || conn.SetLinger(0) != nil {
 		return func() {}
 	}
--- /dev/null
+++ b/runner/drainconn.go
@@ -0,0 +1,178 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// drainListener is the listener of an HTTP server that is stopped without closing a connection
+// from which it has read a request. The Shutdown of net/http does not answer a request that was
+// read after its begin.
+type drainListener struct {
+	net.Listener
+	open     sync.WaitGroup
+	mu       sync.Mutex
+	conns    map[*drainConn]bool
+	stopping bool
+}
+
+func newDrainListener(l net.Listener) *drainListener {
+	return &drainListener{Listener: l, conns: map[*drainConn]bool{}}
+}
+
+// Accept implements net.Listener.
+func (l *drainListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &drainConn{Conn: conn, listener: l, idle: true}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = true
+	l.open.Add(1)
+	return c, nil
+}
+
+// remove forgets a connection that is closed. It does nothing the second time.
+func (l *drainListener) remove(c *drainConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conns[c] {
+		delete(l.conns, c)
+		l.open.Done()
+	}
+}
+
+// stop closes the listener and ends the connections on which no request arrives; the others end
+// with their answers. It returns when all have ended or ctx ends.
+func (l *drainListener) stop(ctx context.Context) {
+	// The listener may be closed already, after a failure.
+	_ = l.Close()
+	for _, c := range l.startStop() {
+		c.endIfIdle()
+	}
+	ended := make(chan struct{})
+	go func() {
+		l.open.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+// startStop marks the listener as stopping and returns the open connections.
+func (l *drainListener) startStop() []*drainConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopping = true
+	var open []*drainConn
+	for c := range l.conns {
+		open = append(open, c)
+	}
+	return open
+}
+
+// isStopping reports whether stop was called.
+func (l *drainListener) isStopping() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stopping
+}
+
+// closeAfterAnswer returns a handler whose answers end their connections while the listener stops.
+func (l *drainListener) closeAfterAnswer(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l.isStopping() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// drainConn is a connection of a drainListener.
+type drainConn struct {
+	net.Conn
+	listener *drainListener
+	mu       sync.Mutex
+	// idle is set until the head of a request is complete, received once bytes of it were read,
+	// and ending if the connection ends unless there are some.
+	idle     bool
+	received bool
+	ending   bool
+}
+
+// recordState is the ConnState of an http.Server that serves a drainListener.
+func recordState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*drainConn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	c.idle = state == http.StateNew || state == http.StateIdle
+	if state == http.StateIdle {
+		c.received = false
+	}
+	c.mu.Unlock()
+	if c.listener.isStopping() {
+		c.endIfIdle()
+	}
+}
+
+// endIfIdle makes the server close the connection unless bytes of a request were read.
+func (c *drainConn) endIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle || c.received {
+		return
+	}
+	c.ending = true
+	// A read that has not returned bytes fails; the server then closes the connection.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// Read implements net.Conn.
+func (c *drainConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received = c.received || n > 0
+	return n, err
+}
+
+// SetReadDeadline implements net.Conn. It does not prolong the reads of a connection that ends.
+func (c *drainConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending && !c.received {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *drainConn) Close() error {
+	defer c.listener.remove(c)
+	return c.Conn.Close()
+}
+
+// SetLinger sets what closing the connection does with unsent bytes; see net.TCPConn.
+func (c *drainConn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
+// CloseWrite ends the sending direction of the connection; see net.TCPConn.
+func (c *drainConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -213,7 +213,9 @@
 // httpServer is an HTTP server with its listener.
 type httpServer struct {
 	server   *http.Server
-	listener net.Listener
+	listener *drainListener
+	// secure is set if the connections use TLS.
+	secure bool
 	// stopped is closed when the server has stopped.
 	stopped chan struct{}
 }
@@ -224,32 +226,40 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen")
 	}
+	return serveListener(listener, handler, tlsConfig), nil
+}
+
+// serveListener serves handler on a listener, with TLS if tlsConfig is not nil.
+func serveListener(inner net.Listener, handler http.Handler, tlsConfig *tls.Config) *httpServer {
+	listener := newDrainListener(inner)
 	s := &httpServer{
 		server: &http.Server{
-			Handler:           handler,
+			Handler:           listener.closeAfterAnswer(handler),
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 			ConnContext:       resetter.WithConn,
+			ConnState:         recordState,
 			TLSConfig:         tlsConfig.Clone(),
 		},
 		listener: listener,
+		secure:   tlsConfig != nil,
 		stopped:  make(chan struct{}),
 	}
 	go s.serve()
-	return s, nil
+	return s
 }
 
 // serve accepts connections until the server is shut down.
 func (s *httpServer) serve() {
 	defer close(s.stopped)
 	var err error
-	if s.server.TLSConfig != nil {
+	if s.secure {
 		err = s.server.ServeTLS(s.listener, "", "")
 	} else {
 		err = s.server.Serve(s.listener)
 	}
-	if !errors.Is(err, http.ErrServerClosed) {
+	if !errors.Is(err, http.ErrServerClosed) && !s.listener.isStopping() {
 		log.Error().Err(err).Msg("listen: server failed")
 	}
 }
@@ -263,11 +273,15 @@
 }
 
 // stop closes the listener and waits for the active requests. When ctx ends it
-// closes their connections. It does nothing for a nil server.
+// closes their connections. It does nothing for a nil server. With TLS, where a connection may
+// carry many requests at a time, net/http ends the connections.
 func (s *httpServer) stop(ctx context.Context) {
 	if s == nil {
 		return
 	}
+	if !s.secure {
+		s.listener.stop(ctx)
+	}
 	if s.server.Shutdown(ctx) != nil {
 		_ = s.server.Close()
 	}
