runner: answers of a service whose URL has no port are not refused for that

What callers of the own face would see: a 502 for each answer with neither a length nor chunks of a service whose sidecar has a URL without a port, which the settings allow. Calls that may run once only are lost.

Cause: the check whether the service listens was left out for such a URL, and since the sidecar doubts the end of such an answer, "not known" refuses it.

Fix: without a port the name of the scheme stands for it, which the dialer of net knows.

--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -1,7 +1,9 @@
 package runner
 
 import (
+	"cmp"
 	"context"
+	"net"
 	"net/url"
 	"time"
 
@@ -71,11 +73,21 @@
 // backendRefuses returns the check whether nobody listens at the address of a URL, or nil if
 // the URL has no address.
 func backendRefuses(backendURL string) func(context.Context) bool {
-	parsed, err := url.Parse(backendURL)
-	if err != nil || parsed.Port() == "" {
+	address := backendAddress(backendURL)
+	if address == "" {
 		return nil
 	}
-	return func(ctx context.Context) bool { return dialer.Refuses(ctx, parsed.Host) }
+	return func(ctx context.Context) bool { return dialer.Refuses(ctx, address) }
+}
+
+// backendAddress returns the address, host:port, of a URL, or "" if it has none. Without a port
+// the name of the scheme stands for it.
+func backendAddress(backendURL string) string {
+	parsed, err := url.Parse(backendURL)
+	if err != nil || parsed.Host == "" {
+		return ""
+	}
+	return net.JoinHostPort(parsed.Hostname(), cmp.Or(parsed.Port(), parsed.Scheme))
 }
 
 // keyRecheckAfter is the wait of a request above which its key is checked against a
