configurer: odd objects of a change are left out and named

Seen: the copy takes over whatever a decodable change holds. A limit that is not a number makes the buckets of its workspace have no level; a model that is its own base, or objects without a name, are looked up by every request.

Evidence, before: odd_test.go:48: expression is false: v.Model("") == nil && v.Model("self") == nil && ...

Ruled out: intents, which the planner refuses with the field; the rows may come from another writer or an older version. Numbers that are 0 stay: on the hosting platform they mean none.

The change itself is passed on to other processes as it is, which leave out the same. The names are logged with the version that is in force.

--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -46,8 +46,14 @@
 	limits     *wire.Limits
 	// routesByHost holds the routes with a prefix, the longest prefix first.
 	routesByHost map[string][]*wire.Route
+	// omitted names the odd objects that are not in force, as kind/name.
+	omitted []string
 }
 
+// Omitted names the objects of changes, as kind/name, that are odd and therefore not in force. At
+// most maxOmitted are kept, the latest ones.
+func (v *View) Omitted() []string { return v.omitted }
+
 // Version returns the version of the view.
 func (v *View) Version() uint64 { return v.version }
 
@@ -278,7 +284,7 @@
 	if change.GetVersion() != v.version+1 {
 		return &GapError{Have: v.version, Got: change.GetVersion()}
 	}
-	c.view.Store(v.With(change))
+	c.view.Store(v.withSound(change))
 	c.changes = append(c.changes, change)
 	if len(c.changes) > maxKeptChanges {
 		c.changes = slices.Clone(c.changes[len(c.changes)-maxKeptChanges:])
@@ -311,7 +317,7 @@
 	if snapshot.GetVersion() <= c.view.Load().version {
 		return
 	}
-	c.view.Store(emptyView().With(snapshot))
+	c.view.Store(emptyView().withSound(snapshot))
 	c.changes = nil
 }
 
--- a/member/member.go
+++ b/member/member.go
@@ -139,7 +139,7 @@
 	err := m.syncer.Pull(limited, sentAt)
 	wg.Wait()
 	if current := m.View().Version(); current != previous {
-		m.log.Info().Uint64("version", current).Msg("config: in force")
+		m.log.Info().Uint64("version", current).Strs("omitted", m.View().Omitted()).Msg("config: in force")
 	}
 	for _, version := range m.syncer.Gaps()[gaps:] {
 		m.log.Error().Uint64("version", version).Msg("config: a change cannot be read and is skipped")
