dispatcher: an answer with a status that HTTP cannot have is refused

Seen: a sidecar's answer with a status above 999 reaches the writer of the caller's connection, which panics; the caller sees its connection end without an answer.

Evidence, before: TestOddStatus: a status of 1000 was passed on as an answer (the assertion that the call is refused as ConnectionLost failed).

Ruled out: statuses below 200, which were refused before.

Why it works: the answer counts as none, so that the caller gets a refusal that says that the call may have run.

Tests: go test -race ./dispatcher passed.

--- a/dispatcher/odd_test.go
+++ b/dispatcher/odd_test.go
@@ -61,3 +61,16 @@
 	fx.dispatcher.holder.Refresh()
 	fx.dispatcher.holder.Tick(context.Background())
 }
+
+// TestOddStatus guards against a panic for an answer whose status HTTP cannot have.
+func TestOddStatus(t *testing.T) {
+	for _, status := range []uint32{0, 99, 100, 1000, math.MaxUint32} {
+		f := &scriptedSidecar{scripts: []func(*wire.Call, peer.Stream){
+			sendReplies(&wire.Reply{Body: &wire.Reply_Answer{Answer: &wire.Answer{Id: "o1", Status: status}}}),
+		}}
+		fx := newFixture(t, "orders", 1, map[string]*scriptedSidecar{"a": f})
+		_, err := fx.dispatcher.Invoke(context.Background(), newOrder("o1", false))
+		assert.Assert(t, refuser.Is(err, refuser.ConnectionLost), "%d", status)
+		assert.Assert(t, !refuser.FromError(err).NeverRan())
+	}
+}
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -93,6 +93,9 @@
 	}, nil
 }
 
+// maxStatus is the highest status that an HTTP answer can have.
+const maxStatus = 999
+
 // sendService sends a call to the sidecar of a plain service.
 func (d *Dispatcher) sendService(ctx context.Context, reservation *Reservation, r *Request, call *ServiceCall) (Answer, error) {
 	reply, err := peer.Call(ctx, d.caller, reservation.Address, &wire.Call{Body: &wire.Call_Invoke{Invoke: &wire.Invoke{
@@ -112,7 +115,7 @@
 		return nil, sidecarRefusal(err)
 	}
 	answer := reply.GetAnswer()
-	if answer == nil || answer.GetId() != call.ID || answer.GetStatus() < http.StatusOK {
+	if answer == nil || answer.GetId() != call.ID || answer.GetStatus() < http.StatusOK || answer.GetStatus() > maxStatus {
 		return nil, refuser.MayHaveRun(refuser.ConnectionLost, "the answer to another call arrived, or none")
 	}
 	return serviceAnswer{answer: answer}, nil
