tracker: names without requests are forgotten

Seen: the meter of arrivals keeps a rate for each name for which a request was ever counted: for each model that was removed, and for each name that another process made up. Every relay's memory grows with them for good.

Evidence, before: tracker_test.go:194: 40960 names (TestArrivalMeterForgets).

Why it works: when the number of names has doubled since the last time, and is above 4,096, those whose rate has decayed to nothing, after about a minute, are dropped.

Tests: go test -race of tracker, locator and allocator passed.

--- a/tracker/arrivals.go
+++ b/tracker/arrivals.go
@@ -6,16 +6,21 @@
 )
 
 // arrivalDecay is the time constant with which past requests decay in a rate, and maxArrivals
-// the most requests that may be counted at once.
+// the most requests that may be counted at once. Beyond minMeteredNames names, those with a rate
+// below minMeteredRate, in requests a second, are forgotten.
 const (
-	arrivalDecay = 4 * time.Second
-	maxArrivals  = 1e6
+	arrivalDecay    = 4 * time.Second
+	maxArrivals     = 1e6
+	minMeteredNames = 4096
+	minMeteredRate  = 1e-6
 )
 
 // ArrivalMeter measures the requests per second for each model or adapter as an
 // exponentially weighted average.
 type ArrivalMeter struct {
 	rates map[string]rate
+	// forgetAt is the number of names at which those with the lowest rates are forgotten.
+	forgetAt int
 }
 
 // rate is a number of requests per second as of updatedAt.
@@ -25,7 +30,9 @@
 }
 
 // NewArrivalMeter returns a meter without requests.
-func NewArrivalMeter() *ArrivalMeter { return &ArrivalMeter{rates: map[string]rate{}} }
+func NewArrivalMeter() *ArrivalMeter {
+	return &ArrivalMeter{rates: map[string]rate{}, forgetAt: minMeteredNames}
+}
 
 // PlausibleArrivals reports whether a number of requests can be right: it is not negative, not
 // above maxArrivals, and a number.
@@ -40,6 +47,19 @@
 	r.value = r.decayed(now) + count/arrivalDecay.Seconds()
 	r.updatedAt = now
 	m.rates[name] = r
+	if len(m.rates) > m.forgetAt {
+		m.forget(now)
+	}
+}
+
+// forget drops the names with a rate below minMeteredRate.
+func (m *ArrivalMeter) forget(now time.Duration) {
+	for name, r := range m.rates {
+		if r.decayed(now) < minMeteredRate {
+			delete(m.rates, name)
+		}
+	}
+	m.forgetAt = max(minMeteredNames, 2*len(m.rates))
 }
 
 // Rate returns the recent requests per second for a model or an adapter.
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -180,3 +181,16 @@
 	f.Get("a").MarkMismatched(time.Hour)
 	assert.Equal(t, len(f.Pool("p")), 0)
 }
+
+// TestArrivalMeterForgets guards against memory that grows with each name for which a request was
+// ever counted.
+func TestArrivalMeterForgets(t *testing.T) {
+	m := NewArrivalMeter()
+	now := time.Hour
+	for i := range 10 * minMeteredNames {
+		now += 100 * time.Millisecond
+		m.Add(now, fmt.Sprint(i), 1)
+	}
+	assert.Assert(t, len(m.rates) <= 2*minMeteredNames, "%d names", len(m.rates))
+	assert.Assert(t, m.Rate(now, fmt.Sprint(10*minMeteredNames-1)) > 0.2)
+}
