relayer: departures of servers that are not listed are bounded

Seen: a relay keeps the departure of each server that has ever left, and sends all of them in the first batch of each link. A report with an absurdly long list of departures makes the first batches of all links as long, for good.

Evidence, before: odd_test.go:170: 12289 departures (TestDeparturesBounded).

Ruled out: listed servers, whose departures stay until their rows are gone.

Why it works: beyond 4,096 departures those of servers that are not listed are dropped, as the tracker of an entry does. Their removal is not sent on as a departure.

Tests: go test ./relayer passed.

--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -221,7 +221,9 @@
 // addCommon adds what every process gets: departures and the list of processes.
 func (fs *FleetState) addCommon(lp *linkedProcess, batch *wire.Batch) {
 	for c := range fs.departures.since(lp.sentVersions.departures) {
-		batch.Parted = append(batch.Parted, &wire.Departure{Server: c.key, Born: c.value})
+		if !c.removed {
+			batch.Parted = append(batch.Parted, &wire.Departure{Server: c.key, Born: c.value})
+		}
 	}
 	for c := range fs.members.since(lp.sentVersions.members) {
 		batch.Members = append(batch.Members, c.value)
--- a/relayer/fleetstate.go
+++ b/relayer/fleetstate.go
@@ -218,6 +218,10 @@
 	fs.log.Info().Str("server", id).Msg("sidecar: not heard")
 }
 
+// maxDepartures is the number of known departures at which those of servers that are not listed
+// are dropped.
+const maxDepartures = 4096
+
 // markLeaving records that a server announced that it is leaving. started is the start of
 // the server in Unix milliseconds.
 func (fs *FleetState) markLeaving(id string, started int64) {
@@ -225,10 +229,22 @@
 		return
 	}
 	fs.departures.set(id, started)
+	if fs.departures.count() > maxDepartures {
+		fs.dropDepartures()
+	}
 	fs.allocator.MarkLeaving(id, started)
 	fs.decisionStale = true
 }
 
+// dropDepartures drops the departures of servers that are not listed.
+func (fs *FleetState) dropDepartures() {
+	for id := range fs.departures.all() {
+		if server, ok := fs.servers.get(id); !ok || server.GetGone() {
+			fs.departures.remove(id)
+		}
+	}
+}
+
 // recordSaturations passes the saturations of engines on to the allocator.
 func (fs *FleetState) recordSaturations(now time.Duration, saturations []*wire.Saturation) {
 	for _, s := range saturations {
--- a/relayer/odd_test.go
+++ b/relayer/odd_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -154,3 +155,18 @@
 	assert.Equal(t, len(batch.GetMembers()), 1)
 	assert.Equal(t, fs.members.version, uint64(1))
 }
+
+// TestDeparturesBounded guards against memory, and first batches, that grow with each server that
+// has ever left, or that a process has made up. The departures of listed servers stay.
+func TestDeparturesBounded(t *testing.T) {
+	fs := newTestState()
+	fs.UpdateServers(time.Hour, []*wire.ListedServer{{Id: "e", Row: 1, Pool: "p", Address: "e", Born: 1}})
+	parted := []*wire.Departure{{Server: "e", Born: 1}}
+	for i := range 3 * maxDepartures {
+		parted = append(parted, &wire.Departure{Server: fmt.Sprint(i), Born: 1})
+	}
+	fs.Report(time.Hour, joinEntry(fs, "a"), &wire.Report{Parted: parted})
+	got := fs.Batch(time.Hour, joinEntry(fs, "b")).GetParted()
+	assert.Assert(t, len(got) <= maxDepartures, "%d departures", len(got))
+	assert.Assert(t, leaves(got, "e"))
+}
--- a/relayer/versionedmap.go
+++ b/relayer/versionedmap.go
@@ -34,6 +34,9 @@
 	return &versionedMap[K, V]{elements: map[K]*list.Element{}, changes: list.New()}
 }
 
+// count returns the number of keys that have values.
+func (m *versionedMap[K, V]) count() int { return len(m.elements) - m.tombstones }
+
 // get returns the value of a key, if it has one.
 func (m *versionedMap[K, V]) get(key K) (V, bool) {
 	if e := m.elements[key]; e != nil {
