--- a/executor/crash.go
+++ b/executor/crash.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"oleanderstall/assembler"
-	"oleanderstall/dialer"
 	"oleanderstall/refuser"
 	"oleanderstall/service"
 	"oleanderstall/timer"
@@ -40,16 +39,15 @@
 }
 
 // checkEnd returns a refusal of a call whose answer may have been cut: its body ended with its
-// connection, and nobody listens at the service's address any more, or that is not known.
+// connection, and it is not certain that the service's process runs.
 func (x *Executor) checkEnd(ctx context.Context, answer *service.Answer) error {
 	err := assembler.CheckEnd(answer.Framing, func() bool {
-		timer.Wait(ctx, dialer.SettleTime, nil)
-		return x.options.Refuses != nil && !x.backendRefuses(context.WithoutCancel(ctx))
+		return x.options.Listens != nil && x.options.Listens(context.WithoutCancel(ctx))
 	})
-	if err == nil || x.options.Refuses == nil {
-		return err
+	if err != nil {
+		return x.withCrash(ctx, refuser.FromError(err))
 	}
-	return x.withCrash(ctx, refuser.FromError(err))
+	return nil
 }
 
 // backendRefuses reports whether nobody listens at the backend server's address.
--- a/executor/cut_test.go
+++ b/executor/cut_test.go
@@ -49,6 +49,7 @@
 			f := newFixture(t)
 			if !tt.unchecked {
 				f.options.Refuses = func(ctx context.Context) bool { return dialer.Refuses(ctx, l.Addr().String()) }
+				f.options.Listens = func(ctx context.Context) bool { return dialer.Listens(ctx, l.Addr().String()) }
 			}
 			x := f.sidecar("a", nil, service.New("http://"+l.Addr().String()))
 			answer, err := x.invoke(t.Context(), invocation("order", ""))
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -58,7 +58,10 @@
 		Shards:          c.settings.ShardCount,
 		MaxOrderTransit: time.Duration(s.MaxOrderTransit),
 		MaxKeyCheckAge:  keyRecheckAfter,
-		Refuses:         backendRefuses(s.BackendURL),
+	}
+	if address := backendAddress(s.BackendURL); address != "" {
+		options.Refuses = func(ctx context.Context) bool { return dialer.Refuses(ctx, address) }
+		options.Listens = func(ctx context.Context) bool { return dialer.Listens(ctx, address) }
 	}
 	var backendEngine executor.Engine
 	var backendService executor.Service
@@ -70,16 +73,6 @@
 	return executor.New(options, c.clock, c.node, c.platform, c.member, backendEngine, backendService, c.recorder, c.meter, c.log)
 }
 
-// backendRefuses returns the check whether nobody listens at the address of a URL, or nil if
-// the URL has no address.
-func backendRefuses(backendURL string) func(context.Context) bool {
-	address := backendAddress(backendURL)
-	if address == "" {
-		return nil
-	}
-	return func(ctx context.Context) bool { return dialer.Refuses(ctx, address) }
-}
-
 // backendAddress returns the address, host:port, of a URL, or "" if it has none. Without a port
 // the name of the scheme stands for it.
 func backendAddress(backendURL string) string {
