--- a/engine/status.go
+++ b/engine/status.go
@@ -28,7 +28,7 @@
 	}
 	status := Status{Capacity: text.Capacity, Loaded: text.Loaded.Items(), Running: text.Running, Memory: text.Memory.Items(), Disk: text.Disk.Items()}
 	for _, element := range text.Loaded.Omitted() {
-		status.Loaded = append(status.Loaded, Loaded{Model: nameOf(element), Unreadable: true})
+		status.Loaded = append(status.Loaded, Loaded{Model: nameOf(element.Data()), Unreadable: true})
 	}
 	status.Loaded = slices.DeleteFunc(status.Loaded, func(l Loaded) bool { return l.Model == "" })
 	return status, nil
@@ -36,7 +36,7 @@
 
 // nameOf returns the name of a model or an adapter whose other fields cannot be read, or an
 // empty one.
-func nameOf(element json.RawMessage) string {
+func nameOf(element []byte) string {
 	var named struct {
 		Model string `json:"model"`
 	}
