--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -28,8 +28,8 @@
 	Connection // connection
 )
 
-// FramingOf returns what marks the end of the body of an HTTP response to a request. An answer without
-// a body counts as one with a length.
+// FramingOf returns what marks the end of the body of an HTTP response to a request. An answer
+// without a body counts as one with a length.
 func FramingOf(res *http.Response) Framing {
 	switch {
 	case len(res.TransferEncoding) > 0:
@@ -84,7 +84,8 @@
 func (a *Assembly) Begin(h Head) { a.begun, a.head = true, h }
 
 // CheckHead returns a *refuser.Refusal if an answer with the head h cannot be passed on: the
-// caller has the beginning of a stream, which only the rest of a stream with the same status may follow.
+// caller has the beginning of a stream, which only the rest of a stream with the same status
+// may follow.
 func (a *Assembly) CheckHead(h Head) error {
 	switch {
 	case !a.begun:
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -53,8 +53,9 @@
 // process's connections and listeners, which it does in any order.
 const settleTime = 100 * time.Millisecond
 
-// acceptTimeout is the time within which a host accepts a connection.
-const acceptTimeout = 400 * time.Millisecond
+// acceptTimeout is the time within which a host accepts a connection, also if the first packet
+// is lost and sent again after a second.
+const acceptTimeout = 1500 * time.Millisecond
 
 // Listens reports whether a process listens at an address, IP:port, and still does after
 // settleTime. It returns false if the host does not answer in time or ctx ends before that is
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -135,7 +135,8 @@
 	return attemptsLeft && c.budget.HasRetry(p.request.Pool)
 }
 
-// passEvent passes one event on. It refuses an event that is not the next one, and ends the stream if the caller's key was withdrawn.
+// passEvent passes one event on. It refuses an event that is not the next one, and ends the
+// stream if the caller's key was withdrawn.
 func (c *Core) passEvent(p *progress, reservation *Reservation, answer Answer, e Event) error {
 	if !c.checker.Granted(p.request.KeyID) {
 		return refuser.MayHaveRun(refuser.Unauthorized, "the key was withdrawn during the answer")
--- a/runner/ownership.go
+++ b/runner/ownership.go
@@ -65,9 +65,9 @@
 // the holder row is still the given one. It writes nothing if the row names this process
 // already. The fencing number is the version of the row, which grows with each
 // acquisition. If another process was the holder before, the first order waits for a
-// lease. A row that cannot be read counts as that of another process, a sidecar. An adopting process does not acquire an engine from its sidecar; the error is
-// then a *HasSidecarError. If the row has another version by now, it is a
-// *storer.ConflictError.
+// lease. A row that cannot be read counts as that of another process, a sidecar. An adopting
+// process does not acquire an engine from its sidecar; the error is then a *HasSidecarError. If
+// the row has another version by now, it is a *storer.ConflictError.
 func (o *ownership) acquire(ctx context.Context, table storer.Table, row storer.Row, puts ...storer.Put) error {
 	current := decodeHolder(row)
 	held := row.Version > 0
