member: an odd change of another entry does not hide those behind it

Seen: of the changes in a probe's reply those behind one that does not follow were not applied. While the platform does not answer, an entry then stays behind because of one odd change.

Evidence, before: member_test.go:232: assertion failed: 0 != 2 (TestOddChangeOfPeer).

Ruled out: to apply changes across a gap: each is applied only as the successor of the copy.

Why it works: a change that does not follow is passed over and logged, and the next is tried.

Tests: go test -race of member and operator passed; GOARCH=amd64 go vet ./... has no finding.

--- a/member/member.go
+++ b/member/member.go
@@ -385,12 +385,12 @@
 	}
 }
 
-// applyChanges applies changes in order, up to the first that does not follow the
-// copy's version.
+// applyChanges applies changes in order. It passes over one that does not follow the copy's
+// version.
 func (m *Member) applyChanges(changes []*wire.Change) {
 	for _, c := range changes {
 		if err := m.config.Apply(c); err != nil {
-			return
+			m.log.Info().Err(err).Msg("config: a change of another entry is passed over")
 		}
 	}
 }
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -221,3 +221,13 @@
 	assert.Assert(t, !m.Unlisted(now, "never-seen", time.Second))
 	assert.Assert(t, m.Unlisted(now+time.Second, "never-seen", time.Second))
 }
+
+// TestOddChangeOfPeer guards against changes of another entry that are not applied because an odd
+// one stands before them in its reply.
+func TestOddChangeOfPeer(t *testing.T) {
+	f := newFixture(t)
+	m := f.members["a1"]
+	version := m.View().Version()
+	m.applyChanges([]*wire.Change{{Version: version + 7}, {Version: version + 1}, {Version: 0}, {Version: version + 2}})
+	assert.Equal(t, m.View().Version(), version+2)
+}
