--- a/member/member.go
+++ b/member/member.go
@@ -139,7 +139,7 @@
 	err := m.syncer.Pull(limited, sentAt)
 	wg.Wait()
 	if current := m.View().Version(); current != previous {
-		m.log.Info().Uint64("version", current).Msg("config: in force")
+		m.log.Info().Uint64("version", current).Strs("omitted", m.View().Omitted()).Msg("config: in force")
 	}
 	for _, version := range m.syncer.Gaps()[gaps:] {
 		m.log.Error().Uint64("version", version).Msg("config: a change cannot be read and is skipped")
@@ -385,12 +385,12 @@
 	}
 }
 
-// applyChanges applies changes in order, up to the first that does not follow the
-// copy's version.
+// applyChanges applies changes in order. It passes over one that does not follow the copy's
+// version.
 func (m *Member) applyChanges(changes []*wire.Change) {
 	for _, c := range changes {
 		if err := m.config.Apply(c); err != nil {
-			return
+			m.log.Info().Err(err).Msg("config: a change of another entry is passed over")
 		}
 	}
 }
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -1,7 +1,9 @@
 package runner
 
 import (
+	"cmp"
 	"context"
+	"net"
 	"net/url"
 	"time"
 
@@ -56,7 +58,10 @@
 		Shards:          c.settings.ShardCount,
 		MaxOrderTransit: time.Duration(s.MaxOrderTransit),
 		MaxKeyCheckAge:  keyRecheckAfter,
-		Refuses:         backendRefuses(s.BackendURL),
+	}
+	if address := backendAddress(s.BackendURL); address != "" {
+		options.Refuses = func(ctx context.Context) bool { return dialer.Refuses(ctx, address) }
+		options.Listens = func(ctx context.Context) bool { return dialer.Listens(ctx, address) }
 	}
 	var backendEngine executor.Engine
 	var backendService executor.Service
@@ -68,14 +73,14 @@
 	return executor.New(options, c.clock, c.node, c.platform, c.member, backendEngine, backendService, c.recorder, c.meter, c.log)
 }
 
-// backendRefuses returns the check whether nobody listens at the address of a URL, or nil if
-// the URL has no address.
-func backendRefuses(backendURL string) func(context.Context) bool {
+// backendAddress returns the address, host:port, of a URL, or "" if it has none. Without a port
+// the name of the scheme stands for it.
+func backendAddress(backendURL string) string {
 	parsed, err := url.Parse(backendURL)
-	if err != nil || parsed.Port() == "" {
-		return nil
+	if err != nil || parsed.Host == "" {
+		return ""
 	}
-	return func(ctx context.Context) bool { return dialer.Refuses(ctx, parsed.Host) }
+	return net.JoinHostPort(parsed.Hostname(), cmp.Or(parsed.Port(), parsed.Scheme))
 }
 
 // keyRecheckAfter is the wait of a request above which its key is checked against a
