--- a/runner/restart_test.go
+++ b/runner/restart_test.go
@@ -28,6 +28,8 @@
 	// failedChecks is the number of failed checks of each entry since the last one passed.
 	failedChecks [4]int
 	nextIndex    int
+	// failures tell why requests were not served.
+	failures []string
 }
 
 // pollReadiness checks every 200 ms whether the entries are ready, until stop is closed.
@@ -68,6 +70,22 @@
 	return ready[b.nextIndex%len(ready)].Addresses().Callers
 }
 
+// recordFailure records a request that was not served.
+func (b *balancer) recordFailure(text string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failures = append(b.failures, text)
+}
+
+// takeFailures returns the failures since the last call.
+func (b *balancer) takeFailures() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	failures := b.failures
+	b.failures = nil
+	return failures
+}
+
 // replace replaces entry i, which has stopped, by a new one.
 func (b *balancer) replace(i int, e *HostedEntry) {
 	b.mu.Lock()
@@ -87,15 +105,18 @@
 		if err != nil {
 			return false
 		}
+		sent := time.Now()
 		res, err := http.DefaultClient.Do(req)
 		if err != nil {
+			b.recordFailure(fmt.Sprintf("%s %s after %v: %v", path, req.URL.Host, time.Since(sent), err))
 			continue
 		}
-		_, err = io.Copy(io.Discard, res.Body)
+		text, err := io.ReadAll(res.Body)
 		_ = res.Body.Close()
 		if err == nil && res.StatusCode == http.StatusOK {
 			return true
 		}
+		b.recordFailure(fmt.Sprintf("%s %s after %v: %d %s %v", path, req.URL.Host, time.Since(sent), res.StatusCode, text, err))
 	}
 	return false
 }
@@ -172,7 +193,11 @@
 			default:
 			}
 			if f.call(b, http.MethodGet, "/status/1") {
-				longestGap = max(longestGap, clock.now()-lastAnswer)
+				gap := clock.now() - lastAnswer
+				if failures := b.takeFailures(); gap > maxGap {
+					t.Logf("no answer for %v: %q", gap, failures)
+				}
+				longestGap = max(longestGap, gap)
 				lastAnswer = clock.now()
 			}
 		}
