--- a/runner/drainconn.go
+++ b/runner/drainconn.go
@@ -50,9 +50,10 @@
 // stop closes the listener and ends the connections on which no request arrives; the others end
 // with their answers. It returns when all have ended or ctx ends.
 func (l *drainListener) stop(ctx context.Context) {
+	open := l.startStop()
 	// The listener may be closed already, after a failure.
 	_ = l.Close()
-	for _, c := range l.startStop() {
+	for _, c := range open {
 		c.endIfIdle()
 	}
 	ended := make(chan struct{})
