checker: the end of a JSON string is found in one place

checker and decoder each had the same function. The function of decoder serves both; nothing else changes.

--- a/checker/nesting.go
+++ b/checker/nesting.go
@@ -1,6 +1,10 @@
 package checker
 
-import "bytes"
+import (
+	"bytes"
+
+	"oleanderstall/decoder"
+)
 
 // maxNesting is the number of levels of lists and objects that are parsed, more than any setting
 // has. The parser calls itself for each level.
@@ -15,7 +19,7 @@
 		last, opens := i, false
 		switch data[i] {
 		case '"':
-			last = endOfString(data, i)
+			last = decoder.EndOfString(data, i)
 		case '/':
 			last = endOfComment(data, i)
 		case '[', '{':
@@ -47,20 +51,6 @@
 	}
 }
 
-// endOfString returns the index of the quotation mark that ends the string which begins at
-// start, or the last index if there is none.
-func endOfString(data []byte, start int) int {
-	for i := start + 1; i < len(data); i++ {
-		switch data[i] {
-		case '\\':
-			i++
-		case '"':
-			return i
-		}
-	}
-	return len(data) - 1
-}
-
 // endOfComment returns the last index of the comment that begins at start, or start if there is
 // none.
 func endOfComment(data []byte, start int) int {
--- a/decoder/decoder.go
+++ b/decoder/decoder.go
@@ -19,7 +19,7 @@
 	for i := 0; i < len(data); i++ {
 		switch data[i] {
 		case '"':
-			i = endOfString(data, i)
+			i = EndOfString(data, i)
 		case '[', '{':
 			if depth++; depth == maxNesting+1 {
 				out = append(out, data[start:i]...)
@@ -38,9 +38,9 @@
 	return append(out, data[start:]...)
 }
 
-// endOfString returns the index of the quotation mark that ends the string which begins at
+// EndOfString returns the index of the quotation mark that ends the string which begins at
 // start, or the last index if there is none.
-func endOfString(data []byte, start int) int {
+func EndOfString(data []byte, start int) int {
 	for i := start + 1; i < len(data); i++ {
 		switch data[i] {
 		case '\\':
