platform: the limit that a backend server names is read and logged

Nothing told whether an entry had seen a limit, when and of how much, so that the logs of the incident could not tell a limit that nobody reads from one that each entry keeps by itself. The header is read from the answers to requests and reports now and logged at each change; the line send has it. No decision uses it yet.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -149,6 +149,12 @@
 	Leaving bool
 	// BackOff is how long the backend server asks this process to send no requests, or 0.
 	BackOff time.Duration
+	// Limit is the number of requests a second that the backend server takes from all
+	// processes together, or 0 if it names no limit.
+	Limit float64
+	// Unlimited is set if the answer certainly comes from the backend server, which names no
+	// limit in it.
+	Unlimited bool
 }
 
 // AttemptResult is the result of an attempt.
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -325,7 +325,7 @@
 	s := b.Server()
 	names := modelNames(r)
 	l.log.Info().Str("request", r.ID).Str("server", s.ID).Str("model", requestedName(r)).Int("inflight", b.Inflight()).
-		Int("load", b.ReportedLoad()).Int64("waited", (now-r.Started).Milliseconds()).Str("parts", dispatcher.FormatParts(r.Prompt)).Msg("send")
+		Int("load", b.ReportedLoad()).Int64("waited", (now-r.Started).Milliseconds()).Str("parts", dispatcher.FormatParts(r.Prompt)).Float64("limit", b.Limit()).Msg("send")
 	l.fleet.StartRequest(now, s.ID, names...)
 	l.recordUsage(b, names, 1)
 	promptRead := false
@@ -389,8 +389,8 @@
 	return saturation
 }
 
-// receiveFeedback records the load, the departure and the back-off that a server sent with
-// an answer.
+// receiveFeedback records the load, the departure, the limit and the back-off that a server sent
+// with an answer.
 func (l *Locator) receiveFeedback(s tracker.Server, feedback dispatcher.Feedback) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -404,7 +404,14 @@
 		l.log.Info().Str("server", s.ID).Int64("born", s.Started).Msg("server: leaves, by its answer")
 	}
 	b := l.fleet.Get(s.ID)
-	if b == nil || feedback.BackOff <= 0 {
+	if b == nil {
+		return
+	}
+	if before := b.Limit(); (feedback.Limit > 0 || feedback.Unlimited) && feedback.Limit != before {
+		b.SetLimit(feedback.Limit)
+		l.log.Info().Str("server", s.ID).Float64("limit", feedback.Limit).Float64("before", before).Msg("server: limit, by its answer")
+	}
+	if feedback.BackOff <= 0 {
 		return
 	}
 	b.BackOff(now + feedback.BackOff)
--- a/orderer/engine.go
+++ b/orderer/engine.go
@@ -42,6 +42,9 @@
 	Sequence uint64
 	Busy     bool
 	Leaving  bool
+	// Limit is the limit that the engine names in its answer, in requests a second of all
+	// processes together, or 0.
+	Limit float64
 	tracker.Inventory
 	Running int
 	Waiting int
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -275,6 +275,9 @@
 	if o.report.Started == 0 {
 		o.log.Info().Int64("born", r.Started).Msg("engine: responding")
 	}
+	if o.report.Limit != r.Limit {
+		o.log.Info().Str("server", o.serverID).Float64("limit", r.Limit).Float64("before", o.report.Limit).Msg("engine: limit in its report")
+	}
 	for _, name := range r.Models {
 		if _, ok := o.loadedAt[name]; !ok {
 			o.loadedAt[name] = now
