runner: TestServerLimitBindsFleet fails: a server gets far more than the limit that it names

The stand-ins of backend servers name a limit in their answers and record what arrives. An engine and a service that name 1 a second get 72 and 63 requests in 4 s from three entries; the users' rule allows 11.

--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -52,6 +52,7 @@
 // engine or a plain service. It is safe for concurrent use.
 type Backend struct {
 	faultInjector
+	limitNamer
 	options   BackendOptions
 	rows      *RowStore
 	startedMS int64
@@ -96,12 +97,13 @@
 		answers:   map[string]AnswerRecord{},
 		done:      make(chan struct{}),
 	}
+	b.header = hostedLimitHeader
 	m := mux.NewRouter()
 	m.HandleFunc("/v1/report", b.handleReport).Methods(http.MethodGet)
 	m.HandleFunc("/v1/order", b.handleOrder).Methods(http.MethodPost)
 	m.HandleFunc("/healthz", b.handleHealth).Methods(http.MethodGet)
 	m.NotFoundHandler = http.HandlerFunc(b.handleRequest)
-	b.next = m
+	b.next = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.ServeHTTP(b.nameIn(w), r) })
 	return b
 }
 
@@ -440,6 +442,7 @@
 		b.serveFaulty(w, r)
 		return
 	}
+	b.recordArrival(r)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -459,7 +462,7 @@
 			return
 		}
 		defer unframed.close()
-		w = unframed
+		w = b.nameIn(unframed)
 	}
 	if r.Header.Get("X-Model") != "" {
 		b.streamEvents(w, r, id)
--- a/imitator/engine.go
+++ b/imitator/engine.go
@@ -51,6 +51,7 @@
 // another engine. It is safe for concurrent use.
 type Engine struct {
 	faultInjector
+	limitNamer
 	options EngineOptions
 	http    *http.Client
 	mu      sync.Mutex
@@ -82,7 +83,8 @@
 	m.HandleFunc("/v1/completions", e.handleCompletion).Methods(http.MethodPost)
 	m.HandleFunc("/v1/chat/completions", e.handleCompletion).Methods(http.MethodPost)
 	m.HandleFunc("/tally", e.handleCounts).Methods(http.MethodGet)
-	e.next = m
+	e.header = ownLimitHeader
+	e.next = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.ServeHTTP(e.nameIn(w), r) })
 	return e
 }
 
@@ -220,6 +222,7 @@
 // handleCompletion streams the answer to a completion request, from the token at which
 // it is to be resumed. A fault may cut the stream halfway.
 func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
+	e.recordArrival(r)
 	var request completionRequest
 	if !readJSON(w, r, &request) {
 		return
--- a/imitator/faultyconn.go
+++ b/imitator/faultyconn.go
@@ -61,6 +61,7 @@
 
 // serve answers one request.
 func (c *faultyConn) serve(r *http.Request) {
+	c.backend.recordArrival(r)
 	fault := c.backend.planFault(r)
 	id := r.Header.Get("X-Request-Id")
 	body := []byte(EarlyBody)
@@ -106,18 +107,18 @@
 
 // refuse answers that the request is not run.
 func (c *faultyConn) refuse(id string, status int, fault AnswerFault) {
-	text := refusalText(id, status, fault.Anonymous)
+	text := refusalText(id, status, fault.Anonymous, c.backend.limitLine())
 	_, _ = c.stream.WriteString(text)
 	c.repeat(fault, []byte(text))
 }
 
-// refusalText returns the bytes of a refusal.
-func refusalText(id string, status int, anonymous bool) string {
+// refusalText returns the bytes of a refusal with further lines in its head.
+func refusalText(id string, status int, anonymous bool, lines string) string {
 	idLine := "X-Request-Id: " + id + "\r\n"
 	if anonymous {
 		idLine = ""
 	}
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sX-Not-Executed: 1\r\nContent-Length: 5\r\n\r\nfull\n", status, http.StatusText(status), idLine)
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s%sX-Not-Executed: 1\r\nContent-Length: 5\r\n\r\nfull\n", status, http.StatusText(status), idLine, lines)
 }
 
 // repeat writes an answer once more or keeps it for that.
@@ -227,7 +228,7 @@
 
 // writeForeign writes the bytes of a refusal of another request, without regard to the framing.
 func (a *faultyAnswer) writeForeign() {
-	_, _ = a.conn.stream.WriteString(refusalText(foreignID, http.StatusServiceUnavailable, a.fault.Anonymous))
+	_, _ = a.conn.stream.WriteString(refusalText(foreignID, http.StatusServiceUnavailable, a.fault.Anonymous, ""))
 }
 
 // breaksAt reports whether the answer breaks off at a piece.
@@ -245,6 +246,7 @@
 func (a *faultyAnswer) writeHead() {
 	fmt.Fprintf(&a.written, "HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\nX-Response-Seal: seal-%s\r\nContent-Type: %s\r\n",
 		a.status, http.StatusText(a.status), a.id, a.id, a.contentType)
+	a.written.WriteString(a.conn.backend.limitLine())
 	switch a.fault.Framing {
 	case Chunked:
 		a.written.WriteString("Transfer-Encoding: chunked\r\n")
--- a/imitator/service.go
+++ b/imitator/service.go
@@ -13,6 +13,7 @@
 // concurrent use.
 type Service struct {
 	faultInjector
+	limitNamer
 	serviceTime time.Duration
 	mu          sync.Mutex
 	runs        map[string]int
@@ -34,7 +35,8 @@
 	m.HandleFunc("/orders/{number}", s.handleLookup).Methods(http.MethodGet)
 	m.HandleFunc("/status", s.handleLookup).Methods(http.MethodGet)
 	m.HandleFunc("/runs", s.handleCounts).Methods(http.MethodGet)
-	s.next = m
+	s.header = ownLimitHeader
+	s.next = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.ServeHTTP(s.nameIn(w), r) })
 	return s
 }
 
@@ -50,6 +52,7 @@
 }
 
 func (s *Service) handlePlace(w http.ResponseWriter, r *http.Request) {
+	s.recordArrival(r)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -67,6 +70,7 @@
 }
 
 func (s *Service) handleLookup(w http.ResponseWriter, r *http.Request) {
+	s.recordArrival(r)
 	writeJSON(w, http.StatusOK, Order{Workspace: r.Header.Get("X-Workspace"), Item: r.URL.Path})
 }
 
