locator, relayer, pacer: a limit that a backend server names binds the fleet

Callers saw nothing; the server in need got no relief.

Cause: no process used what the server named. Ruled out: a limit that each entry keeps by itself (nothing read it), retries and orders (none in the window), the restart of an entry (later than the first break).

Now: - The entries merge what answers say (pacer.Limits): ordered by the number of the permit with which a request was sent, so that processes agree whatever the order of messages. An answer to a later permit without the limit ends it, and so does a new start of the server. Relays pass limits on like crashes; the first batch of a link is complete, so that an entry that restarts knows them before it knows servers. - A request for such a server needs a permit, in retries and resumes too. The relay of the server's data centre gives them out at the rate of the limit, one round trip before the request. Several processes that take themselves for that relay share the rate by the listed processes that are linked to each (for 2 s at least), so that their sum is no more than the limit while relays are killed, cut off or come back; no lease and no call to the store is needed. - A request without a permit goes to another server. If there is none, it waits up to 3 s for its permit, or is refused at once with the time of the next one.

Cost: no message while no server names a limit; then one call a request to such a server, at most one each 0.3 s while the pacer does not answer.

--- a/locator/balance_test.go
+++ b/locator/balance_test.go
@@ -57,7 +57,7 @@
 
 // chooseByLocator sends to the service that the locator picks.
 func chooseByLocator(now time.Duration, l *Locator, id string, _ []int) int {
-	b := l.pick(now, &dispatcher.Request{ID: id, Pool: "plain"}, &dispatcher.History{})
+	b := l.pick(now, &search{request: &dispatcher.Request{ID: id, Pool: "plain"}, history: &dispatcher.History{}}, 0)
 	return int(b.Server().ID[1] - '0')
 }
 
@@ -70,7 +70,7 @@
 func (sl serviceLoad) locators() []*Locator {
 	entries := make([]*Locator, sl.entries)
 	for i := range entries {
-		entries[i] = New(fmt.Sprint("c", i%sl.centres), func() time.Duration { return 0 }, configurer.New(), newQuarantine(), faker.DiscardLogger())
+		entries[i] = New(fmt.Sprint("c", i%sl.centres), func() time.Duration { return 0 }, configurer.New(), newQuarantine(), noPermits{}, faker.DiscardLogger())
 		for s := range sl.services {
 			name := engineName(s)
 			entries[i].UpdateServer(tracker.Server{ID: name, Pool: "plain", Address: name, Centre: fmt.Sprint("c", s%sl.centres), Slots: sl.slots, Started: 1}.ListedServer(1))
--- a/locator/fixture_test.go
+++ b/locator/fixture_test.go
@@ -13,6 +13,7 @@
 	"oleanderstall/dispatcher"
 	"oleanderstall/faker"
 	"oleanderstall/recorder"
+	"oleanderstall/refuser"
 	"oleanderstall/relayer"
 	"oleanderstall/tracker"
 	"oleanderstall/wire"
@@ -39,17 +40,46 @@
 	lastRequest int
 	rowVersion  uint64
 	// entryLink is the link of the locator's entry, othersLink one that stands for all
-	// other entries, and sidecars are the links of the sidecars, by number of the engine.
+	// other entries, relayLink that of the relay itself, and sidecars are the links of the sidecars, by number of the engine.
 	entryLink  uint64
 	othersLink uint64
+	relayLink  uint64
 	sidecars   map[int]*sidecar
 	// rates are the requests per second through other entries, by model.
 	rates       map[string]float64
 	firstReport bool
-	// mu guards the relay's state, the links and the rates.
+	// permitDelay is the time that the relay takes to answer a request for a permit, or negative if
+	// it does not answer. permits counts the permits given.
+	permitDelay time.Duration
+	permits     int
+	// mu guards the relay's state, the links, the rates and the permits.
 	mu sync.Mutex
 }
 
+// noPermits is a PermitSource of tests in which no server names a limit.
+type noPermits struct{}
+
+// RequestPermit implements PermitSource.
+func (noPermits) RequestPermit(context.Context, string, *wire.PermitRequest) (*wire.Permit, error) {
+	return nil, refuser.New(refuser.NotFound, "no pacer")
+}
+
+// RequestPermit implements PermitSource.
+func (fx *fixture) RequestPermit(ctx context.Context, _ string, request *wire.PermitRequest) (*wire.Permit, error) {
+	if fx.permitDelay < 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(fx.permitDelay)
+	fx.mu.Lock()
+	defer fx.mu.Unlock()
+	permit, err := fx.fleetState.Permit(fx.clock(), request)
+	if permit.GetGiven() {
+		fx.permits++
+	}
+	return permit, err
+}
+
 // sidecar is the link of one sidecar to the relay, with its latest assignment.
 type sidecar struct {
 	link         uint64
@@ -74,8 +104,11 @@
 	}
 	fx.config.Restore(change)
 	logger := faker.DiscardLogger()
-	fx.locator = New("z", fx.clock, fx.config, dispatcher.NewQuarantine(fx.clock, recorder.New("entry", 16), logger), logger)
+	fx.locator = New("z", fx.clock, fx.config, dispatcher.NewQuarantine(fx.clock, recorder.New("entry", 16), logger), fx, logger)
 	fx.fleetState = relayer.NewFleetState("relay", "z", fx.config, logger)
+	fx.fleetState.SetRelayInUse("relay")
+	fx.fleetState.UpdateMembers([]*wire.Member{{Name: "relay", Role: relayer.Sidecar, Centre: "z", Address: "relay", Row: 1}})
+	fx.relayLink = fx.fleetState.Join(fx.clock(), &wire.Link{Name: "relay", Role: relayer.Sidecar, Centre: "z"})
 	fx.entryLink = fx.fleetState.Join(fx.clock(), &wire.Link{Name: "entry", Role: relayer.Entry, Centre: "z"})
 	fx.othersLink = fx.fleetState.Join(fx.clock(), &wire.Link{Name: "others", Role: relayer.Entry, Centre: "z"})
 	fx.listEngines(engines)
@@ -130,6 +163,7 @@
 		}
 		fx.fleetState.Report(now, fx.entryLink, report)
 		fx.fleetState.Report(now, fx.othersLink, &wire.Report{})
+		fx.fleetState.Report(now, fx.relayLink, &wire.Report{})
 		for _, s := range fx.sidecars {
 			if !s.lost {
 				fx.fleetState.Report(now, s.link, &wire.Report{})
--- a/locator/fuzz_test.go
+++ b/locator/fuzz_test.go
@@ -43,7 +43,7 @@
 		_, err := proto.Marshal(reportOf(l, now))
 		assert.NilError(t, err)
 		r := &dispatcher.Request{ID: "r", Model: "m", Pool: "p", Started: now, TargetTime: now + time.Second, FirstEventDeadline: now + time.Second, Deadline: now + time.Minute}
-		b := l.pick(now, r, &dispatcher.History{Tried: map[string]bool{"x": true}})
+		b := l.pick(now, &search{request: r, history: &dispatcher.History{Tried: map[string]bool{"x": true}}}, 0)
 		assert.Assert(t, b != nil || first)
 	})
 }
@@ -61,7 +61,7 @@
 	clock := func() time.Duration { return now }
 	config := configurer.New()
 	config.Restore(&wire.Change{Version: 1, Pools: []*wire.Pool{{Name: "p", Engines: &wire.Engines{Bytes: 100}}}, Models: []*wire.Model{{Name: "m", Pool: "p"}}})
-	l := New("z", clock, config, dispatcher.NewQuarantine(clock, recorder.New("entry", 16), logger), logger)
+	l := New("z", clock, config, dispatcher.NewQuarantine(clock, recorder.New("entry", 16), logger), noPermits{}, logger)
 	l.Receive(now, &wire.Batch{
 		Items:      []*wire.ListedServer{{Id: "e", Row: 1, Pool: "p", Address: "e", Born: 1, Slots: 16}},
 		Conditions: []*wire.EngineStatus{{Server: "e", Born: 1, Models: []string{"m"}}},
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -12,6 +12,7 @@
 
 	"oleanderstall/configurer"
 	"oleanderstall/dispatcher"
+	"oleanderstall/pacer"
 	"oleanderstall/quarantiner"
 	"oleanderstall/refuser"
 	"oleanderstall/router"
@@ -42,7 +43,9 @@
 	centre string
 	clock  timer.Clock
 	config *configurer.Configurer
-	log    *log.Logger
+	// permits obtains permits for the servers that have named a limit.
+	permits PermitSource
+	log     *log.Logger
 
 	mu    sync.Mutex
 	fleet *tracker.Fleet
@@ -64,6 +67,9 @@
 	quarantine     *dispatcher.Quarantine
 	suspected      map[quarantiner.Process]*suspectedCrash
 	crashSuspected chan struct{}
+	// limits are the limits that servers have named, and paced the servers with one, by ID.
+	limits *pacer.Limits
+	paced  map[string]*pacedServer
 	// attempts are the attempts in flight, by server.
 	attempts map[string]map[*attempt]struct{}
 	// probing holds the servers whose hosts are being probed.
@@ -80,16 +86,19 @@
 
 // New returns the locator of an entry in a data centre, which adds to quarantine what it
 // learns of crashes.
-func New(centre string, clock timer.Clock, c *configurer.Configurer, quarantine *dispatcher.Quarantine, l *log.Logger) *Locator {
+func New(centre string, clock timer.Clock, c *configurer.Configurer, quarantine *dispatcher.Quarantine, permits PermitSource, l *log.Logger) *Locator {
 	return &Locator{
 		centre:      centre,
 		clock:       clock,
 		config:      c,
+		permits:     permits,
 		log:         l,
 		fleet:       tracker.New(),
 		demands:     map[string]*demand{},
 		unreported:  newUnreported(),
 		rowVersions: map[string]uint64{},
+		limits:      pacer.NewLimits(),
+		paced:       map[string]*pacedServer{},
 		attempts:    map[string]map[*attempt]struct{}{},
 		quarantine:  quarantine,
 		suspected:   map[quarantiner.Process]*suspectedCrash{},
@@ -125,6 +134,7 @@
 			l.limitRemovedRows(id)
 		}
 		l.fleet.RemoveServer(id)
+		l.forgetLimits(func(server string) bool { return server != id })
 		return
 	}
 	if l.firstListedAt == 0 {
@@ -180,63 +190,107 @@
 	}
 }
 
+// search is the state of one call of Find.
+type search struct {
+	request *dispatcher.Request
+	history *dispatcher.History
+	// demand is the demand that the request has joined, or nil.
+	demand *demand
+	// permit is the permit that the request has, or nil.
+	permit *permit
+}
+
+// step is what a search does next: it ends with a reservation, asks for a permit, or waits.
+type step struct {
+	reservation *dispatcher.Reservation
+	query       *permitQuery
+	wait        waiter
+}
+
 // Find implements dispatcher.Finder. A request waits here until a server can run it or it
 // is refused.
 func (l *Locator) Find(ctx context.Context, r *dispatcher.Request, h *dispatcher.History) (*dispatcher.Reservation, error) {
 	l.countArrival(r, h)
-	var d *demand
-	defer func() { l.leaveDemand(r, d) }()
+	s := &search{request: r, history: h}
+	defer func() { l.leaveDemand(r, s.demand) }()
 	defer l.leaveQueue(r)
 	for {
-		reservation, w, err := l.tryReserve(l.clock(), r, h, &d)
-		if reservation != nil || err != nil {
-			return reservation, err
+		next, err := l.tryReserve(l.clock(), s)
+		if next.reservation != nil || err != nil {
+			return next.reservation, err
+		}
+		if next.query != nil {
+			l.requestPermit(ctx, s, next.query)
+		} else if !next.wait.wait(ctx) {
+			return nil, refuser.New(refuser.Canceled, "the caller has given up")
 		}
-		if !w.wait(ctx) {
+		if ctx.Err() != nil {
 			return nil, refuser.New(refuser.Canceled, "the caller has given up")
 		}
 	}
 }
 
-// tryReserve returns a reservation for r, or an error, or else what r waits for until the
-// next call. If r waits for its model, *d is set to the demand that it has joined.
-func (l *Locator) tryReserve(now time.Duration, r *dispatcher.Request, h *dispatcher.History, d **demand) (*dispatcher.Reservation, waiter, error) {
+// tryReserve returns a reservation for a request, an error, or what its search does before the
+// next call.
+func (l *Locator) tryReserve(now time.Duration, s *search) (step, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	r := s.request
 	if err := l.quarantine.Check(r); err != nil {
-		return nil, waiter{}, err
+		return step{}, err
 	}
-	best := l.pick(now, r, h)
-	if best != nil && l.admits(now, best, r) {
-		return l.reserve(now, best, r), waiter{}, nil
+	patience := time.Duration(0)
+	best := l.pick(now, s, patience)
+	if best == nil {
+		patience = permitPatience(now, s)
+		best = l.pick(now, s, patience)
 	}
-	if best != nil {
+	switch {
+	case best == nil:
+		l.dequeue(r)
+		return l.waitForServer(now, s)
+	case !l.admits(now, best, r):
 		l.enqueue(r)
-		return nil, l.newWaiter(now, queueEnd(r), r), nil
+		return step{wait: l.newWaiter(now, queueEnd(r), r)}, nil
+	case l.needsPermit(now, best, s):
+		return step{query: l.newPermitQuery(now, best, patience)}, nil
 	}
-	l.dequeue(r)
-	backOffEnd := l.backOffEnd(r, h)
+	return step{reservation: l.reserve(now, best, s)}, nil
+}
+
+// waitForServer returns what a search waits for if no server can run its request now, or an error
+// if none can in time. The caller holds the lock.
+func (l *Locator) waitForServer(now time.Duration, s *search) (step, error) {
+	r := s.request
+	c := l.closed(now, s)
 	if r.Model == "" {
-		return nil, l.newWaiter(now, backOffEnd, r), l.checkServiceInTime(now, r, backOffEnd, h)
+		return step{wait: l.newWaiter(now, c.until, r)}, l.checkServiceInTime(now, r, c, s.history)
+	}
+	if wait := s.permit.pending(now); wait > 0 && wait <= shortPermitWait {
+		return step{wait: l.newWaiter(now, now+wait, r)}, nil
 	}
-	if *d == nil {
+	if s.demand == nil {
 		joined, err := l.joinDemand(now, r)
 		if err != nil {
-			return nil, waiter{}, err
+			return step{}, err
 		}
-		*d = joined
+		s.demand = joined
 	}
 	until := latestSend(r)
 	if graceEnd := l.firstListedAt + startupGrace; now < graceEnd {
 		until = min(until, graceEnd)
 	}
-	if backOffEnd > now {
-		until = min(until, backOffEnd)
+	if c.until > now {
+		until = min(until, c.until)
 	}
 	if relayLostAt := l.lastBatchAt + relayTimeout; now < relayLostAt {
 		until = min(until, relayLostAt)
 	}
-	return nil, l.newWaiter(now, until, r), l.checkModelInTime(now, r, *d)
+	w := step{wait: l.newWaiter(now, until, r)}
+	if s.permit.pending(now) > 0 && !l.stopping {
+		return w, nil
+	}
+	return w, l.checkModelInTime(now, r, s.demand)
 }
 
 // latestSend returns the latest instant at which an answer to r can still be in time, until
@@ -259,15 +313,20 @@
 	}
 }
 
-// pick returns the server with the lowest cost of those that can run r now and were not
-// tried, or nil if there is none. The caller holds the lock.
-func (l *Locator) pick(now time.Duration, r *dispatcher.Request, h *dispatcher.History) *tracker.Backend {
+// pick returns the server with the lowest cost of those that can run a request now, or once they
+// may be sent one within patience, and were not tried. It returns nil if there is none. A server
+// for which the request has a permit goes first. The caller holds the lock.
+func (l *Locator) pick(now time.Duration, s *search, patience time.Duration) *tracker.Backend {
+	r := s.request
 	var best *tracker.Backend
 	bestCost := 0.0
 	for _, b := range l.candidates(r) {
-		if h.Tried[b.Server().ID] || b.BackingOff(now) || !l.canRun(now, b, r) {
+		if !l.isOpen(now, b, s) || !l.takesWithin(now, b, s, patience) {
 			continue
 		}
+		if s.permit.usable(now, b.Server().ID) {
+			return b
+		}
 		cost := router.Cost{
 			Load:          b.EstimatedLoad(now),
 			UnreadPrompts: b.UnreadPrompts(),
@@ -282,6 +341,12 @@
 	return best
 }
 
+// isOpen reports whether a server can run a request now, apart from its limit, and was not tried.
+// The caller holds the lock.
+func (l *Locator) isOpen(now time.Duration, b *tracker.Backend, s *search) bool {
+	return !s.history.Tried[b.Server().ID] && !b.BackingOff(now) && l.canRun(now, b, s.request)
+}
+
 // prefers reports whether r goes to x rather than y, which cost the same. Requests for
 // plain services are spread over the servers by rendezvous hashing of their IDs, so that
 // entries that have just started and know no loads don't all choose the same server.
@@ -319,13 +384,18 @@
 	return inventory.Has(r.Model) && (r.Adapter == "" || inventory.Has(r.Adapter)) && !b.Unloading(now, r.Model)
 }
 
-// reserve returns a reservation for r at a server and counts the request as in flight
-// there. The caller holds the lock.
-func (l *Locator) reserve(now time.Duration, b *tracker.Backend, r *dispatcher.Request) *dispatcher.Reservation {
-	s := b.Server()
+// reserve returns a reservation at a server for the request of a search, whose permit it uses, and
+// counts the request as in flight there. The caller holds the lock.
+func (l *Locator) reserve(now time.Duration, b *tracker.Backend, found *search) *dispatcher.Reservation {
+	s, r := b.Server(), found.request
+	limit := l.limitOf(b)
+	number := limit.Number
+	if found.permit.usable(now, s.ID) {
+		number, found.permit = found.permit.number, nil
+	}
 	names := modelNames(r)
 	l.log.Info().Str("request", r.ID).Str("server", s.ID).Str("model", requestedName(r)).Int("inflight", b.Inflight()).
-		Int("load", b.ReportedLoad()).Int64("waited", (now-r.Started).Milliseconds()).Str("parts", dispatcher.FormatParts(r.Prompt)).Float64("limit", b.Limit()).Msg("send")
+		Int("load", b.ReportedLoad()).Int64("waited", (now-r.Started).Milliseconds()).Str("parts", dispatcher.FormatParts(r.Prompt)).Float64("limit", limit.Rate).Uint64("permit", number).Msg("send")
 	l.fleet.StartRequest(now, s.ID, names...)
 	l.recordUsage(b, names, 1)
 	promptRead := false
@@ -338,7 +408,7 @@
 		Priority:       min(r.Priority, lowestPriority),
 		ConfirmReceipt: !b.RecentlyActive(now),
 		AbandonContext: a.ctx,
-		OnFeedback:     func(feedback dispatcher.Feedback) { l.receiveFeedback(s, feedback) },
+		OnFeedback:     func(feedback dispatcher.Feedback) { l.receiveFeedback(s, number, feedback) },
 		OnPromptRead:   func() { promptRead = true; l.markPromptRead(s.ID) },
 		OnActivity: func(now time.Duration) {
 			a.lastEventAt.Store(int64(now))
@@ -390,8 +460,9 @@
 }
 
 // receiveFeedback records the load, the departure, the limit and the back-off that a server sent
-// with an answer.
-func (l *Locator) receiveFeedback(s tracker.Server, feedback dispatcher.Feedback) {
+// with an answer. number is that of the permit with which the request was sent, or of the limit
+// that was known then.
+func (l *Locator) receiveFeedback(s tracker.Server, number uint64, feedback dispatcher.Feedback) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
@@ -403,15 +474,11 @@
 		l.signalReport()
 		l.log.Info().Str("server", s.ID).Int64("born", s.Started).Msg("server: leaves, by its answer")
 	}
-	b := l.fleet.Get(s.ID)
-	if b == nil {
-		return
+	if feedback.Limit > 0 || feedback.Unlimited {
+		l.recordLimit(s, number, feedback.Limit)
 	}
-	if before := b.Limit(); (feedback.Limit > 0 || feedback.Unlimited) && feedback.Limit != before {
-		b.SetLimit(feedback.Limit)
-		l.log.Info().Str("server", s.ID).Float64("limit", feedback.Limit).Float64("before", before).Msg("server: limit, by its answer")
-	}
-	if feedback.BackOff <= 0 {
+	b := l.fleet.Get(s.ID)
+	if b == nil || feedback.BackOff <= 0 {
 		return
 	}
 	b.BackOff(now + feedback.BackOff)
--- a/locator/quarantine_test.go
+++ b/locator/quarantine_test.go
@@ -90,7 +90,7 @@
 						other.Release(dispatcher.AttemptResult{Err: lostAnswer().Err, Answered: true})
 					}
 					if c.leaving {
-						fx.locator.receiveFeedback(fx.locator.fleet.Get(attempt.Name).Server(), dispatcher.Feedback{Leaving: true})
+						fx.locator.receiveFeedback(fx.locator.fleet.Get(attempt.Name).Server(), 0, dispatcher.Feedback{Leaving: true})
 					}
 					attempt.Release(c.result)
 					time.Sleep(400 * time.Millisecond)
--- a/locator/report.go
+++ b/locator/report.go
@@ -40,9 +40,9 @@
 	}
 }
 
-// Report adds this entry's usage, demands, arrivals, saturations, departures and records of
-// crashes to a report. A full report has the usage of all models, all demands and all records
-// of crashes, any other one the changes since the previous report.
+// Report adds this entry's usage, demands, arrivals, saturations, departures, records of crashes
+// and limits of servers to a report. A full report has the usage of all models, all demands, all
+// records of crashes and all limits, any other one the changes since the previous report.
 func (l *Locator) Report(now time.Duration, full bool, r *wire.Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -56,6 +56,7 @@
 		r.Parted = append(r.Parted, &wire.Departure{Server: server, Born: started})
 	}
 	r.Crashes = l.quarantine.TakeUnsent(full)
+	l.reportLimits(full, r)
 	r.Arrivals, r.Felt = l.unreported.arrivals, l.unreported.saturations
 	if l.unreported.demandsChanged {
 		r.Waiting = true
@@ -144,6 +145,7 @@
 	for _, departure := range batch.GetParted() {
 		l.fleet.MarkLeaving(departure.GetServer(), departure.GetBorn())
 	}
+	l.receiveLimits(now, batch.GetLimits())
 	l.quarantine.Merge(batch.GetCrashes())
 	l.wakeQuarantined()
 	for _, estimate := range batch.GetOutlooks() {
--- a/locator/wake_test.go
+++ b/locator/wake_test.go
@@ -29,7 +29,7 @@
 		change.Models = append(change.Models, &wire.Model{Name: largeModel(i), Pool: "p", Bytes: 40, Remote: 6000})
 	}
 	c.Restore(change)
-	l := New("z", func() time.Duration { return time.Hour }, c, newQuarantine(), faker.DiscardLogger())
+	l := New("z", func() time.Duration { return time.Hour }, c, newQuarantine(), noPermits{}, faker.DiscardLogger())
 	for i := range engines {
 		name := engineName(i)
 		l.UpdateServer(tracker.Server{ID: name, Pool: "p", Address: name, Centre: "z", Slots: 16, Started: 1}.ListedServer(1))
@@ -96,7 +96,7 @@
 			r := &dispatcher.Request{Pool: "p", Model: largeModel(7), Deadline: 2 * time.Hour, FirstEventDeadline: 2 * time.Hour}
 			h := &dispatcher.History{}
 			for b.Loop() {
-				if l.pick(time.Hour, r, h) == nil {
+				if l.pick(time.Hour, &search{request: r, history: h}, 0) == nil {
 					b.Fatal("no engine")
 				}
 			}
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -86,6 +86,7 @@
 	lp.sentVersions.servers = fs.servers.version
 	fs.addEstimates(now, lp, batch)
 	fs.addCrashes(now, lp, batch)
+	fs.addLimits(lp, batch)
 	if lp.levelsDue {
 		batch.Levels, lp.levelsDue = fs.ledger.Levels(now), false
 	}
@@ -185,6 +186,7 @@
 		lp.sentVersions.servers = fs.servers.version
 	}
 	fs.addCrashes(now, lp, batch)
+	fs.addLimits(lp, batch)
 	fs.addEntryCounts(now, lp, batch)
 }
 
--- a/relayer/explore_test.go
+++ b/relayer/explore_test.go
@@ -104,7 +104,7 @@
 		x.network.SetReplyLoss(name, true)
 		x.faulty[name] = true
 	case 3:
-		handle := x.processes[name].relayer.Handle
+		handle := x.processes[name].handle
 		x.network.Attach(name, func(ctx context.Context, call *wire.Call, s peer.Stream) {
 			time.Sleep(slowDelay)
 			handle(ctx, call, s)
@@ -145,7 +145,7 @@
 		x.network.SetUnreachable(name, false)
 		x.network.SetReplyLoss(name, false)
 		if p := x.processes[name]; p != nil {
-			x.network.Attach(name, p.relayer.Handle)
+			x.network.Attach(name, p.handle)
 		}
 	}
 	clear(x.faulty)
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -12,8 +12,10 @@
 
 	"oleanderstall/configurer"
 	"oleanderstall/faker"
+	"oleanderstall/pacer"
 	"oleanderstall/peer"
 	"oleanderstall/quarantiner"
+	"oleanderstall/refuser"
 	"oleanderstall/subscriber"
 	"oleanderstall/wire"
 )
@@ -25,6 +27,8 @@
 	network   *faker.Network
 	clock     func() time.Duration
 	processes map[string]*process
+	// onStart, if set, is called with each process that starts.
+	onStart func(p *process)
 	// starts counts the starts of processes. Its value at the start of a process is also
 	// the process's start time and row version.
 	starts uint64
@@ -38,8 +42,12 @@
 	membership *subscriber.Membership
 	config     *configurer.Configurer
 	subscriber *subscriber.Subscriber
-	cancel     context.CancelFunc
-	done       chan struct{}
+	// ctx ends, by cancel, when the process ends. senders are the tasks that send requests to
+	// servers for it.
+	ctx     context.Context
+	cancel  context.CancelFunc
+	senders sync.WaitGroup
+	done    chan struct{}
 
 	mu sync.Mutex
 	// engine is the status of a sidecar's engine, statusSent is set once it was reported, and
@@ -53,6 +61,9 @@
 	tokensUsed map[string]float64
 	crashes    *quarantiner.Quarantiner
 	fresh      bool
+	// limits are the limits that an entry knows, and pacers who gives out the permits, by server.
+	limits *pacer.Limits
+	pacers map[string]string
 	// The rest is what an entry has received; remoteTokens are the tokens used by others.
 	statuses     map[string]*wire.EngineStatus
 	lost         map[string]bool
@@ -102,6 +113,7 @@
 		fleet: f, config: configurer.New(), membership: subscriber.NewMembership(), done: make(chan struct{}),
 		link:    &wire.Link{Name: name, Role: role, Centre: fmt.Sprint("c", centre), Started: int64(f.starts), Backend: "engine " + name},
 		demands: map[string]*wire.LoadRequest{}, usage: map[serverModel]uint32{}, tokensUsed: map[string]float64{}, changed: make(chan struct{}, 1), crashes: quarantiner.New(0),
+		limits: pacer.NewLimits(), pacers: map[string]string{},
 		statuses: map[string]*wire.EngineStatus{}, lost: map[string]bool{}, estimates: map[string]*wire.ReadyEstimate{}, remoteTokens: map[string]float64{},
 	}
 	change := &wire.Change{Version: 1, Pools: []*wire.Pool{{Name: "p", Engines: &wire.Engines{Bytes: 100, Slots: 16}}}}
@@ -117,12 +129,29 @@
 	}
 	p.relayer = New(p.link, f.clock, p.config, faker.DiscardLogger())
 	f.processes[name] = p
-	f.network.Attach(name, p.relayer.Handle)
+	f.network.Attach(name, p.handle)
 	f.publishLists()
 	p.run()
+	if f.onStart != nil {
+		f.onStart(p)
+	}
 	return p
 }
 
+// handle answers a call of another process.
+func (p *process) handle(ctx context.Context, call *wire.Call, s peer.Stream) {
+	if call.GetPermit() == nil {
+		p.relayer.Handle(ctx, call, s)
+		return
+	}
+	permit, err := p.relayer.Permit(call.GetPermit())
+	if err != nil {
+		_ = s.Send(refuser.FromError(err).Reply())
+		return
+	}
+	_ = s.Send(&wire.Reply{Body: &wire.Reply_Permit{Permit: permit}})
+}
+
 // publishLists passes the lists of processes and engines to all processes, as the store
 // would.
 func (f *fleet) publishLists() {
@@ -147,7 +176,7 @@
 // run runs the tasks of a process.
 func (p *process) run() {
 	ctx, cancel := context.WithCancel(context.Background())
-	p.cancel = cancel
+	p.ctx, p.cancel = ctx, cancel
 	timing := subscriber.EntryTiming
 	if p.link.GetRole() == Sidecar {
 		timing = subscriber.SidecarTiming
@@ -195,6 +224,28 @@
 	f.network.Detach(name)
 	p.cancel()
 	<-p.done
+	p.senders.Wait()
+}
+
+// startNamed starts a process that was killed.
+func (f *fleet) startNamed(name string) *process {
+	role, centre, i := Entry, 0, 0
+	if _, err := fmt.Sscanf(name, Entry+"-%d-%d", &centre, &i); err != nil {
+		role = Sidecar
+		_, err = fmt.Sscanf(name, Sidecar+"-%d-%d", &centre, &i)
+		assert.NilError(f.t, err)
+	}
+	return f.start(role, centre, i)
+}
+
+// relayOf returns the name of the relay that the processes of a data centre use.
+func (f *fleet) relayOf(centre string) string {
+	for _, p := range f.processes {
+		if p.link.GetCentre() == centre && p.link.GetRole() == Entry {
+			return p.subscriber.Relay()
+		}
+	}
+	return ""
 }
 
 // stop ends all processes.
@@ -224,6 +275,9 @@
 	}
 	r.Spent, p.tokensUsed = p.tokensUsed, map[string]float64{}
 	r.Crashes = p.crashes.TakeUnsent(p.fleet.clock(), complete)
+	for _, l := range p.limits.TakeUnsent(complete) {
+		r.Limits = append(r.Limits, l.Message())
+	}
 	return r
 }
 
@@ -255,6 +309,9 @@
 	for _, message := range batch.GetCrashes() {
 		p.crashes.Merge(p.fleet.clock(), message)
 	}
+	for _, message := range batch.GetLimits() {
+		p.receiveLimit(message)
+	}
 	p.ready, p.entries, p.absent = batch.GetReady(), batch.GetEntries(), batch.GetAbsent()
 }
 
@@ -403,7 +460,7 @@
 		f.await("start", 3*time.Second, f.statusesKnown)
 		f.await("one relay", 5*time.Second, func() bool { return len(f.relays()) == 1 })
 		relay := f.relays()[0]
-		handle := f.processes[relay].relayer.Handle
+		handle := f.processes[relay].handle
 		f.network.Attach(relay, func(ctx context.Context, call *wire.Call, s peer.Stream) {
 			time.Sleep(400 * time.Millisecond)
 			handle(ctx, call, s)
--- a/relayer/fleetstate.go
+++ b/relayer/fleetstate.go
@@ -78,6 +78,9 @@
 	// crashes holds the crashed processes of servers, whose records quarantiner holds.
 	crashes     *versionedMap[quarantiner.Process, struct{}]
 	quarantiner *quarantiner.Quarantiner
+	// limits holds the limits that servers have named, and pacing is who gives out the permits.
+	limits *versionedMap[string, pacedLimit]
+	pacing pacing
 	// usage and demands are sums over the entries linked to this relay, loadRequests the
 	// loads that this relay decided on.
 	usage        *versionedMap[serverModel, uint32]
@@ -115,6 +118,8 @@
 		members:           newVersionedMap[string, *wire.Member](),
 		crashes:           newVersionedMap[quarantiner.Process, struct{}](),
 		quarantiner:       quarantiner.New(0),
+		limits:            newVersionedMap[string, pacedLimit](),
+		pacing:            newPacing(),
 		usage:             newVersionedMap[serverModel, uint32](),
 		demands:           newVersionedMap[string, allocator.Demand](),
 		loadRequests:      newVersionedMap[serverModel, loadRequest](),
--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -21,6 +21,8 @@
 // linkedProcess is a process that is linked to this relay.
 type linkedProcess struct {
 	link *wire.Link
+	// joinedAt is the instant of the link, or of the end of this relay's latest pause.
+	joinedAt time.Duration
 	// lastReportAt is the instant of its newest report, or of the link if it has sent none.
 	lastReportAt time.Duration
 	// reportNumber is the number of its newest report, and batchNumber that of the newest
@@ -60,7 +62,7 @@
 // stateVersions are versions of the maps of a FleetState and, for entries, its
 // entriesVersion.
 type stateVersions struct {
-	statuses, engineLoads, lostSidecars, departures, estimates, servers, members, usage, demands, loadRequests, crashes, entries uint64
+	statuses, engineLoads, lostSidecars, departures, estimates, servers, members, usage, demands, loadRequests, crashes, limits, entries uint64
 }
 
 // Join links a process and returns the ID of the link. An earlier link of the same process
@@ -74,6 +76,7 @@
 	fs.lastLinkID++
 	lp := &linkedProcess{
 		link:         link,
+		joinedAt:     now,
 		lastReportAt: now,
 		newUntil:     newEntryUntil(now, link),
 		usage:        map[serverModel]uint32{},
@@ -152,6 +155,7 @@
 		fs.recordEntryReport(now, lp, report)
 	}
 	fs.mergeCrashes(now, report.GetCrashes())
+	fs.mergeLimits(report.GetLimits())
 	for _, d := range report.GetParted() {
 		fs.markLeaving(d.GetServer(), d.GetBorn())
 		fs.markUrgent(Entry, Relay)
@@ -354,7 +358,8 @@
 }
 
 // Tick ends the links of processes and the feeds of relays that have been silent for
-// reportTimeout, and reserves tokens for sources of usage that do not report.
+// reportTimeout, reserves tokens for sources of usage that do not report, and finds out which
+// process paces which servers.
 func (fs *FleetState) Tick(now time.Duration) {
 	for id, lp := range maps.Clone(fs.processes) {
 		if now-lp.lastReportAt > reportTimeout {
@@ -367,6 +372,7 @@
 		}
 	}
 	fs.expireCrashes(now)
+	fs.updatePacing(now)
 	fs.localUsage.rotate(now)
 	for source, used := range fs.ledger.Tick(now) {
 		fs.forwardTokenUsage(source, used)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -103,6 +103,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.relayInUse = name
+	r.state.SetRelayInUse(name)
 }
 
 // otherRelayInUse returns the name of the relay that this process uses, or an empty one if
@@ -251,6 +252,14 @@
 	r.Wake()
 }
 
+// Permit answers a request for a permit to send a request to a backend server. An error is a
+// *refuser.Refusal.
+func (r *Relayer) Permit(request *wire.PermitRequest) (*wire.Permit, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Permit(r.clock(), request)
+}
+
 // Orphans returns the engines without a reporting sidecar in the data centres that this
 // relay serves, by address, or nil if this relay is not in use.
 func (r *Relayer) Orphans() map[string]*wire.ListedServer {
--- a/relayer/remotefeed.go
+++ b/relayer/remotefeed.go
@@ -113,6 +113,7 @@
 		fs.markLeaving(d.GetServer(), d.GetBorn())
 	}
 	fs.mergeCrashes(now, batch.GetCrashes())
+	fs.mergeLimits(batch.GetLimits())
 	fs.UpdateServers(now-timer.FromMillis(batch.GetAge()), batch.GetItems())
 	fs.applyDemands(now, rf, batch)
 	fs.applyDecisions(now, centre, rf, batch)
--- a/relayer/serverlist.go
+++ b/relayer/serverlist.go
@@ -29,6 +29,8 @@
 func (fs *FleetState) updateServer(server, known *wire.ListedServer) {
 	if server.GetGone() {
 		fs.allocator.RemoveServer(fs.decidedAt, server.GetId())
+		fs.limits.remove(server.GetId())
+		delete(fs.pacing.schedules, server.GetId())
 	} else {
 		fs.allocator.UpdateServer(tracker.ServerFromList(server))
 	}
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -151,6 +151,13 @@
 		h.relayer.Handle(ctx, call, s)
 	case *wire.Call_Probe:
 		_ = s.Send(&wire.Reply{Body: &wire.Reply_News{News: h.probeResult(b.Probe.GetVersion())}})
+	case *wire.Call_Permit:
+		permit, err := h.relayer.Permit(b.Permit)
+		if err != nil {
+			_ = s.Send(refuser.FromError(err).Reply())
+			return
+		}
+		_ = s.Send(&wire.Reply{Body: &wire.Reply_Permit{Permit: permit}})
 	default:
 		_ = s.Send(refuser.New(refuser.InvalidRequest, "this process does not answer this call").Reply())
 	}
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -12,6 +12,7 @@
 	"oleanderstall/checker"
 	"oleanderstall/dispatcher"
 	"oleanderstall/locator"
+	"oleanderstall/peer"
 	"oleanderstall/platform"
 	"oleanderstall/refuser"
 	"oleanderstall/relayer"
@@ -61,7 +62,7 @@
 	retries := router.RetryLimits{Ratio: slackFraction * s.Hosted.Retries.Ratio, Burst: slackFraction * s.Hosted.Retries.Burst}
 	quarantine := dispatcher.NewQuarantine(e.clock, e.recorder, l)
 	e.meter.RegisterQuarantines(quarantine.List)
-	e.locator = locator.New(s.Centre, e.clock, e.config, quarantine, l)
+	e.locator = locator.New(s.Centre, e.clock, e.config, quarantine, e, l)
 	e.charger = charger.New(options, e.clock, e.config, l)
 	backends := platform.NewBackends(e.clock)
 	e.core = dispatcher.NewCore(e.clock, e.charger, e.locator, backends, alwaysGranted{}, router.NewRetryBudget(retries), e.recorder, e.meter, l)
@@ -189,6 +190,25 @@
 	e.locator.RestoreUnconfirmed(reports)
 }
 
+// RequestPermit implements locator.PermitSource.
+func (e *HostedEntry) RequestPermit(ctx context.Context, pacer string, request *wire.PermitRequest) (*wire.Permit, error) {
+	if pacer == e.settings.Load().Name {
+		return e.relayer.Permit(request)
+	}
+	member := e.membership.Find(pacer)
+	if member == nil {
+		return nil, refuser.New(refuser.NotFound, "the pacer is not listed")
+	}
+	reply, err := peer.Call(ctx, e.node, member.GetAddress(), &wire.Call{Body: &wire.Call_Permit{Permit: request}})
+	if err != nil {
+		return nil, err
+	}
+	if reply.GetPermit() == nil {
+		return nil, peer.UnexpectedReply(reply)
+	}
+	return reply.GetPermit(), nil
+}
+
 // Changed implements subscriber.Process.
 func (e *HostedEntry) Changed() <-chan struct{} { return e.locator.Changed() }
 
--- a/subscriber/membership.go
+++ b/subscriber/membership.go
@@ -62,6 +62,16 @@
 	return list
 }
 
+// Find returns the process with the given name, or nil.
+func (ms *Membership) Find(name string) *wire.Member {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if m := ms.members[name]; !m.GetGone() {
+		return m
+	}
+	return nil
+}
+
 // HasRole reports whether there is a process of that role.
 func (ms *Membership) HasRole(role string) bool {
 	return slices.ContainsFunc(ms.All(), func(m *wire.Member) bool { return m.GetRole() == role })
--- a/tracker/backend.go
+++ b/tracker/backend.go
@@ -51,9 +51,6 @@
 	probedAt time.Duration
 	// backOffUntil is the end of the back-off that the server has asked for.
 	backOffUntil time.Duration
-	// limit is the limit that the server named in its latest answer to this process, in requests
-	// a second of all processes together, or 0.
-	limit float64
 	// serving is set if the server takes new work according to the list, and none that
 	// started later is listed at its address, apart from mismatched ones.
 	serving bool
@@ -80,13 +77,6 @@
 // has not read yet.
 func (b *Backend) UnreadPrompts() int { return b.unreadPrompts }
 
-// Limit returns the limit that the server named in its latest answer to this process, in
-// requests a second of all processes together, or 0.
-func (b *Backend) Limit() float64 { return b.limit }
-
-// SetLimit records the limit that the server has named, or 0 if it names none.
-func (b *Backend) SetLimit(limit float64) { b.limit = limit }
-
 // failureRateDecay is the time constant of the exponential decay of the failure rate,
 // and failureRateWeight the weight of a new attempt in it.
 const (
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -104,8 +104,8 @@
 
 // UpdateServer adds a server that the platform lists, or updates it to its current row. It
 // applies a status that arrived before the server was listed, and clears a mismatch that
-// MarkMismatched recorded. If the process of the server has been restarted, a stall, a
-// back-off and a limit end.
+// MarkMismatched recorded. If the process of the server has been restarted, a stall and a
+// back-off end.
 func (f *Fleet) UpdateServer(s Server) {
 	b := f.backends[s.ID]
 	if b == nil {
@@ -113,7 +113,7 @@
 		f.backends[s.ID] = b
 	}
 	if b.server.Started != s.Started {
-		b.stalledAt, b.backOffUntil, b.limit = 0, 0, 0
+		b.stalledAt, b.backOffUntil = 0, 0
 	}
 	before := b.ModelNames()
 	b.server, b.mismatched = s, false
