executor, dispatcher: on the own face a sidecar keeps the limit that its server names

What servers saw: a backend server of the product's own interface could not say how much it takes at all; its sidecar sent it what came. The same cause as on the hosted face: nobody read such a thing.

Now a server names it in X-Rate-Limit, in the answers to requests and in the engine's status, so that a sidecar that starts knows it. The sidecar is the only sender, so its own gate binds the fleet. A request beyond the limit is refused before it waits or claims its idempotency key, as not run, kind backend_limited, with the time of the next; the entry sends it to another sidecar without use of the retry budget, and leaves this one alone until then. An answer without the limit ends it if its request was sent after the limit was last named.

--- a/dispatcher/completion.go
+++ b/dispatcher/completion.go
@@ -149,7 +149,7 @@
 	}
 	h.FinderState = locations
 	if location == nil {
-		return nil, refuser.New(refuser.Busy, "no replica takes requests now").WithRetryAfter(time.Second)
+		return nil, d.noneTakes(instanceNames(locations), "no replica takes requests now")
 	}
 	d.requestStarted(location.GetInstance())
 	return &Reservation{
@@ -167,6 +167,7 @@
 		queueLength = int(end.GetQueue())
 	}
 	d.requestEnded(instance, queueLength)
+	d.recordResult(instance, result)
 	if refuser.Is(result.Err, refuser.NotResident) || refuser.Is(result.Err, refuser.Leaving) {
 		d.forgetReplicas(model)
 	}
@@ -174,23 +175,29 @@
 
 // pickReplica returns the replica to try next, or nil if there is none.
 func (d *Dispatcher) pickReplica(r *Request, locations []*wire.ReplicaLocation, tried map[string]bool) *wire.ReplicaLocation {
-	names := make([]string, len(locations))
-	for i, l := range locations {
-		names[i] = l.GetInstance()
-	}
-	i := d.choose(names, tried, affinityHash(r))
+	i := d.choose(instanceNames(locations), tried, affinityHash(r))
 	if i < 0 {
 		return nil
 	}
 	return locations[i]
 }
 
+// instanceNames returns the names of the instances of replicas.
+func instanceNames(locations []*wire.ReplicaLocation) []string {
+	names := make([]string, len(locations))
+	for i, l := range locations {
+		names[i] = l.GetInstance()
+	}
+	return names
+}
+
 // queryOtherReplicas queries the holder for more replicas once all known ones were tried.
 // If there is no untried one, it returns the error of the last attempt. If that attempt did
 // not find the model at the replica or lost the connection, the replicas are first allowed
 // to be tried a second time, after secondTryDelay.
 func (d *Dispatcher) queryOtherReplicas(ctx context.Context, r *Request, known []*wire.ReplicaLocation, h *History) ([]*wire.ReplicaLocation, error) {
-	query := &wire.ReplicaQuery{Model: r.Model, Full: refuser.Is(h.LastError, refuser.Busy)}
+	none := d.noneTakes(instanceNames(known), "no replica takes requests now")
+	query := &wire.ReplicaQuery{Model: r.Model, Full: refuser.Is(h.LastError, refuser.Busy) || none.Kind() == refuser.BackendLimited}
 	for _, l := range known {
 		if h.Tried[l.GetInstance()] && !query.Full {
 			query.Missing = l.GetInstance()
@@ -205,8 +212,8 @@
 		return locations, nil
 	}
 	lastErr := h.LastError
-	if lastErr == nil {
-		lastErr = refuser.New(refuser.Busy, "no replica takes requests now").WithRetryAfter(time.Second)
+	if lastErr == nil || none.Kind() == refuser.BackendLimited {
+		lastErr = d.noneTakes(instanceNames(locations), none.Text())
 	}
 	if !refuser.Is(lastErr, refuser.NotResident) && !refuser.Is(lastErr, refuser.ConnectionLost) {
 		return nil, lastErr
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -395,7 +395,7 @@
 		return false
 	}
 	switch refusal.Kind() {
-	case refuser.NotResident, refuser.Leaving, refuser.Busy, refuser.StaleConfiguration, refuser.ConnectionLost, refuser.BackendFailed, refuser.BackendSilent:
+	case refuser.NotResident, refuser.Leaving, refuser.Busy, refuser.StaleConfiguration, refuser.ConnectionLost, refuser.BackendFailed, refuser.BackendSilent, refuser.BackendLimited:
 	default:
 		return false
 	}
@@ -413,7 +413,11 @@
 // mayHaveArrived reports whether the request may have reached the backend server of an
 // attempt that failed. Only then does a retry add to the load of the back end.
 func mayHaveArrived(refusal *refuser.Refusal) bool {
-	return !refusal.NeverRan() || refusal.Kind() != refuser.ConnectionLost && refusal.Kind() != refuser.BackendSilent
+	switch refusal.Kind() {
+	case refuser.ConnectionLost, refuser.BackendSilent, refuser.BackendLimited:
+		return !refusal.NeverRan()
+	}
+	return true
 }
 
 // SetEntryCount sets the number of entries that the fleet's retry budget is split among.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -80,6 +80,9 @@
 	inflight    int
 	queueLength int
 	reportedAt  time.Duration
+	// closedUntil is the instant until which the backend server takes no requests, because of its
+	// limit.
+	closedUntil time.Duration
 }
 
 // New returns a dispatcher with no replicas cached.
@@ -317,11 +320,41 @@
 	}
 }
 
-// choose returns the index of the sidecar to send to, or -1 if all were tried or take no
-// new work.
+// recordResult records that a backend server takes no requests for a while, if the attempt at it
+// ended so.
+func (d *Dispatcher) recordResult(name string, result AttemptResult) {
+	if !refuser.Is(result.Err, refuser.BackendLimited) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	load := d.loadOf(name)
+	load.closedUntil = max(load.closedUntil, d.clock()+refuser.FromError(result.Err).RetryAfter())
+}
+
+// noneTakes returns the refusal of a request that none of the named sidecars takes now. It names
+// the time at which the first of them does, if that is known.
+func (d *Dispatcher) noneTakes(names []string, text string) *refuser.Refusal {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, first := d.clock(), time.Duration(0)
+	for _, name := range names {
+		if until := d.loadOf(name).closedUntil; until > now && d.acceptsWork(name) && (first == 0 || until < first) {
+			first = until
+		}
+	}
+	if first > 0 {
+		return refuser.New(refuser.BackendLimited, text).WithRetryAfter(first - now)
+	}
+	return refuser.New(refuser.Busy, text).WithRetryAfter(time.Second)
+}
+
+// choose returns the index of the sidecar to send to, or -1 if all were tried, take no new work or
+// have a backend server that takes no requests now.
 func (d *Dispatcher) choose(names []string, tried map[string]bool, prefix uint64) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.clock()
 	targets := make([]router.Target, len(names))
 	for i, name := range names {
 		load := d.loadOf(name)
@@ -330,10 +363,10 @@
 			Inflight:    load.inflight,
 			QueueLength: load.queueLength,
 			ReportedAt:  load.reportedAt,
-			Excluded:    tried[name] || !d.acceptsWork(name),
+			Excluded:    tried[name] || !d.acceptsWork(name) || now < load.closedUntil,
 		}
 	}
-	return d.router.Pick(d.clock(), targets, prefix)
+	return d.router.Pick(now, targets, prefix)
 }
 
 // subsetSize is the number of instances of a large pool that one entry sends to.
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -79,17 +79,20 @@
 		names[i] = in.Name
 	}
 	i := d.choose(names, h.Tried, 0)
-	if i < 0 && h.LastError != nil {
+	if i < 0 && h.LastError != nil && !refuser.Is(h.LastError, refuser.BackendLimited) {
 		return nil, h.LastError
 	}
 	if i < 0 {
-		return nil, refuser.New(refuser.Busy, "no instance of the pool takes calls now").WithRetryAfter(time.Second)
+		return nil, d.noneTakes(names, "no instance of the pool takes calls now")
 	}
 	d.requestStarted(names[i])
 	return &Reservation{
 		Name:    names[i],
 		Address: instances[i].Address,
-		Release: func(AttemptResult) { d.requestEnded(names[i], -1) },
+		Release: func(result AttemptResult) {
+			d.requestEnded(names[i], -1)
+			d.recordResult(names[i], result)
+		},
 	}, nil
 }
 
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -20,6 +20,7 @@
 
 	"oleanderstall/assembler"
 	"oleanderstall/dialer"
+	"oleanderstall/pacer"
 )
 
 // maxAnswer is the largest body of an answer that is not a stream, in bytes.
@@ -28,6 +29,10 @@
 // dialTimeout limits the time for connecting to an engine on the same instance.
 const dialTimeout = time.Second
 
+// limitHeader is the header in which a backend server in need names the requests a second that it
+// takes.
+const limitHeader = "X-Rate-Limit"
+
 // Loaded is one model or adapter that is loaded in the engine's memory or is being
 // loaded.
 type Loaded struct {
@@ -56,6 +61,8 @@
 	// Memory and Disk list the checkpoints cached on the instance.
 	Memory []string `json:"memory"`
 	Disk   []string `json:"disk"`
+	// Limit is the limit that the engine names, in requests a second, or 0.
+	Limit float64 `json:"-"`
 }
 
 // Order is the body of a call that loads or unloads a model, or an adapter if Base
@@ -82,6 +89,9 @@
 	ResumeText string
 	// ResumeTokens is the number of tokens in ResumeText, or 0 for a request from the start.
 	ResumeTokens uint32
+	// OnLimit is called with the limit that the engine names in the head of its answer, in requests
+	// a second, or 0 if it names none. It may be nil.
+	OnLimit func(rate float64)
 }
 
 // Usage is the usage of a request, in tokens.
@@ -158,11 +168,13 @@
 // Status returns the engine's status. The error is a StatusError if the engine
 // answered with one.
 func (c *Client) Status(ctx context.Context) (Status, error) {
-	data, err := c.call(ctx, http.MethodGet, "/v1/state", nil)
+	data, header, err := c.call(ctx, http.MethodGet, "/v1/state", nil)
 	if err != nil {
 		return Status{}, err
 	}
-	return decodeStatus(data)
+	status, err := decodeStatus(data)
+	status.Limit, _ = pacer.ParseRate(header.Get(limitHeader))
+	return status, err
 }
 
 // Load loads a model, or an adapter if the order names a base. It returns when the
@@ -173,7 +185,7 @@
 	if order.Base != "" {
 		path = "/v1/load_lora_adapter"
 	}
-	_, err := c.call(ctx, http.MethodPost, path, order)
+	_, _, err := c.call(ctx, http.MethodPost, path, order)
 	return err
 }
 
@@ -184,27 +196,28 @@
 	if order.Base != "" {
 		path = "/v1/unload_lora_adapter"
 	}
-	_, err := c.call(ctx, http.MethodPost, path, order)
+	_, _, err := c.call(ctx, http.MethodPost, path, order)
 	return err
 }
 
-// call sends payload as JSON and returns the body of the answer. It returns a
+// call sends payload as JSON and returns the body and the headers of the answer. It returns a
 // StatusError if the status is not 200.
-func (c *Client) call(ctx context.Context, method, path string, payload any) ([]byte, error) {
+func (c *Client) call(ctx context.Context, method, path string, payload any) ([]byte, http.Header, error) {
 	body, err := json.Marshal(payload)
 	if err != nil {
-		return nil, eris.Wrap(err, "encode engine call")
+		return nil, nil, eris.Wrap(err, "encode engine call")
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, eris.Wrap(err, "build engine call")
+		return nil, nil, eris.Wrap(err, "build engine call")
 	}
 	response, err := c.http.Do(req)
 	if err != nil {
-		return nil, eris.Wrap(err, "send engine call")
+		return nil, nil, eris.Wrap(err, "send engine call")
 	}
 	defer func() { _ = response.Body.Close() }()
-	return readBody(response)
+	data, err := readBody(response)
+	return data, response.Header, err
 }
 
 // readBody returns the body of an answer, or a StatusError with it if the status is
@@ -245,6 +258,9 @@
 	if id := response.Header.Get("X-Request-Id"); assembler.FindOwner(r.ID, id, true, false) != assembler.Own {
 		return Result{}, &StreamError{Text: "answers request " + id + " in place of " + r.ID}
 	}
+	if rate, ok := pacer.ParseRate(response.Header.Get(limitHeader)); ok && r.OnLimit != nil {
+		r.OnLimit(rate)
+	}
 	if response.StatusCode != http.StatusOK {
 		_, err := readBody(response)
 		return Result{}, err
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -133,3 +133,26 @@
 	assert.Assert(t, len(err.Error()) < 2*maxQuote)
 	assert.Assert(t, utf8.ValidString(err.Error()))
 }
+
+// TestLimitInAnswer checks that the limit that an engine names in its answer to a request or in its
+// status is passed on, also with a failure.
+func TestLimitInAnswer(t *testing.T) {
+	status := http.StatusOK
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Rate-Limit", "1.5")
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte("{}"))
+	}))
+	defer s.Close()
+	for _, status = range []int{http.StatusOK, http.StatusInternalServerError} {
+		got := -1.0
+		request := Request{ID: "mine", Body: []byte("{}"), OnLimit: func(rate float64) { got = rate }}
+		_, _ = New(s.URL).Generate(context.Background(), request, func(string) error { return nil })
+		assert.Equal(t, got, 1.5)
+	}
+	status = http.StatusOK
+	state, err := New(s.URL).Status(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, state.Limit, 1.5)
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -18,6 +18,7 @@
 	"oleanderstall/evictor"
 	"oleanderstall/member"
 	"oleanderstall/meter"
+	"oleanderstall/pacer"
 	"oleanderstall/peer"
 	"oleanderstall/placer"
 	"oleanderstall/queuer"
@@ -119,6 +120,8 @@
 	// read; restartSuspected then makes Run read it.
 	mayHaveRestarted bool
 	restartSuspected chan struct{}
+	// gate keeps the limit that the backend server has named.
+	gate pacer.Gate
 	// freedSlots are slots whose holder has not confirmed yet that they are free.
 	freedSlots []*wire.Slot
 }
--- a/executor/fixture_test.go
+++ b/executor/fixture_test.go
@@ -28,6 +28,8 @@
 	runs   map[string]int
 	before func()
 	after  func() error
+	// limit is the limit that the answers name, or 0.
+	limit float64
 }
 
 func (o *orderService) Call(ctx context.Context, r service.Request) (*service.Answer, error) {
@@ -37,6 +39,9 @@
 	o.mu.Lock()
 	o.runs[string(r.Body)]++
 	o.mu.Unlock()
+	if r.OnLimit != nil {
+		r.OnLimit(o.limit)
+	}
 	if o.after != nil {
 		if err := o.after(); err != nil {
 			return nil, err
@@ -66,7 +71,9 @@
 	loadGate  chan struct{}
 	// beforeStatusReturn is called after a status was taken and before it is returned.
 	beforeStatusReturn func()
-	generate           func(ctx context.Context, r engine.Request, onToken func(string) error) (engine.Result, error)
+	// limit is the limit that the answers name, or 0.
+	limit    float64
+	generate func(ctx context.Context, r engine.Request, onToken func(string) error) (engine.Result, error)
 }
 
 func (e *memoryEngine) Status(context.Context) (engine.Status, error) {
@@ -80,7 +87,7 @@
 func (e *memoryEngine) status() engine.Status {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	status := engine.Status{Capacity: e.capacity}
+	status := engine.Status{Capacity: e.capacity, Limit: e.limit}
 	for _, l := range e.loaded {
 		status.Loaded = append(status.Loaded, l)
 	}
@@ -112,6 +119,9 @@
 }
 
 func (e *memoryEngine) Generate(ctx context.Context, r engine.Request, onToken func(string) error) (engine.Result, error) {
+	if r.OnLimit != nil {
+		r.OnLimit(e.limit)
+	}
 	if e.generate != nil {
 		return e.generate(ctx, r, onToken)
 	}
--- a/executor/invoke.go
+++ b/executor/invoke.go
@@ -44,6 +44,9 @@
 	if err := check(); err != nil {
 		return nil, err
 	}
+	if err := x.refuseBeyondLimit(); err != nil {
+		return nil, err
+	}
 	route := x.member.View().Route(req.GetRoute())
 	if route == nil {
 		return nil, refuser.New(refuser.StaleConfiguration, "the route is not in the configuration here").WithRetryAfter(time.Second)
@@ -82,6 +85,10 @@
 	if err := check(); err != nil {
 		return nil, err
 	}
+	number, err := x.admitSend(req.GetId())
+	if err != nil {
+		return nil, err
+	}
 	started := x.clock()
 	timeoutCtx, cancel := context.WithTimeout(ctx, deadline-started)
 	defer cancel()
@@ -94,6 +101,7 @@
 		Workspace:      req.GetWorkspace(),
 		IdempotencyKey: req.GetOnce(),
 		Body:           req.GetBody(),
+		OnLimit:        func(rate float64) { x.recordLimit(number, rate) },
 	})
 	x.mu.Lock()
 	x.recordServiceTime(x.clock() - started)
--- a/executor/run.go
+++ b/executor/run.go
@@ -36,6 +36,9 @@
 	if err := x.checkRequest(ctx, req.GetKey(), req.GetWorkspace(), req.GetConfig(), arrived, deadline); err != nil {
 		return err
 	}
+	if err := x.refuseBeyondLimit(); err != nil {
+		return err
+	}
 	replica, err := x.acquireReplica(ctx, req, deadline)
 	if err != nil {
 		return err
@@ -251,6 +254,10 @@
 // generate sends the request to the engine and its tokens to the entry. An error of
 // the engine is returned as a refusal that leaves open whether the request ran.
 func (x *Executor) generate(ctx context.Context, req *wire.Run, stream peer.Stream, deadline time.Duration) error {
+	number, err := x.admitSend(req.GetId())
+	if err != nil {
+		return err
+	}
 	timeoutCtx, cancel := context.WithTimeout(ctx, deadline-x.clock())
 	defer cancel()
 	index := req.GetSent()
@@ -261,6 +268,7 @@
 		Priority:     x.member.View().Model(req.GetModel()).GetPriority(),
 		ResumeText:   req.GetResume(),
 		ResumeTokens: req.GetSent(),
+		OnLimit:      func(rate float64) { x.recordLimit(number, rate) },
 	}, func(text string) error {
 		piece := &wire.Piece{Id: req.GetId(), Index: index, Text: text}
 		index++
--- a/executor/status.go
+++ b/executor/status.go
@@ -17,6 +17,7 @@
 	x.mu.Lock()
 	restarted := x.mayHaveRestarted
 	x.mayHaveRestarted = false
+	number := x.gate.Number()
 	x.mu.Unlock()
 	requestedAt := x.clock()
 	status, err := x.engine.Status(ctx)
@@ -28,6 +29,7 @@
 		return
 	}
 	x.recordAlive()
+	x.applyLimit(number, status.Limit)
 	now := x.clock()
 	if !x.statusKnown {
 		x.statusKnown = true
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -180,6 +180,9 @@
 	}
 }
 
+// Wait returns the time until the next permit.
+func (s *Schedule) Wait(now time.Duration) time.Duration { return max(0, s.next-now) }
+
 // Reserve gives out the next permit if it may be used within patience. Otherwise it returns false,
 // and the wait is the time until the next permit.
 func (s *Schedule) Reserve(now, patience time.Duration) (Permit, bool) {
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -41,6 +41,9 @@
 	// BackendSilent is the kind for a backend server whose host does not answer or does not confirm
 	// what is sent to it.
 	BackendSilent // backend_silent
+	// BackendLimited is the kind for a backend server that has named a limit and takes no request
+	// now.
+	BackendLimited // backend_limited
 )
 
 var httpStatuses = map[Kind]int{
@@ -62,6 +65,7 @@
 	BackendFailed:       http.StatusBadGateway,
 	Quarantined:         http.StatusServiceUnavailable,
 	BackendSilent:       http.StatusGatewayTimeout,
+	BackendLimited:      http.StatusServiceUnavailable,
 }
 
 // HTTPStatus returns the HTTP status code of a refusal of kind k.
--- a/service/service.go
+++ b/service/service.go
@@ -20,6 +20,7 @@
 
 	"oleanderstall/assembler"
 	"oleanderstall/dialer"
+	"oleanderstall/pacer"
 )
 
 // maxAnswer is the largest body of an answer, in bytes.
@@ -28,6 +29,9 @@
 // dialTimeout limits the time for connecting to a service on the same instance.
 const dialTimeout = time.Second
 
+// limitHeader is the header in which a service in need names the requests a second that it takes.
+const limitHeader = "X-Rate-Limit"
+
 // Request is one call of a plain service.
 type Request struct {
 	// ID is the request ID.
@@ -42,6 +46,9 @@
 	// IdempotencyKey is the caller's idempotency key, or empty.
 	IdempotencyKey string
 	Body           []byte
+	// OnLimit is called with the limit that the service names in the head of its answer, in
+	// requests a second, or 0 if it names none. It may be nil.
+	OnLimit func(rate float64)
 }
 
 // Answer is the answer to a call. If its body ends with its connection, it may have been
@@ -107,6 +114,9 @@
 	if err := checkHead(response, r.ID); err != nil {
 		return nil, callError(err)
 	}
+	if rate, ok := pacer.ParseRate(response.Header.Get(limitHeader)); ok && r.OnLimit != nil {
+		r.OnLimit(rate)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
 		return nil, callError(err)
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -167,3 +167,28 @@
 		assert.Assert(t, !broken || callErr.Sent)
 	}
 }
+
+// TestLimitInAnswer checks that the limit that a service names in its answer is passed on, and that
+// an answer to another call says nothing about it.
+func TestLimitInAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer string
+		want   []float64
+	}{
+		{"a limit", httpAnswer("200 OK", "x", "X-Rate-Limit: 1.5\r\n"), []float64{1.5}},
+		{"a limit with a failure", httpAnswer("500 Oops", "x", "X-Rate-Limit: 3\r\n"), []float64{3}},
+		{"none", httpAnswer("200 OK", "x"), []float64{0}},
+		{"one that cannot be read", httpAnswer("200 OK", "x", "X-Rate-Limit: few\r\n"), nil},
+		{"that of another call", httpAnswer("200 OK", "x", "X-Request-Id: other\r\n", "X-Rate-Limit: 3\r\n"), nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			service := repeatingService(t, func(*http.Request) string { return c.answer })
+			var got []float64
+			request := orderRequest
+			request.OnLimit = func(rate float64) { got = append(got, rate) }
+			_, _ = service.Call(context.Background(), request)
+			assert.DeepEqual(t, got, c.want)
+		})
+	}
+}
