soaker: backend servers name limits while processes are killed, pause and lose the store

No server may get more than the users' rule allows, whichever entry sends, and after the faults all requests are served again.

--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -63,6 +63,8 @@
 	// streamEnds adds faults of answers and odd rows, and makes callers read answers byte by
 	// byte.
 	streamEnds bool
+	// serverLimits makes backend servers name limits.
+	serverLimits bool
 }
 
 // callers returns the number of callers.
@@ -89,6 +91,9 @@
 	// faultyAnswers is the number of answers that were to have a fault.
 	faultyAnswers atomic.Int64
 	results       results
+	// limitPeriods are the limits that servers have named, which limitRandom draws.
+	limitPeriods []limitPeriod
+	limitRandom  *rand.Rand
 	// paused is the time during which the machine did not run the test, and longestPause the
 	// longest part of it.
 	paused       time.Duration
@@ -106,7 +111,7 @@
 	start := time.Now()
 	s := &soakRun{
 		binary: binary, mode: mode, planned: map[*imitator.Backend]bool{},
-		random: rand.New(rand.NewPCG(seed, 1)), clock: func() time.Duration { return time.Since(start) },
+		random: rand.New(rand.NewPCG(seed, 1)), limitRandom: rand.New(rand.NewPCG(seed, 4)), clock: func() time.Duration { return time.Since(start) },
 	}
 	s.options = imitator.SiteOptions{
 		Engines: *sidecarCount, Services: 2, Models: 2 * *sidecarCount, ModelsPerEngine: 2, LoadTime: 60 * time.Millisecond, EventInterval: 8 * time.Millisecond,
@@ -183,6 +188,9 @@
 		clients.Go(func() { run(ctx) })
 	}
 	clients.Go(func() { s.withdrawKey(ctx) })
+	if s.mode.serverLimits {
+		faults.Go(s.nameLimits)
+	}
 	s.injectFaults(&faults)
 	faults.Wait()
 	time.Sleep(recoveryTime)
@@ -193,6 +201,7 @@
 	cancel()
 	clients.Wait()
 	s.checkGuarantees()
+	s.checkLimits()
 	s.checkProcesses()
 	if s.mode.streamEnds {
 		s.checkOutcomes()
@@ -308,6 +317,10 @@
 // a table.
 func TestSoakStreamEnds(t *testing.T) { soak(t, soakMode{streamEnds: true}) }
 
+// TestSoakServerLimits is TestSoak with backend servers that name limits. It guards against servers
+// that get more than that while processes are killed, pause and lose the store.
+func TestSoakServerLimits(t *testing.T) { soak(t, soakMode{serverLimits: true}) }
+
 // soak runs all seeds in a mode.
 func soak(t *testing.T, mode soakMode) {
 	dir, err := os.MkdirTemp("", "soak")
