--- a/follower/follower.go
+++ b/follower/follower.go
@@ -5,6 +5,7 @@
 package follower
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"sync"
@@ -258,6 +259,7 @@
 		// Skip a row that is no newer than the copy's. If a complete copy of the same or a
 		// later version lacks the row, the row has been removed and the answer is outdated.
 		if ok && r.Version <= known.Version || !ok && f.synced && r.Version <= f.version {
+			f.logSkipped(r, known)
 			continue
 		}
 		f.storeRow(r)
@@ -272,6 +274,15 @@
 	return changed
 }
 
+// logSkipped logs a row that is skipped although it differs from the one of the copy. The caller
+// holds the lock.
+func (f *Follower) logSkipped(r, known storer.Row) {
+	if !bytes.Equal(r.Value, known.Value) {
+		f.log.Info().Str("table", f.options.Table).Str("key", r.Key).Uint64("row", r.Version).Uint64("known", known.Version).
+			Uint64("after", f.version).Msg("store: row counts as old")
+	}
+}
+
 // recordOmitted logs the number of rows that an answer leaves out, if no answer before left out
 // as many. The caller holds the lock.
 func (f *Follower) recordOmitted(omitted int) {
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -83,7 +83,7 @@
 		tasks:      newTaskGroup(),
 		membership: subscriber.NewMembership(),
 	}
-	h.store = platform.NewStore(s.Hosted.StoreAddress, h.recordStoreCall)
+	h.store = platform.NewStore(s.Hosted.StoreAddress, h.recordStoreCall, h.storeEraChanged)
 	h.settings.Store(s)
 	h.relayer = relayer.New(&wire.Link{Name: s.Name, Centre: s.Centre, Started: h.started}, h.clock, h.config, l)
 	h.configs = follower.New(follower.Options{Table: platform.ConfigTable, LongPollTimeout: configLongPollTimeout, MinInterval: configMinInterval}, h.clock, h.store, h.applyConfigRows, l)
@@ -108,6 +108,11 @@
 	h.meter.RecordStoreCall(call, storer.OutcomeLabel(err), duration)
 }
 
+// storeEraChanged logs an era of the store that is later than those before.
+func (h *hostedProcess) storeEraChanged(era uint64) {
+	h.log.Info().Uint64("era", era).Msg("store: era")
+}
+
 // Meter returns the metrics of the process.
 func (h *hostedProcess) Meter() *meter.Meter { return h.meter }
 
@@ -230,6 +235,7 @@
 		}
 		previous := h.config.View().Version()
 		h.config.Restore(change)
+		h.log.Info().Uint64("version", change.GetVersion()).Uint64("before", previous).Uint64("row", r.Version).Msg("config: read")
 		h.configApplied(previous, "store")
 	}
 }
--- a/runner/ownership_test.go
+++ b/runner/ownership_test.go
@@ -20,7 +20,7 @@
 func newRowTable(t *testing.T) *platform.Store {
 	server := httptest.NewServer(imitator.NewRowStore())
 	t.Cleanup(server.Close)
-	return platform.NewStore(strings.TrimPrefix(server.URL, "http://"), func(string, time.Duration, error) {})
+	return platform.NewStore(strings.TrimPrefix(server.URL, "http://"), func(string, time.Duration, error) {}, func(uint64) {})
 }
 
 // putRow writes a row and returns it.
