storer, platform, runner: what was learned from the store belongs to the era that it was read in

The store itself was asked ten times a second by each follower for some 4 s.

Cause: versions, feed positions, conditions and fencing numbers were taken for unique. After a restore the store gives them out again, so that rows written anew counted as old, positions skipped changes, a condition could hold for another row than the one that was read, and a holder could get a number that another had before; rows of ours that the store had lost were never written again.

Now the adapter makes a version of the era (header Store-Era) and the number, so that those of a later era are higher everywhere in the fleet. A position or a condition of an earlier era is not sent; an answer of an earlier era does not count; a write whose condition may have held for another row is an error after which a holder waits for the lease. - A fencing number of an earlier era is not used. The holder acquires its engine again, with its process's row; an adopter leaves its engines. Relays tell their processes of the era, since these hold no call to the store. - Lost rows of the fleet's table are kept and written again, the secret too; a start in a later era waits 2 s for that. - A server that was known to leave, or to be gone, stays so if the copy holds an earlier row of it: rows carry the number of their writes. Servers whose rows were lost stay listed for 2.5 s, as after an outage. - A process is not looked for at the address of an earlier start.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -34,6 +34,9 @@
 	LongPollTimeout time.Duration
 	// MinInterval is the shortest time between the starts of two calls, apart from Wake.
 	MinInterval time.Duration
+	// KeepLost keeps the rows that a store has lost by coming back from an earlier copy of itself,
+	// because nobody removes rows of the table and their writers write them again.
+	KeepLost bool
 }
 
 // Follower follows one table. It is safe for concurrent use.
@@ -250,6 +253,11 @@
 		}
 		f.log.Info().Str("table", f.options.Table).Uint64("version", changes.Version).Msg("store: answers")
 	}
+	if f.synced && storer.Era(changes.Version) > storer.Era(f.version) {
+		f.log.Warn().Str("table", f.options.Table).Uint64("era", storer.Era(changes.Version)).Uint64("version", changes.Version).
+			Uint64("before", f.version).Msg("store: came back from a copy")
+		f.answeringSince = f.clock()
+	}
 	f.recordOmitted(changes.Omitted)
 	var changed []storer.Row
 	present := map[string]bool{}
@@ -295,11 +303,11 @@
 
 // removeMissing removes the rows that a snapshot lacks and returns them, marked as deleted.
 // The snapshot has the given version and the keys in present. Rows newer than the snapshot
-// are kept. The caller holds the lock.
+// are kept, and with KeepLost those of earlier eras. The caller holds the lock.
 func (f *Follower) removeMissing(version uint64, present map[string]bool) []storer.Row {
 	var removed []storer.Row
 	for key, r := range f.rows {
-		if present[key] || r.Version > version {
+		if present[key] || r.Version > version || f.options.KeepLost && storer.Era(r.Version) < storer.Era(version) {
 			continue
 		}
 		removed = append(removed, storer.Row{Key: key, Version: version, Deleted: true})
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -160,3 +162,52 @@
 		<-f.Done()
 	})
 }
+
+// ofEra returns an answer with the versions of an era.
+func ofEra(era uint64, a answer) answer {
+	out := answer{changes: storer.Changes{Version: storer.NewVersion(era, a.changes.Version)}, err: a.err}
+	for _, r := range a.changes.Rows {
+		r.Version = storer.NewVersion(era, r.Version)
+		out.changes.Rows = append(out.changes.Rows, r)
+	}
+	return out
+}
+
+// TestCopyAfterRestore guards against rows that count as old, or that are missed, because the store
+// has come back from an earlier copy of itself and gives versions out again.
+func TestCopyAfterRestore(t *testing.T) {
+	before := []answer{ofEra(1, changes(8, liveRow("a", 3), liveRow("b", 8))), {err: &storer.CompactedError{}}}
+	restored := ofEra(2, changes(4, liveRow("a", 3), liveRow("c", 4)))
+	for _, c := range []struct {
+		name     string
+		keepLost bool
+		later    answer
+		want     []string
+	}{
+		{"rows written anew", false, ofEra(2, changes(5, liveRow("b", 5))), []string{"a", "b", "a", "c", "-b", "b"}},
+		{"lost rows kept", true, ofEra(2, changes(5, liveRow("a", 5))), []string{"a", "b", "a", "c", "a"}},
+		{"answer of the era before", false, ofEra(1, changes(9, liveRow("a", 9), deletedRow("c", 9))), []string{"a", "b", "a", "c", "-b"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := faker.NewClock()
+			feed := &script{answers: append(slices.Clone(before), restored, c.later)}
+			var got []string
+			f := New(Options{Table: "t", KeepLost: c.keepLost}, clock.Now, feed, func(_ time.Duration, rows []storer.Row) {
+				for _, r := range rows {
+					name := strings.TrimPrefix(r.Key, "t/")
+					if r.Deleted {
+						name = "-" + name
+					}
+					got = append(got, name)
+				}
+			}, faker.DiscardLogger())
+			for len(feed.answers) > 0 {
+				clock.Advance(time.Second)
+				assert.NilError(t, f.poll(context.Background(), clock.Now()))
+			}
+			assert.DeepEqual(t, got, c.want)
+			since, _ := f.AnsweringSince()
+			assert.Equal(t, since, time.Hour+2*time.Second)
+		})
+	}
+}
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -43,16 +43,17 @@
 	log      *log.Logger
 	done     chan struct{}
 	rows     chan []storer.Row
-	// omitted holds the number of models that the latest readable row of a server leaves out,
-	// by ID. Only Run uses it.
+	// omitted holds the number of models that the latest readable row of a server leaves out, and
+	// latest the latest readable row, by ID. Only Run uses them.
 	omitted map[string]int
+	latest  map[string]*wire.ListedServer
 }
 
 // New returns a lister of a table that passes each changed server to apply, with the instant
 // as of which the list was complete. It also calls apply without servers, so that the
 // instant is known.
 func New(table string, decode Decoder, clock timer.Clock, feed storer.ChangeFeed, apply func(completeAsOf time.Duration, servers []*wire.ListedServer), l *log.Logger) *Lister {
-	s := &Lister{table: table, decode: decode, apply: apply, clock: clock, log: l, done: make(chan struct{}), rows: make(chan []storer.Row), omitted: map[string]int{}}
+	s := &Lister{table: table, decode: decode, apply: apply, clock: clock, log: l, done: make(chan struct{}), rows: make(chan []storer.Row), omitted: map[string]int{}, latest: map[string]*wire.ListedServer{}}
 	s.follower = follower.New(follower.Options{Table: table, LongPollTimeout: LongPollTimeout, MinInterval: minInterval}, clock, feed, s.enqueueRows, l)
 	return s
 }
@@ -119,7 +120,7 @@
 			continue
 		}
 		s.log.Info().Str("server", id).Uint64("row", r.Version).Msg("server: gone")
-		servers = append(servers, &wire.ListedServer{Id: id, Row: r.Version, Gone: true})
+		servers = append(servers, s.gone(id, r.Version))
 	}
 	return servers
 }
@@ -130,10 +131,22 @@
 	server, err := s.decode(r)
 	if err != nil {
 		s.log.Warn().Err(err).Str("server", id).Uint64("row", r.Version).Msg("server: unreadable row, not used")
-		return &wire.ListedServer{Id: id, Row: r.Version, Gone: true}
+		return s.gone(id, r.Version)
 	}
 	s.recordOmitted(id, r.Version, server.Omitted)
-	return server.ListedServer(r.Version)
+	listed := server.ListedServer(r.Version)
+	if !tracker.RowOutdated(listed, s.latest[id]) {
+		s.latest[id] = listed
+	}
+	return listed
+}
+
+// gone returns the row of a server that was removed, or cannot be read, as of a version. It names
+// the process that the latest readable row described.
+func (s *Lister) gone(id string, version uint64) *wire.ListedServer {
+	latest := s.latest[id]
+	delete(s.latest, id)
+	return &wire.ListedServer{Id: id, Row: version, Gone: true, Born: latest.GetBorn(), Writes: latest.GetWrites()}
 }
 
 // recordOmitted logs the number of models that a row leaves out, if it has changed.
@@ -160,7 +173,7 @@
 		if s.clock() >= p.until {
 			delete(pending, id)
 			s.log.Info().Str("server", id).Msg("server: removed, row did not reappear")
-			servers = append(servers, &wire.ListedServer{Id: id, Row: p.row, Gone: true})
+			servers = append(servers, s.gone(id, p.row))
 		}
 	}
 	return servers
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -52,9 +52,9 @@
 	// demands are the models and adapters that requests wait for, by name.
 	demands    map[string]*demand
 	unreported unreported
-	// rowVersions are the versions of the latest rows of the list, by server. removedRows
+	// rows are the latest rows of the list, by server, without what they list. removedRows
 	// names the servers among them that were removed, the earliest first.
-	rowVersions map[string]uint64
+	rows        map[string]*wire.ListedServer
 	removedRows []string
 	// firstListedAt is the instant at which the first server was listed, or 0.
 	// lastBatchAt is the instant of the latest batch from a relay or, before the first
@@ -96,7 +96,7 @@
 		fleet:       tracker.New(),
 		demands:     map[string]*demand{},
 		unreported:  newUnreported(),
-		rowVersions: map[string]uint64{},
+		rows:        map[string]*wire.ListedServer{},
 		limits:      pacer.NewLimits(),
 		paced:       map[string]*pacedServer{},
 		attempts:    map[string]map[*attempt]struct{}{},
@@ -123,14 +123,17 @@
 // that the server had or has. The caller holds the lock.
 func (l *Locator) updateServer(listed *wire.ListedServer) {
 	id := listed.GetId()
-	version, known := l.rowVersions[id]
-	if id == "" || version > listed.GetRow() {
+	known := l.rows[id]
+	if id == "" || tracker.RowOutdated(listed, known) {
 		return
 	}
-	l.rowVersions[id] = listed.GetRow()
+	l.rows[id] = &wire.ListedServer{Row: listed.GetRow(), Born: listed.GetBorn(), Writes: listed.GetWrites()}
+	if listed.GetBorn() == 0 {
+		l.rows[id].Born, l.rows[id].Writes = known.GetBorn(), known.GetWrites()
+	}
 	l.notifyServer(l.fleet.Get(id))
 	if listed.GetGone() {
-		if !known || l.fleet.Get(id) != nil {
+		if known == nil || l.fleet.Get(id) != nil {
 			l.limitRemovedRows(id)
 		}
 		l.fleet.RemoveServer(id)
@@ -144,11 +147,11 @@
 	l.notifyServer(l.fleet.Get(id))
 }
 
-// maxRemovedRows bounds the removed servers whose versions are kept, so that an older row that
+// maxRemovedRows bounds the removed servers whose rows are kept, so that an older row that
 // arrives late does not list them again.
 const maxRemovedRows = 4096
 
-// limitRemovedRows adds a server to those that were removed, and forgets the version of the one
+// limitRemovedRows adds a server to those that were removed, and forgets the row of the one
 // that was removed first if there are too many. The caller holds the lock.
 func (l *Locator) limitRemovedRows(id string) {
 	l.removedRows = append(l.removedRows, id)
@@ -156,7 +159,7 @@
 		return
 	}
 	if first := l.removedRows[0]; l.fleet.Get(first) == nil {
-		delete(l.rowVersions, first)
+		delete(l.rows, first)
 	}
 	l.removedRows = l.removedRows[1:]
 }
--- a/locator/report_test.go
+++ b/locator/report_test.go
@@ -25,7 +25,7 @@
 		l.UpdateServer(&wire.ListedServer{Id: id, Row: 2, Address: id})
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		assert.Equal(t, len(l.rowVersions), maxRemovedRows+1)
+		assert.Equal(t, len(l.rows), maxRemovedRows+1)
 		assert.Assert(t, l.fleet.Get(id) == nil)
 		assert.Assert(t, l.fleet.Get("stays") != nil)
 	})
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -58,6 +58,7 @@
 		Links:  uint32(fs.Links()),
 		Config: fs.config.View().Version(),
 		Age:    timer.ToMillis(now - fs.serversCompleteAsOf),
+		Era:    fs.era,
 	}
 	switch lp.link.GetRole() {
 	case Entry:
--- a/relayer/fleetstate.go
+++ b/relayer/fleetstate.go
@@ -87,6 +87,8 @@
 	demands      *versionedMap[string, allocator.Demand]
 	loadRequests *versionedMap[serverModel, loadRequest]
 
+	// era is the latest era of the platform's store that this relay has heard of.
+	era uint64
 	// entriesVersion is raised whenever an entry links or any process leaves.
 	entriesVersion uint64
 	// serversCompleteAsOf is the latest instant as of which servers was complete.
@@ -131,6 +133,14 @@
 	fs.ledger.SetLimits(now, limits)
 }
 
+// SetEra records an era of the platform's store and sends the latest one on.
+func (fs *FleetState) SetEra(era uint64) {
+	if era > fs.era {
+		fs.era = era
+		fs.markUrgent(Entry, Sidecar, Relay)
+	}
+}
+
 // Links returns the number of processes linked to this relay, other relays included.
 func (fs *FleetState) Links() int { return len(fs.processes) }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -252,6 +252,15 @@
 	r.Wake()
 }
 
+// SetEra records the latest era of the platform's store that this process has heard of. It returns
+// the latest one that any relay has.
+func (r *Relayer) SetEra(era uint64) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.SetEra(era)
+	return r.state.era
+}
+
 // Permit answers a request for a permit to send a request to a backend server. An error is a
 // *refuser.Refusal.
 func (r *Relayer) Permit(request *wire.PermitRequest) (*wire.Permit, error) {
--- a/relayer/remotefeed.go
+++ b/relayer/remotefeed.go
@@ -96,6 +96,7 @@
 		return
 	}
 	rf.receivedAt = now
+	fs.SetEra(batch.GetEra())
 	for _, status := range batch.GetConditions() {
 		rf.servers[status.GetServer()] = true
 		fs.recordStatus(now, status, false)
--- a/relayer/serverlist.go
+++ b/relayer/serverlist.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"oleanderstall/subscriber"
 	"oleanderstall/tracker"
 	"oleanderstall/wire"
 )
@@ -15,8 +16,8 @@
 func (fs *FleetState) UpdateServers(completeAsOf time.Duration, servers []*wire.ListedServer) {
 	fs.serversCompleteAsOf = max(fs.serversCompleteAsOf, completeAsOf)
 	for _, server := range servers {
-		known, ok := fs.servers.get(server.GetId())
-		if server.GetId() == "" || ok && known.GetRow() > server.GetRow() {
+		known, _ := fs.servers.get(server.GetId())
+		if server.GetId() == "" || tracker.RowOutdated(server, known) {
 			continue
 		}
 		fs.updateServer(server, known)
@@ -36,7 +37,7 @@
 	}
 	fs.decisionStale = true
 	normalized := proto.Clone(server).(*wire.ListedServer)
-	normalized.Row = known.GetRow()
+	normalized.Row, normalized.Writes = known.GetRow(), known.GetWrites()
 	if reported, ok := fs.statuses.get(server.GetId()); ok && reported.status != nil {
 		// The sidecar's status is more accurate about the models of its engine.
 		normalized.Models = known.GetModels()
@@ -44,6 +45,10 @@
 	if proto.Equal(normalized, known) {
 		return
 	}
+	if server.GetGone() && server.GetBorn() == 0 {
+		server = proto.CloneOf(server)
+		server.Born, server.Writes = known.GetBorn(), known.GetWrites()
+	}
 	fs.servers.set(server.GetId(), server)
 	fs.markUrgent(Entry, Relay)
 }
@@ -66,7 +71,7 @@
 // newer than the ones known, and those without a name.
 func (fs *FleetState) UpdateMembers(members []*wire.Member) {
 	for _, m := range members {
-		if known, ok := fs.members.get(m.GetName()); m.GetName() == "" || ok && known.GetRow() >= m.GetRow() {
+		if known, _ := fs.members.get(m.GetName()); m.GetName() == "" || subscriber.RowOutdated(m, known) {
 			continue
 		}
 		fs.members.set(m.GetName(), m)
--- a/runner/adopter.go
+++ b/runner/adopter.go
@@ -43,6 +43,8 @@
 	orphanedSince map[string]time.Duration
 	// adopted holds the engines that this process orders, by address.
 	adopted map[string]*adoptedEngine
+	// era is the era of the store in which they were adopted.
+	era uint64
 }
 
 // adoptedEngine orders one engine in place of a sidecar.
@@ -79,6 +81,7 @@
 // releases those that have a sidecar or another holder, and all of them once this
 // process is not an active relay any more.
 func (a *adopter) reconcile(ctx context.Context, now time.Duration) {
+	a.releaseEarlier()
 	orphans := a.relayer.Orphans()
 	for address := range a.orphanedSince {
 		if orphans[address] == nil || a.membership.SidecarOf(address) != nil {
@@ -112,6 +115,21 @@
 	a.setStoreIntervals()
 }
 
+// releaseEarlier releases all engines once the store has come back from an earlier copy of itself:
+// it may have lost the rows of this process, and those of sidecars, which get adoptionDelay anew to
+// write theirs again.
+func (a *adopter) releaseEarlier() {
+	era := a.store.Era()
+	if era == a.era {
+		return
+	}
+	a.era = era
+	for address := range a.adopted {
+		a.release(address, "the store came back from a copy")
+	}
+	clear(a.orphanedSince)
+}
+
 // setStoreIntervals sets how often the rows of the processes and the holders are read:
 // most often while this process orders adopted engines, since its proof of holding them
 // comes from these reads, less often in a relay, and least in other processes.
@@ -134,7 +152,7 @@
 	started := time.Now().UnixNano()
 	e := &adoptedEngine{
 		process:   a.hostedProcess,
-		ownership: newOwnership(a.clock, address, holderRow{Holder: s.Name, Started: started, Adopted: true}, time.Duration(s.Hosted.EngineLease)),
+		ownership: newOwnership(a.clock, address, holderRow{Holder: s.Name, Started: started, Adopted: true}, time.Duration(s.Hosted.EngineLease), a.store.Era),
 		done:      make(chan struct{}),
 	}
 	options := orderer.Options{Holder: s.Name, Pool: server.GetPool(), Address: address, Started: started, BusyPollInterval: remoteBusyPollInterval, IdlePollInterval: remoteIdlePollInterval}
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -63,6 +63,12 @@
 	lister  *lister.Lister
 	// fetchingConfig is set while a configuration is fetched from another process.
 	fetchingConfig atomic.Bool
+	// secret is the fleet's secret, known once join has returned, and eraChanged is signalled when
+	// the store has come back from an earlier copy of itself.
+	secret     string
+	eraChanged chan struct{}
+	// joinEra is the era of the store in which this process first read the fleet's rows.
+	joinEra uint64
 	// onConfigChange is called after a new configuration has come into force, and
 	// onServersChange with changes of the list of backend servers that this process has
 	// read from the store.
@@ -82,12 +88,13 @@
 		meter:      meter.New(),
 		tasks:      newTaskGroup(),
 		membership: subscriber.NewMembership(),
+		eraChanged: make(chan struct{}, 1),
 	}
 	h.store = platform.NewStore(s.Hosted.StoreAddress, h.recordStoreCall, h.storeEraChanged)
 	h.settings.Store(s)
 	h.relayer = relayer.New(&wire.Link{Name: s.Name, Centre: s.Centre, Started: h.started}, h.clock, h.config, l)
 	h.configs = follower.New(follower.Options{Table: platform.ConfigTable, LongPollTimeout: configLongPollTimeout, MinInterval: configMinInterval}, h.clock, h.store, h.applyConfigRows, l)
-	h.fleet = follower.New(follower.Options{Table: storer.FleetTable, LongPollTimeout: fleetLongPollTimeout, MinInterval: fleetMinInterval}, h.clock, h.store, h.applyMemberRows, l)
+	h.fleet = follower.New(follower.Options{Table: storer.FleetTable, LongPollTimeout: fleetLongPollTimeout, MinInterval: fleetMinInterval, KeepLost: true}, h.clock, h.store, h.applyMemberRows, l)
 	h.lister = lister.New(platform.ServerTable, platform.DecodeServer, h.clock, h.store, h.updateServers, l)
 	h.lister.Follower().Suspend(true)
 	h.configs.Suspend(s.Role == "sidecar")
@@ -108,9 +115,13 @@
 	h.meter.RecordStoreCall(call, storer.OutcomeLabel(err), duration)
 }
 
-// storeEraChanged logs an era of the store that is later than those before.
+// storeEraChanged is called with each era of the store that is later than those before.
 func (h *hostedProcess) storeEraChanged(era uint64) {
 	h.log.Info().Uint64("era", era).Msg("store: era")
+	select {
+	case h.eraChanged <- struct{}{}:
+	default:
+	}
 }
 
 // Meter returns the metrics of the process.
@@ -128,17 +139,18 @@
 	case <-ctx.Done():
 		return storer.Instance{}, ctx.Err()
 	}
-	var secret string
+	h.joinEra = h.store.Era()
+	h.awaitLostSecret(ctx)
 	err := retryUntilSuccess(ctx, h.log, "reading the fleet's secret", func(ctx context.Context) (err error) {
 		known, _ := h.fleet.Row(storer.SecretKey)
-		secret, err = fleetSecret(ctx, h.store, known)
+		h.secret, err = fleetSecret(ctx, h.store, known)
 		return err
 	})
 	if err != nil {
 		return storer.Instance{}, err
 	}
 	s := h.settings.Load()
-	identity, err := peer.NewIdentity(secret, s.Name)
+	identity, err := peer.NewIdentity(h.secret, s.Name)
 	if err != nil {
 		return storer.Instance{}, err
 	}
@@ -183,13 +195,14 @@
 const configFetchTimeout = time.Second
 
 // applyBatch applies the parts of a relay's batch that concern every process: changes of
-// the fleet, and the version of the relay's configuration. If that is newer, the
+// the fleet, the era of the store, and the version of the relay's configuration. If that is newer, the
 // configuration is fetched from the relay in the background.
 func (h *hostedProcess) applyBatch(address string, batch *wire.Batch) {
 	if len(batch.GetMembers()) > 0 {
 		h.membership.Update(batch.GetMembers()...)
 		h.relayer.UpdateMembers(batch.GetMembers())
 	}
+	h.store.SetEra(batch.GetEra())
 	if batch.GetConfig() > h.config.View().Version() && h.fetchingConfig.CompareAndSwap(false, true) {
 		h.tasks.run(func(ctx context.Context) {
 			defer h.fetchingConfig.Store(false)
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -126,7 +126,10 @@
 	}
 	if !e.membership.HasRole("sidecar") {
 		e.publishMember(ctx, instance)
+		e.followEras(ctx, func(ctx context.Context) { e.publishMember(ctx, instance) })
+		return
 	}
+	e.followEras(ctx, func(context.Context) {})
 }
 
 // publishMember writes this entry's row to the store, so that it may become a relay.
--- a/runner/hostedsidecar.go
+++ b/runner/hostedsidecar.go
@@ -25,7 +25,9 @@
 	*hostedProcess
 	ownership     *ownership
 	engineAddress string
-	orderer       *orderer.Orderer
+	// put is the write of this process's row.
+	put     storer.Put
+	orderer *orderer.Orderer
 }
 
 // StartHostedSidecar starts a sidecar, which joins the fleet in the background. It returns
@@ -36,7 +38,7 @@
 		return nil, storer.NewFormatError("the backend's address cannot be read", err)
 	}
 	c := &HostedSidecar{hostedProcess: newHostedProcess(s, l), engineAddress: u.Host}
-	c.ownership = newOwnership(c.clock, c.engineAddress, holderRow{Holder: s.Name, Started: c.started}, time.Duration(s.Hosted.EngineLease))
+	c.ownership = newOwnership(c.clock, c.engineAddress, holderRow{Holder: s.Name, Started: c.started}, time.Duration(s.Hosted.EngineLease), c.store.Era)
 	c.onConfigChange = func() {}
 	c.onServersChange = func(time.Duration, []*wire.ListedServer) {}
 	options := orderer.Options{
@@ -65,23 +67,31 @@
 	c.addSelf(instance)
 	self := &wire.Link{Name: s.Name, Role: relayer.Sidecar, Centre: s.Centre, Started: c.started, Backend: c.engineAddress}
 	c.startLink(self, subscriber.SidecarTiming, c, func() time.Duration { return 0 })
-	put, err := memberPut(instance)
-	if err != nil {
+	if c.put, err = memberPut(instance); err != nil {
 		c.log.Error().Err(err).Msg("start: listing this sidecar failed")
 		return
 	}
 	row, _ := c.fleet.Row(c.ownership.key)
-	c.acquireEngine(ctx, row, put)
+	c.acquireEngine(ctx, func(ctx context.Context) error { return c.ownership.acquire(ctx, c.store, row, c.put) })
+	c.followEras(ctx, c.reacquireEngine)
+}
+
+// reacquireEngine acquires the engine again if the store has come back from an earlier copy of
+// itself since.
+func (c *HostedSidecar) reacquireEngine(ctx context.Context) {
+	if c.ownership.outdated() {
+		c.ownership.renew()
+		c.acquireEngine(ctx, func(ctx context.Context) error { return c.ownership.reacquire(ctx, c.store, c.put) })
+	}
 }
 
-// acquireEngine acquires the engine with the holder row that is known and, if that fails,
-// with the row read from the store, until it succeeds or ctx ends. The row of this
-// process is written in the same transaction.
-func (c *HostedSidecar) acquireEngine(ctx context.Context, row storer.Row, put storer.Put) {
-	acquire := func(ctx context.Context) error { return c.ownership.acquire(ctx, c.store, row, put) }
+// acquireEngine acquires the engine by acquire and, if that fails, with the holder row read from
+// the store, until it succeeds or ctx ends. The row of this process is written in the same
+// transaction.
+func (c *HostedSidecar) acquireEngine(ctx context.Context, acquire func(context.Context) error) {
 	err := retryUntilSuccess(ctx, c.log, "acquiring the engine", func(ctx context.Context) error {
 		err := acquire(ctx)
-		acquire = func(ctx context.Context) error { return c.ownership.reacquire(ctx, c.store, put) }
+		acquire = func(ctx context.Context) error { return c.ownership.reacquire(ctx, c.store, c.put) }
 		return err
 	})
 	if err == nil {
--- a/runner/linker.go
+++ b/runner/linker.go
@@ -71,10 +71,11 @@
 	}
 }
 
-// update passes the relay in use to the relayer, and suspends or resumes the reading of
-// each table of the store.
+// update passes the relay in use to the relayer, exchanges with it the latest era of the store, and
+// suspends or resumes the reading of each table of the store.
 func (l *linker) update(now time.Duration) {
 	l.relayer.SetRelayInUse(l.subscriber.Relay())
+	l.store.SetEra(l.relayer.SetEra(l.store.Era()))
 	lastBatch, _ := l.subscriber.LastBatch()
 	linked, active := now-max(lastBatch, l.searchStart) < relayTimeout, l.relayer.Active()
 	l.lister.Follower().Suspend(!l.shouldReadServerList(now, lastBatch, active))
--- a/runner/ownership.go
+++ b/runner/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,9 @@
 	key   string
 	self  holderRow
 	lease time.Duration
+	// era returns the latest era of the store that is known. A fencing number of an earlier era is
+	// not valid, since the store may have lost the row.
+	era func() uint64
 	// takeoverWait is the wait between acquiring the engine and the first order: a lease
 	// if another process was the holder before, or else 0.
 	takeoverWait time.Duration
@@ -28,19 +32,33 @@
 	validFrom atomic.Int64
 }
 
-// newOwnership returns the ownership of the engine at an address, not acquired yet.
-func newOwnership(clock timer.Clock, address string, self holderRow, lease time.Duration) *ownership {
-	return &ownership{clock: clock, key: storer.HolderKey(address), self: self, lease: lease}
+// newOwnership returns the ownership of the engine at an address, not acquired yet. era returns the
+// latest era of the store that is known.
+func newOwnership(clock timer.Clock, address string, self holderRow, lease time.Duration, era func() uint64) *ownership {
+	return &ownership{clock: clock, key: storer.HolderKey(address), self: self, lease: lease, era: era}
 }
 
 // Fence returns the fencing number, or 0 while no order may be sent.
 func (o *ownership) Fence() uint64 {
-	if int64(o.clock()) < o.validFrom.Load() {
+	if int64(o.clock()) < o.validFrom.Load() || o.outdated() {
 		return 0
 	}
 	return o.fence.Load()
 }
 
+// outdated reports whether the engine was acquired in an earlier era of the store, so that it has
+// to be acquired again.
+func (o *ownership) outdated() bool {
+	fence := o.fence.Load()
+	return fence > 0 && storer.Era(fence) < o.era()
+}
+
+// renew prepares to acquire the engine again in a later era of the store. A wait for the lease of
+// another holder goes on.
+func (o *ownership) renew() {
+	o.takeoverWait = max(0, time.Duration(o.validFrom.Load())-o.clock())
+}
+
 // holderRow is the value of an engine's holder row: the process that orders the engine.
 type holderRow struct {
 	// Holder is the name of the process, and Started its start, in Unix nanoseconds.
@@ -89,6 +107,11 @@
 		Checks: []storer.Check{{Key: o.key, Version: row.Version}},
 		Puts:   append([]storer.Put{{Key: o.key, Value: value}}, puts...),
 	})
+	var eraErr *storer.EraError
+	if errors.As(err, &eraErr) {
+		// The check may have held for the row of another holder.
+		o.takeoverWait = o.lease
+	}
 	if err != nil {
 		return err
 	}
--- a/runner/ownership_test.go
+++ b/runner/ownership_test.go
@@ -44,11 +44,11 @@
 			now := time.Hour
 			clock := func() time.Duration { return now }
 			row := putRow(t, table, storer.HolderKey("127.0.0.1:8000"), odd)
-			adopter := newOwnership(clock, "127.0.0.1:8000", holderRow{Holder: "r", Started: 1, Adopted: true}, time.Second)
+			adopter := newOwnership(clock, "127.0.0.1:8000", holderRow{Holder: "r", Started: 1, Adopted: true}, time.Second, table.Era)
 			var sidecarErr *HasSidecarError
 			err := adopter.reacquire(t.Context(), table)
 			assert.Assert(t, errors.As(err, &sidecarErr), "%v", err)
-			sidecar := newOwnership(clock, "127.0.0.1:8000", holderRow{Holder: "s", Started: 1}, time.Second)
+			sidecar := newOwnership(clock, "127.0.0.1:8000", holderRow{Holder: "s", Started: 1}, time.Second, table.Era)
 			assert.NilError(t, sidecar.reacquire(t.Context(), table))
 			assert.Equal(t, sidecar.Fence(), uint64(0))
 			now += time.Second
@@ -61,3 +61,65 @@
 		})
 	}
 }
+
+// TestOwnershipAfterRestore guards against two processes that order one engine, or that have the
+// same fencing number, because the store has lost the row of the holder: the holder sends no order
+// until it has acquired the engine again, and waits for the lease of one that has meanwhile.
+func TestOwnershipAfterRestore(t *testing.T) {
+	for _, taken := range []bool{false, true} {
+		t.Run(fmt.Sprint("taken meanwhile: ", taken), func(t *testing.T) {
+			rows := imitator.NewRowStore()
+			server := httptest.NewServer(rows)
+			t.Cleanup(server.Close)
+			newTable := func() *platform.Store {
+				return platform.NewStore(strings.TrimPrefix(server.URL, "http://"), func(string, time.Duration, error) {}, func(uint64) {})
+			}
+			now := time.Hour
+			clock := func() time.Duration { return now }
+			table := newTable()
+			copied := time.Now()
+			sidecar := newOwnership(clock, "127.0.0.1:8000", holderRow{Holder: "s", Started: 1}, time.Second, table.Era)
+			assert.NilError(t, sidecar.reacquire(t.Context(), table))
+			first := sidecar.Fence()
+			assert.Assert(t, first > 0)
+			rows.Restore(copied)
+			other := newOwnership(clock, "127.0.0.1:8000", holderRow{Holder: "o", Started: 1}, time.Second, newTable().Era)
+			if taken {
+				otherTable := newTable()
+				other.era = otherTable.Era
+				assert.NilError(t, other.reacquire(t.Context(), otherTable))
+				assert.Assert(t, other.Fence() > first, "%d after %d", other.Fence(), first)
+			}
+			table.SetEra(rows.Era())
+			assert.Equal(t, sidecar.Fence(), uint64(0))
+			sidecar.renew()
+			assert.NilError(t, sidecar.reacquire(t.Context(), table))
+			if taken {
+				assert.Equal(t, sidecar.Fence(), uint64(0))
+				now += time.Second
+			}
+			assert.Assert(t, sidecar.Fence() > max(first, other.fence.Load()))
+		})
+	}
+}
+
+// TestUncertainOwnership guards against a first order within the lease of another holder, whose
+// row was overwritten because the store had given its version out again.
+func TestUncertainOwnership(t *testing.T) {
+	rows := imitator.NewRowStore()
+	server := httptest.NewServer(rows)
+	t.Cleanup(server.Close)
+	table := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), func(string, time.Duration, error) {}, func(uint64) {})
+	now := time.Hour
+	copied := time.Now()
+	sidecar := newOwnership(func() time.Duration { return now }, "127.0.0.1:8000", holderRow{Holder: "s", Started: 2}, time.Second, table.Era)
+	row := putRow(t, table, sidecar.key, `{"holder":"s","started":1}`)
+	rows.Restore(copied)
+	rows.PutRaw(storer.FleetTable, strings.TrimPrefix(sidecar.key, storer.FleetTable+"/"), []byte(`{"holder":"o","started":1}`))
+	var eraErr *storer.EraError
+	assert.Assert(t, errors.As(sidecar.acquire(t.Context(), table, row), &eraErr))
+	assert.NilError(t, sidecar.reacquire(t.Context(), table))
+	assert.Equal(t, sidecar.Fence(), uint64(0))
+	now += time.Second
+	assert.Assert(t, sidecar.Fence() > 0)
+}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -1,8 +1,9 @@
 // Package storer defines the interfaces to the storage outside the system's own processes:
 // a table with transactions, an object store and the list of instances.
 //
-// The table assigns a version to every row and never uses one twice for a key. A
-// transaction applies all its writes if every check matches, and none otherwise.
+// The table assigns a version to every row and never uses one twice for a key, also if the store
+// behind it does; see NewVersion. A transaction applies all its writes if every check matches, and
+// none otherwise.
 package storer
 
 import (
@@ -188,6 +189,7 @@
 		refused     *RefusedError
 		rateLimited *RateLimitedError
 		unknown     *OutcomeUnknownError
+		era         *EraError
 	)
 	switch {
 	case err == nil:
@@ -196,7 +198,7 @@
 		return "refused " + strconv.Itoa(refused.Status)
 	case errors.As(err, &rateLimited):
 		return "busy"
-	case errors.As(err, &unknown):
+	case errors.As(err, &unknown), errors.As(err, &era):
 		return "unknown"
 	}
 	return "unreadable"
--- a/subscriber/membership.go
+++ b/subscriber/membership.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oleanderstall/router"
+	"oleanderstall/storer"
 	"oleanderstall/wire"
 )
 
@@ -43,7 +44,7 @@
 	defer ms.mu.Unlock()
 	for _, m := range members {
 		known := ms.members[m.GetName()]
-		if m.GetName() == "" || known != nil && known.GetRow() >= m.GetRow() {
+		if m.GetName() == "" || RowOutdated(m, known) {
 			continue
 		}
 		if known.GetStarted() != m.GetStarted() {
@@ -53,6 +54,17 @@
 	}
 }
 
+// RowOutdated reports whether a row of the list of processes says nothing that is newer than the
+// known one, which may be nil: its version is not higher, or the store has come back from an
+// earlier copy of itself that holds the row of an earlier start.
+func RowOutdated(row, known *wire.Member) bool {
+	if known == nil {
+		return false
+	}
+	earlierStart := !row.GetGone() && row.GetStarted() < known.GetStarted()
+	return known.GetRow() >= row.GetRow() || earlierStart && storer.Era(known.GetRow()) < storer.Era(row.GetRow())
+}
+
 // All returns the processes, sorted by name.
 func (ms *Membership) All() []*wire.Member {
 	ms.mu.Lock()
--- a/tracker/listed.go
+++ b/tracker/listed.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"oleanderstall/storer"
 	"oleanderstall/wire"
 )
 
@@ -36,6 +37,7 @@
 		Slots:     int(listed.GetSlots()),
 		Leaving:   listed.GetLeaving(),
 		Started:   listed.GetBorn(),
+		RowWrites: listed.GetWrites(),
 		Inventory: Inventory{Models: sortedNames(listed.GetModels())},
 	}
 }
@@ -53,5 +55,23 @@
 		Leaving: s.Leaving,
 		Born:    s.Started,
 		Models:  s.Models,
+		Writes:  s.RowWrites,
 	}
 }
+
+// RowOutdated reports whether a row of the list says nothing that is newer than the known one,
+// which may be nil: it has a lower version, or the store has come back from an earlier copy of
+// itself that holds an earlier row of the server.
+func RowOutdated(row, known *wire.ListedServer) bool {
+	switch {
+	case known == nil:
+		return false
+	case known.GetRow() > row.GetRow():
+		return true
+	case storer.Era(known.GetRow()) == storer.Era(row.GetRow()), row.GetGone(), row.GetWrites() == 0:
+		return false
+	case row.GetBorn() != known.GetBorn():
+		return row.GetBorn() < known.GetBorn()
+	}
+	return row.GetWrites() <= known.GetWrites()
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -28,6 +28,9 @@
 	Leaving bool
 	// Started is the start of the server's process, in Unix milliseconds.
 	Started int64
+	// RowWrites is the number of times that the process has written its row in the list, or 0 if
+	// that is not known.
+	RowWrites uint64
 	Inventory
 }
 
