runner, relayer, follower: the configuration is in force in time after the store was silent

Cause: a call for changes that the store swallows is never answered, and only its own timeout ended it: 26.5 s for the configuration, 3 to 4.5 s for the other tables. Nothing else that the process knew helped: other calls to the same store were answered, and other processes had newer news.

Change: one relay, the one that is first for it, reads the configuration each second in short calls and vouches to all others, over the links that exist, how old its knowledge is at most. Whoever is vouched for keeps its long call, and reads at once when a newer version is named; whoever is not reads in short calls itself. After a call that failed or was given up the next is short, and when the store answers any call after a silence, the calls under way are made anew.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -21,6 +21,9 @@
 const (
 	minBackOff = 50 * time.Millisecond
 	maxBackOff = 400 * time.Millisecond
+	// quickPollTimeout replaces the long-poll timeout in the first call after one that failed or
+	// that was given up, so that its answer tells soon whether the store works.
+	quickPollTimeout = 20 * time.Millisecond
 	// wakeDivisor bounds the rate of the calls caused by Wake: such a call starts no sooner
 	// after the start of the previous one than the minimum interval divided by wakeDivisor.
 	wakeDivisor = 6
@@ -65,6 +68,12 @@
 	firstAnswer    time.Duration
 	// suspended is set while no calls are to be made.
 	suspended bool
+	// giveUp cancels the call under way, which the store may hold for callTimeout. It is nil between
+	// calls. givenUp is set once it was called, and quick while the next call is a quick one.
+	giveUp      context.CancelFunc
+	callTimeout time.Duration
+	givenUp     bool
+	quick       bool
 	// omitted is the largest number of rows without a key that an answer had.
 	omitted int
 }
@@ -132,11 +141,54 @@
 
 // SetIntervals sets the longest time for which the store holds a call while there are no
 // changes, and the shortest time between two calls. While the store answers, their sum
-// bounds the time since the copy was complete.
+// bounds the time since the copy was complete. A call under way that the store may hold for longer
+// is given up.
 func (f *Follower) SetIntervals(longPollTimeout, minInterval time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.options.LongPollTimeout, f.options.MinInterval = longPollTimeout, minInterval
+	if f.callTimeout > longPollTimeout {
+		f.giveUpCall()
+	}
+}
+
+// Restart gives the call under way up, which the store may never answer, and makes another one.
+func (f *Follower) Restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.giveUpCall()
+}
+
+// giveUpCall does the work of Restart. The caller holds the lock.
+func (f *Follower) giveUpCall() {
+	if f.giveUp != nil {
+		f.givenUp = true
+		f.giveUp()
+	}
+}
+
+// beginCall returns the context of a call and the longest time for which the store may hold it.
+func (f *Follower) beginCall(ctx context.Context) (context.Context, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	callCtx, giveUp := context.WithCancel(ctx)
+	timeout := f.options.LongPollTimeout
+	if f.quick {
+		timeout = min(timeout, quickPollTimeout)
+	}
+	f.giveUp, f.callTimeout, f.givenUp = giveUp, timeout, false
+	return callCtx, timeout
+}
+
+// endCall ends a call. It reports whether the call was given up, so that its failure does not count.
+func (f *Follower) endCall(err error) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.giveUp()
+	givenUp := f.givenUp
+	f.giveUp, f.callTimeout = nil, 0
+	f.quick = err != nil
+	return givenUp && err != nil
 }
 
 // minInterval returns the shortest time between two calls.
@@ -187,7 +239,11 @@
 	backOff := minBackOff
 	for f.waitResumed(ctx); ctx.Err() == nil; f.waitResumed(ctx) {
 		start := f.clock()
-		err := f.poll(ctx, start)
+		callCtx, timeout := f.beginCall(ctx)
+		err := f.poll(callCtx, start, timeout)
+		if f.endCall(err) {
+			continue
+		}
 		if err != nil {
 			f.recordFailure(ctx, err)
 			timer.Wait(ctx, max(backOff, f.minInterval()-(f.clock()-start)), nil)
@@ -201,11 +257,11 @@
 }
 
 // poll makes one call that starts at now: for a snapshot until the copy has been complete,
-// and for changes after that. If the store no longer has all changes since the last call,
-// poll reads another snapshot.
-func (f *Follower) poll(ctx context.Context, now time.Duration) error {
+// and for changes after that, which the store may hold for timeout. If the store no longer has all
+// changes since the last call, poll reads another snapshot.
+func (f *Follower) poll(ctx context.Context, now, timeout time.Duration) error {
 	f.mu.Lock()
-	synced, version, timeout := f.synced, f.version, f.options.LongPollTimeout
+	synced, version := f.synced, f.version
 	f.mu.Unlock()
 	if !synced {
 		return f.snapshot(ctx, now)
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -68,7 +68,7 @@
 	f := New(Options{Table: "t"}, clock.Now, s, func(_ time.Duration, rows []storer.Row) { got = append(got, rows...) }, l)
 	for len(s.answers) > 0 {
 		clock.Advance(time.Second)
-		if err := f.poll(context.Background(), clock.Now()); err != nil {
+		if err := f.poll(context.Background(), clock.Now(), 0); err != nil {
 			f.recordFailure(context.Background(), err)
 		}
 	}
@@ -203,7 +203,7 @@
 			}, faker.DiscardLogger())
 			for len(feed.answers) > 0 {
 				clock.Advance(time.Second)
-				assert.NilError(t, f.poll(context.Background(), clock.Now()))
+				assert.NilError(t, f.poll(context.Background(), clock.Now(), 0))
 			}
 			assert.DeepEqual(t, got, c.want)
 			since, _ := f.AnsweringSince()
@@ -211,3 +211,93 @@
 		})
 	}
 }
+
+// swallower is a storer.ChangeFeed that answers each call unless it is swallowed, in which case
+// the call ends with its context. It records how long it may hold the calls.
+type swallower struct {
+	mu       sync.Mutex
+	swallows bool
+	timeouts []time.Duration
+}
+
+func (s *swallower) set(swallows bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.swallows = swallows
+}
+
+// takeTimeouts returns how long the store might hold the calls since the last time.
+func (s *swallower) takeTimeouts() []time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	timeouts := s.timeouts
+	s.timeouts = nil
+	return timeouts
+}
+
+func (s *swallower) Snapshot(ctx context.Context, table string) (storer.Changes, error) {
+	return s.Follow(ctx, table, 0, 0)
+}
+
+func (s *swallower) Follow(ctx context.Context, _ string, _ uint64, wait time.Duration) (storer.Changes, error) {
+	s.mu.Lock()
+	swallowed := s.swallows
+	s.timeouts = append(s.timeouts, wait)
+	s.mu.Unlock()
+	if swallowed {
+		wait += time.Second
+	}
+	select {
+	case <-ctx.Done():
+		return storer.Changes{}, ctx.Err()
+	case <-time.After(wait):
+	}
+	if swallowed {
+		return storer.Changes{}, &faker.OutageError{}
+	}
+	return storer.Changes{Version: 1}, nil
+}
+
+// TestSwallowedCall guards against a reader that waits for a call that the store will never answer:
+// once it is given up, or has failed, a quick call follows, and long ones only after that was
+// answered.
+func TestSwallowedCall(t *testing.T) {
+	const long = 25 * time.Second
+	for _, c := range []struct {
+		name   string
+		giveUp func(f *Follower)
+	}{
+		{"made anew", (*Follower).Restart},
+		{"no longer to be held so long", func(f *Follower) { f.SetIntervals(time.Second, time.Millisecond) }},
+		{"failed", func(*Follower) { time.Sleep(long + time.Second) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				feed := &swallower{}
+				f := New(Options{Table: "t", LongPollTimeout: long, MinInterval: time.Millisecond}, func() time.Duration { return time.Hour + time.Since(start) },
+					feed, func(time.Duration, []storer.Row) {}, faker.DiscardLogger())
+				ctx, cancel := context.WithCancel(t.Context())
+				go f.Run(ctx)
+				// The second call after the snapshot is swallowed.
+				time.Sleep(long)
+				feed.set(true)
+				time.Sleep(long)
+				feed.takeTimeouts()
+				c.giveUp(f)
+				synctest.Wait()
+				feed.set(false)
+				time.Sleep(2 * time.Second)
+				synctest.Wait()
+				timeouts := feed.takeTimeouts()
+				assert.Assert(t, len(timeouts) >= 2, "%v", timeouts)
+				assert.Equal(t, timeouts[0], quickPollTimeout)
+				assert.Assert(t, timeouts[len(timeouts)-1] >= time.Second, "%v", timeouts)
+				_, answering := f.AnsweringSince()
+				assert.Assert(t, answering)
+				cancel()
+				<-f.Done()
+			})
+		})
+	}
+}
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -21,7 +21,7 @@
 const (
 	// LongPollTimeout is the longest time for which the store holds a call while there are
 	// no changes, and minInterval the shortest time between two calls.
-	LongPollTimeout = 2 * time.Second
+	LongPollTimeout = 1200 * time.Millisecond
 	minInterval     = 450 * time.Millisecond
 	// relistGrace is the time after an outage of the store within which the rows of running
 	// servers reappear.
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -59,6 +59,7 @@
 		Config: fs.config.View().Version(),
 		Age:    timer.ToMillis(now - fs.serversCompleteAsOf),
 		Era:    fs.era,
+		Fresh:  timer.ToMillis(now - fs.configFreshAsOf),
 	}
 	switch lp.link.GetRole() {
 	case Entry:
--- a/relayer/feedreader.go
+++ b/relayer/feedreader.go
@@ -89,13 +89,13 @@
 
 // Receive implements subscriber.Process. The first batch of a link opens the feed, unless that of
 // the same relay has been opened for another data centre meanwhile.
-func (r *feedReader) Receive(now time.Duration, _ string, batch *wire.Batch, first bool) {
+func (r *feedReader) Receive(now time.Duration, address string, batch *wire.Batch, first bool) {
 	r.relayer.mu.Lock()
 	defer r.relayer.mu.Unlock()
 	if first && !r.relayer.state.readsFeedOf(batch.GetRelay(), r.centre) {
 		r.relayer.state.OpenFeed(now, r.centre, batch.GetRelay())
 	}
-	r.relayer.state.ApplyFeed(now, r.centre, batch)
+	r.relayer.state.ApplyFeed(now, r.centre, address, batch)
 	r.relayer.Wake()
 }
 
--- a/relayer/fleetstate.go
+++ b/relayer/fleetstate.go
@@ -89,6 +89,12 @@
 
 	// era is the latest era of the platform's store that this relay has heard of.
 	era uint64
+	// configFreshAsOf is the latest instant as of which the configuration here was the newest.
+	// newerConfig is the version of a newer one that another relay has, whose address is
+	// newerConfigAddress, or 0.
+	configFreshAsOf    time.Duration
+	newerConfig        uint64
+	newerConfigAddress string
 	// entriesVersion is raised whenever an entry links or any process leaves.
 	entriesVersion uint64
 	// serversCompleteAsOf is the latest instant as of which servers was complete.
--- a/relayer/fleetstate_test.go
+++ b/relayer/fleetstate_test.go
@@ -18,7 +18,7 @@
 	link := &wire.Link{Name: "side", Role: Sidecar, Centre: "c2"}
 	publish := func(fs *FleetState, centre string) {
 		fs.OpenFeed(time.Hour, centre, "relay of "+centre)
-		fs.ApplyFeed(time.Hour, centre, &wire.Batch{Conditions: []*wire.EngineStatus{status}})
+		fs.ApplyFeed(time.Hour, centre, "address", &wire.Batch{Conditions: []*wire.EngineStatus{status}})
 	}
 	for _, c := range []struct {
 		name  string
@@ -39,7 +39,7 @@
 		{"one feed reports it lost", func(fs *FleetState) {
 			publish(fs, "c1")
 			publish(fs, "c2")
-			fs.ApplyFeed(time.Hour, "c2", &wire.Batch{Lost: []string{"e"}})
+			fs.ApplyFeed(time.Hour, "c2", "address", &wire.Batch{Lost: []string{"e"}})
 		}, true},
 		{"the link ends", func(fs *FleetState) {
 			publish(fs, "c1")
@@ -74,7 +74,7 @@
 	fs := NewFleetState("relay", "c0", configurer.New(), faker.DiscardLogger())
 	for _, centre := range []string{"c1", "c2"} {
 		fs.OpenFeed(time.Hour, centre, "relay of "+centre)
-		fs.ApplyFeed(time.Hour, centre, &wire.Batch{Outlooks: []*wire.ReadyEstimate{{Model: "model of " + centre, Left: 5000}}})
+		fs.ApplyFeed(time.Hour, centre, "address", &wire.Batch{Outlooks: []*wire.ReadyEstimate{{Model: "model of " + centre, Left: 5000}}})
 	}
 	fs.estimates.set("own", readyEstimate{local: true})
 	fs.CloseFeed(time.Hour, "c1", "relay of c1")
--- a/relayer/fuzz_test.go
+++ b/relayer/fuzz_test.go
@@ -149,7 +149,7 @@
 		fs := newSoundState()
 		fs.OpenFeed(time.Hour, "c2", "odd")
 		for range 2 {
-			fs.ApplyFeed(time.Hour, "c2", batch)
+			fs.ApplyFeed(time.Hour, "c2", "address", batch)
 		}
 		fs.CloseFeed(time.Hour, "c2", "odd")
 		checkSound(t, fs)
--- a/relayer/odd_test.go
+++ b/relayer/odd_test.go
@@ -67,7 +67,7 @@
 		assert.Equal(t, len(fs.Batch(time.Hour, relay).GetNeeds()), 0, "%v", odd)
 
 		fs.OpenFeed(time.Hour, "c1", "other")
-		fs.ApplyFeed(time.Hour, "c1", &wire.Batch{Needs: report.GetNeeds()})
+		fs.ApplyFeed(time.Hour, "c1", "address", &wire.Batch{Needs: report.GetNeeds()})
 		assert.Equal(t, len(fs.remoteFeeds["c1"].demands), 1, "%v", odd)
 	}
 }
@@ -83,7 +83,7 @@
 		fs.OpenFeed(time.Hour, "c1", "other")
 		message := proto.CloneOf(odd)
 		message.Server = "e"
-		fs.ApplyFeed(time.Hour, "c1", &wire.Batch{Wants: []*wire.LoadRequest{message, {Server: "e", Model: "sound", Count: 1, Worth: 1}}})
+		fs.ApplyFeed(time.Hour, "c1", "address", &wire.Batch{Wants: []*wire.LoadRequest{message, {Server: "e", Model: "sound", Count: 1, Worth: 1}}})
 		wants := byModel(fs.Batch(time.Hour, id).GetTell().GetWants())
 		assert.Equal(t, len(wants), 1, "%v", odd)
 		assert.Assert(t, wants["sound"] != nil)
@@ -102,7 +102,7 @@
 	fs.Report(time.Hour, joinEntry(fs, "b"), &wire.Report{Uses: []*wire.EngineUsage{{Server: "e", Model: "odd", Inflight: 1}}})
 	assert.Assert(t, fs.modelUsageAt(time.Hour, "e")["odd"].inflight > 0)
 	fs.OpenFeed(time.Hour, "c1", "other")
-	fs.ApplyFeed(time.Hour, "c1", &wire.Batch{Uses: odd})
+	fs.ApplyFeed(time.Hour, "c1", "address", &wire.Batch{Uses: odd})
 	assert.Assert(t, fs.modelUsageAt(time.Hour, "e")["odd"].inflight > 0)
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -261,6 +261,22 @@
 	return r.state.era
 }
 
+// SetConfigFresh records that the configuration here was the newest as of an instant. It returns
+// the time since the latest such instant that any relay knows.
+func (r *Relayer) SetConfigFresh(asOf time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.SetConfigFresh(r.clock(), asOf)
+}
+
+// NewerConfig returns the version of the newest configuration that another relay has, and the
+// relay's address. The version is 0 if none is newer than the one here.
+func (r *Relayer) NewerConfig() (version uint64, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.NewerConfig()
+}
+
 // Permit answers a request for a permit to send a request to a backend server. An error is a
 // *refuser.Refusal.
 func (r *Relayer) Permit(request *wire.PermitRequest) (*wire.Permit, error) {
--- a/relayer/remotefeed.go
+++ b/relayer/remotefeed.go
@@ -89,14 +89,15 @@
 	}
 }
 
-// ApplyFeed applies a batch of another data centre's relay, if its feed is open.
-func (fs *FleetState) ApplyFeed(now time.Duration, centre string, batch *wire.Batch) {
+// ApplyFeed applies a batch of another data centre's relay at an address, if its feed is open.
+func (fs *FleetState) ApplyFeed(now time.Duration, centre, address string, batch *wire.Batch) {
 	rf := fs.remoteFeeds[centre]
 	if rf == nil {
 		return
 	}
 	rf.receivedAt = now
 	fs.SetEra(batch.GetEra())
+	fs.applyConfigVersion(now, address, batch)
 	for _, status := range batch.GetConditions() {
 		rf.servers[status.GetServer()] = true
 		fs.recordStatus(now, status, false)
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -30,8 +31,15 @@
 const (
 	configLongPollTimeout = 25 * time.Second
 	configMinInterval     = 200 * time.Millisecond
-	fleetLongPollTimeout  = 20 * time.Second
-	fleetMinInterval      = time.Second
+	// configShortPollTimeout replaces configLongPollTimeout in the relay that vouches for the
+	// configuration, and in a process for which no relay does. A call that the store has swallowed
+	// is noticed within it.
+	configShortPollTimeout = time.Second
+	// minRestartInterval is the shortest time between two times at which the calls under way are
+	// made anew because the store answers again.
+	minRestartInterval   = time.Second
+	fleetLongPollTimeout = 20 * time.Second
+	fleetMinInterval     = time.Second
 	// relayFleetLongPollTimeout replaces fleetLongPollTimeout in a relay. If a call is
 	// lost, the relay misses new processes for that long.
 	relayFleetLongPollTimeout = 3 * time.Second
@@ -63,6 +71,13 @@
 	lister  *lister.Lister
 	// fetchingConfig is set while a configuration is fetched from another process.
 	fetchingConfig atomic.Bool
+	// configFreshAsOf is the instant as of which the relay in use last knew that the configuration
+	// here was the newest, in nanoseconds.
+	configFreshAsOf atomic.Int64
+	// storeLost is set while the latest call to the store has had no answer. restartedAt is the
+	// instant at which the calls under way were last made anew, in nanoseconds.
+	storeLost   atomic.Bool
+	restartedAt atomic.Int64
 	// secret is the fleet's secret, known once join has returned, and eraChanged is signalled when
 	// the store has come back from an earlier copy of itself.
 	secret     string
@@ -110,9 +125,24 @@
 	}
 }
 
-// recordStoreCall records the outcome and the duration of a call to the store.
+// recordStoreCall records the outcome and the duration of a call to the store. The first answer
+// after a failure shows that the store works again: calls that are under way may have been swallowed
+// meanwhile, and are made anew.
 func (h *hostedProcess) recordStoreCall(call string, duration time.Duration, err error) {
 	h.meter.RecordStoreCall(call, storer.OutcomeLabel(err), duration)
+	switch {
+	case errors.Is(err, context.Canceled):
+	case !storer.Answered(err):
+		h.storeLost.Store(true)
+	case h.storeLost.CompareAndSwap(true, false):
+		now := h.clock()
+		if last := h.restartedAt.Load(); now-time.Duration(last) >= minRestartInterval && h.restartedAt.CompareAndSwap(last, int64(now)) {
+			h.log.Info().Str("call", call).Msg("store: answers again, calls are made anew")
+			for _, f := range []*follower.Follower{h.configs, h.fleet, h.lister.Follower()} {
+				f.Restart()
+			}
+		}
+	}
 }
 
 // storeEraChanged is called with each era of the store that is later than those before.
@@ -203,7 +233,16 @@
 		h.relayer.UpdateMembers(batch.GetMembers())
 	}
 	h.store.SetEra(batch.GetEra())
-	if batch.GetConfig() > h.config.View().Version() && h.fetchingConfig.CompareAndSwap(false, true) {
+	if batch.GetConfig() == h.config.View().Version() {
+		h.configFreshAsOf.Store(int64(h.clock() - timer.FromMillis(batch.GetFresh())))
+	}
+	h.fetchNewerConfig(batch.GetConfig(), address)
+}
+
+// fetchNewerConfig fetches the configuration from the process at an address in the background if
+// the version there is newer than the one here.
+func (h *hostedProcess) fetchNewerConfig(version uint64, address string) {
+	if version > h.config.View().Version() && h.fetchingConfig.CompareAndSwap(false, true) {
 		h.tasks.run(func(ctx context.Context) {
 			defer h.fetchingConfig.Store(false)
 			h.fetchConfig(ctx, address)
--- a/runner/linker.go
+++ b/runner/linker.go
@@ -21,6 +21,14 @@
 	// maxServerListAge is the age of a relay's list of backend servers above which a
 	// process reads the list itself.
 	maxServerListAge = lister.LongPollTimeout + 1500*time.Millisecond
+	// maxConfigAge is the time since the configuration was last known to be the newest above which
+	// a relay no longer relies on a long call for changes, and maxRelayedConfigAge that for a process
+	// that hears of it from its relay. The store may have swallowed the call.
+	maxConfigAge        = configShortPollTimeout + 1500*time.Millisecond
+	maxRelayedConfigAge = maxConfigAge + time.Second
+	// configGapAge is the time without news of the configuration after which, once there is some
+	// again, a process makes its own call anew: what has kept the news away may have swallowed it.
+	configGapAge = maxConfigAge + 100*time.Millisecond
 )
 
 // linker keeps a process linked to its relay, and makes the process follow the tables of
@@ -35,6 +43,9 @@
 	// relayListAge returns the age of the relay's list of backend servers at its latest
 	// batch.
 	relayListAge func() time.Duration
+	// configAge is the time since the configuration was last known to be the newest, at the latest
+	// update.
+	configAge time.Duration
 }
 
 // startLink starts the link of a process that has joined the fleet, the relay in this
@@ -83,6 +94,30 @@
 	// Entries always follow the configuration, so that each applies what it has read from
 	// the store itself.
 	l.configs.Suspend(linked && !active && !l.needsServerList)
+	l.configs.SetIntervals(l.configPollTimeout(now, active), configMinInterval)
+	if version, address := l.relayer.NewerConfig(); active && version > 0 {
+		l.fetchNewerConfig(version, address)
+	}
+}
+
+// configPollTimeout returns how long the store may hold a call for changes of the configuration. One
+// relay of the fleet makes short calls and vouches for the configuration; the others rely on that
+// and make long ones.
+func (l *linker) configPollTimeout(now time.Duration, active bool) time.Duration {
+	freshAsOf, _ := l.configs.CompleteAsOf()
+	age, maxAge := l.relayer.SetConfigFresh(freshAsOf), maxConfigAge
+	responsible, _ := l.relayer.ReadsServerList()
+	if !active {
+		age, maxAge, responsible = now-time.Duration(l.configFreshAsOf.Load()), maxRelayedConfigAge, false
+	}
+	if l.configAge > configGapAge && age <= configGapAge {
+		l.configs.Restart()
+	}
+	l.configAge = age
+	if responsible || age > maxAge {
+		return configShortPollTimeout
+	}
+	return configLongPollTimeout
 }
 
 // shouldReadServerList reports whether the process has to read the list of backend servers
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -182,6 +183,13 @@
 	return fmt.Sprintf("the store no longer has the changes after version %d", e.After)
 }
 
+// Answered reports whether a call that ended with err was answered by a store that works: it was
+// performed, or its condition or its position in the feed did not hold.
+func Answered(err error) bool {
+	var refused *RefusedError
+	return err == nil || errors.As(err, &refused) && (refused.Status == http.StatusGone || refused.Status == http.StatusPreconditionFailed)
+}
+
 // OutcomeLabel returns the value of the metric label for the outcome of a call that ended with
 // err.
 func OutcomeLabel(err error) string {
