soaker: a store that is silent, or comes back from a copy, with real processes

TestSoakStore silences the store for all processes through their links for 0.5 to 5 s, with connections kept, or sets it back by up to 10 s after an absence, with changes of the configuration before, in, at the end of and after that, and checks that each entry serves the newest key and not the one before, 3 s later. Fencing numbers are checked as in all runs.

--- a/soaker/link_test.go
+++ b/soaker/link_test.go
@@ -24,6 +24,9 @@
 	// refusing closes new connections at once and resets the open ones.
 	refusing
 	faultKinds
+	// swallowing drops all bytes in both directions. Connections that have lost none are usable after
+	// it, the others stay open and carry nothing.
+	swallowing
 )
 
 const (
@@ -184,6 +187,9 @@
 		switch f := linkFault(k.fault.Load()); {
 		case f == delaying:
 			time.Sleep(linkDelay)
+		case f == swallowing && err == nil:
+			_, _ = io.Copy(io.Discard, from)
+			return
 		case f == blackhole, f == losingAnswers && answers:
 			// The bytes just read are lost, so the connection can't be used again. Its end
 			// is a reset, since the other side would miss the bytes before a proper end.
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -65,6 +65,8 @@
 	streamEnds bool
 	// serverLimits makes backend servers name limits.
 	serverLimits bool
+	// storeTrouble makes the store silent, unreachable and set back, and replaces most other faults.
+	storeTrouble bool
 }
 
 // callers returns the number of callers.
@@ -94,6 +96,10 @@
 	// limitPeriods are the limits that servers have named, which limitRandom draws.
 	limitPeriods []limitPeriod
 	limitRandom  *rand.Rand
+	// configChanges is the number of changes of the configuration, keyChecks that of requests that
+	// check which keys an entry serves.
+	configChanges int
+	keyChecks     int
 	// paused is the time during which the machine did not run the test, and longestPause the
 	// longest part of it.
 	paused       time.Duration
@@ -187,11 +193,17 @@
 		run := s.newCaller(fmt.Sprint("caller-", i))
 		clients.Go(func() { run(ctx) })
 	}
-	clients.Go(func() { s.withdrawKey(ctx) })
+	if !s.mode.storeTrouble {
+		clients.Go(func() { s.withdrawKey(ctx) })
+	}
 	if s.mode.serverLimits {
 		faults.Go(s.nameLimits)
 	}
-	s.injectFaults(&faults)
+	if s.mode.storeTrouble {
+		s.disturbStore(&faults)
+	} else {
+		s.injectFaults(&faults)
+	}
 	faults.Wait()
 	time.Sleep(recoveryTime)
 	recoveredAt, fatalRuns := s.clock(), s.fatalRuns()
@@ -321,6 +333,11 @@
 // that get more than that while processes are killed, pause and lose the store.
 func TestSoakServerLimits(t *testing.T) { soak(t, soakMode{serverLimits: true}) }
 
+// TestSoakStore is TestSoak with a store that is silent, or comes back from a copy. It guards against
+// a configuration that is not in force in time or comes back older, and against fencing numbers that
+// are given out twice.
+func TestSoakStore(t *testing.T) { soak(t, soakMode{storeTrouble: true}) }
+
 // soak runs all seeds in a mode.
 func soak(t *testing.T, mode soakMode) {
 	dir, err := os.MkdirTemp("", "soak")
