platform, engine, service, runner: an engine that stops in the middle of its answer's head

It cannot happen here: the heads are read by net/http, which takes one without its empty line for an error, on both faces; the attempt is then one that may have run.

--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
+
+	"oleanderstall/faker"
 )
 
 // Events of a stream: one with a token, and one with the finish reason.
@@ -115,6 +117,25 @@
 	assert.Assert(t, eris.As(err, &streamErr))
 }
 
+// TestHeadCutShort guards against an answer that counts as whole although the engine stopped in the
+// middle of its head, which is cut after each of its bytes.
+func TestHeadCutShort(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: mine\r\nContent-Length: 0\r\n\r\n"
+	for cut := range len(head) + 1 {
+		for _, reset := range []bool{false, true} {
+			s := httptest.NewServer(faker.CutAnswer(head[:cut], reset))
+			_, err := New(s.URL).Generate(t.Context(), Request{ID: "mine", Body: []byte("{}")}, func(string) error {
+				t.Fatalf("%q: a token", head[:cut])
+				return nil
+			})
+			s.Close()
+			var connectErr *ConnectError
+			assert.Assert(t, err != nil, "%q", head[:cut])
+			assert.Assert(t, !eris.As(err, &connectErr), "%q: %v", head[:cut], err)
+		}
+	}
+}
+
 // TestConnectError checks that a request to an engine that does not run is known not to have
 // been sent.
 func TestConnectError(t *testing.T) {
--- a/imitator/answerfault.go
+++ b/imitator/answerfault.go
@@ -27,6 +27,8 @@
 	// BreakBetween breaks a stream off between two events, or after the last event and before
 	// the end of the body.
 	BreakBetween
+	// BreakInHead breaks an answer off in its head, after BreakAfter tenths of its bytes.
+	BreakInHead
 )
 
 // Ending is how a connection ends whose answer breaks off.
--- a/imitator/faultyconn.go
+++ b/imitator/faultyconn.go
@@ -201,6 +201,10 @@
 // write writes the answer up to its end or the place at which it breaks off.
 func (a *faultyAnswer) write() {
 	a.writeHead()
+	if a.fault.Break == BreakInHead {
+		a.breakOff(0)
+		return
+	}
 	for i, piece := range a.pieces {
 		time.Sleep(a.interval)
 		if a.breaksAt(i) {
@@ -256,7 +260,11 @@
 		a.conn.closed = true
 	}
 	a.written.WriteString("\r\n")
-	_, _ = a.conn.stream.Write(a.written.Bytes())
+	head := a.written.Bytes()
+	if a.fault.Break == BreakInHead {
+		head = head[:(len(head)-1)*a.fault.BreakAfter/10]
+	}
+	_, _ = a.conn.stream.Write(head)
 }
 
 // writePiece writes a part of the body.
--- a/runner/streamends_test.go
+++ b/runner/streamends_test.go
@@ -169,6 +169,32 @@
 	}
 }
 
+// TestHeadCutShort guards against an answer that its caller takes for whole although the backend server
+// stopped in the middle of its head.
+func TestHeadCutShort(t *testing.T) {
+	for name, ending := range map[string]imitator.Ending{"closed": imitator.EndClosed, "reset": imitator.EndReset, "kill": imitator.EndCrashed} {
+		t.Run(name, func(t *testing.T) {
+			runParallel(t)
+			options := smallSite()
+			options.RestartTime = 200 * time.Millisecond
+			f := newHostedFleet(t, options)
+			f.assertStream(f.sendStream(0, "/brief/x", "model0"), 1, 10)
+			for after := range 11 {
+				framing := imitator.Framing(after % 3)
+				f.planAnswers(func(*http.Request) imitator.AnswerFault {
+					return imitator.AnswerFault{Framing: framing, Break: imitator.BreakInHead, BreakAfter: after, Ending: ending}
+				})
+				for _, r := range []response{
+					f.send(0, http.MethodPost, "/order/x"), f.send(0, http.MethodGet, "/status/x"),
+					f.sendStream(0, "/draft/x", "model0"), f.sendStream(0, "/brief/x", "model0"),
+				} {
+					assert.Check(t, r.status >= http.StatusInternalServerError, "after %d tenths: %d %q", after, r.status, r.body)
+				}
+			}
+		})
+	}
+}
+
 // TestStreamBrokenOff guards against a stream that ends as complete because it broke off, at any
 // place and in any way.
 func TestStreamBrokenOff(t *testing.T) {
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -119,6 +119,29 @@
 	assert.Assert(t, callErr.Sent)
 }
 
+// TestHeadCutShort guards against an answer that is passed on as whole although the service stopped in
+// the middle of its head, which is cut after each of its bytes. The call must fail as one that was
+// sent.
+func TestHeadCutShort(t *testing.T) {
+	for _, text := range []string{
+		httpAnswer("201 Created", "", "X-Request-Id: i\r\n"),
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Request-Id: i\r\nX-Last: 1234\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		for cut := range len(text) {
+			for _, reset := range []bool{false, true} {
+				s := httptest.NewServer(faker.CutAnswer(text[:cut], reset))
+				_, err := New(s.URL).Call(t.Context(), orderRequest)
+				s.Close()
+				var callErr *CallError
+				assert.Assert(t, eris.As(err, &callErr), "%q: %v", text[:cut], err)
+				assert.Assert(t, callErr.Sent)
+			}
+		}
+	}
+}
+
 // TestNoFinalStatus guards against an answer that an entry cannot pass on, since its status is
 // none of an answer: the entry's handler panicked, or changed the protocol.
 func TestNoFinalStatus(t *testing.T) {
--- a/soaker/answerfault_test.go
+++ b/soaker/answerfault_test.go
@@ -84,7 +84,7 @@
 // addBreak draws where and how an answer breaks off. An answer without framing that a running
 // server ends is complete for everyone, unless it ends inside an event.
 func (p *answerPlan) addBreak(f *imitator.AnswerFault, streams bool) {
-	f.Break = imitator.BreakInside + imitator.Break(p.random.IntN(2))
+	f.Break = imitator.BreakInside + imitator.Break(p.random.IntN(3))
 	f.BreakAfter = p.random.IntN(eventsPerStream + 1)
 	f.Ending = imitator.Ending(p.random.IntN(3))
 	if f.Ending == imitator.EndCrashed && p.crashesLeft == 0 || !streams && f.Framing == imitator.Unframed {
