runner: a stopping entry answers whatever it has taken, and takes late only what ends before its grace period

It can happen here where no other entry is ready (they stop together, or there is one): after the notice the entry goes on accepting whatever is no stream until .6 of the grace period, and connections with requests whose servers take longer than the rest were closed without an answer.

Change: after the notice a request that may run only once is taken only if its deadline lies before the end of the drain; others are refused as not run, with a time. What is still active at the end of a stop, on both faces, gets its answer (an outcome that may be unknown, 504) before its connection is closed.

--- a/cmd/oleanderstall/failure_test.go
+++ b/cmd/oleanderstall/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -169,6 +170,39 @@
 	answerText(t, c.send(c.entries[0], key, "/v1/completions", `{"model":"drafter","prompt":"x","max_tokens":5}`))
 }
 
+// TestOrdersLateInStop guards against orders that a stopping entry takes late, passes on, and cuts without
+// an answer when it ends.
+func TestOrdersLateInStop(t *testing.T) {
+	t.Parallel()
+	c, key := startReplicatedCluster(t)
+	assert.Equal(t, c.send(c.entries[0], key, "/orders", "first").status, http.StatusCreated)
+	c.setFaults(c.backends["orders-a"], imitator.Fault{DelayMS: 2000})
+	c.entries[0].signal(syscall.SIGTERM)
+	outcomes := make(chan string)
+	sent := 0
+	for ; sent < 40; sent++ {
+		body := fmt.Sprint("late ", sent)
+		go func() {
+			r, err := c.trySend(c.entries[0], key, "/orders", body)
+			switch {
+			case err != nil && !errors.Is(err, syscall.ECONNREFUSED):
+				outcomes <- body + ": " + err.Error()
+			case err == nil && r.status != http.StatusCreated && r.run() != "never":
+				outcomes <- fmt.Sprintf("%s: %d %s", body, r.status, r.body)
+			default:
+				outcomes <- ""
+			}
+		}()
+		time.Sleep(25 * time.Millisecond)
+	}
+	for range sent {
+		wrong := <-outcomes
+		assert.Check(t, wrong == "", wrong)
+	}
+	assert.NilError(t, c.entries[0].command.Wait())
+	assert.Check(t, len(c.orderCounts().Runs) > 1)
+}
+
 // TestPlatformOutage makes the platform fail for longer than a lease and than the maximum
 // age of the configuration. Loaded models must be served. An order with an idempotency
 // key must be refused as not run, and one without must be placed.
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -90,7 +90,7 @@
 	kind, text := refuser.Kind(0), ""
 	switch {
 	case ctx.Err() != nil:
-		kind, text = refuser.Canceled, "the caller has given up"
+		kind, text = endedBy(ctx)
 	case errors.Is(context.Cause(attemptCtx), errHostSilent):
 		kind, text = errHostSilent.Kind(), errHostSilent.Text()
 	case attemptCtx.Err() != nil:
@@ -104,6 +104,16 @@
 	return refuser.MayHaveRun(kind, text).WithRetryAfter(refusal.RetryAfter())
 }
 
+// endedBy returns the kind and the text of the refusal for a request whose context has ended. If its
+// cause is none, the caller has given up.
+func endedBy(ctx context.Context) (refuser.Kind, string) {
+	var refusal *refuser.Refusal
+	if errors.As(context.Cause(ctx), &refusal) {
+		return refusal.Kind(), refusal.Text()
+	}
+	return refuser.Canceled, "the caller has given up"
+}
+
 // endAnswer returns an error if the end of an answer does not show that it is complete.
 func (c *Core) endAnswer(ctx context.Context, p *progress, answer Answer) error {
 	return assembler.CheckEnd(p.answer.Framing, func() bool { return answer.ServerRuns(ctx) })
--- a/runner/drain.go
+++ b/runner/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"oleanderstall/dispatcher"
 )
 
 // drainPhase is how a draining entry handles new requests.
@@ -15,7 +17,8 @@
 	// answer.
 	phaseServing drainPhase = iota
 	// phaseNonStreaming accepts only requests whose answers are not streams, since a
-	// stream could be cut in the middle.
+	// stream could be cut in the middle, and of those that may run only once only the ones whose
+	// deadlines end before the drain, since the outcome of others could stay unknown.
 	phaseNonStreaming
 	// phaseRefusing refuses requests and asks callers to retry.
 	phaseRefusing
@@ -93,19 +96,30 @@
 	lastEnd atomic.Int64
 	// phase is the drainPhase. It is phaseServing before a drain.
 	phase atomic.Int32
+	// deadline is the time by which the last request has to end, in nanoseconds, once a drain has
+	// begun.
+	deadline atomic.Int64
 }
 
-// begin counts a new request, whose answer is a stream or not. It returns false, and
-// counts nothing, if the phase does not allow the request.
-func (c *requestCounter) begin(stream bool) bool {
+// begin counts a new request. It returns false, and counts nothing, if the phase does not allow the
+// request.
+func (c *requestCounter) begin(r *dispatcher.Request) bool {
 	phase := drainPhase(c.phase.Load())
-	if phase >= phaseRefusing || phase == phaseNonStreaming && stream {
+	if phase >= phaseRefusing || phase == phaseNonStreaming && !c.endsInTime(r) {
 		return false
 	}
 	c.active.Add(1)
 	return true
 }
 
+// endsInTime reports whether a request ends before the drain, or may be repeated if it does not.
+func (c *requestCounter) endsInTime(r *dispatcher.Request) bool {
+	if r.Model != "" || r.Kind == dispatcher.Resumable {
+		return false
+	}
+	return r.Kind == dispatcher.Idempotent || r.Deadline <= time.Duration(c.deadline.Load())
+}
+
 // end records that a request ended at now.
 func (c *requestCounter) end(now time.Duration) {
 	c.lastEnd.Store(int64(now))
@@ -124,6 +138,7 @@
 	s := e.settings.Load()
 	d := drain{start: e.clock(), noticePeriod: time.Duration(s.Entry.ShutdownDelay), gracePeriod: time.Duration(s.Hosted.GracePeriod)}
 	e.log.Info().Int64("others", e.otherReadyEntries.Load()).Msg("stop: draining")
+	e.requests.deadline.Store(int64(d.requestsDeadline()))
 	e.stopping.Store(true)
 	e.frontend.Drain()
 	e.serveUntilClosing(d)
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -250,7 +250,7 @@
 		e.log.Info().Str("request", received.ID).Str("host", received.Host).Str("path", received.Path).Err(err).Msg("not admitted")
 		return err
 	}
-	if !e.requests.begin(request.Model != "" || request.Kind == dispatcher.Resumable) {
+	if !e.requests.begin(request) {
 		return refuser.New(refuser.Leaving, "the entry stops").WithRetryAfter(refusalRetryAfter)
 	}
 	defer func() { e.requests.end(e.clock()) }()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -23,6 +23,7 @@
 	"oleanderstall/meter"
 	"oleanderstall/peer"
 	"oleanderstall/recorder"
+	"oleanderstall/refuser"
 	"oleanderstall/resetter"
 	"oleanderstall/storer"
 	"oleanderstall/syncer"
@@ -216,10 +217,18 @@
 	listener *drainListener
 	// secure is set if the connections use TLS.
 	secure bool
+	// endRequests ends the contexts of all requests with a cause.
+	endRequests context.CancelCauseFunc
 	// stopped is closed when the server has stopped.
 	stopped chan struct{}
 }
 
+// errStopping is the cause with which requests end that are still active at the end of a stop.
+var errStopping = refuser.MayHaveRun(refuser.DeadlineExceeded, "the process stops")
+
+// answerTime is how long requests that a stop has ended have for their answers.
+const answerTime = 200 * time.Millisecond
+
 // startServer serves handler on an address, with TLS if tlsConfig is not nil.
 func startServer(address string, handler http.Handler, tlsConfig *tls.Config) (*httpServer, error) {
 	listener, err := net.Listen("tcp", address)
@@ -232,8 +241,10 @@
 // serveListener serves handler on a listener, with TLS if tlsConfig is not nil.
 func serveListener(inner net.Listener, handler http.Handler, tlsConfig *tls.Config) *httpServer {
 	listener := newDrainListener(inner)
+	requests, endRequests := context.WithCancelCause(context.Background())
 	s := &httpServer{
 		server: &http.Server{
+			BaseContext:       func(net.Listener) context.Context { return requests },
 			Handler:           listener.closeAfterAnswer(handler),
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
@@ -242,9 +253,10 @@
 			ConnState:         recordState,
 			TLSConfig:         tlsConfig.Clone(),
 		},
-		listener: listener,
-		secure:   tlsConfig != nil,
-		stopped:  make(chan struct{}),
+		listener:    listener,
+		secure:      tlsConfig != nil,
+		endRequests: endRequests,
+		stopped:     make(chan struct{}),
 	}
 	go s.serve()
 	return s
@@ -272,20 +284,32 @@
 	return s.listener.Addr().String()
 }
 
-// stop closes the listener and waits for the active requests. When ctx ends it
-// closes their connections. It does nothing for a nil server. With TLS, where a connection may
-// carry many requests at a time, net/http ends the connections.
+// stop closes the listener and waits for the active requests. Those that are left when ctx ends are
+// ended with errStopping; connections that still have no whole answer after answerTime are closed. It
+// does nothing for a nil server.
 func (s *httpServer) stop(ctx context.Context) {
 	if s == nil {
 		return
 	}
+	if s.awaitRequests(ctx) != nil {
+		s.endRequests(errStopping)
+		answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
+		defer cancel()
+		if s.awaitRequests(answerCtx) != nil {
+			_ = s.server.Close()
+		}
+	}
+	s.endRequests(nil)
+	<-s.stopped
+}
+
+// awaitRequests waits until no request is active. It returns the error of ctx if that ends before. With
+// TLS, where a connection may carry many requests at a time, net/http ends the connections.
+func (s *httpServer) awaitRequests(ctx context.Context) error {
 	if !s.secure {
 		s.listener.stop(ctx)
 	}
-	if s.server.Shutdown(ctx) != nil {
-		_ = s.server.Close()
-	}
-	<-s.stopped
+	return s.server.Shutdown(ctx)
 }
 
 // taskGroup runs tasks with a common context and waits for them.
