syncer, member: on the own face, a configuration survives a store that is set back

What would be seen: an accepted change is lost, or is in force at the entries that had it and not at those that start later; a change that is accepted after the restore gets a version that was given out before, and entries keep different configurations for good; an entry that has not heard of a withdrawn key takes the older head for proof that nothing newer exists.

Cause: the head of the store counts as the newest version without regard to the era that it was written in.

Change: row versions carry the era of the store here too (storer.Eras, in the client and in the two stand-ins, which learn to be set back). The head names the era in which it was last known to be the newest. In a later era nothing is proof and no change is taken until an entry has written its version as the first of the era: at once if all entries have answered and none has a newer one, else after 10 s. A transaction names the era that it is made in, and the store refuses it in another (the own protocol; the users' platform has no such condition).

Remains: a change that only entries knew which are gone, or cut off for 10 s, is lost.

--- a/faker/faker.go
+++ b/faker/faker.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -53,11 +54,13 @@
 // Platform is an in-memory table, object store and instance list. It is safe for
 // concurrent use.
 type Platform struct {
-	mu          sync.Mutex
+	mu sync.Mutex
+	// rows have the numbers that were given out, without the era.
 	rows        map[string]storer.Row
 	objects     map[string][]byte
 	instances   []storer.Instance
-	version     uint64
+	number      uint64
+	era         uint64
 	down        bool
 	lostAnswers int
 	commits     int
@@ -65,7 +68,43 @@
 
 // NewPlatform returns an empty platform that is up.
 func NewPlatform() *Platform {
-	return &Platform{rows: map[string]storer.Row{}, objects: map[string][]byte{}}
+	return &Platform{rows: map[string]storer.Row{}, objects: map[string][]byte{}, era: storer.FirstEra}
+}
+
+// TableCopy is the state of a platform's table at one time.
+type TableCopy struct {
+	rows   map[string]storer.Row
+	number uint64
+}
+
+// Copy returns a copy of the table.
+func (p *Platform) Copy() TableCopy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return TableCopy{rows: maps.Clone(p.rows), number: p.number}
+}
+
+// Restore sets the table back to a copy and begins another era: numbers that were given out since
+// are given out again.
+func (p *Platform) Restore(c TableCopy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rows, p.number = maps.Clone(c.rows), c.number
+	p.era++
+}
+
+// Era implements storer.Table.
+func (p *Platform) Era() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.era
+}
+
+// row returns a row with its version. The caller holds the lock.
+func (p *Platform) row(key string) storer.Row {
+	row := p.rows[key]
+	row.Key, row.Version = key, storer.NewVersion(p.era, row.Version)
+	return row
 }
 
 // SetDown makes all reads and writes fail with OutageError while down is true.
@@ -106,9 +145,7 @@
 	if p.down {
 		return storer.Row{}, &OutageError{}
 	}
-	row := p.rows[key]
-	row.Key = key
-	return row, nil
+	return p.row(key), nil
 }
 
 // List implements storer.Table. The rows are sorted by key.
@@ -119,9 +156,9 @@
 		return nil, &OutageError{}
 	}
 	var rows []storer.Row
-	for key, row := range p.rows {
+	for key := range p.rows {
 		if strings.HasPrefix(key, prefix) {
-			rows = append(rows, row)
+			rows = append(rows, p.row(key))
 		}
 	}
 	slices.SortFunc(rows, func(a, b storer.Row) int { return strings.Compare(a.Key, b.Key) })
@@ -137,15 +174,15 @@
 		return nil, &OutageError{}
 	}
 	for _, check := range tx.Checks {
-		if p.rows[check.Key].Version != check.Version {
+		if p.row(check.Key).Version != check.Version {
 			return nil, &storer.ConflictError{Key: check.Key}
 		}
 	}
 	var versions []uint64
 	for _, put := range tx.Puts {
-		p.version++
-		p.rows[put.Key] = storer.Row{Key: put.Key, Value: put.Value, Version: p.version}
-		versions = append(versions, p.version)
+		p.number++
+		p.rows[put.Key] = storer.Row{Key: put.Key, Value: put.Value, Version: p.number}
+		versions = append(versions, p.row(put.Key).Version)
 	}
 	for _, key := range tx.Deletes {
 		delete(p.rows, key)
--- a/imitator/client.go
+++ b/imitator/client.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -37,6 +39,7 @@
 type Client struct {
 	base string
 	http *http.Client
+	eras storer.Eras
 }
 
 // NewClient returns a client of the platform at a base URL, such as
@@ -46,36 +49,71 @@
 	return &Client{base: base, http: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
+// Era implements storer.Table.
+func (c *Client) Era() uint64 { return c.eras.Latest() }
+
 // Get implements storer.Table. A row that does not exist has version 0.
 func (c *Client) Get(ctx context.Context, key string) (storer.Row, error) {
 	var row storer.Row
-	err := c.callJSON(ctx, http.MethodGet, "/v1/rows/"+url.PathEscape(key), nil, &row)
+	era, err := c.callJSON(ctx, http.MethodGet, "/v1/rows/"+url.PathEscape(key), nil, nil, &row)
 	var status *StatusError
 	if eris.As(err, &status) && status.Status == http.StatusNotFound {
 		return storer.Row{Key: key}, nil
 	}
+	row.Version = storer.NewVersion(era, row.Version)
 	return row, err
 }
 
 // List implements storer.Table.
 func (c *Client) List(ctx context.Context, prefix string) ([]storer.Row, error) {
 	var rows []storer.Row
-	err := c.callJSON(ctx, http.MethodGet, "/v1/rows?prefix="+url.QueryEscape(prefix), nil, &rows)
+	era, err := c.callJSON(ctx, http.MethodGet, "/v1/rows?prefix="+url.QueryEscape(prefix), nil, nil, &rows)
+	for i := range rows {
+		rows[i].Version = storer.NewVersion(era, rows[i].Version)
+	}
 	return rows, err
 }
 
-// Commit implements storer.Table. It returns a ConflictError if a check does not hold.
+// Commit implements storer.Table. It returns a ConflictError if a check does not hold, also one of a
+// version of an earlier era, and an EraError if the table is of another era than the latest one that
+// is known: nothing is written then.
 func (c *Client) Commit(ctx context.Context, tx storer.Transaction) ([]uint64, error) {
+	known := c.Era()
+	checks := slices.Clone(tx.Checks)
+	for i, check := range checks {
+		if check.Version > 0 && storer.Era(check.Version) != known {
+			return nil, &storer.ConflictError{Key: check.Key}
+		}
+		checks[i].Version = storer.Number(check.Version)
+	}
+	tx.Checks = checks
+	var header http.Header
+	if known > 0 {
+		header = http.Header{ifEraHeader: {strconv.FormatUint(known, 10)}}
+	}
 	var versions []uint64
-	err := c.callJSON(ctx, http.MethodPost, "/v1/transactions", tx, &versions)
+	era, err := c.callJSON(ctx, http.MethodPost, "/v1/transactions", header, tx, &versions)
+	for i := range versions {
+		versions[i] = storer.NewVersion(era, versions[i])
+	}
+	return versions, commitError(err, era, known)
+}
+
+// commitError returns the typed error for a transaction that was answered in an era, where another one
+// was known, or else err.
+func commitError(err error, era, known uint64) error {
 	var status *StatusError
-	if eris.As(err, &status) && status.Status == http.StatusConflict {
-		conflict := &storer.ConflictError{}
-		if json.Unmarshal([]byte(status.Body), conflict) == nil {
-			return nil, conflict
-		}
+	if !eris.As(err, &status) {
+		return err
 	}
-	return versions, err
+	conflict := &storer.ConflictError{}
+	switch {
+	case status.Status == http.StatusPreconditionFailed:
+		return &storer.EraError{Era: era, Known: known}
+	case status.Status == http.StatusConflict && json.Unmarshal([]byte(status.Body), conflict) == nil:
+		return conflict
+	}
+	return err
 }
 
 // Load implements storer.ObjectStore. It returns a MissingError for an unknown object.
@@ -116,29 +154,38 @@
 
 // Register implements storer.Lister.
 func (c *Client) Register(ctx context.Context, instance storer.Instance) error {
-	return c.callJSON(ctx, http.MethodPut, "/v1/instances/"+url.PathEscape(instance.Name), instance, nil)
+	_, err := c.callJSON(ctx, http.MethodPut, "/v1/instances/"+url.PathEscape(instance.Name), nil, instance, nil)
+	return err
 }
 
 // Deregister implements storer.Lister.
 func (c *Client) Deregister(ctx context.Context, name string) error {
-	return c.callJSON(ctx, http.MethodDelete, "/v1/instances/"+url.PathEscape(name), nil, nil)
+	_, err := c.callJSON(ctx, http.MethodDelete, "/v1/instances/"+url.PathEscape(name), nil, nil, nil)
+	return err
 }
 
-// callJSON sends request as JSON and decodes the answer into result. Either may be nil.
-func (c *Client) callJSON(ctx context.Context, method, path string, request, result any) error {
+// callJSON sends request as JSON and decodes the answer into result. Either may be nil. It returns the
+// era of the answer.
+func (c *Client) callJSON(ctx context.Context, method, path string, header http.Header, request, result any) (uint64, error) {
 	var body []byte
 	if request != nil {
 		data, err := json.Marshal(request)
 		if err != nil {
-			return eris.Wrap(err, "encode platform call")
+			return 0, eris.Wrap(err, "encode platform call")
 		}
 		body = data
 	}
-	data, err := c.send(ctx, method, path, body)
+	res, err := c.do(ctx, method, path, body, header)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	era := c.eras.Parse(res.Header.Get(eraHeader))
+	data, err := readAnswer(res)
 	if err != nil || result == nil {
-		return err
+		return era, err
 	}
-	return eris.Wrap(json.Unmarshal(data, result), "decode platform answer")
+	return era, eris.Wrap(json.Unmarshal(data, result), "decode platform answer")
 }
 
 // send sends a request and returns the body of its answer.
--- a/imitator/platform.go
+++ b/imitator/platform.go
@@ -31,8 +31,11 @@
 	faultInjector
 	mu   sync.Mutex
 	rows map[string]storer.Row
-	// version is the version of the last row that was put.
+	// version is the version of the last row that was put, era the number of the table's life, and undo
+	// what the last changes replaced.
 	version   uint64
+	era       uint64
+	undo      undoLog[string, storer.Row]
 	objects   map[string][]byte
 	instances map[string]storer.Instance
 	// activeLoads is the number of loads from the weight store that run now, and maxLoads
@@ -54,6 +57,7 @@
 		rows:      map[string]storer.Row{},
 		objects:   map[string][]byte{},
 		instances: map[string]storer.Instance{},
+		era:       storer.FirstEra,
 	}
 	m := mux.NewRouter().UseEncodedPath()
 	m.HandleFunc("/v1/rows", p.handleRows).Methods(http.MethodGet)
@@ -64,6 +68,7 @@
 	m.HandleFunc("/v1/instances/{name}", p.handleInstance).Methods(http.MethodPut, http.MethodDelete)
 	m.HandleFunc("/v1/weights/{model}", p.handleWeights).Methods(http.MethodGet)
 	m.HandleFunc("/stats", p.handleStats).Methods(http.MethodGet)
+	m.HandleFunc("/restore", p.handleRestore).Methods(http.MethodPost)
 	p.next = m
 	return p
 }
@@ -71,6 +76,7 @@
 func (p *Platform) handleRow(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	p.reads++
+	p.nameEra(w)
 	row, ok := p.rows[pathVariable(r, "key")]
 	p.mu.Unlock()
 	if !ok {
@@ -84,6 +90,7 @@
 	prefix := r.URL.Query().Get("prefix")
 	p.mu.Lock()
 	p.reads++
+	p.nameEra(w)
 	rows := []storer.Row{}
 	for _, key := range slices.Sorted(maps.Keys(p.rows)) {
 		if strings.HasPrefix(key, prefix) {
@@ -94,11 +101,52 @@
 	writeJSON(w, http.StatusOK, rows)
 }
 
+// Headers of the table: the era of an answer, and the only era in which a transaction is to be applied.
+const (
+	eraHeader   = "Store-Era"
+	ifEraHeader = "If-Store-Era"
+)
+
+// nameEra names the era in an answer. The caller holds the lock.
+func (p *Platform) nameEra(w http.ResponseWriter) {
+	w.Header().Set(eraHeader, strconv.FormatUint(p.era, 10))
+}
+
+// RestoreRequest asks a stand-in platform to set its table back.
+type RestoreRequest struct {
+	// AgoMS is how far, in milliseconds.
+	AgoMS int `json:"ago"`
+}
+
+func (p *Platform) handleRestore(w http.ResponseWriter, r *http.Request) {
+	var request RestoreRequest
+	if readJSON(w, r, &request) {
+		p.Restore(time.Now().Add(-time.Duration(request.AgoMS) * time.Millisecond))
+	}
+}
+
+// Restore sets the table back to what it was at a time, at most undoTime ago, and begins the next era:
+// versions that were given out since are given out again. Objects and the instance list stay.
+func (p *Platform) Restore(to time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version = p.undo.undo(p.rows, to, p.version)
+	p.era++
+}
+
 func (p *Platform) handleTransaction(w http.ResponseWriter, r *http.Request) {
 	var tx storer.Transaction
 	if !readJSON(w, r, &tx) {
 		return
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.writes++
+	p.nameEra(w)
+	if era := r.Header.Get(ifEraHeader); era != "" && era != w.Header().Get(eraHeader) {
+		http.Error(w, "another era", http.StatusPreconditionFailed)
+		return
+	}
 	versions, err := p.apply(tx)
 	if err != nil {
 		writeJSON(w, http.StatusConflict, err)
@@ -108,11 +156,8 @@
 }
 
 // apply commits a transaction and returns the new versions of the rows that it puts,
-// or the conflict if a check does not hold.
+// or the conflict if a check does not hold. The caller holds the lock.
 func (p *Platform) apply(tx storer.Transaction) ([]uint64, *storer.ConflictError) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.writes++
 	for _, c := range tx.Checks {
 		if p.rows[c.Key].Version != c.Version {
 			return nil, &storer.ConflictError{Key: c.Key}
@@ -120,11 +165,13 @@
 	}
 	versions := []uint64{}
 	for _, put := range tx.Puts {
+		p.undo.record(p.rows, put.Key, p.version)
 		p.version++
 		p.rows[put.Key] = storer.Row{Key: put.Key, Value: put.Value, Version: p.version}
 		versions = append(versions, p.version)
 	}
 	for _, key := range tx.Deletes {
+		p.undo.record(p.rows, key, p.version)
 		delete(p.rows, key)
 	}
 	return versions, nil
--- a/imitator/restore.go
+++ b/imitator/restore.go
@@ -6,46 +6,13 @@
 	"time"
 )
 
-// undoTime is how far a store can be set back.
-const undoTime = time.Minute
-
-// replacedRow is what a change of a row replaced.
-type replacedRow struct {
-	at  time.Time
-	key rowKey
-	// row is the row before the change, if it existed, and version the version of the store then.
-	row     Row
-	existed bool
-	version uint64
-}
-
-// recordReplaced records a row that is about to change at the current version, so that Restore can
-// undo the change. The caller holds the lock.
-func (s *RowStore) recordReplaced(k rowKey) {
-	now := time.Now()
-	for len(s.undo) > 0 && now.Sub(s.undo[0].at) > undoTime {
-		s.undo = s.undo[1:]
-	}
-	row, existed := s.rows[k]
-	s.undo = append(s.undo, replacedRow{at: now, key: k, row: row, existed: existed, version: s.version - 1})
-}
-
 // Restore sets the store back to what it was at a time, at most undoTime ago, and begins the next
 // era: versions that were given out since are given out again. Connections stay open; calls that
 // wait go on in the next era.
 func (s *RowStore) Restore(to time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := len(s.undo) - 1; i >= 0 && s.undo[i].at.After(to); i-- {
-		r := s.undo[i]
-		if r.existed {
-			s.rows[r.key] = r.row
-		} else {
-			delete(s.rows, r.key)
-		}
-		s.version = r.version
-		s.undo = s.undo[:i]
-	}
+	s.version = s.undo.undo(s.rows, to, s.version)
 	s.compactedTo = min(s.compactedTo, s.version)
 	s.era++
 	s.wakeFeeds()
--- a/imitator/rows.go
+++ b/imitator/rows.go
@@ -35,7 +35,7 @@
 	// era rises with each restore. undo holds what the changes of the last undoTime replaced, the
 	// oldest first.
 	era  uint64
-	undo []replacedRow
+	undo undoLog[rowKey, Row]
 	// silent is set while calls get no answer.
 	silent bool
 }
@@ -191,7 +191,7 @@
 
 // setRow writes one row at the current version. The caller holds the lock.
 func (s *RowStore) setRow(k rowKey, value []byte, deleted bool) {
-	s.recordReplaced(k)
+	s.undo.record(s.rows, k, s.version-1)
 	s.rows[k] = Row{Table: k.table, Part: k.part, Key: k.key, Value: value, Ver: s.version, Deleted: deleted}
 	s.wakeFeeds()
 }
--- a/member/member.go
+++ b/member/member.go
@@ -146,10 +146,26 @@
 	}
 	if err != nil && ctx.Err() == nil {
 		m.log.Warn().Err(err).Msg("config: platform gave no proof")
-		m.probeEntries(ctx)
+		newest := m.probeEntries(ctx)
+		m.confirm(ctx, err, newest)
 	}
 }
 
+// confirm confirms the newest version of the configuration, after a poll that failed with err, if the
+// store has come back from a copy. Entries do that, from which all changes come; newest is set if no
+// other one has a newer version.
+func (m *Member) confirm(ctx context.Context, err error, newest bool) {
+	var unconfirmed *syncer.UnconfirmedError
+	if m.self.Role != "entry" || !eris.As(err, &unconfirmed) {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	failure := m.syncer.Confirm(limited, m.clock(), newest)
+	m.log.Warn().Uint64("era", unconfirmed.Era).Uint64("head", unconfirmed.Head).Uint64("version", m.View().Version()).
+		Bool("newest", newest).Err(failure).Msg("config: confirmed in a new era of the store")
+}
+
 // CatchUp polls if the configuration is older than version, which another process
 // has. Concurrent callers share one poll if it reaches the version.
 func (m *Member) CatchUp(ctx context.Context, version uint64) {
@@ -255,22 +271,22 @@
 // probeEntries probes other entries for a proof that the configuration is the
 // newest. An entry probes the relay of its data centre. A relay probes all entries
 // of its own centre and the relay of each other centre, which gathers the answers
-// of its centre, so that no process probes the whole fleet.
-func (m *Member) probeEntries(ctx context.Context) {
+// of its centre, so that no process probes the whole fleet. It reports whether all entries have
+// answered and none has a newer version.
+func (m *Member) probeEntries(ctx context.Context) bool {
 	limited, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	relay := m.relayOf(m.self.Centre)
 	sentAt := m.clock()
 	if relay.Name != m.self.Name {
-		m.applyResults(sentAt, []*wire.ProbeResult{m.probe(limited, relay.Address, false)}, false)
-		return
+		return m.applyResults(sentAt, []*wire.ProbeResult{m.probe(limited, relay.Address, false)}, false)
 	}
 	var remote []*wire.ProbeResult
 	var wg sync.WaitGroup
 	wg.Go(func() { remote = m.probeAll(limited, m.otherRelays(), true) })
 	local := m.probeAll(limited, m.otherLocalEntries(), false)
 	wg.Wait()
-	m.applyResults(sentAt, append(local, remote...), m.complete(local, remote))
+	return m.applyResults(sentAt, append(local, remote...), m.complete(local, remote))
 }
 
 // complete reports whether the results cover every entry: all entries of this data
@@ -367,8 +383,8 @@
 
 // applyResults applies the changes in the results of probes sent at sentAt and
 // records the proofs among them. If the results are complete and none has a newer
-// version, they prove the configuration to be the newest.
-func (m *Member) applyResults(sentAt time.Duration, results []*wire.ProbeResult, complete bool) {
+// version, they prove the configuration to be the newest; it reports whether they do.
+func (m *Member) applyResults(sentAt time.Duration, results []*wire.ProbeResult, complete bool) bool {
 	for _, r := range results {
 		m.applyChanges(r.GetChanges())
 	}
@@ -380,9 +396,11 @@
 			m.syncer.MarkCurrent(sentAt - timer.FromMillis(r.GetAge()))
 		}
 	}
-	if complete && !outdated {
+	newest := complete && !outdated
+	if newest {
 		m.syncer.MarkCurrent(sentAt)
 	}
+	return newest
 }
 
 // applyChanges applies changes in order. It passes over one that does not follow the copy's
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -216,8 +216,13 @@
 }
 
 // platformUnavailable returns the refusal of a call that failed because of the
-// platform. A write may have taken effect, so it does not say that nothing ran.
+// platform. A write may have taken effect, so it does not say that nothing ran, unless the
+// configuration takes no changes for now.
 func platformUnavailable(err error) error {
+	var unconfirmed *syncer.UnconfirmedError
+	if eris.As(err, &unconfirmed) {
+		return refuser.New(refuser.PlatformUnavailable, err.Error()).WithRetryAfter(time.Second)
+	}
 	return refuser.MayHaveRun(refuser.PlatformUnavailable, "the platform does not answer: "+err.Error()).WithRetryAfter(time.Second)
 }
 
--- a/runner/era.go
+++ b/runner/era.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// firstEra is the era of a store that has never come back from a copy.
-	firstEra = 1
 	// lostRowsTime is how long the processes of a fleet take to write rows again that the store has
 	// lost. maxEraDelay bounds the time before each begins, so that they do not all call at once.
 	lostRowsTime = 2 * time.Second
@@ -68,7 +66,7 @@
 // awaitLostSecret waits for the processes that know the fleet's secret to write it again, if the
 // store has none and has come back from a copy: it may have lost it.
 func (h *hostedProcess) awaitLostSecret(ctx context.Context) {
-	if _, ok := h.fleet.Row(storer.SecretKey); !ok && h.store.Era() > firstEra {
+	if _, ok := h.fleet.Row(storer.SecretKey); !ok && h.store.Era() > storer.FirstEra {
 		timer.Wait(ctx, lostRowsTime, nil)
 	}
 }
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -80,6 +80,8 @@
 	// ConflictError reports a check that did not match. After any other error the
 	// transaction may have been applied.
 	Commit(ctx context.Context, tx Transaction) ([]uint64, error)
+	// Era returns the latest era of the store that is known, or 0 if the store names none.
+	Era() uint64
 }
 
 // Changes are rows of one table as of a version of the whole store.
--- a/storer/version.go
+++ b/storer/version.go
@@ -9,8 +9,9 @@
 const (
 	// MaxNumber is the greatest number that a store gives out in one era.
 	MaxNumber = 1<<numberBits - 1
-	// MaxEra is the latest era.
-	MaxEra = 1 << 13
+	// MaxEra is the latest era, and FirstEra that of a store that has never come back from a copy.
+	MaxEra   = 1 << 13
+	FirstEra = 1
 )
 
 // NewVersion returns the version for a number that a store has given out in an era. A store that
@@ -24,6 +25,15 @@
 	return era<<numberBits | number
 }
 
+// NextNumber returns a fencing number above previous, for a sequence whose rows the store may have lost:
+// no process that read them in an earlier era has given it out. In the first era it is the next one.
+func NextNumber(previous, era uint64) uint64 {
+	if era > FirstEra && Era(previous) < era-FirstEra {
+		return NewVersion(era-FirstEra, Number(previous)+1)
+	}
+	return previous + 1
+}
+
 // Era returns the era of a version.
 func Era(version uint64) uint64 { return version >> numberBits }
 
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -73,6 +73,10 @@
 	unreadable      uint64
 	unreadableSince time.Duration
 	gaps            []uint64
+	// unconfirmedEra is the latest era of the store in which the head was not confirmed at first, known
+	// since unconfirmedSince.
+	unconfirmedEra   uint64
+	unconfirmedSince time.Duration
 }
 
 // New returns a syncer that updates the copy config.
@@ -109,7 +113,8 @@
 // Pull updates the copy to the head in the store and then marks it as current at
 // now, which must be the instant of the call and so lies before the read of the
 // head. If the head is older than the copy, the copy stays as it is and is marked
-// as current too.
+// as current too. If the store has come back from a copy since the head was written, the error is an
+// *UnconfirmedError.
 func (s *Syncer) Pull(ctx context.Context, now time.Duration) error {
 	head, _, err := s.readHead(ctx)
 	if err != nil {
@@ -118,6 +123,9 @@
 	if err := s.applyUpTo(ctx, now, head); err != nil {
 		return err
 	}
+	if err := s.checkConfirmed(now, head); err != nil {
+		return err
+	}
 	if s.config.View().Version() >= head.GetVersion() {
 		s.MarkCurrent(now)
 	}
@@ -214,18 +222,21 @@
 // Publish writes change as the successor of version base, in one transaction with
 // the checks and writes in extra, and then pulls with now. It sets the version of
 // change. It returns a *StaleBaseError if the configuration is at another version
-// or a check fails. If the store's reply is lost, it reads the row of the change
+// or a check fails, and an *UnconfirmedError as Pull does. If the store's reply is lost, it reads the row of the change
 // back to learn the outcome, which requires a unique token in change.
 func (s *Syncer) Publish(ctx context.Context, now time.Duration, base uint64, change *wire.Change, extra storer.Transaction) error {
 	head, rowVersion, err := s.readHead(ctx)
 	if err != nil {
 		return err
 	}
+	if err := s.checkConfirmed(now, head); err != nil {
+		return err
+	}
 	if head.GetVersion() != base {
 		return &StaleBaseError{Base: base, Current: head.GetVersion()}
 	}
 	change.Version = base + 1
-	next := &wire.Head{Version: base + 1, Snapshot: s.saveSnapshot(ctx, head)}
+	next := &wire.Head{Version: base + 1, Snapshot: s.saveSnapshot(ctx, head), Era: storer.Era(rowVersion)}
 	tx, err := publishTransaction(next, rowVersion, change, extra)
 	if err != nil {
 		return err
@@ -233,6 +244,12 @@
 	if err := s.commit(ctx, tx, change); err != nil {
 		return err
 	}
+	// The store may lose the change before it is read.
+	if s.config.View().Version() == base {
+		if err := s.config.Apply(change); err != nil {
+			return err
+		}
+	}
 	return s.Pull(ctx, now)
 }
 
