--- a/holder/holder.go
+++ b/holder/holder.go
@@ -59,6 +59,10 @@
 	// listedAt is the time of the last read of all shard rows, or 0 if a read is due.
 	listedAt time.Duration
 	shards   []*shard
+	// era is the latest era of the store that is known. Shards without a holder are not taken before
+	// takeVacantFrom.
+	era            uint64
+	takeVacantFrom time.Duration
 }
 
 // shard is this entry's state for one shard.
@@ -68,7 +72,9 @@
 	// missing.
 	rowsListed bool
 	row        leaser.Row
-	watch      *leaser.Watch
+	// rowLost is set while the store has lost this entry's row, or has an older one.
+	rowLost bool
+	watch   *leaser.Watch
 	// tenure is nil if this entry does not hold the shard. tenureStart, buckets and
 	// models belong to the tenure.
 	tenure      *leaser.Tenure
@@ -176,6 +182,7 @@
 		}
 	}
 	wg.Wait()
+	h.restoreSlots(ctx)
 	h.meter.RecordHeldShards(h.HeldShards())
 }
 
@@ -217,8 +224,17 @@
 		s.rowsListed = true
 	}
 	h.mu.Unlock()
+	listed := map[uint32]bool{}
 	for _, r := range rows {
 		h.observeRow(r)
+		if index, ok := storer.ShardIndex(r.Key); ok {
+			listed[index] = true
+		}
+	}
+	for _, s := range h.shards {
+		if !listed[s.index] {
+			h.observeMissing(s)
+		}
 	}
 }
 
@@ -240,6 +256,8 @@
 	}
 	if r.Version != 0 {
 		h.observeRow(r)
+	} else {
+		h.observeMissing(s)
 	}
 	return true
 }
@@ -268,11 +286,17 @@
 	now := h.clock()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.updateEra()
 	s := h.shards[index]
-	if r.Version < s.row.Version {
+	if r.Version < s.row.Version || storer.Era(r.Version) < h.era {
+		return
+	}
+	row := decodeShard(index, r, s.row.Epoch)
+	if h.outlives(s, row) {
+		s.row = h.lostRow(s, row.Version)
 		return
 	}
-	s.row = decodeShard(index, r, s.row.Epoch)
+	s.row, s.rowLost = row, false
 	s.watch.Observe(now, h.selfName, s.row)
 	switch {
 	case s.tenure == nil:
--- a/holder/models.go
+++ b/holder/models.go
@@ -46,6 +46,8 @@
 	// the refusal for the callers that wait for that load.
 	failedAt time.Duration
 	failure  *refuser.Refusal
+	// era is the era of the store in which the rows of the slots are known.
+	era uint64
 }
 
 // notifyChange wakes the callers that wait for a change. The caller holds the lock.
@@ -95,7 +97,8 @@
 	if s, err = h.heldShard(ModelShard(name, h.options.Shards)); err != nil || s.models[name] != nil {
 		return err
 	}
-	m := &model{slotTable: placer.NewSlotTable(name, 0), changed: make(chan struct{})}
+	h.updateEra()
+	m := &model{slotTable: placer.NewSlotTable(name, 0), changed: make(chan struct{}), era: h.era}
 	for _, r := range rows {
 		slot, ok := decodeSlot(name, r)
 		if !ok {
--- a/holder/slots.go
+++ b/holder/slots.go
@@ -43,7 +43,7 @@
 		return slot, false
 	}
 	slot.Instance = instance
-	slot.Epoch = h.highestEpoch(m) + 1
+	slot.Epoch = storer.NextNumber(h.highestEpoch(m), h.table.Era())
 	version, err := h.writeSlot(ctx, def.GetName(), slot)
 	if err != nil {
 		h.recordLoadStep(def, "slot not recorded: "+err.Error())
@@ -100,6 +100,8 @@
 	if err != nil {
 		return
 	}
+	// Of what was written in an earlier era of the store, this holder knows more than the store.
+	h.adoptVersions(name, m, rows)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, r := range rows {
--- a/holder/tenure.go
+++ b/holder/tenure.go
@@ -41,7 +41,7 @@
 
 // dropTenure discards the tenure and everything that belongs to it.
 func (h *Holder) dropTenure(s *shard) {
-	s.tenure = nil
+	s.tenure, s.rowLost = nil, false
 	s.buckets = map[bucketShare]*limiter.Bucket{}
 	s.models = map[string]*model{}
 }
@@ -75,7 +75,7 @@
 func (h *Holder) renewTenure(ctx context.Context, s *shard, row leaser.Row, reachable bool) {
 	sentAt := h.clock()
 	candidates := h.chooseCandidates(s.index)
-	unchanged := row.Mark == "" && slices.Equal(row.Candidates, candidates)
+	unchanged := !h.lost(s) && row.Mark == "" && slices.Equal(row.Candidates, candidates)
 	if unchanged && h.remainingTenure(s, sentAt) > h.options.Lease*2/3 {
 		return
 	}
@@ -86,7 +86,7 @@
 			next.Version = version
 			h.mu.Lock()
 			if s.tenure != nil {
-				s.row = next
+				s.row, s.rowLost = next, false
 				s.tenure.Renew(sentAt, next)
 			}
 			h.mu.Unlock()
@@ -94,7 +94,8 @@
 		}
 	}
 	sentAt = h.clock()
-	pledged := h.requestPledges(ctx, s.index, row.Epoch, h.tenureCandidates(s))
+	promise := &wire.Promise{Shard: s.index, Epoch: row.Epoch, Era: storer.Era(row.Version)}
+	pledged := h.requestPledges(ctx, promise, h.tenureCandidates(s))
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if s.tenure != nil {
@@ -102,6 +103,13 @@
 	}
 }
 
+// lost reports whether the store has lost this entry's row of a shard.
+func (h *Holder) lost(s *shard) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return s.rowLost
+}
+
 // remainingTenure returns the time until the tenure of the shard expires.
 func (h *Holder) remainingTenure(s *shard, now time.Duration) time.Duration {
 	h.mu.Lock()
@@ -133,14 +141,14 @@
 
 // requestPledges asks the named candidates for a pledge not to take the shard over. The
 // result has the names of those that gave it, and empty strings for the others.
-func (h *Holder) requestPledges(ctx context.Context, index uint32, epoch uint64, names []string) []string {
+func (h *Holder) requestPledges(ctx context.Context, promise *wire.Promise, names []string) []string {
 	limited, cancel := context.WithTimeout(ctx, h.options.Lease/4)
 	defer cancel()
 	pledged := make([]string, len(names))
 	var wg sync.WaitGroup
 	for i, name := range names {
 		wg.Go(func() {
-			if h.requestPledge(limited, index, epoch, name) {
+			if h.requestPledge(limited, promise, name) {
 				pledged[i] = name
 			}
 		})
@@ -150,24 +158,26 @@
 }
 
 // requestPledge asks one candidate for a pledge and reports whether it gave it.
-func (h *Holder) requestPledge(ctx context.Context, index uint32, epoch uint64, name string) bool {
+func (h *Holder) requestPledge(ctx context.Context, promise *wire.Promise, name string) bool {
 	in, ok := h.member.Find(name)
 	if !ok {
 		return false
 	}
-	call := &wire.Call{Body: &wire.Call_Promise{Promise: &wire.Promise{Shard: index, Epoch: epoch}}}
+	call := &wire.Call{Body: &wire.Call_Promise{Promise: promise}}
 	reply, err := peer.Call(ctx, h.caller, in.Address, call)
 	return err == nil && reply.GetPledge().GetGiven()
 }
 
-// HandlePromise responds to a holder that cannot reach the platform and asks for a pledge.
+// HandlePromise responds to a holder that cannot reach the platform and asks for a pledge. One whose row
+// is of an earlier era of the store gets none: the candidates in the row that others read may differ.
 func (h *Holder) HandlePromise(p *wire.Promise) *wire.Reply {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	given := false
 	if p.GetShard() < uint32(len(h.shards)) {
 		s := h.shards[p.GetShard()]
-		given = s.tenure == nil && s.row.Epoch <= p.GetEpoch() && s.watch.Pledge()
+		h.updateEra()
+		given = s.tenure == nil && p.GetEra() >= h.era && s.row.Epoch <= p.GetEpoch() && s.watch.Pledge()
 	}
 	return &wire.Reply{Body: &wire.Reply_Pledge{Pledge: &wire.Pledge{Given: given}}}
 }
@@ -175,7 +185,7 @@
 // takeVacant takes a shard without a holder if this entry ranks first for it.
 func (h *Holder) takeVacant(ctx context.Context, s *shard, row leaser.Row) {
 	ranked := h.rankEntries(s.index)
-	if len(ranked) == 0 || ranked[0] != h.selfName {
+	if len(ranked) == 0 || ranked[0] != h.selfName || h.clock() < h.vacantTakenFrom() {
 		return
 	}
 	h.takeShard(ctx, s, row)
@@ -235,6 +245,7 @@
 func (h *Holder) takeShard(ctx context.Context, s *shard, row leaser.Row) {
 	sentAt := h.clock()
 	next := row.WithTakeover(h.selfName, h.chooseCandidates(s.index))
+	next.Epoch = storer.NextNumber(row.Epoch, h.table.Era())
 	version, ok := h.writeRow(ctx, s.index, next, row.Version)
 	if !ok {
 		return
