review: case 2, two machines order one engine in turns

An engine is adopted by a relay while the store turns its sidecar away, and the store then comes back from a copy without the relay's row.

--- a/review/reviewer/fleet.go
+++ b/review/reviewer/fleet.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -74,27 +76,34 @@
 	os.Exit(code)
 }
 
-// freePort returns a free address on loopback for a network.
+// freePort returns a free address on loopback for a network, from a range that the kernel gives to no
+// outgoing connection.
 func freePort(network string) string {
-	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		check(err)
-		defer func() { _ = c.Close() }()
-		return c.LocalAddr().String()
+	for range 200 {
+		address := fmt.Sprintf("127.0.0.1:%d", 11000+rand.IntN(20000))
+		if network == "udp" {
+			if c, err := net.ListenPacket("udp", address); err == nil {
+				_ = c.Close()
+				return address
+			}
+			continue
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	check(errors.New("no port is free"))
+	return ""
 }
 
-// memoryMB are the limits of the machines of the site plooiwerk-gent.
+// Memory limits of the machines of the site plooiwerk-gent.
 const (
 	entryMemoryMB   = 284
 	sidecarMemoryMB = 216
 )
 
-// bounds are the settings that deploy/entry.json takes from the site's bounds.
+// hosted returns the settings that the files in deploy take from the site's bounds.
 func hosted(store string, memory int) map[string]any {
 	return map[string]any{"store": store, "memory": memory, "grace": "8s", "lease": "3000ms", "window": "8s"}
 }
--- a/review/reviewer/main.go
+++ b/review/reviewer/main.go
@@ -17,6 +17,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(log *record, trouble bool) bool{
 	"adapters": adapters,
+	"holders":  holders,
 }
 
 func main() {
