review: case 4, a keyed order runs twice after a drill of the store

The entry of a running order is killed, the store comes back from a copy without the order's claim, the caller sends the order again with its key.

--- a/review/reviewer/main.go
+++ b/review/reviewer/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(log *record, trouble bool) bool{
 	"adapters": adapters,
 	"holders":  holders,
+	"orders":   orders,
 	"unframed": unframed,
 }
 
