--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
-# Builds the program that plays the cases which are scripts.
+# Builds what the cases that are scripts start: the product's program, which has its stand-ins in it, and the
+# program that plays the cases.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+go build -ldflags=-linkmode=external -o target/ ./cmd/...
 go build -o target/reviewer ./review/reviewer
