platform: the end of an answer is proven by the process that began it

Cause: an answer without length or chunks counted as complete if any process accepted connections at the server's address once its end was read.

Ruled out: comparing the ID alone, since a server may restart under the ID that it had; a second look at the list, whose rows lag the restart by their interval.

The locator passes the start and the service's health path along with the reservation.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -111,8 +111,9 @@
 func (a *Assembly) Pass() { a.next++ }
 
 // CheckEnd returns a *refuser.Refusal if the end of an answer with a framing does not show
-// that the answer is complete. The end of a connection shows that only if the process of the
-// backend server still runs.
+// that the answer is complete. The end of a connection shows that only if the process that
+// began the answer still ran after the end was read. That some process listens at the address
+// does not show it: the server may have restarted while this process did not run.
 func CheckEnd(f Framing, serverRuns func() bool) error {
 	if f == Connection && !serverRuns() {
 		return refuser.MayHaveRun(refuser.ConnectionLost, "the answer ended with its backend server")
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -49,19 +49,19 @@
 	return false
 }
 
-// settleTime is the time within which the host of a process that was killed closes all of the
+// SettleTime is the time within which the host of a process that was killed closes all of the
 // process's connections and listeners, which it does in any order.
-const settleTime = 100 * time.Millisecond
+const SettleTime = 100 * time.Millisecond
 
 // acceptTimeout is the time within which a host accepts a connection, also if the first packet
 // is lost and sent again after a second.
 const acceptTimeout = 1500 * time.Millisecond
 
 // Listens reports whether a process listens at an address, IP:port, and still does after
-// settleTime. It returns false if the host does not answer in time or ctx ends before that is
+// SettleTime. It returns false if the host does not answer in time or ctx ends before that is
 // found out.
 func Listens(ctx context.Context, address string) bool {
-	return accepts(ctx, address) && timer.Wait(ctx, settleTime, nil) && accepts(ctx, address)
+	return accepts(ctx, address) && timer.Wait(ctx, SettleTime, nil) && accepts(ctx, address)
 }
 
 // accepts reports whether the host at an address accepts a connection. A server that has too
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -81,7 +81,7 @@
 		{"listens", t.Context(), func(net.Listener) {}, true},
 		{"resets", t.Context(), func(l net.Listener) { go limited(l) }, true},
 		{"has ended", t.Context(), func(l net.Listener) { _ = l.Close() }, false},
-		{"is ending", t.Context(), func(l net.Listener) { time.AfterFunc(settleTime/10, func() { _ = l.Close() }) }, false},
+		{"is ending", t.Context(), func(l net.Listener) { time.AfterFunc(SettleTime/10, func() { _ = l.Close() }) }, false},
 		{"no time left", ended, func(net.Listener) {}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -112,6 +112,11 @@
 	// ExpectedName is the name that the backend server must have, or empty if the
 	// address identifies it.
 	ExpectedName string
+	// Started is the start of the process that the request is meant for, in Unix milliseconds as
+	// the process states it, or 0 if it is not known.
+	Started int64
+	// HealthPath is the path of the backend server's health check, or empty for the usual one.
+	HealthPath string
 	// Priority is the priority of the request at the backend server; 0 is served first.
 	Priority int
 	// ConfirmReceipt is set if the backend server may be stalled: the whole request is
@@ -208,8 +213,8 @@
 	Next() (Event, error)
 	// End returns what followed the last event.
 	End() any
-	// ServerRuns reports whether the backend server certainly still accepts connections. It
-	// is asked if the answer ended with its connection.
+	// ServerRuns reports whether the process that the request was sent to is known to have run
+	// after the end of the answer was read. It is asked if the answer ended with its connection.
 	ServerRuns(ctx context.Context) bool
 	// Close releases the answer, also before it is complete.
 	Close()
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -408,6 +408,8 @@
 		Name:           s.ID,
 		Address:        s.Address,
 		ExpectedName:   s.ID,
+		Started:        s.Started,
+		HealthPath:     l.config.View().Pool(s.Pool).GetHealth(),
 		Priority:       min(r.Priority, lowestPriority),
 		ConfirmReceipt: !b.RecentlyActive(now),
 		AbandonContext: a.ctx,
