service: the end of an answer is proven by a connection to its process

Cause: on the native API an answer without length or chunks counted as complete if anything listened at the service's address afterwards. A service that crashed and started again listens too, so half an answer was passed on as a whole one.

Ruled out: an identity in the service's answers, since services of the native API state none; a connection opened after the head was read, which may belong to the next process. Streams of engines end with an event of their own, and their other answers are JSON that does not decode when cut.

Change: each call opens a second connection, without a request, after its own connection exists and before a byte is sent (dialer.Witness). It is closed at once if the head names a length or chunks. If it has not ended 100 ms after the end of the answer, the process that answered still runs. dialer.Listens and the executor's option for it are gone. TestListens is replaced by TestWitness, and the case "not known" of TestCutUnframedAnswer, which left the option out, by a service that closes idle connections; its case "restarted" is new.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -8,11 +8,10 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"oleanderstall/timer"
 )
 
 // maxHeadBytes bounds the head of an answer, in bytes.
@@ -53,28 +52,52 @@
 // process's connections and listeners, which it does in any order.
 const SettleTime = 100 * time.Millisecond
 
-// acceptTimeout is the time within which a host accepts a connection, also if the first packet
-// is lost and sent again after a second.
-const acceptTimeout = 1500 * time.Millisecond
+// witnessTimeout bounds the time for opening the connection of a Witness.
+const witnessTimeout = 250 * time.Millisecond
 
-// Listens reports whether a process listens at an address, IP:port, and still does after
-// SettleTime. It returns false if the host does not answer in time or ctx ends before that is
-// found out.
-func Listens(ctx context.Context, address string) bool {
-	return accepts(ctx, address) && timer.Wait(ctx, SettleTime, nil) && accepts(ctx, address)
+// Witness is a connection without a request to the process to which an HTTP request is sent. The
+// process's host closes it when the process ends, so that it tells the process from a later one
+// at the same address. It is used by one request.
+type Witness struct {
+	conn net.Conn
 }
 
-// accepts reports whether the host at an address accepts a connection. A server that has too
-// many connections resets it after that.
-func accepts(ctx context.Context, address string) bool {
-	d := net.Dialer{Timeout: acceptTimeout}
-	c, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNRESET)
+// NewWitness returns a witness without a connection.
+func NewWitness() *Witness { return &Witness{} }
+
+// Attach returns a context for the request whose process the witness is for. The witness connects
+// after the request has got its connection and before a byte of it is sent: the process that
+// answers is the one that both connections belong to, since the first one would otherwise be lost.
+func (w *Witness) Attach(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		d := net.Dialer{Timeout: witnessTimeout}
+		if c, err := d.DialContext(ctx, "tcp", info.Conn.RemoteAddr().String()); err == nil {
+			w.conn = c
+		}
+	}})
+}
+
+// Runs reports whether the process has certainly not ended before SettleTime has passed: nothing
+// has come over the connection, and not its end either. It returns false if the connection could
+// not be opened, if the process has closed it, or if ctx ends before that is found out.
+func (w *Witness) Runs(ctx context.Context) bool {
+	if w.conn == nil || ctx.Err() != nil {
+		return false
+	}
+	// If the deadline cannot be set, the connection is closed and the read fails.
+	_ = w.conn.SetReadDeadline(time.Now().Add(SettleTime))
+	stop := context.AfterFunc(ctx, w.Close)
+	defer stop()
+	_, err := w.conn.Read(make([]byte, 1))
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// Close closes the connection. It may be called more than once.
+func (w *Witness) Close() {
+	if w.conn != nil {
+		// Nothing was sent, so there is nothing to lose.
+		_ = w.conn.Close()
 	}
-	// Nothing was sent, so there is nothing to lose.
-	_ = c.Close()
-	return true
 }
 
 // WatchConnection returns a context for one HTTP request, and a function that reports whether
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -60,36 +60,44 @@
 	assert.Equal(t, connections.Load(), int64(4))
 }
 
-// TestListens guards against an answer that is taken for a whole one because the listener of a
-// process that was killed still took connections just after its other ones were closed, or
-// because there was no time to ask. A server that resets connections above a limit listens.
-func TestListens(t *testing.T) {
-	limited := func(l net.Listener) {
-		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
-			_ = c.(*net.TCPConn).SetLinger(0)
-			_ = c.Close()
-		}
-	}
+// TestWitness guards against an answer that is taken for a whole one although the process that
+// began it has ended: another one may listen at its address, its host may close the connection of
+// the answer before the others, or there may be no time to find out.
+func TestWitness(t *testing.T) {
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	for _, c := range []struct {
-		name    string
-		ctx     context.Context
-		prepare func(net.Listener)
-		listens bool
+		name string
+		ctx  context.Context
+		end  func(t *testing.T, s *httptest.Server)
+		runs bool
 	}{
-		{"listens", t.Context(), func(net.Listener) {}, true},
-		{"resets", t.Context(), func(l net.Listener) { go limited(l) }, true},
-		{"has ended", t.Context(), func(l net.Listener) { _ = l.Close() }, false},
-		{"is ending", t.Context(), func(l net.Listener) { time.AfterFunc(SettleTime/10, func() { _ = l.Close() }) }, false},
-		{"no time left", ended, func(net.Listener) {}, false},
+		{"runs", t.Context(), func(*testing.T, *httptest.Server) {}, true},
+		{"has ended", t.Context(), func(_ *testing.T, s *httptest.Server) { _ = s.Config.Close() }, false},
+		{"is ending", t.Context(), func(_ *testing.T, s *httptest.Server) {
+			time.AfterFunc(SettleTime/10, func() { _ = s.Config.Close() })
+		}, false},
+		{"has restarted", t.Context(), func(t *testing.T, s *httptest.Server) {
+			_ = s.Config.Close()
+			l, err := net.Listen("tcp", s.Listener.Addr().String())
+			assert.NilError(t, err)
+			t.Cleanup(func() { _ = l.Close() })
+		}, false},
+		{"no time left", ended, func(*testing.T, *httptest.Server) {}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			defer s.Close()
+			w := NewWitness()
+			defer w.Close()
+			req, err := http.NewRequestWithContext(w.Attach(t.Context()), http.MethodGet, s.URL, nil)
 			assert.NilError(t, err)
-			defer func() { _ = l.Close() }()
-			c.prepare(l)
-			assert.Equal(t, Listens(c.ctx, l.Addr().String()), c.listens)
+			res, err := NewClient(time.Second).Do(req)
+			assert.NilError(t, err)
+			assert.NilError(t, res.Body.Close())
+			c.end(t, s)
+			assert.Equal(t, w.Runs(c.ctx), c.runs)
 		})
 	}
+	assert.Assert(t, !NewWitness().Runs(t.Context()))
 }
--- a/executor/crash.go
+++ b/executor/crash.go
@@ -39,11 +39,9 @@
 }
 
 // checkEnd returns a refusal of a call whose answer may have been cut: its body ended with its
-// connection, and it is not certain that the service's process runs.
+// connection, and it is not certain that the service's process ran after that.
 func (x *Executor) checkEnd(ctx context.Context, answer *service.Answer) error {
-	err := assembler.CheckEnd(answer.Framing, func() bool {
-		return x.options.Listens != nil && x.options.Listens(context.WithoutCancel(ctx))
-	})
+	err := assembler.CheckEnd(answer.Framing, func() bool { return answer.ServiceRuns })
 	if err != nil {
 		return x.withCrash(ctx, refuser.FromError(err))
 	}
--- a/executor/cut_test.go
+++ b/executor/cut_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -15,43 +16,64 @@
 	"oleanderstall/service"
 )
 
+// unframedService is a process of a service that answers with a body that ends with its
+// connection, and that closes connections without a request after idle. end is called before
+// the connection of an answer is closed.
+func unframedService(t *testing.T, address string, idle time.Duration, end func(*http.Server)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	server := &http.Server{ReadHeaderTimeout: idle}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, out, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = out.WriteString("HTTP/1.1 200 OK\r\n\r\n500 maps")
+		_ = out.Flush()
+		end(server)
+		_ = c.Close()
+	})
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String()
+}
+
 // TestCutUnframedAnswer guards against half an answer that is passed on as a whole one: a body
 // with neither a length nor chunks ends with its connection, also where the service's process
-// was killed.
+// was killed. Another process may listen at its address by the time the end is read.
 func TestCutUnframedAnswer(t *testing.T) {
+	kill := func(_ string, s *http.Server) { _ = s.Close() }
 	for _, tt := range []struct {
-		name      string
-		killed    bool
-		unchecked bool
-		whole     bool
+		name    string
+		idle    time.Duration
+		end     func(address string, s *http.Server)
+		whole   bool
+		crashed bool
 	}{
 		{name: "whole", whole: true},
-		{name: "killed", killed: true},
-		{name: "not known", unchecked: true},
+		{name: "killed", end: kill, crashed: true},
+		{name: "restarted", end: func(address string, s *http.Server) {
+			kill(address, s)
+			unframedService(t, address, 0, func(*http.Server) {})
+		}},
+		{name: "listener closed first", end: func(_ string, s *http.Server) {
+			time.AfterFunc(dialer.SettleTime/10, func() { _ = s.Close() })
+		}, crashed: true},
+		{name: "not known", idle: time.Millisecond, end: func(string, *http.Server) {
+			time.Sleep(50 * time.Millisecond)
+		}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				c, out, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				_, _ = out.WriteString("HTTP/1.1 200 OK\r\n\r\n500 maps")
-				_ = out.Flush()
-				if tt.killed {
-					_ = l.Close()
+			var address string
+			address = unframedService(t, "127.0.0.1:0", tt.idle, func(s *http.Server) {
+				if tt.end != nil {
+					tt.end(address, s)
 				}
-				_ = c.Close()
-			})}
-			go func() { _ = server.Serve(l) }()
-			t.Cleanup(func() { _ = server.Close() })
+			})
 			f := newFixture(t)
-			if !tt.unchecked {
-				f.options.Refuses = func(ctx context.Context) bool { return dialer.Refuses(ctx, l.Addr().String()) }
-				f.options.Listens = func(ctx context.Context) bool { return dialer.Listens(ctx, l.Addr().String()) }
-			}
-			x := f.sidecar("a", nil, service.New("http://"+l.Addr().String()))
+			f.options.Refuses = func(ctx context.Context) bool { return dialer.Refuses(ctx, address) }
+			x := f.sidecar("a", nil, service.New("http://"+address))
 			answer, err := x.invoke(t.Context(), invocation("order", ""))
 			if tt.whole {
 				assert.NilError(t, err)
@@ -60,7 +82,7 @@
 			}
 			assert.Assert(t, refuser.Is(err, refuser.ConnectionLost), "%v", err)
 			assert.Assert(t, !refuser.FromError(err).NeverRan())
-			assert.Equal(t, refuser.CrashTime(err) > 0, tt.killed)
+			assert.Equal(t, refuser.CrashTime(err) > 0, tt.crashed)
 		})
 	}
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -63,8 +63,6 @@
 	MaxKeyCheckAge time.Duration
 	// Refuses reports whether nobody listens at the backend server's address. It may be nil.
 	Refuses func(ctx context.Context) bool
-	// Listens reports whether a process certainly listens at that address. It may be nil.
-	Listens func(ctx context.Context) bool
 }
 
 // Executor is the sidecar of one backend server. It is safe for concurrent use.
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -61,7 +61,6 @@
 	}
 	if address := backendAddress(s.BackendURL); address != "" {
 		options.Refuses = func(ctx context.Context) bool { return dialer.Refuses(ctx, address) }
-		options.Listens = func(ctx context.Context) bool { return dialer.Listens(ctx, address) }
 	}
 	var backendEngine executor.Engine
 	var backendService executor.Service
--- a/service/service.go
+++ b/service/service.go
@@ -61,6 +61,9 @@
 	Body        []byte
 	// Framing is what marks the end of the body.
 	Framing assembler.Framing
+	// ServiceRuns is set if the body ends with its connection and the process that began it is
+	// known to have run after its end.
+	ServiceRuns bool
 }
 
 // CallError reports a call without a complete answer. Sent is false if it is
@@ -100,7 +103,9 @@
 // Call sends r and returns the answer, whatever its status. A request is sent at most
 // once. Errors are CallErrors.
 func (c *Client) Call(ctx context.Context, r Request) (*Answer, error) {
-	watched, connected := dialer.WatchConnection(ctx)
+	witness := dialer.NewWitness()
+	defer witness.Close()
+	watched, connected := dialer.WatchConnection(witness.Attach(ctx))
 	callError := func(err error) error { return &CallError{Sent: connected(), cause: err} }
 	req, err := c.newRequest(watched, r)
 	if err != nil {
@@ -117,6 +122,10 @@
 	if rate, ok := pacer.ParseRate(response.Header.Get(limitHeader)); ok && r.OnLimit != nil {
 		r.OnLimit(rate)
 	}
+	framing := assembler.FramingOf(response)
+	if framing != assembler.Connection {
+		witness.Close()
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
 		return nil, callError(err)
@@ -128,7 +137,8 @@
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
 		Body:        body,
-		Framing:     assembler.FramingOf(response),
+		Framing:     framing,
+		ServiceRuns: framing == assembler.Connection && witness.Runs(context.WithoutCancel(ctx)),
 	}, nil
 }
 
