executor: claims are written again after the store lost them

Cause: a sidecar took a key without a row for one that nobody has claimed.

Change: package claimer remembers the claims of a process (10 minutes, 50,000 claims, 8 MiB of answers) and decides when those of an era are complete; package restorer writes lost ones again, newest first, until one is found unchanged, and confirms that with a row.

--- /dev/null
+++ b/claimer/claimer.go
@@ -0,0 +1,185 @@
+// Package claimer remembers the claims of calls with an idempotency key that a process made, so
+// that it can write them again after the store has lost their rows, and decides when all
+// processes have done so.
+//
+// A store that comes back from an earlier copy of itself begins a new era and has lost the rows
+// written since the copy. That a key has no row then does not show that its call has not run.
+package claimer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"oleanderstall/storer"
+	"oleanderstall/wire"
+)
+
+// Limits of what a process remembers.
+const (
+	// memoryTime is how long a claim is remembered. A copy of the store is some seconds old.
+	memoryTime = 10 * time.Minute
+	// maxClaims bounds the claims, of which each takes some 300 bytes.
+	maxClaims = 50_000
+	// maxAnswerBytes bounds the stored answers. Of the calls beyond, it is known that they ran.
+	maxAnswerBytes = 8 << 20
+	// pruneInterval is the shortest time between two searches for claims to forget.
+	pruneInterval = time.Second
+)
+
+// Claim is a claim as its process knows it. Record is not changed.
+type Claim struct {
+	Key    string
+	Record *wire.Claim
+	// Version is the version of its row when this process wrote or read it last.
+	Version uint64
+	// Released is set if its call never ran, so that the row was deleted.
+	Released bool
+	// Uncertain is set if a write of the row since Version may have taken effect.
+	Uncertain bool
+}
+
+// entry is a claim in the memory.
+type entry struct {
+	Claim
+	at      time.Duration
+	running bool
+}
+
+// Memory holds the claims of a process. Its user guards it against concurrent use.
+type Memory struct {
+	// entries are in the order of their claims. latest has the latest one of each key.
+	entries     []*entry
+	latest      map[string]*entry
+	answerBytes int
+	prunedAt    time.Duration
+}
+
+// NewMemory returns an empty memory.
+func NewMemory() *Memory { return &Memory{latest: map[string]*entry{}} }
+
+// Add remembers a claim, whose call runs from now on, with the version of its row.
+func (m *Memory) Add(now time.Duration, key string, record *wire.Claim, version uint64) {
+	m.prune(now)
+	e := &entry{Claim: Claim{Key: key, Record: record, Version: version}, at: now, running: true}
+	m.entries = append(m.entries, e)
+	m.latest[key] = e
+}
+
+// Find returns the claim of a key whose call has run, or may have.
+func (m *Memory) Find(key string) (Claim, bool) {
+	e := m.latest[key]
+	if e == nil || e.Released {
+		return Claim{}, false
+	}
+	return e.Claim, true
+}
+
+// Lookup returns the claim of a key with a token.
+func (m *Memory) Lookup(key, token string) (Claim, bool) {
+	if e := m.find(key, token); e != nil {
+		return e.Claim, true
+	}
+	return Claim{}, false
+}
+
+// Finish records the end of the call of a claim: with an answer, or with nil if its outcome is
+// not known or is not stored.
+func (m *Memory) Finish(key, token string, answer *wire.Answer) {
+	e := m.find(key, token)
+	if e == nil {
+		return
+	}
+	e.running = false
+	if answer == nil {
+		return
+	}
+	e.Record = proto.CloneOf(e.Record)
+	e.Record.Done, e.Record.Answer = true, answer
+	m.answerBytes += len(answer.GetBody())
+	for i := 0; m.answerBytes > maxAnswerBytes && i < len(m.entries); i++ {
+		m.dropAnswer(m.entries[i])
+	}
+}
+
+// Release records that the call of a claim never ran, so that its key can be used again.
+func (m *Memory) Release(key, token string) {
+	if e := m.find(key, token); e != nil {
+		e.running, e.Released = false, true
+	}
+}
+
+// SetVersion records the version of the row of a claim.
+func (m *Memory) SetVersion(key, token string, version uint64) {
+	if e := m.find(key, token); e != nil {
+		e.Version, e.Uncertain = version, false
+	}
+}
+
+// MarkUncertain records that a write of the row of a claim may have taken effect.
+func (m *Memory) MarkUncertain(key, token string) {
+	if e := m.find(key, token); e != nil {
+		e.Uncertain = true
+	}
+}
+
+// Lost returns the claims whose rows are of an era before the given one, so that the store may
+// have lost what was written last. The latest rows come first.
+func (m *Memory) Lost(era uint64) []Claim {
+	var lost []Claim
+	for _, e := range m.entries {
+		if storer.Era(e.Version) < era {
+			lost = append(lost, e.Claim)
+		}
+	}
+	slices.SortStableFunc(lost, func(a, b Claim) int { return cmp.Compare(b.Version, a.Version) })
+	return lost
+}
+
+// Len returns the number of claims that are remembered.
+func (m *Memory) Len() int { return len(m.entries) }
+
+// find returns the claim of a key with a token, or nil.
+func (m *Memory) find(key, token string) *entry {
+	if e := m.latest[key]; e != nil && e.Record.GetToken() == token {
+		return e
+	}
+	for _, e := range m.entries {
+		if e.Key == key && e.Record.GetToken() == token {
+			return e
+		}
+	}
+	return nil
+}
+
+// prune forgets the claims that are too old, and the oldest ones beyond maxClaims. Those whose
+// calls run are kept.
+func (m *Memory) prune(now time.Duration) {
+	if now-m.prunedAt < pruneInterval && len(m.entries) < maxClaims+maxClaims/8 {
+		return
+	}
+	m.prunedAt = now
+	excess := len(m.entries) - maxClaims
+	m.entries = slices.DeleteFunc(m.entries, func(e *entry) bool {
+		excess--
+		if e.running || excess < 0 && now-e.at <= memoryTime {
+			return false
+		}
+		m.dropAnswer(e)
+		if m.latest[e.Key] == e {
+			delete(m.latest, e.Key)
+		}
+		return true
+	})
+}
+
+// dropAnswer forgets the answer of a claim, but not that it is done.
+func (m *Memory) dropAnswer(e *entry) {
+	if e.Record.GetAnswer() == nil {
+		return
+	}
+	m.answerBytes -= len(e.Record.GetAnswer().GetBody())
+	e.Record = &wire.Claim{Token: e.Record.GetToken(), Digest: e.Record.GetDigest(), Done: true}
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -24,6 +24,7 @@
 	"oleanderstall/queuer"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
+	"oleanderstall/restorer"
 	"oleanderstall/service"
 	"oleanderstall/storer"
 	"oleanderstall/timer"
@@ -77,7 +78,9 @@
 	log      *log.Logger
 	engine   Engine
 	service  Service
-	done     chan struct{}
+	// claims are the claims of the calls with an idempotency key.
+	claims *restorer.Restorer
+	done   chan struct{}
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -179,6 +182,7 @@
 		log:        logger,
 		engine:     engine,
 		service:    service,
+		claims:     restorer.New(member.Self().Name, table, clock, logger),
 		done:       make(chan struct{}),
 		drained:    make(chan struct{}),
 		budget:     placer.NewMemoryBudget(0),
@@ -216,9 +220,10 @@
 }
 
 // Sweep polls the engine's status, unloads idle models and reports freed slots,
-// once. It does nothing for a plain service.
+// once. For a plain service it writes claims again that the store has lost.
 func (x *Executor) Sweep(ctx context.Context) {
 	if x.engine == nil {
+		x.restoreClaims(ctx)
 		return
 	}
 	x.pollEngine(ctx)
--- a/executor/fixture_test.go
+++ b/executor/fixture_test.go
@@ -14,6 +14,7 @@
 	"oleanderstall/member"
 	"oleanderstall/meter"
 	"oleanderstall/recorder"
+	"oleanderstall/restorer"
 	"oleanderstall/service"
 	"oleanderstall/storer"
 	"oleanderstall/syncer"
@@ -226,3 +227,9 @@
 	}
 	return versions, err
 }
+
+// useTable makes a sidecar use another table. It is called before the first request.
+func (x *Executor) useTable(table storer.Table) {
+	x.table = table
+	x.claims = restorer.New(x.member.Self().Name, table, x.clock, x.log)
+}
--- a/executor/once_test.go
+++ b/executor/once_test.go
@@ -122,7 +122,7 @@
 func TestOncePausedBeforeSend(t *testing.T) {
 	f, o := newFixture(t), newOrderService()
 	x := f.sidecar("a", nil, o)
-	x.table = &hookedTable{Platform: f.platform, afterCommit: func() { f.clock.Advance(10 * time.Second) }}
+	x.useTable(&hookedTable{Platform: f.platform, afterCommit: func() { f.clock.Advance(10 * time.Second) }})
 	_, err := x.invoke(context.Background(), invocation("500 maps", "key"))
 	assert.Assert(t, refuser.Is(err, refuser.DeadlineExceeded))
 	assert.Assert(t, refuser.FromError(err).NeverRan())
@@ -172,10 +172,10 @@
 func TestKeyWithdrawnBeforeSend(t *testing.T) {
 	f, o := newFixture(t), newOrderService()
 	x := f.sidecar("a", nil, o)
-	x.table = &hookedTable{Platform: f.platform, afterCommit: func() {
+	x.useTable(&hookedTable{Platform: f.platform, afterCommit: func() {
 		f.publish(&wire.Change{Drops: []string{"key/k"}})
 		f.member.Poll(context.Background())
-	}}
+	}})
 	_, err := x.invoke(context.Background(), invocation("500 maps", "key"))
 	assert.Assert(t, refuser.Is(err, refuser.Unauthorized))
 	assert.Assert(t, refuser.FromError(err).NeverRan())
--- a/storer/keys.go
+++ b/storer/keys.go
@@ -20,6 +20,9 @@
 	changePrefix = "change/"
 	planPrefix   = "plan/"
 	claimPrefix  = "claim/"
+	// restoredPrefix and settledPrefix begin the keys that RestoredKey and SettledKey return.
+	restoredPrefix = "restored/"
+	settledPrefix  = "settled/"
 	// FleetTable has the rows by which the processes of a fleet find each other if their
 	// settings do not list them: one for each process, one for each engine that a process
 	// sends orders to, and the fleet's secret.
@@ -75,6 +78,17 @@
 	return fmt.Sprintf("%s%s/%s/%s", claimPrefix, workspace, route, key)
 }
 
+// RestoredKey returns the key of the row by which a process confirms that it has written its
+// claims again in an era of the store.
+func RestoredKey(era uint64, name string) string { return RestoredPrefix(era) + name }
+
+// RestoredPrefix returns the prefix of the keys that RestoredKey returns for an era.
+func RestoredPrefix(era uint64) string { return fmt.Sprintf("%s%04d/", restoredPrefix, era) }
+
+// SettledKey returns the key of the row that states that all claims have been written again in
+// an era of the store.
+func SettledKey(era uint64) string { return fmt.Sprintf("%s%04d", settledPrefix, era) }
+
 // SnapshotName returns the name of the object with the whole configuration at the given
 // version.
 func SnapshotName(version uint64) string { return fmt.Sprintf("snapshot/%020d", version) }
