runner: a taken peer port is tried again

Cause: join tried once to open the peer port.

Ruled out: ending the process, since the port is usually freed within seconds and a supervisor would only do the same in a slower loop. Processes of the native API open the port before anything else and end with an error as before.

Change: opening the port is retried like the other steps of joining, with a warning for each failure.

Run: TestPeerPortTaken, failed before (never ready); go test -race ./runner -run 'TestPeerPortTaken|TestHostedStop' passed.

--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -161,8 +161,8 @@
 func (h *hostedProcess) Reload(s *checker.Settings) { h.settings.Store(s) }
 
 // join waits for the first complete read of the fleet's rows, gets the fleet's secret
-// and opens the peer listener. It returns this process as it is to be listed, or an error
-// if ctx ends or if the identity or the listener cannot be created.
+// and opens the peer listener, with retries. It returns this process as it is to be listed, or an
+// error if ctx ends or if the identity cannot be created.
 func (h *hostedProcess) join(ctx context.Context) (storer.Instance, error) {
 	select {
 	case <-h.fleet.Synced():
@@ -184,7 +184,15 @@
 	if err != nil {
 		return storer.Instance{}, err
 	}
-	if h.node, err = peer.New(s.PeerAddress, identity); err != nil {
+	// The port may be taken for as long as a predecessor drains.
+	err = retryUntilSuccess(ctx, h.log, "opening the peer port", func(context.Context) (err error) {
+		node, err := peer.New(s.PeerAddress, identity)
+		if err == nil {
+			h.node = node
+		}
+		return err
+	})
+	if err != nil {
 		return storer.Instance{}, err
 	}
 	h.tasks.run(func(ctx context.Context) { h.node.Serve(ctx, h.handle) })
--- a/runner/hosted_test.go
+++ b/runner/hosted_test.go
@@ -385,3 +385,22 @@
 	assert.NilError(t, err)
 	f.waitFor("configuration", func() bool { return f.entries[0].config.View().Version() == version })
 }
+
+// TestPeerPortTaken guards against a process that never becomes ready and never ends because its
+// peer port was taken at its start, as by a predecessor that still drains.
+func TestPeerPortTaken(t *testing.T) {
+	f := newHostedFleet(t, smallSite())
+	taken, err := net.ListenPacket("udp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = taken.Close() }()
+	s := f.settings("entry", "late")
+	s.PeerAddress = taken.LocalAddr().String()
+	s.Entry = &checker.Entry{CallerAddress: "127.0.0.1:0"}
+	e, err := StartHostedEntry(s, errorLogger(s.Name))
+	assert.NilError(t, err)
+	t.Cleanup(e.Stop)
+	time.Sleep(500 * time.Millisecond)
+	assert.Assert(t, !e.isReady())
+	assert.NilError(t, taken.Close())
+	f.waitFor("ready", e.isReady)
+}
