dispatcher: entries remember keyed calls whose sidecar has ended

Cause: claims that the store lost were written again by the sidecar that made the call. If that sidecar was killed, nobody knew of the call, and a repetition with its key ran it a second time.

Ruled out: waiting longer, since a sidecar that has ended never writes its claims; a second row for each call, which the store loses as well.

Change: an entry remembers each call with an idempotency key that it sent, unless it was certainly not made, and writes a claim without a token in a new era if the sidecar's is not there. A sidecar replaces it by its own. Of the calls before the copy it reads only those of 5 s. A call that was refused since its key cannot be decided has a kind of its own (undecided, 504): it was not made, so that the entry does not remember it. Without that, a new key that was first sent in such a moment could never be used.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -1,6 +1,7 @@
 // Package claimer remembers the claims of calls with an idempotency key that a process made, so
 // that it can write them again after the store has lost their rows, and decides when all
-// processes have done so.
+// processes have done so. A sidecar remembers the claims that it wrote. An entry remembers the
+// calls that it sent, in case their sidecar has ended by then; a claim of an entry has no token.
 //
 // A store that comes back from an earlier copy of itself begins a new era and has lost the rows
 // written since the copy. That a key has no row then does not show that its call has not run.
@@ -8,6 +9,7 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"slices"
 	"time"
 
@@ -25,6 +27,8 @@
 	maxClaims = 50_000
 	// maxAnswerBytes bounds the stored answers. Of the calls beyond, it is known that they ran.
 	maxAnswerBytes = 8 << 20
+	// MaxAnswer is the largest body of an answer that is stored with a claim, in bytes.
+	MaxAnswer = 64 << 10
 	// pruneInterval is the shortest time between two searches for claims to forget.
 	pruneInterval = time.Second
 )
@@ -39,12 +43,25 @@
 	Released bool
 	// Uncertain is set if a write of the row since Version may have taken effect.
 	Uncertain bool
+	// At is the instant at which it was remembered.
+	At time.Duration
+}
+
+// Digest returns a hash of the path, query and body of a call. It shows whether an idempotency
+// key is used again for a different request.
+func Digest(path, query string, body []byte) []byte {
+	hash := sha256.New()
+	hash.Write([]byte(path))
+	hash.Write([]byte{0})
+	hash.Write([]byte(query))
+	hash.Write([]byte{0})
+	hash.Write(body)
+	return hash.Sum(nil)
 }
 
 // entry is a claim in the memory.
 type entry struct {
 	Claim
-	at      time.Duration
 	running bool
 }
 
@@ -63,7 +80,7 @@
 // Add remembers a claim, whose call runs from now on, with the version of its row.
 func (m *Memory) Add(now time.Duration, key string, record *wire.Claim, version uint64) {
 	m.prune(now)
-	e := &entry{Claim: Claim{Key: key, Record: record, Version: version}, at: now, running: true}
+	e := &entry{Claim: Claim{Key: key, Record: record, Version: version, At: now}, running: true}
 	m.entries = append(m.entries, e)
 	m.latest[key] = e
 }
@@ -111,6 +128,19 @@
 	}
 }
 
+// Forget forgets a claim, as if there had been none.
+func (m *Memory) Forget(key, token string) {
+	e := m.find(key, token)
+	if e == nil {
+		return
+	}
+	m.dropAnswer(e)
+	m.entries = slices.DeleteFunc(m.entries, func(other *entry) bool { return other == e })
+	if m.latest[key] == e {
+		delete(m.latest, key)
+	}
+}
+
 // SetVersion records the version of the row of a claim.
 func (m *Memory) SetVersion(key, token string, version uint64) {
 	if e := m.find(key, token); e != nil {
@@ -126,10 +156,11 @@
 }
 
 // Lost returns the claims whose rows are of an era before the given one, so that the store may
-// have lost what was written last. The latest rows come first.
+// have lost what was written last. The latest rows come first, and of those with the same version
+// the latest claims.
 func (m *Memory) Lost(era uint64) []Claim {
 	var lost []Claim
-	for _, e := range m.entries {
+	for _, e := range slices.Backward(m.entries) {
 		if storer.Era(e.Version) < era {
 			lost = append(lost, e.Claim)
 		}
@@ -164,7 +195,7 @@
 	excess := len(m.entries) - maxClaims
 	m.entries = slices.DeleteFunc(m.entries, func(e *entry) bool {
 		excess--
-		if e.running || excess < 0 && now-e.at <= memoryTime {
+		if e.running || excess < 0 && now-e.At <= memoryTime {
 			return false
 		}
 		m.dropAnswer(e)
--- a/cmd/oleanderstall/order_test.go
+++ b/cmd/oleanderstall/order_test.go
@@ -1,9 +1,13 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -85,3 +89,54 @@
 	})
 	assert.Equal(t, c.orderCounts().Runs["500 maps"], 1)
 }
+
+// restoreTable makes the platform's table come back from a copy of that age.
+func (c *cluster) restoreTable(age time.Duration) {
+	c.t.Helper()
+	body := fmt.Sprintf(`{"ago": %d}`, age.Milliseconds())
+	res, err := http.Post(c.url(c.platform)+"/restore", "application/json", strings.NewReader(body))
+	assert.NilError(c.t, err)
+	assert.NilError(c.t, res.Body.Close())
+}
+
+// TestOrderAfterRestore guards against an order that runs twice because the platform's table came
+// back from a copy without its claim, while the entry or the sidecar that knows of the order is
+// killed. Until the answer is known, its repetitions learn that it may have run.
+func TestOrderAfterRestore(t *testing.T) {
+	const copyAge, observed = 3 * time.Second, 10 * time.Second
+	for _, tt := range []struct {
+		name     string
+		kill     func(c *cluster)
+		answered bool
+	}{
+		{name: "entry killed", kill: func(c *cluster) { c.entries[0].signal(syscall.SIGKILL) }, answered: true},
+		{name: "sidecars killed", kill: func(c *cluster) {
+			for name, p := range c.sidecars {
+				p.signal(syscall.SIGKILL)
+				c.startSidecar(name, "service", "orders")
+			}
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c, key := startOrderCluster(t)
+			time.Sleep(copyAge + time.Second)
+			res := c.placeOrder(c.entries[0], key, "500 maps", "k1")
+			tt.kill(c)
+			<-res
+			c.restoreTable(copyAge)
+			var statuses []int
+			for started := time.Now(); time.Since(started) < observed; time.Sleep(300 * time.Millisecond) {
+				again := c.send(c.entries[1], key, "/orders", "500 maps", "Idempotency-Key", "k1", "X-Deadline-Ms", "1000")
+				statuses = append(statuses, again.status)
+				assert.Equal(t, c.orderCounts().Runs["500 maps"], 1)
+			}
+			assert.Assert(t, slices.Contains(statuses, http.StatusGatewayTimeout) || tt.answered, "%v", statuses)
+			assert.Equal(t, slices.Contains(statuses, http.StatusCreated), tt.answered, "%v", statuses)
+			c.eventually("another order is placed", func() bool {
+				return c.send(c.entries[1], key, "/orders", "100 maps", "Idempotency-Key", "k2").status == http.StatusCreated
+			})
+			assert.Equal(t, c.orderCounts().Runs["100 maps"], 1)
+		})
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -21,6 +21,7 @@
 	"oleanderstall/quarantiner"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
+	"oleanderstall/restorer"
 	"oleanderstall/router"
 	"oleanderstall/storer"
 	"oleanderstall/timer"
@@ -45,11 +46,13 @@
 
 // Dispatcher serves the requests of one entry. It is safe for concurrent use.
 type Dispatcher struct {
-	shards   uint32
-	clock    timer.Clock
-	caller   peer.Caller
-	member   *member.Member
-	holder   *holder.Holder
+	shards uint32
+	clock  timer.Clock
+	caller peer.Caller
+	member *member.Member
+	holder *holder.Holder
+	// claims are the calls that sidecars claim by an idempotency key.
+	claims   *restorer.Restorer
 	recorder *recorder.Recorder
 	meter    *meter.Meter
 	log      *log.Logger
@@ -86,13 +89,14 @@
 }
 
 // New returns a dispatcher with no replicas cached.
-func New(shards uint32, clock timer.Clock, caller peer.Caller, m *member.Member, h *holder.Holder, r *recorder.Recorder, mt *meter.Meter, l *log.Logger) *Dispatcher {
+func New(shards uint32, clock timer.Clock, caller peer.Caller, m *member.Member, h *holder.Holder, claims *restorer.Restorer, r *recorder.Recorder, mt *meter.Meter, l *log.Logger) *Dispatcher {
 	d := &Dispatcher{
 		shards:         shards,
 		clock:          clock,
 		caller:         caller,
 		member:         m,
 		holder:         h,
+		claims:         claims,
 		recorder:       r,
 		meter:          mt,
 		log:            l,
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -18,6 +18,7 @@
 	"oleanderstall/peer"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
+	"oleanderstall/restorer"
 	"oleanderstall/storer"
 	"oleanderstall/syncer"
 	"oleanderstall/wire"
@@ -62,6 +63,7 @@
 	platform   *faker.Platform
 	network    *faker.Network
 	dispatcher *Dispatcher
+	claims     *restorer.Restorer
 	syncer     *syncer.Syncer
 	view       *configurer.View
 }
@@ -89,7 +91,8 @@
 	h := holder.New(holder.Options{Shards: 1, Lease: 6 * time.Second}, fx.clock.Now, fx.network, fx.platform, m, rec, mt, logger)
 	h.Tick(context.Background())
 	fx.clock.Advance(time.Second)
-	fx.dispatcher = New(1, fx.clock.Now, fx.network, m, h, rec, mt, logger)
+	fx.claims = restorer.New("", fx.platform, fx.clock.Now, logger)
+	fx.dispatcher = New(1, fx.clock.Now, fx.network, m, h, fx.claims, rec, mt, logger)
 	fx.view, fx.syncer = c.View(), s
 	return fx
 }
@@ -379,3 +382,39 @@
 		assert.Assert(t, !refuser.FromError(err).NeverRan())
 	})
 }
+
+// TestKeyedCallIsRemembered guards against a call that runs twice because its sidecar has ended and the
+// store has lost its claim: the entry remembers each call with an idempotency key that may have run.
+func TestKeyedCallIsRemembered(t *testing.T) {
+	ok := sendReplies(&wire.Reply{Body: &wire.Reply_Answer{Answer: &wire.Answer{Id: "o1", Status: 201}}})
+	refused := sendReplies(refuser.New(refuser.Busy, "full").Reply())
+	undecided := sendReplies(refuser.MayHaveRun(refuser.Undecided, "the claims may be missing").Reply())
+	for _, c := range []struct {
+		name       string
+		scripts    []func(*wire.Call, peer.Stream)
+		idempotent bool
+		claimed    bool
+		answered   bool
+	}{
+		{name: "stream lost", scripts: []func(*wire.Call, peer.Stream){sendReplies()}, claimed: true},
+		{name: "answered", scripts: []func(*wire.Call, peer.Stream){ok}, claimed: true, answered: true},
+		{name: "never ran", scripts: []func(*wire.Call, peer.Stream){refused}},
+		{name: "undecided", scripts: []func(*wire.Call, peer.Stream){undecided}},
+		{name: "answered after a refusal", scripts: []func(*wire.Call, peer.Stream){refused, ok}, claimed: true, answered: true},
+		{name: "idempotent", scripts: []func(*wire.Call, peer.Stream){ok}, idempotent: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := &scriptedSidecar{scripts: c.scripts}
+			fx := newFixture(t, "orders", 1, map[string]*scriptedSidecar{"a": f, "b": f})
+			order := newOrder("o1", c.idempotent)
+			order.IdempotencyKey, order.Body = "key", []byte("500 maps")
+			_, _ = fx.dispatcher.Invoke(t.Context(), order)
+			fx.platform.Restore(fx.platform.Copy())
+			assert.NilError(t, fx.claims.Sweep(t.Context()))
+			claim, version, err := fx.claims.Read(t.Context(), storer.ClaimKey("w", "reserve", "key"))
+			assert.NilError(t, err)
+			assert.Equal(t, version != 0, c.claimed)
+			assert.Equal(t, claim.GetAnswer() != nil, c.answered)
+		})
+	}
+}
--- a/dispatcher/quarantine_test.go
+++ b/dispatcher/quarantine_test.go
@@ -19,6 +19,7 @@
 	"oleanderstall/quarantiner"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
+	"oleanderstall/restorer"
 	"oleanderstall/storer"
 	"oleanderstall/syncer"
 	"oleanderstall/wire"
@@ -186,7 +187,7 @@
 	m.Poll(context.Background())
 	rec, mt := recorder.New(in.Name, 64), meter.New()
 	h := holder.New(holder.Options{Shards: 1, Lease: 6 * time.Second}, sf.clock.Now, sf.network, platform, m, rec, mt, logger)
-	d := New(1, sf.clock.Now, sf.network, m, h, rec, mt, logger)
+	d := New(1, sf.clock.Now, sf.network, m, h, restorer.New("", platform, sf.clock.Now, logger), rec, mt, logger)
 	sf.network.Attach(in.Address, func(_ context.Context, call *wire.Call, s peer.Stream) {
 		_ = s.Send(&wire.Reply{Body: &wire.Reply_Crashes{Crashes: d.ReceiveCrashes(call.GetCrashes())}})
 	})
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"oleanderstall/assembler"
+	"oleanderstall/claimer"
 	"oleanderstall/peer"
 	"oleanderstall/refuser"
 	"oleanderstall/router"
+	"oleanderstall/storer"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -99,8 +101,28 @@
 // maxStatus is the highest status that an HTTP answer can have.
 const maxStatus = 999
 
-// sendService sends a call to the sidecar of a plain service.
+// sendService sends a call to the sidecar of a plain service. A call that the sidecar claims by its
+// idempotency key is remembered unless it was certainly not made.
 func (d *Dispatcher) sendService(ctx context.Context, reservation *Reservation, r *Request, call *ServiceCall) (Answer, error) {
+	if call.Route.GetIdempotent() || call.IdempotencyKey == "" {
+		return d.callSidecar(ctx, reservation, r, call)
+	}
+	key := storer.ClaimKey(r.Workspace, r.Route, call.IdempotencyKey)
+	expected := d.claims.Expect(key, claimer.Digest(call.Path, call.Query, call.Body))
+	answer, err := d.callSidecar(ctx, reservation, r, call)
+	switch {
+	case err == nil:
+		d.claims.Answered(key, answer.answer)
+	case !refuser.FromError(err).NeverRan() && !refuser.Is(err, refuser.Undecided):
+		d.claims.Answered(key, nil)
+	case expected:
+		d.claims.NeverRan(key)
+	}
+	return answer, err
+}
+
+// callSidecar sends a call to the sidecar of a plain service and returns its answer.
+func (d *Dispatcher) callSidecar(ctx context.Context, reservation *Reservation, r *Request, call *ServiceCall) (serviceAnswer, error) {
 	reply, err := peer.Call(ctx, d.caller, reservation.Address, &wire.Call{Body: &wire.Call_Invoke{Invoke: &wire.Invoke{
 		Id:        call.ID,
 		Workspace: r.Workspace,
@@ -115,11 +137,11 @@
 		Once:      call.IdempotencyKey,
 	}}})
 	if err != nil {
-		return nil, sidecarRefusal(err)
+		return serviceAnswer{}, sidecarRefusal(err)
 	}
 	answer := reply.GetAnswer()
 	if answer == nil || answer.GetId() != call.ID || answer.GetStatus() < http.StatusOK || answer.GetStatus() > maxStatus {
-		return nil, refuser.MayHaveRun(refuser.ConnectionLost, "the answer to another call arrived, or none")
+		return serviceAnswer{}, refuser.MayHaveRun(refuser.ConnectionLost, "the answer to another call arrived, or none")
 	}
 	return serviceAnswer{answer: answer}, nil
 }
--- a/executor/claims.go
+++ b/executor/claims.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"crypto/rand"
-	"crypto/sha256"
 	"errors"
 	"time"
 
+	"oleanderstall/claimer"
 	"oleanderstall/refuser"
 	"oleanderstall/storer"
 	"oleanderstall/wire"
@@ -19,9 +19,6 @@
 	// claimPollInterval is the time between two reads of a claim that belongs to
 	// another request.
 	claimPollInterval = 100 * time.Millisecond
-	// maxStoredAnswer is the largest body of an answer that is stored with a claim,
-	// in bytes.
-	maxStoredAnswer = 64 << 10
 	// restoreTimeout limits the time for writing lost claims again. The next sweep goes on.
 	restoreTimeout = 5 * time.Second
 )
@@ -48,16 +45,9 @@
 	return answer, err
 }
 
-// requestDigest returns a hash of the path, query and body of a call. It shows
-// whether an idempotency key is used again for a different request.
+// requestDigest returns a hash of the path, query and body of a call.
 func requestDigest(req *wire.Invoke) []byte {
-	hash := sha256.New()
-	hash.Write([]byte(req.GetPath()))
-	hash.Write([]byte{0})
-	hash.Write([]byte(req.GetQuery()))
-	hash.Write([]byte{0})
-	hash.Write(req.GetBody())
-	return hash.Sum(nil)
+	return claimer.Digest(req.GetPath(), req.GetQuery(), req.GetBody())
 }
 
 // claim writes the claim of a key. It returns false if another request has claimed the key. In an
@@ -110,7 +100,7 @@
 // undecided returns the refusal of a call whose key may have been claimed before the store lost
 // claims. It is not made, but an earlier call with its key may have been.
 func undecided(wait time.Duration) error {
-	return refuser.MayHaveRun(refuser.DeadlineExceeded, "the platform came back from a copy, and it is not known yet whether an earlier request with this key ran").
+	return refuser.MayHaveRun(refuser.Undecided, "the platform came back from a copy, and it is not known yet whether an earlier request with this key ran").
 		WithRetryAfter(wait)
 }
 
@@ -162,7 +152,7 @@
 		x.releaseClaim(key, claim)
 		return
 	}
-	if err != nil || len(answer.GetBody()) > maxStoredAnswer {
+	if err != nil || len(answer.GetBody()) > claimer.MaxAnswer {
 		answer = nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
--- a/executor/restored_test.go
+++ b/executor/restored_test.go
@@ -47,7 +47,7 @@
 	f.t.Helper()
 	_, err := f.place(x)
 	assert.Assert(f.t, err != nil)
-	assert.Assert(f.t, refuser.Is(err, refuser.DeadlineExceeded), "%v", err)
+	assert.Assert(f.t, refuser.Is(err, refuser.Undecided), "%v", err)
 	assert.Assert(f.t, !refuser.FromError(err).NeverRan())
 	assert.Assert(f.t, refuser.FromError(err).RetryAfter() > 0)
 }
@@ -139,7 +139,7 @@
 	x := f.sidecar("a", nil, f.o)
 	x.useTable(&restoringTable{Platform: f.platform})
 	_, err := x.invoke(t.Context(), invocation("500 maps", "key"))
-	assert.Assert(t, refuser.Is(err, refuser.DeadlineExceeded), "%v", err)
+	assert.Assert(t, refuser.Is(err, refuser.Undecided), "%v", err)
 	assert.Assert(t, !refuser.FromError(err).NeverRan())
 	assert.Equal(t, f.o.count("500 maps"), 0)
 	f.pass(settleTime, x, f.b)
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -44,6 +44,9 @@
 	// BackendLimited is the kind for a backend server that has named a limit and takes no request
 	// now.
 	BackendLimited // backend_limited
+	// Undecided is the kind for a call that was not made, because it is not known whether an earlier
+	// call with its idempotency key was.
+	Undecided // undecided
 )
 
 var httpStatuses = map[Kind]int{
@@ -66,6 +69,7 @@
 	Quarantined:         http.StatusServiceUnavailable,
 	BackendSilent:       http.StatusGatewayTimeout,
 	BackendLimited:      http.StatusServiceUnavailable,
+	Undecided:           http.StatusGatewayTimeout,
 }
 
 // HTTPStatus returns the HTTP status code of a refusal of kind k.
--- a/restorer/restorer.go
+++ b/restorer/restorer.go
@@ -19,7 +19,8 @@
 
 // Restorer holds the claims of one process. It is safe for concurrent use.
 type Restorer struct {
-	// name is that of the process, by which it confirms that its claims are written.
+	// name is that of the process, by which it confirms that its claims are written, or empty if it
+	// does not confirm that.
 	name  string
 	table storer.Table
 	clock timer.Clock
@@ -37,7 +38,8 @@
 	confirmed uint64
 }
 
-// New returns the restorer of the process with the given name.
+// New returns the restorer of a process. Others wait until a process with a name has confirmed that
+// its claims are written; the name is empty for an entry.
 func New(name string, table storer.Table, clock timer.Clock, l *log.Logger) *Restorer {
 	return &Restorer{name: name, table: table, clock: clock, log: l, memory: claimer.NewMemory()}
 }
@@ -91,6 +93,36 @@
 	return claim, row.Version, storer.Decode(row.Value, claim)
 }
 
+// Expect remembers that the call with a key, which may have any outcome, is being sent to a sidecar,
+// and reports whether that was not known. The sidecar writes its claim.
+func (r *Restorer) Expect(key string, digest []byte) bool {
+	era := max(r.table.Era(), storer.FirstEra)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.memory.Find(key); ok {
+		return false
+	}
+	r.memory.Add(r.clock(), key, &wire.Claim{Digest: digest}, storer.NewVersion(era, 1))
+	return true
+}
+
+// Answered records the answer to a call that was expected, or nil if its outcome is not known.
+func (r *Restorer) Answered(key string, answer *wire.Answer) {
+	if answer != nil && len(answer.GetBody()) > claimer.MaxAnswer {
+		answer = nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.memory.Finish(key, "", answer)
+}
+
+// NeverRan records that a call that was expected never ran.
+func (r *Restorer) NeverRan(key string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.memory.Forget(key, "")
+}
+
 // Find returns the claim of this process for a key, unless its call never ran.
 func (r *Restorer) Find(key string) (claimer.Claim, bool) {
 	r.mu.Lock()
@@ -180,8 +212,8 @@
 }
 
 // compare reads the row of a claim and writes what is known of the claim unless the row holds
-// that already, which it reports, or the answer to another call. A claim without a token is that of
-// an entry, which knows only that the call may have run: any other row stands.
+// that already, which it reports, or the answer to another call. Rows of sidecars stand above those
+// of entries, which have no token.
 func (r *Restorer) compare(ctx context.Context, c claimer.Claim) (unchanged bool, err error) {
 	row, err := r.table.Get(ctx, c.Key)
 	if err != nil {
@@ -194,10 +226,13 @@
 	case c.Released && (row.Version == 0 || !same):
 		r.setVersion(c, storer.NewVersion(r.table.Era(), storer.Number(c.Version)))
 		return false, nil
-	case same && !c.Released && (stored.GetDone() || !c.Record.GetDone()):
+	case row.Version != 0 && same && !c.Released && (stored.GetDone() || !c.Record.GetDone()):
+		r.setVersion(c, row.Version)
+		return c.Record.GetToken() != "", nil
+	case row.Version != 0 && c.Record.GetToken() == "" && stored.GetToken() != "":
 		r.setVersion(c, row.Version)
 		return true, nil
-	case row.Version != 0 && c.Record.GetToken() == "":
+	case row.Version != 0 && !same && stored.GetDone() && stored.GetToken() == "":
 		r.setVersion(c, row.Version)
 		return false, nil
 	case row.Version != 0 && !same && stored.GetDone():
@@ -208,6 +243,32 @@
 	return false, r.commit(ctx, c, row.Version)
 }
 
+// Times of Run.
+const (
+	// sweepInterval is the time between two sweeps.
+	sweepInterval = time.Second
+	// sweepTimeout bounds a sweep. The next one goes on with the claims that are left.
+	sweepTimeout = 5 * time.Second
+)
+
+// Run sweeps every sweepInterval until ctx ends.
+func (r *Restorer) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		limited, cancel := context.WithTimeout(ctx, sweepTimeout)
+		if err := r.Sweep(limited); err != nil && ctx.Err() == nil {
+			r.log.Warn().Err(err).Msg("claim: not written again")
+		}
+		cancel()
+	}
+}
+
 // Sweep writes the claims again that the store may have lost, and confirms that.
 func (r *Restorer) Sweep(ctx context.Context) error {
 	r.sweeping.Lock()
@@ -219,12 +280,12 @@
 	r.mu.Lock()
 	confirmed := r.confirmed
 	r.mu.Unlock()
-	if confirmed < era {
+	if r.name != "" && confirmed < era {
 		// Claims that are written from here on are of this era or a later one.
 		r.claiming.Lock()
 		r.claiming.Unlock()
 	}
-	if err := r.restore(ctx, era); err != nil || confirmed >= era {
+	if err := r.restore(ctx, era); err != nil || r.name == "" || confirmed >= era {
 		return err
 	}
 	return r.confirm(ctx, era)
@@ -253,16 +314,52 @@
 	return era
 }
 
-// restore writes the claims again whose rows are of earlier eras. The copy from which the store
-// came back holds all rows up to some version: once one is found unchanged, so are those with
-// lower versions of the same era. A row that a later write may have changed shows nothing.
+// maxClaimDelay is the longest time from the sending of a call by an entry until its sidecar has
+// claimed the key, with a margin for its way.
+const maxClaimDelay = 5 * time.Second
+
+// evidence is what is known of the copy from which the store came back: it holds all rows up to some
+// version.
+type evidence struct {
+	// era is that of the rows that were found unchanged, or 0. Rows of sidecars with lower versions
+	// of that era are unchanged too.
+	era uint64
+	// sentBy is the instant up to which the claims of the calls that this entry sent are there.
+	sentBy time.Duration
+}
+
+// covers reports whether the row of a claim is certainly unchanged. A row that a later write may
+// have changed shows nothing.
+func (v *evidence) covers(c claimer.Claim) bool {
+	if c.Released || c.Uncertain {
+		return false
+	}
+	if c.Record.GetToken() == "" {
+		return c.At <= v.sentBy
+	}
+	return storer.Era(c.Version) == v.era
+}
+
+// add adds that the row of a claim was found unchanged.
+func (v *evidence) add(c claimer.Claim) {
+	switch {
+	case c.Uncertain:
+	case c.Record.GetToken() == "":
+		v.sentBy = max(v.sentBy, c.At-maxClaimDelay)
+	default:
+		v.era = storer.Era(c.Version)
+	}
+}
+
+// restore writes the claims again whose rows are of earlier eras and may be lost.
 func (r *Restorer) restore(ctx context.Context, era uint64) error {
 	r.mu.Lock()
 	lost := r.memory.Lost(era)
 	r.mu.Unlock()
-	written, complete := 0, uint64(0)
+	written := 0
+	var known evidence
 	for _, c := range lost {
-		if storer.Era(c.Version) == complete && !c.Released && !c.Uncertain {
+		if known.covers(c) {
 			r.setVersion(c, storer.NewVersion(era, storer.Number(c.Version)))
 			continue
 		}
@@ -270,10 +367,9 @@
 		if err != nil {
 			return err
 		}
-		if unchanged && !c.Uncertain {
-			complete = storer.Era(c.Version)
-		}
-		if !unchanged {
+		if unchanged {
+			known.add(c)
+		} else {
 			written++
 		}
 	}
--- a/restorer/restorer_test.go
+++ b/restorer/restorer_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"oleanderstall/claimer"
 	"oleanderstall/faker"
 	"oleanderstall/storer"
 	"oleanderstall/wire"
@@ -19,6 +22,13 @@
 	clock        *faker.Clock
 	restorer     *Restorer
 	beforeCommit func()
+	reads        atomic.Int64
+}
+
+// Get implements storer.Table.
+func (f *fixture) Get(ctx context.Context, key string) (storer.Row, error) {
+	f.reads.Add(1)
+	return f.Platform.Get(ctx, key)
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -87,11 +97,12 @@
 // sidecar whose answer is not stored because an entry has written the claim again first.
 func TestClaimOfEntry(t *testing.T) {
 	f := newFixture(t)
-	entry := New("entry", f, f.clock.Now, faker.DiscardLogger())
+	entry := New("", f, f.clock.Now, faker.DiscardLogger())
 	backup := f.Copy()
+	assert.Assert(t, entry.Expect("k", nil))
 	f.claim("k", "t")
+	entry.Answered("k", nil)
 	assert.NilError(t, f.restorer.Finish(t.Context(), "k", "t", &wire.Answer{Status: 201}))
-	entry.remember("k", &wire.Claim{}, 1)
 	for _, order := range [][]*Restorer{{entry, f.restorer}, {f.restorer, entry}} {
 		f.Restore(backup)
 		for _, r := range order {
@@ -135,3 +146,61 @@
 	assert.NilError(t, err)
 	assert.Equal(t, wait, time.Duration(0))
 }
+
+// TestCallOfEndedSidecar guards against a call that runs twice because its sidecar ended before the
+// store came back without the claim: the entry that sent the call writes what it knows.
+func TestCallOfEndedSidecar(t *testing.T) {
+	f := newFixture(t)
+	entry := New("", f, f.clock.Now, faker.DiscardLogger())
+	backup := f.Copy()
+	assert.Assert(t, entry.Expect("lost", []byte("d")))
+	entry.Answered("lost", nil)
+	assert.Assert(t, entry.Expect("answered", nil))
+	assert.Assert(t, !entry.Expect("answered", nil))
+	entry.Answered("answered", &wire.Answer{Status: 201})
+	assert.Assert(t, entry.Expect("large", nil))
+	entry.Answered("large", &wire.Answer{Body: make([]byte, claimer.MaxAnswer+1)})
+	assert.Assert(t, entry.Expect("never", nil))
+	entry.NeverRan("never")
+	for range 2 {
+		f.Restore(backup)
+		assert.NilError(t, entry.Sweep(t.Context()))
+		assert.Equal(t, string(f.row("lost").GetDigest()), "d")
+		assert.Assert(t, !f.row("lost").GetDone())
+		assert.Equal(t, f.row("answered").GetAnswer().GetStatus(), uint32(201))
+		assert.Assert(t, f.row("large") != nil && !f.row("large").GetDone())
+		assert.Assert(t, f.row("never") == nil)
+	}
+	rows, err := f.List(t.Context(), storer.RestoredPrefix(f.Era()))
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 0)
+}
+
+// TestEntryReadsFewRows guards against an entry that reads a row for each call of the last minutes
+// after a restore, and against one that reads too few and misses a lost claim: calls of the seconds
+// before the copy may be claimed in any order.
+func TestEntryReadsFewRows(t *testing.T) {
+	f := newFixture(t)
+	entry := New("", f, f.clock.Now, faker.DiscardLogger())
+	var backup faker.TableCopy
+	const calls, delay = 100, 3
+	for i := range calls {
+		key := strconv.Itoa(i)
+		assert.Assert(t, entry.Expect(key, nil))
+		entry.Answered(key, nil)
+		if i >= delay {
+			f.claim(strconv.Itoa(i-delay), "t")
+		}
+		if i == calls/2 {
+			backup = f.Copy()
+		}
+		f.clock.Advance(time.Second)
+	}
+	f.Restore(backup)
+	f.reads.Store(0)
+	assert.NilError(t, entry.Sweep(t.Context()))
+	assert.Assert(t, f.reads.Load() < calls*3/4, "%d reads", f.reads.Load())
+	for i := range calls {
+		assert.Assert(t, f.row(strconv.Itoa(i)) != nil, i)
+	}
+}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -19,6 +19,7 @@
 	"oleanderstall/peer"
 	"oleanderstall/placer"
 	"oleanderstall/refuser"
+	"oleanderstall/restorer"
 	"oleanderstall/storer"
 	"oleanderstall/wire"
 )
@@ -28,9 +29,11 @@
 	*process
 	holder     *holder.Holder
 	dispatcher *dispatcher.Dispatcher
-	callers    *httpServer
-	operators  *httpServer
-	tasks      *taskGroup
+	// claims are the calls that sidecars claim by an idempotency key.
+	claims    *restorer.Restorer
+	callers   *httpServer
+	operators *httpServer
+	tasks     *taskGroup
 }
 
 // StartEntry starts an entry. It returns once all listeners are open.
@@ -42,7 +45,8 @@
 	e := &Entry{process: p, tasks: newTaskGroup()}
 	options := holder.Options{Shards: s.ShardCount, Lease: time.Duration(s.ShardLease)}
 	e.holder = holder.New(options, p.clock, p.node, p.platform, p.member, p.recorder, p.meter, l)
-	e.dispatcher = dispatcher.New(s.ShardCount, p.clock, p.node, p.member, e.holder, p.recorder, p.meter, l)
+	e.claims = restorer.New("", p.platform, p.clock, l)
+	e.dispatcher = dispatcher.New(s.ShardCount, p.clock, p.node, p.member, e.holder, e.claims, p.recorder, p.meter, l)
 	if err := e.listen(); err != nil {
 		p.node.Close()
 		return nil, err
@@ -52,6 +56,7 @@
 	e.tasks.run(p.member.Run)
 	e.tasks.run(e.holder.Run)
 	e.tasks.run(e.dispatcher.ShareCrashes)
+	e.tasks.run(e.claims.Run)
 	e.tasks.run(p.reportConfigVersion)
 	p.ready.Store(true)
 	return e, nil
