orderer: one ledger for all loads of an engine

Cause: planAdapters counted adapter slots only.

Ruled out: the sizes of adapters are in the configuration (DecodeConfig fills Bytes), and freeMemory already subtracted loaded adapters, so neither the data nor the accounting of models was at fault.

Change: placer.Ledger accounts for models, adapters, loads in progress and loads that an order without an answer may still cause; newOrder refuses a load without it. Two orders with one sequence number exclude each other, so only those with a higher number are reserved, for 5 s: an engine that restarts under its ID reaches that number again. An adapter that does not fit replaces idle adapters, then an idle model, or waits. A model that fits once idle adapters are gone replaces those. No model is unloaded while one of its adapters is being loaded. The bytes of a model that may be evicted include its adapters.

The fake engine now counts the memory of adapters, loads them over time, answers the unload of an adapter with Done as engines do, and may keep its ID over a restart; TestOrders draws all of these.

--- a/orderer/engine.go
+++ b/orderer/engine.go
@@ -85,6 +85,14 @@
 	Fence    uint64
 }
 
+// item returns the name of the model or adapter that the order loads or unloads.
+func (o Order) item() string {
+	if o.Adapter != "" {
+		return o.Adapter
+	}
+	return o.Model
+}
+
 // Engine is a client of the engine that an Orderer controls.
 type Engine interface {
 	Report(ctx context.Context) (Report, error)
--- a/orderer/engine_test.go
+++ b/orderer/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -25,14 +26,21 @@
 	sizes    map[string]uint64
 	capacity uint64
 	slots    int
-	started  int64
+	// adapterSize is the memory that each adapter takes, and adapterLoadTime the duration of its load.
+	adapterSize     uint64
+	adapterLoadTime time.Duration
+	started         int64
+	// keepID makes an engine that restarts keep its ID.
+	keepID   bool
 	sequence uint64
 	loaded   map[string][]string
 	// loading is the model that is being loaded until loadEndsAt, or empty.
 	loading    string
 	loadEndsAt time.Duration
-	down       bool
-	running    int
+	// comingAdapters holds the adapters that are being loaded, with the end of the load.
+	comingAdapters map[string]time.Duration
+	down           bool
+	running        int
 	// behind makes the engine answer a request for a report with the report before.
 	behind     bool
 	lastReport Report
@@ -44,6 +52,8 @@
 	// overloads is the number of orders after which the engine's memory or its adapter
 	// slots were exceeded.
 	overloads int
+	// orphanedLoads is the number of unloads of a model while one of its adapters was being loaded.
+	orphanedLoads int
 }
 
 // orderFault is the fault that an order meets.
@@ -68,7 +78,7 @@
 func newFakeEngine(clock *faker.Clock) *fakeEngine {
 	return &fakeEngine{
 		clock: clock, sizes: map[string]uint64{"a": 60, "b": 60, "c": 70, "d": 30}, capacity: 130, slots: 2, started: 1,
-		loaded: map[string][]string{},
+		loaded: map[string][]string{}, comingAdapters: map[string]time.Duration{},
 	}
 }
 
@@ -79,6 +89,12 @@
 		e.loaded[e.loading] = []string{}
 		e.loading = ""
 	}
+	for name, endsAt := range e.comingAdapters {
+		if base, adapter, _ := strings.Cut(name, "/"); now >= endsAt {
+			e.loaded[base] = append(e.loaded[base], adapter)
+			delete(e.comingAdapters, name)
+		}
+	}
 	pending := e.delayedOrders
 	e.delayedOrders = nil
 	for _, d := range pending {
@@ -94,6 +110,7 @@
 	e.started++
 	e.sequence = 0
 	e.loaded = map[string][]string{}
+	e.comingAdapters = map[string]time.Duration{}
 	e.loading = ""
 	e.lastReport = Report{}
 }
@@ -111,6 +128,7 @@
 		}
 	}
 	slices.Sort(inventory.Models)
+	inventory.Loading = slices.Sorted(maps.Keys(e.comingAdapters))
 	report := Report{Started: e.started, Sequence: e.sequence, Busy: e.loading != "", Inventory: inventory, Running: e.running}
 	earlier := e.lastReport
 	e.lastReport = report
@@ -145,7 +163,7 @@
 func (e *fakeEngine) execute(o Order) Outcome {
 	_, loaded := e.loaded[o.Model]
 	switch {
-	case o.Server != serverID(e.started):
+	case o.Server != e.serverID():
 		return WrongServer
 	case e.loading != "" || o.Sequence != e.sequence:
 		return Busy
@@ -156,39 +174,60 @@
 	}
 	e.sequence++
 	if o.Op == placer.Unload {
+		for name := range e.comingAdapters {
+			if strings.HasPrefix(name, o.Model+"/") {
+				e.orphanedLoads++
+			}
+		}
 		delete(e.loaded, o.Model)
 		return Accepted
 	}
 	e.loading, e.loadEndsAt = o.Model, e.clock.Now()+loadTime
-	used := e.sizes[o.Model]
-	for m := range e.loaded {
+	e.countOverload()
+	return Accepted
+}
+
+// countOverload counts an order to load that exceeds the memory or the adapter slots.
+func (e *fakeEngine) countOverload() {
+	used, adapters := e.sizes[e.loading], len(e.comingAdapters)
+	for m, list := range e.loaded {
 		used += e.sizes[m]
+		adapters += len(list)
 	}
-	if used > e.capacity {
+	if used+uint64(adapters)*e.adapterSize > e.capacity || adapters > e.slots {
 		e.overloads++
 	}
-	return Accepted
 }
 
 func (e *fakeEngine) executeAdapter(o Order, loaded bool) Outcome {
 	if !loaded {
 		return Invalid
 	}
-	e.sequence++
 	_, name, _ := strings.Cut(o.Adapter, "/")
-	kept := slices.DeleteFunc(slices.Clone(e.loaded[o.Model]), func(a string) bool { return a == name })
-	if o.Op == placer.Load {
-		kept = append(kept, name)
+	_, coming := e.comingAdapters[o.Adapter]
+	if o.Op == placer.Load && (coming || slices.Contains(e.loaded[o.Model], name)) {
+		return Done
 	}
-	e.loaded[o.Model] = kept
-	total := 0
-	for _, adapters := range e.loaded {
-		total += len(adapters)
+	e.sequence++
+	if o.Op == placer.Unload {
+		e.loaded[o.Model] = slices.DeleteFunc(slices.Clone(e.loaded[o.Model]), func(a string) bool { return a == name })
+		return Done
 	}
-	if total > e.slots {
-		e.overloads++
+	if e.adapterLoadTime > 0 {
+		e.comingAdapters[o.Adapter] = e.clock.Now() + e.adapterLoadTime
+	} else {
+		e.loaded[o.Model] = append(slices.Clone(e.loaded[o.Model]), name)
 	}
+	e.countOverload()
 	return Accepted
 }
 
+// serverID returns the ID of the engine's process.
+func (e *fakeEngine) serverID() string {
+	if e.keepID {
+		return serverID(0)
+	}
+	return serverID(e.started)
+}
+
 func serverID(started int64) string { return "engine-" + time.Duration(started).String() }
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -96,6 +96,8 @@
 	// adapters.
 	lastUsed map[string]time.Duration
 	loadedAt map[string]time.Duration
+	// ledger accounts for all loads of the engine. No load is ordered without it.
+	ledger *placer.Ledger
 	// current is the model order that the engine is executing, accepted at currentSince.
 	current      placer.Step
 	currentSince time.Duration
@@ -137,6 +139,7 @@
 		listedServers: map[string]*wire.ListedServer{},
 		lastUsed:      map[string]time.Duration{},
 		loadedAt:      map[string]time.Duration{},
+		ledger:        placer.NewLedger(),
 		status:        &wire.EngineStatus{Address: options.Address, Started: options.Started},
 		changed:       make(chan struct{}, 1),
 	}
@@ -181,8 +184,8 @@
 	}
 	now := o.clock()
 	o.observe(now, r)
-	pending := o.orderAdapters(ctx, now)
-	pending = o.orderModels(ctx, now) || pending
+	pending, step := o.orderAdapters(ctx, now)
+	pending = o.orderModels(ctx, now, step) || pending
 	now = o.clock()
 	o.updateStatus(now)
 	return o.pollDelay(now, pending)
@@ -297,6 +300,7 @@
 		o.current = placer.Step{}
 	}
 	o.report = r
+	o.updateLedger(now)
 	for name, a := range o.assignments {
 		if now-a.lastBatchAt > assignmentLifetime {
 			delete(o.assignments, name)
@@ -310,11 +314,34 @@
 		o.config.View().Version() > 0
 }
 
-// orderModels orders the next load or unload of a model. It reports whether a load or
+// updateLedger passes the latest report to the ledger. The caller holds the lock.
+func (o *Orderer) updateLedger(now time.Duration) {
+	engines := o.config.View().Pool(o.options.Pool).GetEngines()
+	contents := placer.Contents{Server: o.serverID, Sequence: o.report.Sequence}
+	for _, name := range o.report.Models {
+		contents.Loaded = append(contents.Loaded, o.item(name))
+	}
+	for _, name := range o.report.Loading {
+		contents.Loading = append(contents.Loading, o.item(name))
+	}
+	if o.current.Op == placer.Load && !slices.Contains(o.report.Loading, o.current.Model) {
+		contents.Loading = append(contents.Loading, o.item(o.current.Model))
+	}
+	o.ledger.Update(now, placer.Capacity{Bytes: engines.GetBytes(), Slots: int(engines.GetAdapters())}, contents)
+}
+
+// item returns a model or an adapter with its size, which is 0 if the configuration does not have it.
+func (o *Orderer) item(name string) placer.Item {
+	m := o.config.View().Model(name)
+	return placer.Item{Name: name, Base: m.GetBase(), Bytes: m.GetBytes()}
+}
+
+// orderModels orders the next load or unload of a model. If models need neither, it orders the
+// unload of a model that makes room for an adapter, which is given. It reports whether a load or
 // unload is pending, so that the engine must be polled again soon. A load request that
 // has to wait until other requests end is reconsidered when a relay sends a new
 // assignment.
-func (o *Orderer) orderModels(ctx context.Context, now time.Duration) bool {
+func (o *Orderer) orderModels(ctx context.Context, now time.Duration, forAdapter placer.Step) bool {
 	o.mu.Lock()
 	requests := o.loadRequests()
 	if !o.canOrder() || o.report.Busy {
@@ -322,7 +349,17 @@
 		o.mu.Unlock()
 		return busy
 	}
-	step := placer.NextStep(now, o.freeMemory(), o.loadedModels(now), requests)
+	step := placer.NextStep(now, o.ledger.Free(), o.loadedModels(now), requests)
+	if step.Op != placer.Load {
+		if adapters := o.adaptersInTheWay(now, requests); len(adapters) > 0 {
+			o.mu.Unlock()
+			o.unloadAdapters(ctx, adapters)
+			return true
+		}
+	}
+	if step.Op == placer.None {
+		step = forAdapter
+	}
 	if step.Op == placer.Unload && !o.unloadAnnounced(now, step.Model) {
 		o.mu.Unlock()
 		o.updateStatus(now)
@@ -331,14 +368,19 @@
 	if step.Op != placer.Unload {
 		o.announcedUnload = ""
 	}
-	order := o.newOrder(step.Op, step.Model, "")
+	order, err := o.newOrder(now, step.Op, step.Model, "")
 	o.mu.Unlock()
 	if step.Op == placer.None {
 		return false
 	}
+	if err != nil {
+		// The model is needed until the load of an adapter has ended.
+		return true
+	}
 	outcome := o.sendOrder(ctx, order, step.Requested)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.settle(order, outcome)
 	if outcome == Accepted {
 		o.current, o.currentSince = step, now
 		o.report.Busy = true
@@ -346,6 +388,33 @@
 	return true
 }
 
+// adaptersInTheWay returns idle adapters whose unloads make room for a model that does not fit now.
+// The caller holds the lock.
+func (o *Orderer) adaptersInTheWay(now time.Duration, requests []placer.LoadRequest) []string {
+	free, freed := o.ledger.Free(), uint64(0)
+	idle := o.idleAdapters(now)
+	for _, name := range idle {
+		freed += o.item(name).Bytes
+	}
+	if freed == 0 {
+		return nil
+	}
+	step := placer.NextStep(now, free+freed, o.loadedModels(now), requests)
+	if step.Op != placer.Load {
+		return nil
+	}
+	need := o.item(step.Model).Bytes
+	var victims []string
+	for _, name := range idle {
+		if free >= need {
+			break
+		}
+		free += o.item(name).Bytes
+		victims = append(victims, name)
+	}
+	return victims
+}
+
 // unloadAnnounced reports whether the unload of model was announced at least
 // unloadNoticeTime ago. It starts the announcement if there is none. The caller holds
 // the lock.
@@ -356,18 +425,45 @@
 	return now-o.announcedAt >= unloadNoticeTime
 }
 
-// newOrder returns an order based on the engine's last report. The caller holds the
+// newOrder returns an order based on the engine's last report and the orders since, and records it in
+// the ledger. It returns the error of the ledger if the order must not be sent. The caller holds the
 // lock.
-func (o *Orderer) newOrder(op placer.Op, model, adapter string) Order {
-	return Order{
+func (o *Orderer) newOrder(now time.Duration, op placer.Op, model, adapter string) (Order, error) {
+	order := Order{
 		Op:       op,
 		Model:    model,
 		Adapter:  adapter,
 		Server:   o.serverID,
-		Sequence: o.report.Sequence,
+		Sequence: o.ledger.Sequence(),
 		Holder:   o.options.Holder,
 		Fence:    o.directory.Fence(),
 	}
+	switch op {
+	case placer.Load:
+		return order, o.ledger.Load(now, o.item(order.item()))
+	case placer.Unload:
+		return order, o.ledger.Unload(order.item())
+	}
+	return order, nil
+}
+
+// settle records the outcome of an order in the ledger. A load without an answer stays there. The
+// caller holds the lock.
+func (o *Orderer) settle(order Order, outcome Outcome) {
+	switch {
+	case order.Op == placer.Load && outcome == Accepted:
+		o.ledger.Accepted()
+	case order.Op == placer.Load && outcome == Done:
+		o.ledger.Present()
+	case order.Op == placer.Load && outcome != Unknown:
+		o.ledger.Refused()
+	case order.Op == placer.Unload && outcome == Accepted:
+		o.ledger.Unloaded(order.item(), false)
+	case order.Op == placer.Unload && outcome == Done && order.Adapter != "":
+		// An engine completes the unload of an unused adapter at once: it responds with Done
+		// but counts the order.
+		o.ledger.Unloaded(order.item(), true)
+	}
 }
 
 // sendOrder sends an order to the engine, counts it and logs it. cause is the model or
@@ -439,7 +535,7 @@
 		if m == nil || m.GetBase() != "" {
 			continue
 		}
-		loaded := placer.LoadedModel{Model: name, Bytes: m.GetBytes(), ReloadTime: o.loadTime(m), LoadedAt: o.loadedAt[name], LastUsed: o.lastUsed[name]}
+		loaded := placer.LoadedModel{Model: name, Bytes: m.GetBytes() + o.adapterBytes(name), ReloadTime: o.loadTime(m), LoadedAt: o.loadedAt[name], LastUsed: o.lastUsed[name]}
 		for _, a := range o.assignments {
 			for _, u := range a.assignment.GetDemands() {
 				if u.GetModel() == name {
@@ -460,7 +556,20 @@
 	return list
 }
 
-// freeMemory returns the free memory for weights in bytes. The caller holds the lock.
+// adapterBytes returns the memory that the adapters of a model take. It is freed with the model. The
+// caller holds the lock.
+func (o *Orderer) adapterBytes(model string) uint64 {
+	sum := uint64(0)
+	for _, name := range o.report.Models {
+		if i := o.item(name); i.Base == model {
+			sum += i.Bytes
+		}
+	}
+	return sum
+}
+
+// freeMemory returns the free memory for weights in bytes that the status states, as of the engine's
+// last report. Orders go by the ledger. The caller holds the lock.
 func (o *Orderer) freeMemory() uint64 {
 	view := o.config.View()
 	capacity := view.Pool(o.options.Pool).GetEngines().GetBytes()
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -32,6 +32,9 @@
 
 // ServerID implements Directory.
 func (f *fixture) ServerID(_ context.Context, _ string, started int64) (string, error) {
+	if f.engine.keepID {
+		return serverID(0), nil
+	}
 	return serverID(started), nil
 }
 
@@ -54,7 +57,7 @@
 	for name, bytes := range f.engine.sizes {
 		change.Models = append(change.Models, &wire.Model{Name: name, Pool: "p", Bytes: bytes, Disk: 700, Remote: 6000})
 		for _, a := range []string{"/a1", "/a2", "/a3"} {
-			change.Models = append(change.Models, &wire.Model{Name: name + a, Base: name, Pool: "p"})
+			change.Models = append(change.Models, &wire.Model{Name: name + a, Base: name, Pool: "p", Bytes: f.engine.adapterSize})
 		}
 	}
 	c.Restore(change)
@@ -78,7 +81,7 @@
 // sendBatch sends the orderer a batch of the relay, with an assignment or nil. The batch
 // lists the engine.
 func (f *fixture) sendBatch(assignment *wire.Assignment) {
-	listed := &wire.ListedServer{Id: serverID(f.engine.started), Address: "x", Born: f.engine.started}
+	listed := &wire.ListedServer{Id: f.engine.serverID(), Address: "x", Born: f.engine.started}
 	f.orderer.Receive(f.clock.Now(), "", &wire.Batch{Relay: "r", Tell: assignment, Items: []*wire.ListedServer{listed}}, false)
 }
 
@@ -153,6 +156,78 @@
 	assert.Equal(t, f.engine.overloads, 0)
 }
 
+// newTightFixture returns a fixture whose engine has the models a and b in its memory, which leave
+// 10 bytes. An adapter takes size bytes.
+func newTightFixture(size uint64) *fixture {
+	f := newFixture()
+	f.engine.adapterSize, f.engine.slots, f.engine.adapterLoadTime = size, 8, 40*time.Millisecond
+	f.startSidecar()
+	f.assignRepeatedly(3*time.Second, "a", "b")
+	return f
+}
+
+// TestAdapterMemory guards against an engine that crashes because adapters are loaded into free
+// slots although its memory is full. An adapter that does not fit replaces an idle one.
+func TestAdapterMemory(t *testing.T) {
+	f := newTightFixture(6)
+	for _, name := range []string{"a/a1", "b/a1", "b/a2"} {
+		f.assignRepeatedly(time.Second, name)
+		assert.Assert(t, f.holds(name), name)
+	}
+	assert.Assert(t, f.holds("a") && f.holds("b"))
+	f.assignRepeatedly(time.Second, "a/a2", "b/a2", "b/a3")
+	assert.Assert(t, f.holds("b/a2") && !f.holds("a/a2") && !f.holds("b/a3"))
+	assert.Equal(t, f.engine.overloads, 0)
+}
+
+// TestAdapterReplacesIdleModel guards against an adapter that waits forever beside an idle model
+// whose memory it needs. A model in use stays.
+func TestAdapterReplacesIdleModel(t *testing.T) {
+	f := newTightFixture(20)
+	for range 10 {
+		f.assign([]string{"b/a1"}, map[string]int{"a": 1})
+		f.run(200 * time.Millisecond)
+	}
+	assert.Assert(t, f.holds("a") && !f.holds("b/a1"))
+	f.assignRepeatedly(2*time.Second, "b/a1")
+	assert.Assert(t, f.holds("b") && f.holds("b/a1") && !f.holds("a"))
+	assert.Equal(t, f.engine.overloads, 0)
+}
+
+// TestModelReplacesIdleAdapters guards against a model that waits forever, or another one that is
+// unloaded for it, where unloading idle adapters would make room.
+func TestModelReplacesIdleAdapters(t *testing.T) {
+	f := newFixture()
+	f.engine.adapterSize, f.engine.slots = 6, 8
+	f.startSidecar()
+	f.assignRepeatedly(2*time.Second, "a")
+	f.assignRepeatedly(time.Second, "a/a1", "a/a2", "a/a3")
+	f.assign([]string{"b"}, map[string]int{"a": 1, "a/a2": 1})
+	f.run(300 * time.Millisecond)
+	f.assign([]string{"b"}, map[string]int{"a": 1, "a/a2": 1})
+	f.run(time.Second)
+	assert.Assert(t, f.holds("a") && f.holds("b") && f.holds("a/a2"))
+	assert.Equal(t, f.engine.overloads, 0)
+}
+
+// TestLateOrderAfterRestart guards against an order without an answer that an engine carries out
+// after it has restarted under its ID: loads ordered since leave room for it.
+func TestLateOrderAfterRestart(t *testing.T) {
+	f := newFixture()
+	f.engine.keepID = true
+	f.startSidecar()
+	f.assignRepeatedly(2*time.Second, "d")
+	f.assignRepeatedly(400*time.Millisecond, "d/a1")
+	assert.Equal(t, f.engine.sequence, uint64(2))
+	f.engine.nextFault = orderDelayed
+	f.assign([]string{"c"}, nil)
+	f.run(40 * time.Millisecond)
+	f.engine.restart()
+	f.assignRepeatedly(7*time.Second, "a", "b")
+	assert.Equal(t, f.engine.overloads, 0)
+	assert.Assert(t, f.holds("a") && f.holds("b"))
+}
+
 // TestAdapterLoadWaitsForUnload checks that an adapter is not loaded before the engine
 // has executed the unload that makes room for it. Otherwise, an engine that refuses the
 // unload while it loads a model but accepts the adapter load afterwards exceeds its
@@ -176,6 +251,10 @@
 func TestOrders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFixture()
+		f.engine.adapterSize = rapid.Uint64Range(0, 25).Draw(t, "adapter size")
+		f.engine.adapterLoadTime = time.Duration(rapid.IntRange(0, 60).Draw(t, "adapter load time")) * time.Millisecond
+		f.engine.keepID = rapid.Bool().Draw(t, "restarts keep the ID")
+		f.startSidecar()
 		names := []string{"a", "b", "c", "d", "a/a1", "b/a1", "b/a2", "c/a3"}
 		for range rapid.IntRange(1, 25).Draw(t, "steps") {
 			switch rapid.IntRange(0, 7).Draw(t, "fault") {
@@ -199,6 +278,7 @@
 		f.assignRepeatedly(6*time.Second, last)
 		assert.Assert(t, f.holds(last), last)
 		assert.Equal(t, f.engine.overloads, 0)
+		assert.Equal(t, f.engine.orphanedLoads, 0)
 		fence := uint64(0)
 		for _, o := range f.engine.orders {
 			assert.Assert(t, o.Fence >= fence)
