runner: a lost holder's lease is waited out before the first order

Cause: acquire waited for a lease only if it found the row of another holder, or if the era of the store changed during its commit.

Ruled out: the relay stops in time (its proof ends with the news of the era or within 0.8 of a lease), and the fencing numbers rise as they should; the wait of the successor alone was missing.

Change: in an era after the first, a process that does not know that it was the holder waits until two leases after it heard of the era: within one the right of an adopting process and its orders in flight end, and the next order may follow a lease later. A process to which the era has been known for that long does not wait, and nobody does in the first era or in a store without eras. A sidecar that was the holder in the era before goes on at once, since nobody takes an engine from its sidecar; after a skipped era it waits. The row of an adopting process in a copy counts as no row, since the sidecar may have followed it.

TestOwnershipAfterRestore let the process that takes a lost engine order at once, which is the fault; it now requires that it waits.

--- a/runner/adopter.go
+++ b/runner/adopter.go
@@ -152,7 +152,7 @@
 	started := time.Now().UnixNano()
 	e := &adoptedEngine{
 		process:   a.hostedProcess,
-		ownership: newOwnership(a.clock, address, holderRow{Holder: s.Name, Started: started, Adopted: true}, time.Duration(s.Hosted.EngineLease), a.store.Era),
+		ownership: newOwnership(a.clock, address, holderRow{Holder: s.Name, Started: started, Adopted: true}, time.Duration(s.Hosted.EngineLease), a),
 		done:      make(chan struct{}),
 	}
 	options := orderer.Options{Holder: s.Name, Pool: server.GetPool(), Address: address, Started: started, BusyPollInterval: remoteBusyPollInterval, IdlePollInterval: remoteIdlePollInterval}
--- a/runner/era.go
+++ b/runner/era.go
@@ -17,6 +17,39 @@
 	maxEraDelay  = 300 * time.Millisecond
 )
 
+// eraStart is an era of the store and the instant at which this process first heard of it.
+type eraStart struct {
+	era uint64
+	at  time.Duration
+}
+
+// Era implements storeEras.
+func (h *hostedProcess) Era() uint64 { return h.store.Era() }
+
+// EraKnownSince implements storeEras. An era that storeEraChanged has not recorded yet counts as known
+// since now.
+func (h *hostedProcess) EraKnownSince(era uint64) time.Duration {
+	if latest := h.latestEra.Load(); latest != nil && latest.era >= era {
+		return latest.at
+	}
+	return h.clock()
+}
+
+// storeEraChanged is called with each era of the store that is later than those before.
+func (h *hostedProcess) storeEraChanged(era uint64) {
+	h.log.Info().Uint64("era", era).Msg("store: era")
+	start := &eraStart{era: era, at: h.clock()}
+	for known := h.latestEra.Load(); known == nil || known.era < era; known = h.latestEra.Load() {
+		if h.latestEra.CompareAndSwap(known, start) {
+			break
+		}
+	}
+	select {
+	case h.eraChanged <- struct{}{}:
+	default:
+	}
+}
+
 // followEras calls restore each time the store has come back from an earlier copy of itself, until
 // ctx ends, so that the rows of this process are written again. A relay also writes the fleet's
 // secret again if the store has lost it.
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -82,6 +82,8 @@
 	// the store has come back from an earlier copy of itself.
 	secret     string
 	eraChanged chan struct{}
+	// latestEra is the latest era of the store that is known, or nil if the store names none.
+	latestEra atomic.Pointer[eraStart]
 	// joinEra is the era of the store in which this process first read the fleet's rows.
 	joinEra uint64
 	// onConfigChange is called after a new configuration has come into force, and
@@ -145,15 +147,6 @@
 	}
 }
 
-// storeEraChanged is called with each era of the store that is later than those before.
-func (h *hostedProcess) storeEraChanged(era uint64) {
-	h.log.Info().Uint64("era", era).Msg("store: era")
-	select {
-	case h.eraChanged <- struct{}{}:
-	default:
-	}
-}
-
 // Meter returns the metrics of the process.
 func (h *hostedProcess) Meter() *meter.Meter { return h.meter }
 
--- a/runner/hostedsidecar.go
+++ b/runner/hostedsidecar.go
@@ -38,7 +38,7 @@
 		return nil, storer.NewFormatError("the backend's address cannot be read", err)
 	}
 	c := &HostedSidecar{hostedProcess: newHostedProcess(s, l), engineAddress: u.Host}
-	c.ownership = newOwnership(c.clock, c.engineAddress, holderRow{Holder: s.Name, Started: c.started}, time.Duration(s.Hosted.EngineLease), c.store.Era)
+	c.ownership = newOwnership(c.clock, c.engineAddress, holderRow{Holder: s.Name, Started: c.started}, time.Duration(s.Hosted.EngineLease), c)
 	c.onConfigChange = func() {}
 	c.onServersChange = func(time.Duration, []*wire.ListedServer) {}
 	options := orderer.Options{
--- a/runner/ownership.go
+++ b/runner/ownership.go
@@ -20,11 +20,12 @@
 	key   string
 	self  holderRow
 	lease time.Duration
-	// era returns the latest era of the store that is known. A fencing number of an earlier era is
-	// not valid, since the store may have lost the row.
-	era func() uint64
+	// eras are the eras of the store. A fencing number of an earlier era than the latest one that is
+	// known is not valid, since the store may have lost the row.
+	eras storeEras
 	// takeoverWait is the wait between acquiring the engine and the first order: a lease
-	// if another process was the holder before, or else 0.
+	// if another process was the holder before, the rest of a lease since the store came back from an
+	// earlier copy of itself if another process may have been the holder until then, or else 0.
 	takeoverWait time.Duration
 	// fence is the fencing number, or 0 before the engine is acquired.
 	fence atomic.Uint64
@@ -32,10 +33,17 @@
 	validFrom atomic.Int64
 }
 
-// newOwnership returns the ownership of the engine at an address, not acquired yet. era returns the
-// latest era of the store that is known.
-func newOwnership(clock timer.Clock, address string, self holderRow, lease time.Duration, era func() uint64) *ownership {
-	return &ownership{clock: clock, key: storer.HolderKey(address), self: self, lease: lease, era: era}
+// storeEras are the eras of the store as this process knows them.
+type storeEras interface {
+	// Era returns the latest era that is known.
+	Era() uint64
+	// EraKnownSince returns the instant since which an era, or a later one, is known here.
+	EraKnownSince(era uint64) time.Duration
+}
+
+// newOwnership returns the ownership of the engine at an address, not acquired yet.
+func newOwnership(clock timer.Clock, address string, self holderRow, lease time.Duration, eras storeEras) *ownership {
+	return &ownership{clock: clock, key: storer.HolderKey(address), self: self, lease: lease, eras: eras}
 }
 
 // Fence returns the fencing number, or 0 while no order may be sent.
@@ -50,7 +58,7 @@
 // to be acquired again.
 func (o *ownership) outdated() bool {
 	fence := o.fence.Load()
-	return fence > 0 && storer.Era(fence) < o.era()
+	return fence > 0 && storer.Era(fence) < o.eras.Era()
 }
 
 // renew prepares to acquire the engine again in a later era of the store. A wait for the lease of
@@ -59,6 +67,10 @@
 	o.takeoverWait = max(0, time.Duration(o.validFrom.Load())-o.clock())
 }
 
+// adoptedLeases is the number of leases after which no order of an adopting process whose row was
+// replaced or lost is less than a lease old: its last proof and the orders in flight end within one.
+const adoptedLeases = 2
+
 // holderRow is the value of an engine's holder row: the process that orders the engine.
 type holderRow struct {
 	// Holder is the name of the process, and Started its start, in Unix nanoseconds.
@@ -82,8 +94,9 @@
 // acquire writes this process into the engine's holder row, together with other rows, if
 // the holder row is still the given one. It writes nothing if the row names this process
 // already. The fencing number is the version of the row, which grows with each
-// acquisition. If another process was the holder before, the first order waits for a
-// lease. A row that cannot be read counts as that of another process, a sidecar. An adopting
+// acquisition. If another process was the holder before, or may have been in an earlier era of the
+// store, the first order waits for its lease. A row that cannot be read counts as that of another
+// process, a sidecar. An adopting
 // process does not acquire an engine from its sidecar; the error is then a *HasSidecarError. If
 // the row has another version by now, it is a *storer.ConflictError.
 func (o *ownership) acquire(ctx context.Context, table storer.Table, row storer.Row, puts ...storer.Put) error {
@@ -93,10 +106,10 @@
 		return &HasSidecarError{Holder: current.Holder}
 	}
 	if held && current.Holder != o.self.Holder {
-		o.takeoverWait = o.lease
+		o.takeoverWait = max(o.takeoverWait, o.lease)
 	}
 	if current == o.self {
-		o.setAcquired(row.Version)
+		o.setAcquired(row.Version, false)
 		return nil
 	}
 	value, err := json.Marshal(o.self)
@@ -115,16 +128,32 @@
 	if err != nil {
 		return err
 	}
-	o.setAcquired(versions[0])
+	o.setAcquired(versions[0], held && !current.Adopted)
 	return nil
 }
 
-// setAcquired sets the fencing number and allows orders once takeoverWait is over.
-func (o *ownership) setAcquired(version uint64) {
-	o.validFrom.Store(int64(o.clock() + o.takeoverWait))
+// setAcquired sets the fencing number and allows orders once takeoverWait is over. fromSidecar is set
+// if the row was that of an earlier start of this sidecar.
+func (o *ownership) setAcquired(version uint64, fromSidecar bool) {
+	now := o.clock()
+	if !fromSidecar && o.mayHaveLostHolder(version) {
+		o.takeoverWait = max(o.takeoverWait, o.eras.EraKnownSince(storer.Era(version))+adoptedLeases*o.lease-now)
+	}
+	o.validFrom.Store(int64(now + o.takeoverWait))
 	o.fence.Store(version)
 }
 
+// mayHaveLostHolder reports whether the store may have lost the row of another holder before it gave
+// out a version. A sidecar that was the holder in the era before knows that there was none: nobody
+// takes an engine from its sidecar. An adopting process may have been followed by the sidecar.
+func (o *ownership) mayHaveLostHolder(version uint64) bool {
+	era, known := storer.Era(version), o.fence.Load()
+	if era <= storer.FirstEra {
+		return false
+	}
+	return o.self.Adopted || known == 0 || storer.Era(known)+1 < era
+}
+
 // reacquire reads the holder row and acquires the engine with it. It is for a row that
 // is not known, and for a retry after an attempt that failed, found a newer row or has an
 // unknown outcome.
--- a/runner/ownership_test.go
+++ b/runner/ownership_test.go
@@ -23,6 +23,15 @@
 	return platform.NewStore(strings.TrimPrefix(server.URL, "http://"), func(string, time.Duration, error) {}, func(uint64) {})
 }
 
+// tableEras are the eras of a store, of which a process hears at an instant.
+type tableEras struct {
+	*platform.Store
+	heardAt time.Duration
+}
+
+// EraKnownSince implements storeEras.
+func (e *tableEras) EraKnownSince(uint64) time.Duration { return e.heardAt }
+
 // putRow writes a row and returns it.
 func putRow(t *testing.T, table storer.Table, key, value string) storer.Row {
 	_, err := table.Commit(t.Context(), storer.Transaction{Puts: []storer.Put{{Key: key, Value: []byte(value)}}})
@@ -44,11 +53,11 @@
 			now := time.Hour
 			clock := func() time.Duration { return now }
 			row := putRow(t, table, storer.HolderKey("127.0.0.1:8000"), odd)
-			adopter := newOwnership(clock, "127.0.0.1:8000", holderRow{Holder: "r", Started: 1, Adopted: true}, time.Second, table.Era)
+			adopter := newOwnership(clock, "127.0.0.1:8000", holderRow{Holder: "r", Started: 1, Adopted: true}, time.Second, &tableEras{Store: table})
 			var sidecarErr *HasSidecarError
 			err := adopter.reacquire(t.Context(), table)
 			assert.Assert(t, errors.As(err, &sidecarErr), "%v", err)
-			sidecar := newOwnership(clock, "127.0.0.1:8000", holderRow{Holder: "s", Started: 1}, time.Second, table.Era)
+			sidecar := newOwnership(clock, "127.0.0.1:8000", holderRow{Holder: "s", Started: 1}, time.Second, &tableEras{Store: table})
 			assert.NilError(t, sidecar.reacquire(t.Context(), table))
 			assert.Equal(t, sidecar.Fence(), uint64(0))
 			now += time.Second
@@ -78,16 +87,18 @@
 			clock := func() time.Duration { return now }
 			table := newTable()
 			copied := time.Now()
-			sidecar := newOwnership(clock, "127.0.0.1:8000", holderRow{Holder: "s", Started: 1}, time.Second, table.Era)
+			sidecar := newOwnership(clock, "127.0.0.1:8000", holderRow{Holder: "s", Started: 1}, time.Second, &tableEras{Store: table})
 			assert.NilError(t, sidecar.reacquire(t.Context(), table))
 			first := sidecar.Fence()
 			assert.Assert(t, first > 0)
 			rows.Restore(copied)
-			other := newOwnership(clock, "127.0.0.1:8000", holderRow{Holder: "o", Started: 1}, time.Second, newTable().Era)
+			other := newOwnership(clock, "127.0.0.1:8000", holderRow{Holder: "o", Started: 1}, time.Second, &tableEras{Store: newTable()})
 			if taken {
 				otherTable := newTable()
-				other.era = otherTable.Era
+				other.eras = &tableEras{Store: otherTable, heardAt: now}
 				assert.NilError(t, other.reacquire(t.Context(), otherTable))
+				assert.Equal(t, other.Fence(), uint64(0), "the sidecar may not have heard of the era yet")
+				now += 2 * time.Second
 				assert.Assert(t, other.Fence() > first, "%d after %d", other.Fence(), first)
 			}
 			table.SetEra(rows.Era())
@@ -112,7 +123,7 @@
 	table := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), func(string, time.Duration, error) {}, func(uint64) {})
 	now := time.Hour
 	copied := time.Now()
-	sidecar := newOwnership(func() time.Duration { return now }, "127.0.0.1:8000", holderRow{Holder: "s", Started: 2}, time.Second, table.Era)
+	sidecar := newOwnership(func() time.Duration { return now }, "127.0.0.1:8000", holderRow{Holder: "s", Started: 2}, time.Second, &tableEras{Store: table})
 	row := putRow(t, table, sidecar.key, `{"holder":"s","started":1}`)
 	rows.Restore(copied)
 	rows.PutRaw(storer.FleetTable, strings.TrimPrefix(sidecar.key, storer.FleetTable+"/"), []byte(`{"holder":"o","started":1}`))
@@ -123,3 +134,75 @@
 	now += time.Second
 	assert.Assert(t, sidecar.Fence() > 0)
 }
+
+// TestFirstOrderInLaterEra guards against a first order within the lease of a holder whose row the
+// store has lost: a process that finds no row in a later era, or the row of an adopting process in a
+// copy, waits until the right of an earlier holder has ended and a lease has passed since its last
+// order. In the first era, and in a store without eras, nothing waits.
+func TestFirstOrderInLaterEra(t *testing.T) {
+	const lease = time.Second
+	for _, c := range []struct {
+		name     string
+		restores int
+		row      string
+		adopted  bool
+		// heardAgo is the time for which the era has been known.
+		heardAgo time.Duration
+		wait     time.Duration
+	}{
+		{name: "first era"},
+		{name: "first era, adopting", adopted: true},
+		{name: "no row", restores: 1, wait: 2 * lease},
+		{name: "no row, adopting", restores: 1, adopted: true, wait: 2 * lease},
+		{name: "no row, known for a while", restores: 1, adopted: true, heardAgo: 3 * lease / 2, wait: lease / 2},
+		{name: "no row, known for long", restores: 3, adopted: true, heardAgo: time.Minute},
+		{name: "own row of an earlier adoption", restores: 1, row: `{"holder":"s","started":1,"adopted":true}`, adopted: true, wait: 2 * lease},
+		{name: "own row of an earlier start", restores: 1, row: `{"holder":"s","started":1}`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rows := imitator.NewRowStore()
+			server := httptest.NewServer(rows)
+			t.Cleanup(server.Close)
+			table := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), func(string, time.Duration, error) {}, func(uint64) {})
+			now := time.Hour
+			for range c.restores {
+				rows.Restore(time.Now())
+			}
+			o := newOwnership(func() time.Duration { return now }, "127.0.0.1:8000", holderRow{Holder: "s", Started: 2, Adopted: c.adopted}, lease,
+				&tableEras{Store: table, heardAt: now - c.heardAgo})
+			if c.row != "" {
+				putRow(t, table, o.key, c.row)
+			}
+			assert.NilError(t, o.reacquire(t.Context(), table))
+			if c.wait > 0 {
+				now += c.wait - time.Millisecond
+				assert.Equal(t, o.Fence(), uint64(0))
+				now += time.Millisecond
+			}
+			assert.Assert(t, o.Fence() > 0)
+		})
+	}
+}
+
+// TestRenewalAfterSkippedEra guards against a sidecar that orders at once because it held its engine
+// two eras ago: another process may have held it in the era between, whose rows are lost.
+func TestRenewalAfterSkippedEra(t *testing.T) {
+	rows := imitator.NewRowStore()
+	server := httptest.NewServer(rows)
+	t.Cleanup(server.Close)
+	table := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), func(string, time.Duration, error) {}, func(uint64) {})
+	now := time.Hour
+	copied := time.Now()
+	eras := &tableEras{Store: table}
+	sidecar := newOwnership(func() time.Duration { return now }, "127.0.0.1:8000", holderRow{Holder: "s", Started: 1}, time.Second, eras)
+	assert.NilError(t, sidecar.reacquire(t.Context(), table))
+	rows.Restore(copied)
+	rows.Restore(copied)
+	table.SetEra(rows.Era())
+	eras.heardAt = now
+	sidecar.renew()
+	assert.NilError(t, sidecar.reacquire(t.Context(), table))
+	assert.Equal(t, sidecar.Fence(), uint64(0))
+	now += 2 * time.Second
+	assert.Assert(t, sidecar.Fence() > 0)
+}
