runner: a takeover from an adopting process waits two leases

Cause: a process that replaced the row of an adopting process ordered one lease after its write. The adopting process goes on until it reads the new row (up to 0.8 of a lease), so that its last order and the first one of the successor could be less than a lease apart.

Ruled out: the fences rise, and the adopting process stops within its proof; only the successor's wait was counted from the wrong instant.

Change: the wait after an adopting process's row is adoptedLeases, as after a lost one.

--- a/runner/ownership.go
+++ b/runner/ownership.go
@@ -23,9 +23,9 @@
 	// eras are the eras of the store. A fencing number of an earlier era than the latest one that is
 	// known is not valid, since the store may have lost the row.
 	eras storeEras
-	// takeoverWait is the wait between acquiring the engine and the first order: a lease
-	// if another process was the holder before, the rest of a lease since the store came back from an
-	// earlier copy of itself if another process may have been the holder until then, or else 0.
+	// takeoverWait is the wait between acquiring the engine and the first order: waitAfter another
+	// holder, the rest of adoptedLeases since the store came back from an earlier copy of itself if
+	// another process may have been the holder until then, or else 0.
 	takeoverWait time.Duration
 	// fence is the fencing number, or 0 before the engine is acquired.
 	fence atomic.Uint64
@@ -95,7 +95,7 @@
 // the holder row is still the given one. It writes nothing if the row names this process
 // already. The fencing number is the version of the row, which grows with each
 // acquisition. If another process was the holder before, or may have been in an earlier era of the
-// store, the first order waits for its lease. A row that cannot be read counts as that of another
+// store, the first order waits. A row that cannot be read counts as that of another
 // process, a sidecar. An adopting
 // process does not acquire an engine from its sidecar; the error is then a *HasSidecarError. If
 // the row has another version by now, it is a *storer.ConflictError.
@@ -106,7 +106,7 @@
 		return &HasSidecarError{Holder: current.Holder}
 	}
 	if held && current.Holder != o.self.Holder {
-		o.takeoverWait = max(o.takeoverWait, o.lease)
+		o.takeoverWait = max(o.takeoverWait, o.waitAfter(current))
 	}
 	if current == o.self {
 		o.setAcquired(row.Version, false)
@@ -123,7 +123,7 @@
 	var eraErr *storer.EraError
 	if errors.As(err, &eraErr) {
 		// The check may have held for the row of another holder.
-		o.takeoverWait = o.lease
+		o.takeoverWait = adoptedLeases * o.lease
 	}
 	if err != nil {
 		return err
@@ -132,6 +132,15 @@
 	return nil
 }
 
+// waitAfter returns the wait before the first order after another holder's right. An adopting process
+// may order until it reads the new row; a sidecar that was replaced no longer runs.
+func (o *ownership) waitAfter(other holderRow) time.Duration {
+	if other.Adopted {
+		return adoptedLeases * o.lease
+	}
+	return o.lease
+}
+
 // setAcquired sets the fencing number and allows orders once takeoverWait is over. fromSidecar is set
 // if the row was that of an earlier start of this sidecar.
 func (o *ownership) setAcquired(version uint64, fromSidecar bool) {
