runner: a restart does not cut the wait for another holder's right short

Cause: a process that has to wait before its first order writes the holder row at once. If it starts again meanwhile, the row names it, so that it ordered without a wait, within the lease of the holder before.

Ruled out: always waiting after another start of the same process would be simpler, but costs each planned restart of a sidecar a lease.

Change: the row says that its process waits (Waits). A later start of that process waits as long as it would have. Once the wait is over the process writes the row without Waits; its fencing number rises with that. A row that names this process itself no longer makes an adopting process let go of its engine, whatever its version.

--- a/runner/adopter.go
+++ b/runner/adopter.go
@@ -195,16 +195,19 @@
 	}
 	link := subscriber.New(e.process.subscriberHost(), self, server.GetCentre(), subscriber.SidecarTiming, e.Orderer)
 	go link.Run(ctx)
+	if e.takeoverWait > 0 {
+		go e.confirm(ctx, e.process.store, e.process.log)
+	}
 	e.Orderer.Run(ctx)
 	<-link.Done()
 }
 
 // mayBeHolder reports whether the engine's holder row may still name this process, that
-// is, whether no version of it is known that is newer than the one acquired.
+// is, whether no version of it is known that is newer than the one acquired and names another.
 func (e *adoptedEngine) mayBeHolder() bool {
 	row, ok := e.process.fleet.Row(e.key)
 	fence := e.ownership.fence.Load()
-	return fence == 0 || !ok || row.Version <= fence
+	return fence == 0 || !ok || row.Version <= fence || decodeHolder(row).sameProcess(e.self)
 }
 
 // proofFraction is the fraction of a lease for which a read of the holder row proves
--- a/runner/hostedsidecar.go
+++ b/runner/hostedsidecar.go
@@ -97,6 +97,9 @@
 	if err == nil {
 		c.log.Info().Str("address", c.engineAddress).Uint64("fence", c.ownership.fence.Load()).
 			Int64("wait", c.ownership.takeoverWait.Milliseconds()).Msg("engine: acquired")
+		if c.ownership.takeoverWait > 0 {
+			c.tasks.run(func(ctx context.Context) { c.ownership.confirm(ctx, c.store, c.log) })
+		}
 	}
 }
 
--- a/runner/ownership.go
+++ b/runner/ownership.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"oleanderstall/storer"
 	"oleanderstall/timer"
 )
@@ -79,6 +81,15 @@
 	// Adopted is set if the process is not the engine's sidecar. Started is then the
 	// time of the adoption.
 	Adopted bool `json:"adopted,omitempty"`
+	// Waits is set while the first order of the process waits for the right of another holder to end.
+	// A process that starts again meanwhile waits as long as it would have.
+	Waits bool `json:"waits,omitempty"`
+}
+
+// sameProcess reports whether two rows name the same process.
+func (h holderRow) sameProcess(other holderRow) bool {
+	h.Waits, other.Waits = false, false
+	return h == other
 }
 
 // HasSidecarError reports that an engine has a sidecar, or may have one. No other process may
@@ -102,17 +113,23 @@
 func (o *ownership) acquire(ctx context.Context, table storer.Table, row storer.Row, puts ...storer.Put) error {
 	current := decodeHolder(row)
 	held := row.Version > 0
+	fromSidecar := held && !current.Adopted
 	if o.self.Adopted && held && !current.Adopted {
 		return &HasSidecarError{Holder: current.Holder}
 	}
-	if held && current.Holder != o.self.Holder {
-		o.takeoverWait = max(o.takeoverWait, o.waitAfter(current))
-	}
-	if current == o.self {
+	switch {
+	case current.sameProcess(o.self):
 		o.setAcquired(row.Version, false)
 		return nil
+	case held && current.Holder != o.self.Holder:
+		o.takeoverWait = max(o.takeoverWait, o.waitAfter(current))
+	case current.Waits:
+		// An earlier start of this process had not ordered yet.
+		o.takeoverWait = adoptedLeases * o.lease
 	}
-	value, err := json.Marshal(o.self)
+	next := o.self
+	next.Waits = o.takeoverWait > 0 || !fromSidecar && o.waitForLostHolder(o.eras.Era()) > 0
+	value, err := json.Marshal(next)
 	if err != nil {
 		return storer.NewFormatError("the row of an engine's holder cannot be encoded", err)
 	}
@@ -128,7 +145,7 @@
 	if err != nil {
 		return err
 	}
-	o.setAcquired(versions[0], held && !current.Adopted)
+	o.setAcquired(versions[0], fromSidecar)
 	return nil
 }
 
@@ -142,25 +159,64 @@
 }
 
 // setAcquired sets the fencing number and allows orders once takeoverWait is over. fromSidecar is set
-// if the row was that of an earlier start of this sidecar.
+// if the row was that of a sidecar before.
 func (o *ownership) setAcquired(version uint64, fromSidecar bool) {
-	now := o.clock()
-	if !fromSidecar && o.mayHaveLostHolder(version) {
-		o.takeoverWait = max(o.takeoverWait, o.eras.EraKnownSince(storer.Era(version))+adoptedLeases*o.lease-now)
+	if !fromSidecar {
+		o.takeoverWait = max(o.takeoverWait, o.waitForLostHolder(storer.Era(version)))
 	}
-	o.validFrom.Store(int64(now + o.takeoverWait))
+	o.validFrom.Store(int64(o.clock() + o.takeoverWait))
 	o.fence.Store(version)
 }
 
-// mayHaveLostHolder reports whether the store may have lost the row of another holder before it gave
-// out a version. A sidecar that was the holder in the era before knows that there was none: nobody
-// takes an engine from its sidecar. An adopting process may have been followed by the sidecar.
-func (o *ownership) mayHaveLostHolder(version uint64) bool {
-	era, known := storer.Era(version), o.fence.Load()
-	if era <= storer.FirstEra {
-		return false
+// waitForLostHolder returns how long a process that acquires the engine in an era waits, since the
+// store may have lost the row of another holder. A sidecar that was the holder in the era before knows
+// that there was none: nobody takes an engine from its sidecar. An adopting process may have been
+// followed by the sidecar.
+func (o *ownership) waitForLostHolder(era uint64) time.Duration {
+	known := o.fence.Load()
+	if era <= storer.FirstEra || !o.self.Adopted && known != 0 && storer.Era(known)+1 >= era {
+		return 0
 	}
-	return o.self.Adopted || known == 0 || storer.Era(known)+1 < era
+	return max(0, o.eras.EraKnownSince(era)+adoptedLeases*o.lease-o.clock())
+}
+
+// confirm writes the holder row without Waits once the wait before the first order is over, so that
+// later starts of this process do not wait. It tries until it succeeds, the row has changed, the store
+// has come back from an earlier copy, or ctx ends.
+func (o *ownership) confirm(ctx context.Context, table storer.Table, l *log.Logger) {
+	if !timer.Wait(ctx, time.Duration(o.validFrom.Load())-o.clock(), nil) || o.outdated() {
+		return
+	}
+	err := retryUntilSuccess(ctx, l, "confirming the holder of an engine", func(ctx context.Context) error {
+		err := o.writeConfirmed(ctx, table)
+		var conflict *storer.ConflictError
+		var eraErr *storer.EraError
+		if errors.As(err, &conflict) || errors.As(err, &eraErr) {
+			return nil
+		}
+		return err
+	})
+	if err != nil && ctx.Err() == nil {
+		l.Error().Err(err).Str("row", o.key).Msg("engine: holder not confirmed")
+	}
+}
+
+// writeConfirmed writes the holder row without Waits if it is still the one that was acquired.
+func (o *ownership) writeConfirmed(ctx context.Context, table storer.Table) error {
+	version := o.fence.Load()
+	value, err := json.Marshal(o.self)
+	if err != nil {
+		return storer.NewFormatError("the row of an engine's holder cannot be encoded", err)
+	}
+	versions, err := table.Commit(ctx, storer.Transaction{
+		Checks: []storer.Check{{Key: o.key, Version: version}},
+		Puts:   []storer.Put{{Key: o.key, Value: value}},
+	})
+	if err != nil {
+		return err
+	}
+	o.fence.CompareAndSwap(version, versions[0])
+	return nil
 }
 
 // reacquire reads the holder row and acquires the engine with it. It is for a row that
