holder: a replica whose slot the store has lost is not loaded again

Cause: a holder that reads the slots of a model in a later era of the store took a missing row for a vacant slot. If the holder that had written the row was gone, the model was loaded once more beside the replica, beyond the number of its slots.

Ruled out: a holder that lives writes its slots again (TestReplicasAfterRestore), and the shard itself is taken only after a lease; sidecars answer bids with the state of their replica, which the holder did not read.

Change: in an era after the first, a replica that a sidecar states in its bid and that has no slot gets the vacant slot, with its fencing number; its sidecar then confirms it as for any doubtful slot. Nothing changes in the first era.

--- a/holder/era.go
+++ b/holder/era.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	"oleanderstall/leaser"
 	"oleanderstall/placer"
 	"oleanderstall/storer"
+	"oleanderstall/wire"
 )
 
 // A store that comes back from an earlier copy of itself loses rows, and numbers them anew in its next
@@ -139,6 +142,37 @@
 	}
 }
 
+// replica is a replica of a model that a sidecar has or loads, under a fencing number.
+type replica struct {
+	instance string
+	epoch    uint64
+}
+
+// adoptReplica gives a vacant slot to a replica without one and reports whether it did, or tried and
+// failed. In an era after the first, the store may have lost the row that another holder wrote; in the
+// first era there is no such replica. The slot is doubtful until its sidecar confirms the replica.
+func (h *Holder) adoptReplica(ctx context.Context, m *model, def *wire.Model, slot placer.Slot, replicas []replica) bool {
+	h.mu.Lock()
+	lost := slices.IndexFunc(replicas, func(r replica) bool { return m.slotTable.OnInstance(r.instance) == nil })
+	later := h.era > storer.FirstEra
+	h.mu.Unlock()
+	if lost < 0 || !later {
+		return false
+	}
+	slot.Instance, slot.Epoch = replicas[lost].instance, replicas[lost].epoch
+	version, err := h.writeSlot(ctx, def.GetName(), slot)
+	if err != nil {
+		h.recordLoadStep(def, "slot of a known replica not recorded: "+err.Error())
+		h.rereadSlots(ctx, m, def.GetName())
+		return true
+	}
+	slot.Version, slot.Phase = version, placer.Doubtful
+	h.setSlot(m, slot)
+	h.recordLoadStep(def, fmt.Sprintf("replica on %s recorded again (slot %d, epoch %d)", slot.Instance, slot.Index, slot.Epoch))
+	h.checkSlot(def.GetName(), m, slot)
+	return true
+}
+
 // vacantTakenFrom returns the instant from which a shard without a holder may be taken.
 func (h *Holder) vacantTakenFrom() time.Duration {
 	h.mu.Lock()
--- a/holder/loads.go
+++ b/holder/loads.go
@@ -17,14 +17,20 @@
 )
 
 // loadReplica chooses a sidecar for a slot by their bids and orders the load there. If a
-// sidecar refuses without having started the load, it tries the next one.
+// sidecar refuses without having started the load, it tries the next one. If a sidecar has a replica
+// whose slot the store has lost, the slot is given to that replica instead.
 func (h *Holder) loadReplica(m *model, def *wire.Model, slot placer.Slot) {
 	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
 	startedAt := h.clock()
 	refusal := refuser.New(refuser.Busy, "no engine has room for the model")
-	bids := h.withoutReplicas(m, h.collectBids(ctx, def))
-	for _, bid := range placer.RankBids(bids, def.GetBytes()) {
+	bids, unrecorded := h.collectBids(ctx, def)
+	bids = h.withoutReplicas(m, bids)
+	ranked := placer.RankBids(bids, def.GetBytes())
+	if h.adoptReplica(ctx, m, def, slot, unrecorded) {
+		ranked = nil
+	}
+	for _, bid := range ranked {
 		next, ok := h.assignSlot(ctx, m, def, slot, bid.Instance)
 		if !ok {
 			refusal = refuser.New(refuser.PlatformUnavailable, "the platform did not record the slot, so nothing was loaded")
@@ -109,8 +115,8 @@
 }
 
 // collectBids asks the sidecars that rank first for the model what a load would cost
-// there.
-func (h *Holder) collectBids(ctx context.Context, def *wire.Model) []placer.Bid {
+// there. It also returns the replicas of the model that they have or load.
+func (h *Holder) collectBids(ctx context.Context, def *wire.Model) (bids []placer.Bid, replicas []replica) {
 	limited, cancel := context.WithTimeout(ctx, bidTimeout)
 	defer cancel()
 	sidecars := h.rankSidecars(def.GetName())
@@ -122,11 +128,13 @@
 		})
 	}
 	wg.Wait()
-	var bids []placer.Bid
 	for i, o := range offers {
 		if o == nil {
 			continue
 		}
+		if o.GetState() == wire.State_STATE_RESIDENT || o.GetState() == wire.State_STATE_LOADING {
+			replicas = append(replicas, replica{instance: sidecars[i].Name, epoch: o.GetEpoch()})
+		}
 		bids = append(bids, placer.Bid{
 			Instance: sidecars[i].Name,
 			Address:  sidecars[i].Address,
@@ -136,7 +144,7 @@
 			Queue:    o.GetQueue(),
 		})
 	}
-	return bids
+	return bids, replicas
 }
 
 // requestBid asks one sidecar for its offer.
