--- a/runner/hostedsidecar.go
+++ b/runner/hostedsidecar.go
@@ -38,7 +38,7 @@
 		return nil, storer.NewFormatError("the backend's address cannot be read", err)
 	}
 	c := &HostedSidecar{hostedProcess: newHostedProcess(s, l), engineAddress: u.Host}
-	c.ownership = newOwnership(c.clock, c.engineAddress, holderRow{Holder: s.Name, Started: c.started}, time.Duration(s.Hosted.EngineLease), c.store.Era)
+	c.ownership = newOwnership(c.clock, c.engineAddress, holderRow{Holder: s.Name, Started: c.started}, time.Duration(s.Hosted.EngineLease), c)
 	c.onConfigChange = func() {}
 	c.onServersChange = func(time.Duration, []*wire.ListedServer) {}
 	options := orderer.Options{
@@ -97,6 +97,9 @@
 	if err == nil {
 		c.log.Info().Str("address", c.engineAddress).Uint64("fence", c.ownership.fence.Load()).
 			Int64("wait", c.ownership.takeoverWait.Milliseconds()).Msg("engine: acquired")
+		if c.ownership.takeoverWait > 0 {
+			c.tasks.run(func(ctx context.Context) { c.ownership.confirm(ctx, c.store, c.log) })
+		}
 	}
 }
 
