--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -38,7 +38,9 @@
 	InputTokens     int
 	MaxOutputTokens int
 	TokensKnown     bool
-	Prompt          []dispatcher.PromptPart
+	// OutputHint is the caller's estimate of the length of the answer, or 0 if there is none.
+	OutputHint int
+	Prompt     []dispatcher.PromptPart
 	// FirstIndex is the index of the first event that the caller wants.
 	FirstIndex uint64
 	// Digest is the hash of what makes the backend server's work on the request.
@@ -73,6 +75,7 @@
 		Prompt:          req.Prompt,
 		InputTokens:     req.InputTokens,
 		MaxOutputTokens: req.MaxOutputTokens,
+		OutputHint:      req.OutputHint,
 		Priority:        int(route.GetPriority()),
 		MaxAttempts:     int(route.GetAttempts()),
 		ConfigVersion:   view.Version(),
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -148,3 +148,13 @@
 	assert.Assert(t, errors.As(err, &refusal), "%v", err)
 	assert.Equal(t, refusal.Kind(), refuser.StaleConfiguration)
 }
+
+// TestOutputHint guards against a hint that is lost on admission, or that changes the charge.
+func TestOutputHint(t *testing.T) {
+	request := newRequest("/a/1", "key")
+	request.InputTokens, request.MaxOutputTokens, request.TokensKnown, request.OutputHint = 100, 400, true, 120
+	r, err := Admit(started, testView(), request)
+	assert.NilError(t, err)
+	assert.Equal(t, r.OutputHint, 120)
+	assert.Equal(t, r.Cost, 500.0)
+}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -73,6 +73,9 @@
 	// both in tokens.
 	InputTokens     int
 	MaxOutputTokens int
+	// OutputHint is the caller's estimate of the length of the answer in tokens, or 0 if there
+	// is none. It is right at the median and often far off.
+	OutputHint int
 	// Priority is the scheduling priority; 0 is served first.
 	Priority int
 	// MaxAttempts is the number of backend servers that may run the request, or 0 for no
@@ -139,6 +142,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes on the server's machine now, in percent of the usual time, or 0
+	// if the server does not state it.
+	Pace int
 }
 
 // Feedback is the status that a backend server sends along with an answer.
