estimator: expected time to the first event at a server

Servers of one pool differ in speed, models in pace, and neighbours and faults slow a machine for tenths of a second or seconds. The number of requests at a server says nothing of that. The package estimates the time to the first event from the pool's mean for the model, the speed of the server relative to it, its own figure and the gaps between its events. Factors that are not confirmed go back to 1, so that a server avoided for being slow is tried again.

Ruled out: a regression of each server alone (a server with few requests would never know enough) and plain means of times (one outlier outweighs a hundred usual ones; logarithms, bounded).

--- /dev/null
+++ b/estimator/estimator.go
@@ -0,0 +1,218 @@
+// Package estimator estimates how long a backend server takes to send the first event of an
+// answer.
+//
+// An estimate is the product of three factors. The first is the mean of the server's pool for the
+// model, which depends on the tokens to be read, the requests running and the step time. The
+// second is the speed of the server relative to that mean, smoothed over seconds. The third is
+// what is unusual at this moment: the server's own figure, smoothed over tenths of a second, and
+// the gaps between its events. A factor that is not confirmed by observations goes back to 1, so
+// that a server that was avoided for being slow is tried again. Factors are averaged as
+// logarithms: twice as slow and twice as fast then weigh the same.
+package estimator
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// speedConstant is the time constant of the speed of a server relative to its pool, and
+	// speedExpiry the one with which it goes back to the pool's mean without observations.
+	speedConstant = time.Second
+	speedExpiry   = 20 * time.Second
+	// speedAssumed is the number of observations at the pool's mean that a server starts with.
+	speedAssumed = 3
+	// speedWeight is the most that one observation weighs, and speedSurprise how far from the
+	// estimate it counts as being, so that an outlier changes the speed by less than a fifth.
+	speedWeight   = 0.25
+	speedSurprise = 0.7
+	// maxSpeed bounds the speed, at a factor of about 8.
+	maxSpeed = 2.1
+	// paceConstant is the time constant of the server's own figure, and paceExpiry the one with
+	// which its distance from its mean stops counting. A neighbour slows a machine for 600 ms.
+	paceConstant = 100 * time.Millisecond
+	paceExpiry   = 400 * time.Millisecond
+	// usualConstant is the time constant of the mean of the server's own figure, and usualExpiry
+	// the one with which that stops counting.
+	usualConstant = 3 * time.Second
+	usualExpiry   = 5 * time.Second
+	// maxPace is the highest plausible figure, in percent, and paceReach how far from 100 one
+	// counts as being, at a factor of 10.
+	maxPace   = 10000
+	paceReach = 2.303
+	// gapConstant and gapExpiry are those of the gaps between events, gapUsualConstant the time
+	// constant of their mean. gapReach bounds how far they change the estimate, since a gap also
+	// has the prompts in it that the server reads between two steps.
+	gapConstant      = 200 * time.Millisecond
+	gapUsualConstant = 10 * time.Second
+	gapReach         = 0.7
+	gapAssumed       = 2
+	// maxFirst and maxGap are the longest plausible times, and maxTokens and maxRunning the
+	// largest plausible numbers.
+	maxFirst   = 10 * time.Minute
+	maxGap     = time.Minute
+	maxTokens  = 1 << 24
+	maxRunning = 1 << 14
+)
+
+// Work is a request as far as its duration depends on it.
+type Work struct {
+	// Model is the base model, or empty for a plain service.
+	Model string
+	// PromptTokens is the number of tokens of the prompt that the server does not have cached.
+	PromptTokens int
+	// OutputTokens is the expected number of tokens of the answer.
+	OutputTokens int
+}
+
+// Queue is what a server has to do already.
+type Queue struct {
+	// PromptTokens is the number of tokens of prompts that were sent there and are not read yet.
+	PromptTokens int
+	// Waiting is the number of requests that wait there without having begun, apart from those
+	// that PromptTokens covers.
+	Waiting int
+	// Running is the number of requests that run there.
+	Running int
+	// Slots is the number of requests that the server runs at a time, or 0 if it is not known.
+	Slots int
+}
+
+// Estimator estimates the times of one backend server from what was observed there. Its size is
+// constant, and so is the cost of an observation. It is not safe for concurrent use.
+type Estimator struct {
+	pool *Pool
+	// speed is how long work takes at the server relative to the pool's mean.
+	speed average
+	// pace is the server's own figure and usualPace its mean, both relative to 100.
+	pace      average
+	usualPace average
+	// gap is how long gaps between events are relative to their shape, and usualGap the mean.
+	gap      average
+	usualGap average
+}
+
+// New returns an estimator without observations.
+func New() *Estimator { return &Estimator{pool: NewPool()} }
+
+// SetPool makes the estimator share the mean of a pool. One without a pool has a mean of its own.
+func (e *Estimator) SetPool(p *Pool) { e.pool = p }
+
+// RecordFirst records the time to the first event of a request sent at an instant. It ignores one
+// that cannot be right.
+func (e *Estimator) RecordFirst(now time.Duration, w Work, took time.Duration) {
+	e.RecordFirstQueued(now, w, Queue{}, took)
+}
+
+// RecordFirstQueued does the work of RecordFirst for a request that was sent to a server that had
+// something to do already.
+func (e *Estimator) RecordFirstQueued(now time.Duration, w Work, q Queue, took time.Duration) {
+	if took <= 0 || took > maxFirst {
+		return
+	}
+	w, q = w.plausible(), e.resolved(q.plausible())
+	momentary := e.momentary(now)
+	usual := float64(took) / math.Exp(momentary)
+	known := e.speed.decayed(now, speedExpiry)
+	e.pool.observe(now, w, q, usual, known)
+	read, step := e.pool.scaleOf(w.Model).parts(w, q)
+	surprise := math.Log(usual) - math.Log(read+step) - known
+	weight := e.speed.weight(now, speedConstant, speedAssumed, speedWeight)
+	e.speed.value = known
+	e.speed.add(now, within(known+within(surprise, speedSurprise), maxSpeed), weight)
+}
+
+// RecordGap records a gap between two events with the number of requests at the server. It ignores
+// one that cannot be right.
+func (e *Estimator) RecordGap(now, gap time.Duration, running int) {
+	if gap <= 0 || gap > maxGap || running < 0 {
+		return
+	}
+	expected := tokensPerEvent * e.pool.all.stepTime(min(running, maxRunning))
+	observed := math.Log(float64(gap)/expected) - e.ownFigure(now)
+	if e.gap.count == 0 {
+		e.gap.value, e.usualGap.value = observed, observed
+	}
+	observed = e.gap.value + within(observed-e.gap.value, gapReach)
+	e.usualGap.add(now, observed, e.usualGap.weight(now, gapUsualConstant, 0, poolWeight))
+	e.gap.add(now, observed, e.gap.weight(now, gapConstant, gapAssumed, speedWeight))
+}
+
+// RecordPace records the server's own figure: how long work takes there now, in percent of what is
+// usual. It ignores one that cannot be right.
+func (e *Estimator) RecordPace(now time.Duration, percent int) {
+	if percent <= 0 || percent > maxPace {
+		return
+	}
+	observed := within(math.Log(float64(percent)/100), paceReach)
+	e.usualPace.value = e.usualPace.decayed(now, usualExpiry)
+	e.usualPace.add(now, observed, e.usualPace.weight(now, usualConstant, speedAssumed, speedWeight))
+	e.pace.add(now, observed, e.pace.weight(now, paceConstant, 0, 1))
+}
+
+// First returns the expected time to the first event of w if it is sent now.
+func (e *Estimator) First(now time.Duration, w Work, queue Queue) time.Duration {
+	w, q := w.plausible(), e.resolved(queue.plausible())
+	s := e.pool.scaleOf(w.Model)
+	read, step := s.parts(w, q)
+	total := read + step + slotWait(s, w, q)
+	return time.Duration(min(total*e.Factor(now), float64(maxFirst)))
+}
+
+// Read returns the expected time in which the server reads the prompt of w if it does so now,
+// during which it sends no events of other answers.
+func (e *Estimator) Read(now time.Duration, w Work) time.Duration {
+	w = w.plausible()
+	read, _ := e.pool.scaleOf(w.Model).parts(w, Queue{})
+	return time.Duration(min(read*e.Factor(now), float64(maxFirst)))
+}
+
+// Factor returns how long work takes at the server now, relative to the pool's mean.
+func (e *Estimator) Factor(now time.Duration) float64 {
+	return math.Exp(e.speed.decayed(now, speedExpiry) + e.momentary(now))
+}
+
+// slotWait returns how long a request waits for a slot, in nanoseconds: the requests before it end
+// one after the other, those at the slots at the same time.
+func slotWait(s *scale, w Work, q Queue) float64 {
+	before := q.Running + q.Waiting + 1 - q.Slots
+	if q.Slots <= 0 || before <= 0 {
+		return 0
+	}
+	return float64(before) * float64(w.OutputTokens) * s.stepTime(q.Slots) / float64(q.Slots)
+}
+
+// momentary returns what is unusual at the server at this moment, as a logarithm.
+func (e *Estimator) momentary(now time.Duration) float64 {
+	gap := within(e.gap.value-e.usualGap.value, gapReach) * math.Exp(-float64(max(0, now-e.gap.updatedAt))/float64(paceExpiry))
+	return e.ownFigure(now) + gap
+}
+
+// ownFigure returns the server's own figure as a logarithm. With its age it goes back to its mean,
+// and more slowly to 100.
+func (e *Estimator) ownFigure(now time.Duration) float64 {
+	usual := e.usualPace.decayed(now, usualExpiry)
+	return usual + (e.pace.value-e.usualPace.value)*math.Exp(-float64(max(0, now-e.pace.updatedAt))/float64(paceExpiry))
+}
+
+// resolved returns a queue whose waiting requests are counted with the mean of prompt tokens.
+func (e *Estimator) resolved(q Queue) Queue {
+	q.PromptTokens = min(q.PromptTokens+int(float64(q.Waiting)*e.pool.prompt.value), maxTokens)
+	return q
+}
+
+// plausible returns w with its numbers limited to what can be right.
+func (w Work) plausible() Work {
+	w.PromptTokens = max(0, min(w.PromptTokens, maxTokens))
+	w.OutputTokens = max(0, min(w.OutputTokens, maxTokens))
+	return w
+}
+
+// plausible returns q with its numbers limited to what can be right.
+func (q Queue) plausible() Queue {
+	q.PromptTokens = max(0, min(q.PromptTokens, maxTokens))
+	q.Waiting = max(0, min(q.Waiting, maxRunning))
+	q.Running = max(0, min(q.Running, maxRunning))
+	q.Slots = max(0, min(q.Slots, maxRunning))
+	return q
+}
