locator, tracker, router: expected times decide where a request goes

The number of requests at a server says nothing of its speed, of a neighbour that slows it, or of the length of the prompts there. For a pool one of whose servers has stated a fourth figure, the cost is now the expected time to the first event, a tenth of the reading time for each answer that it delays, 10 ms for another data centre and twice the time beyond the target. 10 ms count as much as a request did, so that failures weigh as before. Cost.Value of other pools is unchanged, which TestCostWithoutExpectedTime compares; TestThreeFiguresAsBefore does so for the choice.

A beginning of a prompt that was sent to a server within 30 s for the same model or adapter counts as read there. The table holds 512 beginnings for a server and is emptied when it restarts. A server may have 60 ms of prompts of one entry before it instead of one prompt, since with short prompts one at a time would leave it idle between the first events.

Ruled out: OnSlow as the source of gaps, since it is called for the longest ones only and would make every server look slow; gaps come from each event, at most one in 20 ms for a server, without the lock in between. Nearly equal servers differ by up to 5% from request to request, so that entries that know the same do not all choose the same one.

--- a/locator/locator.go
+++ b/locator/locator.go
@@ -201,6 +201,8 @@
 	demand *demand
 	// permit is the permit that the request has, or nil.
 	permit *permit
+	// prompt holds the beginnings of the request's prompt, or nil before they were needed.
+	prompt []tracker.PromptPrefix
 }
 
 // step is what a search does next: it ends with a reservation, asks for a permit, or waits.
@@ -330,14 +332,7 @@
 		if s.permit.usable(now, b.Server().ID) {
 			return b
 		}
-		cost := router.Cost{
-			Load:          b.EstimatedLoad(now),
-			UnreadPrompts: b.UnreadPrompts(),
-			Remote:        b.Server().Centre != l.centre,
-			FailureRate:   max(b.FailureRate(now), b.StallScore(now)),
-			Saturation:    b.Saturation(now),
-		}
-		if value := cost.Value(); best == nil || value < bestCost || value == bestCost && prefers(r, b, best) {
+		if value := l.costOf(now, b, s).Value(); best == nil || value < bestCost || value == bestCost && prefers(r, b, best) {
 			best, bestCost = b, value
 		}
 	}
@@ -397,8 +392,11 @@
 		number, found.permit = found.permit.number, nil
 	}
 	names := modelNames(r)
-	l.log.Info().Str("request", r.ID).Str("server", s.ID).Str("model", requestedName(r)).Int("inflight", b.Inflight()).
-		Int("load", b.ReportedLoad()).Int64("waited", (now-r.Started).Milliseconds()).Str("parts", dispatcher.FormatParts(r.Prompt)).Float64("limit", limit.Rate).Uint64("permit", number).Msg("send")
+	line := l.log.Info().Str("request", r.ID).Str("server", s.ID).Str("model", requestedName(r)).Int("inflight", b.Inflight()).
+		Int("load", b.ReportedLoad()).Int64("waited", (now-r.Started).Milliseconds()).Str("parts", dispatcher.FormatParts(r.Prompt)).Float64("limit", limit.Rate).Uint64("permit", number)
+	l.logExpected(line, now, b, found).Msg("send")
+	work := l.startWork(now, b, found)
+	lastEventAt := time.Duration(0)
 	l.fleet.StartRequest(now, s.ID, names...)
 	l.recordUsage(b, names, 1)
 	promptRead := false
@@ -412,11 +410,13 @@
 		ConfirmReceipt: !b.RecentlyActive(now),
 		AbandonContext: a.ctx,
 		OnFeedback:     func(feedback dispatcher.Feedback) { l.receiveFeedback(s, number, feedback) },
-		OnPromptRead:   func() { promptRead = true; l.markPromptRead(s.ID) },
+		OnPromptRead:   func() { promptRead = true; l.markPromptRead(s.ID, work) },
 		OnActivity: func(now time.Duration) {
 			a.lastEventAt.Store(int64(now))
 			b.RecordActivity(now)
 			recordAnswer()
+			l.observeEvent(now, lastEventAt, b, work)
+			lastEventAt = now
 		},
 		OnSlow: func(gap time.Duration) { l.recordSlowGap(s.ID, r, gap) },
 		Release: func(result dispatcher.AttemptResult) {
@@ -424,6 +424,7 @@
 				recordAnswer()
 			}
 			l.release(a, names, promptRead, result)
+			l.endWork(work, result)
 		},
 	}
 }
@@ -471,6 +472,7 @@
 	now := l.clock()
 	if feedback.Load != nil {
 		l.fleet.RecordLoad(now, s.ID, feedback.Load.Running+feedback.Load.Waiting)
+		l.recordFigures(now, s.ID, feedback.Load)
 	}
 	if feedback.Leaving && l.fleet.MarkLeaving(s.ID, s.Started) {
 		l.unreported.departures[s.ID] = s.Started
@@ -489,10 +491,11 @@
 }
 
 // markPromptRead records that a server has read the prompt of a request.
-func (l *Locator) markPromptRead(id string) {
+func (l *Locator) markPromptRead(id string, work *tracker.SentWork) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fleet.MarkPromptRead(id)
+	work.MarkRead()
 	l.wakeQueued(id)
 }
 
--- a/locator/queue.go
+++ b/locator/queue.go
@@ -24,7 +24,7 @@
 	if r.Model == "" || now >= queueEnd(r) {
 		return true
 	}
-	if b.UnreadPrompts() >= maxUnreadPrompts {
+	if l.promptsPending(now, b) {
 		return false
 	}
 	for _, other := range l.queued {
--- a/locator/report.go
+++ b/locator/report.go
@@ -138,6 +138,7 @@
 	}
 	for _, load := range batch.GetTraffic() {
 		l.fleet.RecordLoad(now, load.GetServer(), int(load.GetRunning())+int(load.GetWaiting()))
+		l.recordWaiting(now, load)
 	}
 	for _, id := range batch.GetLost() {
 		l.fleet.MarkSidecarLost(now, id)
--- a/router/cost.go
+++ b/router/cost.go
@@ -1,5 +1,7 @@
 package router
 
+import "time"
+
 // Weights of the terms of a cost, in requests.
 const (
 	// unreadPromptWeight is the weight of a prompt from this process that the engine has
@@ -29,10 +31,37 @@
 	// Saturation is how near the server's answers came to their latency limit; 1 is exactly
 	// at it.
 	Saturation float64
+	// Estimated is set if the times at the server are estimated. Expected then counts instead of
+	// Load, UnreadPrompts, Remote and Saturation.
+	Estimated bool
+	Expected  ExpectedTime
+}
+
+// ExpectedTime is the time that sending a request to a backend server is expected to cost.
+type ExpectedTime struct {
+	// First is the time to the first event.
+	First time.Duration
+	// Slowed is the time by which the request delays the answers that run there.
+	Slowed time.Duration
+	// Link is what another data centre counts as.
+	Link time.Duration
+	// Late is what the time beyond the request's target counts as, in addition.
+	Late time.Duration
+}
+
+// requestTime is the time that counts as much as a request.
+const requestTime = 10 * time.Millisecond
+
+// value returns the sum of the times, in requests.
+func (e ExpectedTime) value() float64 {
+	return (e.First.Seconds() + e.Slowed.Seconds() + e.Link.Seconds() + e.Late.Seconds()) / requestTime.Seconds()
 }
 
 // Value returns the weighted sum of the terms, in requests.
 func (c Cost) Value() float64 {
+	if c.Estimated {
+		return c.Expected.value() + failureWeight*c.FailureRate
+	}
 	total := c.Load + unreadPromptWeight*float64(c.UnreadPrompts) + failureWeight*c.FailureRate + saturationWeight*c.Saturation
 	if c.Remote {
 		total += remoteWeight
--- a/tracker/backend.go
+++ b/tracker/backend.go
@@ -51,6 +51,8 @@
 	probedAt time.Duration
 	// backOffUntil is the end of the back-off that the server has asked for.
 	backOffUntil time.Duration
+	// estimates is what the expected times at the server are based on.
+	estimates estimates
 	// serving is set if the server takes new work according to the list, and none that
 	// started later is listed at its address, apart from mismatched ones.
 	serving bool
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -93,6 +93,8 @@
 	// leavingStarts maps the IDs of the servers that have said that they are leaving to
 	// the starts of their processes, in Unix milliseconds.
 	leavingStarts map[string]int64
+	// estimates are the estimates of the pools that have servers.
+	estimates map[string]*poolEstimates
 }
 
 // New returns an empty fleet.
@@ -102,6 +104,7 @@
 		unlisted:      map[string]unlistedStatus{},
 		holders:       map[string][]*Backend{},
 		leavingStarts: map[string]int64{},
+		estimates:     map[string]*poolEstimates{},
 	}
 }
 
@@ -119,6 +122,7 @@
 		b.stalledAt, b.backOffUntil = 0, 0
 	}
 	before := b.ModelNames()
+	f.updateEstimates(b, s)
 	b.server, b.mismatched = s, false
 	f.reindex(b, before)
 	f.pools = nil
@@ -135,6 +139,7 @@
 		return
 	}
 	delete(f.backends, id)
+	f.dropEstimates(b.server.Pool)
 	f.pools = nil
 	for name := range b.ModelNames() {
 		f.unindex(b, name)
@@ -174,6 +179,7 @@
 	f.reindex(b, before)
 	b.otherRequests = max(0, int(s.GetRunning())+int(s.GetWaiting())-b.inflight)
 	b.otherRequestsAt = now
+	b.RecordWaiting(now, int(s.GetWaiting()))
 	return true
 }
 
