tracker, locator: requests go where the engine has memory for them

An engine whose requests do not fit into its memory preempts the newest of the least urgent in the middle of its stream. Requests were sent without regard to that. A request goes first to servers where it fits. If it fits nowhere, it waits as long as it would for prompts before it (35% of the time to its target), is tried again when a request ends or a figure arrives, and then goes to the best server all the same. It does not keep others waiting that fit. A request larger than the whole memory does not wait.

Only for pools whose times are estimated, and for engines with a current status of their process. Status messages to entries now have the memory; EngineLoad has its used part in percent (2 bytes), since statuses are sent for it only every 5 s. Ruled out: the number of tokens there (4 bytes), and the produced part of answers in flight, which the figure has in it and the estimate counts twice.

The traffic of a large fleet was not measured again.

--- a/locator/estimate.go
+++ b/locator/estimate.go
@@ -109,6 +109,25 @@
 	return min(r.OutputHint, r.MaxOutputTokens)
 }
 
+// hintMargin is how much longer than the caller's estimate an answer is assumed to become when memory
+// is set aside for it. The estimate is right at the median.
+const hintMargin = 1.5
+
+// memoryTokens returns what r needs of the memory for prompts and answers.
+func memoryTokens(r *dispatcher.Request) tracker.Tokens {
+	t := tracker.Tokens{Prompt: promptTokens(r), Output: r.MaxOutputTokens}
+	if hint := int(hintMargin * float64(r.OutputHint)); r.OutputHint > 0 && (t.Output <= 0 || hint < t.Output) {
+		t.Output = hint
+	}
+	return t
+}
+
+// fits reports whether r fits into the memory of a server, as far as that is known. One that never
+// fits counts as fitting, since waiting for memory doesn't help it.
+func (l *Locator) fits(now time.Duration, b *tracker.Backend, r *dispatcher.Request) bool {
+	return !b.Estimated() || b.Fits(now, memoryTokens(r))
+}
+
 // promptPrefixes returns the beginnings of the prompt of r from the shortest one: after each of its
 // first parts. Their keys differ between models and adapters, which share nothing.
 func promptPrefixes(r *dispatcher.Request) []tracker.PromptPrefix {
@@ -146,11 +165,17 @@
 	}
 }
 
-// recordWaiting records the number of waiting requests that a relay has sent. The caller holds the
-// lock.
+// recordWaiting records the number of waiting requests and the memory in use that a relay has sent,
+// and wakes the requests that may be queued for the memory. The caller holds the lock.
 func (l *Locator) recordWaiting(now time.Duration, load *wire.EngineLoad) {
-	if b := l.fleet.Get(load.GetServer()); b != nil {
-		b.RecordWaiting(now, int(load.GetWaiting()))
+	b := l.fleet.Get(load.GetServer())
+	if b == nil {
+		return
+	}
+	b.RecordWaiting(now, int(load.GetWaiting()))
+	b.RecordFull(now, load.GetFull())
+	if b.Estimated() {
+		l.wakeQueued(load.GetServer())
 	}
 }
 
@@ -179,7 +204,7 @@
 		return nil
 	}
 	w := s.workAt(now, b)
-	return b.StartWork(now, w, s.prompt)
+	return b.StartWork(now, w, s.prompt, memoryTokens(s.request))
 }
 
 // endWork records the end of an attempt for the estimates of its server. An answer without events
@@ -193,7 +218,7 @@
 	if result.Err == nil {
 		work.RecordFirst(l.clock())
 	}
-	work.End()
+	work.End(l.clock())
 }
 
 // observeEvent records an event of an attempt for the estimates of its server. previous is the
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -319,12 +319,13 @@
 }
 
 // pick returns the server with the lowest cost of those that can run a request now, or once they
-// may be sent one within patience, and were not tried. It returns nil if there is none. A server
+// may be sent one within patience, and were not tried. Servers where it fits into the memory go
+// first. It returns nil if there is none. A server
 // for which the request has a permit goes first. The caller holds the lock.
 func (l *Locator) pick(now time.Duration, s *search, patience time.Duration) *tracker.Backend {
 	r := s.request
 	var best *tracker.Backend
-	bestCost := 0.0
+	bestCost, bestFits := 0.0, false
 	for _, b := range l.candidates(r) {
 		if !l.isOpen(now, b, s) || !l.takesWithin(now, b, s, patience) {
 			continue
@@ -332,8 +333,9 @@
 		if s.permit.usable(now, b.Server().ID) {
 			return b
 		}
-		if value := l.costOf(now, b, s).Value(); best == nil || value < bestCost || value == bestCost && prefers(r, b, best) {
-			best, bestCost = b, value
+		value, fits := l.costOf(now, b, s).Value(), l.fits(now, b, r)
+		if best == nil || fits && !bestFits || fits == bestFits && (value < bestCost || value == bestCost && prefers(r, b, best)) {
+			best, bestCost, bestFits = b, value, fits
 		}
 	}
 	return best
@@ -495,7 +497,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fleet.MarkPromptRead(id)
-	work.MarkRead()
+	work.MarkRead(l.clock())
 	l.wakeQueued(id)
 }
 
--- a/locator/queue.go
+++ b/locator/queue.go
@@ -17,18 +17,19 @@
 // prompts before it.
 const queueFraction = 0.35
 
-// admits reports whether r may be sent to a server now: enough prompts there have been read
-// and no queued request for the same model goes first, or r has waited until queueEnd. The
+// admits reports whether r may be sent to a server now: enough prompts there have been read, it fits
+// into the memory and no queued request for the same model that does goes first, or r has waited
+// until queueEnd, so that nothing waits without end for memory that others take. The
 // caller holds the lock.
 func (l *Locator) admits(now time.Duration, b *tracker.Backend, r *dispatcher.Request) bool {
 	if r.Model == "" || now >= queueEnd(r) {
 		return true
 	}
-	if l.promptsPending(now, b) {
+	if l.promptsPending(now, b) || !l.fits(now, b, r) {
 		return false
 	}
 	for _, other := range l.queued {
-		if other != r && other.Model == r.Model && dispatcher.Compare(other, r) < 0 {
+		if other != r && other.Model == r.Model && dispatcher.Compare(other, r) < 0 && l.fits(now, b, other) {
 			return false
 		}
 	}
--- a/orderer/report.go
+++ b/orderer/report.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"oleanderstall/tracker"
 	"oleanderstall/wire"
 )
 
@@ -32,6 +33,7 @@
 			Server:  o.status.GetServer(),
 			Running: uint32(o.report.Running),
 			Waiting: uint32(o.report.Waiting),
+			Full:    tracker.FullPercent(o.report.UsedTokens, o.report.CacheTokens),
 		}
 	}
 	return r
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -108,6 +108,8 @@
 		Leaving: status.GetLeaving(),
 		Running: status.GetRunning(),
 		Waiting: status.GetWaiting(),
+		Used:    status.GetUsed(),
+		Cache:   status.GetCache(),
 	}
 	for _, r := range status.GetResidents() {
 		if r.GetClosing() {
--- a/tracker/estimate.go
+++ b/tracker/estimate.go
@@ -29,6 +29,8 @@
 	waitingAt time.Duration
 	// prompts are the beginnings of prompts that were sent there lately.
 	prompts promptTable
+	// memory is what is known of the memory for prompts and answers.
+	memory memory
 	// gapAt is the instant of the latest gap recorded, in nanoseconds.
 	gapAt atomic.Int64
 }
@@ -158,30 +160,37 @@
 	work    estimator.Work
 	queue   estimator.Queue
 	sentAt  time.Duration
-	// read is set once the prompt was read, and first once the first event has arrived.
+	// read is set once the prompt was read, at readAt, and first once the first event has arrived.
 	read, first bool
+	readAt      time.Duration
+	// tokens is what the request needs of the server's memory.
+	tokens Tokens
+	// included is set if the latest figure of the server's memory has the prompt in it, and ended
+	// once the attempt has ended.
+	included, ended bool
 }
 
-// StartWork records work that is sent to a server, with the beginnings of its prompt. It returns
-// nil unless times at the server are estimated.
-func (b *Backend) StartWork(now time.Duration, w estimator.Work, prompt []PromptPrefix) *SentWork {
+// StartWork records work that is sent to a server, with the beginnings of its prompt and what it
+// needs of the memory. It returns nil unless times at the server are estimated.
+func (b *Backend) StartWork(now time.Duration, w estimator.Work, prompt []PromptPrefix, tokens Tokens) *SentWork {
 	if !b.Estimated() {
 		return nil
 	}
 	e := &b.estimates
-	sent := &SentWork{backend: b, work: w, queue: b.queue(now, w.Model), sentAt: now}
+	sent := &SentWork{backend: b, work: w, queue: b.queue(now, w.Model), sentAt: now, tokens: tokens.plausible()}
 	e.unreadTokens += w.PromptTokens
 	e.readUntil = max(e.readUntil, now) + e.estimator.Read(now, w)
 	e.prompts.add(now, prompt)
+	e.memory.start(sent)
 	return sent
 }
 
 // MarkRead records that the server has read the prompt.
-func (s *SentWork) MarkRead() {
+func (s *SentWork) MarkRead(now time.Duration) {
 	if s == nil || s.read {
 		return
 	}
-	s.read = true
+	s.read, s.readAt = true, now
 	s.backend.estimates.unreadTokens -= s.work.PromptTokens
 }
 
@@ -195,4 +204,10 @@
 }
 
 // End records the end of the attempt.
-func (s *SentWork) End() { s.MarkRead() }
+func (s *SentWork) End(now time.Duration) {
+	if s == nil {
+		return
+	}
+	s.MarkRead(now)
+	s.backend.estimates.memory.end(s)
+}
--- a/tracker/estimate_test.go
+++ b/tracker/estimate_test.go
@@ -29,7 +29,7 @@
 	now := time.Hour
 	for i := range uint64(10000) {
 		now += time.Millisecond
-		b.StartWork(now, estimator.Work{}, []PromptPrefix{{Key: i, Tokens: 10}, {Key: i + 1<<32, Tokens: 20}}).End()
+		b.StartWork(now, estimator.Work{}, []PromptPrefix{{Key: i, Tokens: 10}, {Key: i + 1<<32, Tokens: 20}}, Tokens{}).End(now)
 		assert.Equal(t, b.CachedTokens(now, []PromptPrefix{{Key: i, Tokens: 10}, {Key: i + 1<<32, Tokens: 20}, {Key: 1 << 40, Tokens: 30}}), 20)
 	}
 	e := &b.estimates.prompts
@@ -47,21 +47,21 @@
 	for range 5000 {
 		now += time.Duration(random.IntN(20)) * time.Millisecond
 		if len(inFlight) < 10 {
-			inFlight = append(inFlight, b.StartWork(now, estimator.Work{PromptTokens: random.IntN(5000)}, nil))
+			inFlight = append(inFlight, b.StartWork(now, estimator.Work{PromptTokens: random.IntN(5000)}, nil, Tokens{}))
 			continue
 		}
 		i := random.IntN(len(inFlight))
 		for range random.IntN(3) {
-			inFlight[i].MarkRead()
+			inFlight[i].MarkRead(now)
 			inFlight[i].RecordFirst(now)
 		}
-		inFlight[i].End()
-		inFlight[i].End()
-		inFlight[i].MarkRead()
+		inFlight[i].End(now)
+		inFlight[i].End(now)
+		inFlight[i].MarkRead(now)
 		inFlight = append(inFlight[:i], inFlight[i+1:]...)
 	}
 	for _, s := range inFlight {
-		s.End()
+		s.End(now)
 	}
 	assert.Equal(t, b.estimates.unreadTokens, 0)
 	assert.Equal(t, b.UnreadTime(now), time.Duration(0))
@@ -74,7 +74,7 @@
 	assert.Assert(t, b.Estimated())
 	f.UpdateServer(Server{ID: "z", Pool: "q", Address: "z", Started: 1})
 	assert.Assert(t, !f.Get("z").Estimated())
-	assert.Assert(t, f.Get("z").StartWork(time.Hour, estimator.Work{PromptTokens: 5}, nil) == nil)
+	assert.Assert(t, f.Get("z").StartWork(time.Hour, estimator.Work{PromptTokens: 5}, nil, Tokens{}) == nil)
 	f.UpdateServer(Server{ID: "y", Pool: "q", Address: "y", Started: 1})
 	assert.Assert(t, !b.Estimated())
 	for i := range 100 {
@@ -92,11 +92,11 @@
 	_, b := newEstimatedFleet()
 	now, w := time.Hour, estimator.Work{PromptTokens: 500, OutputTokens: 100}
 	idle := b.ExpectedFirst(now, w)
-	sent := b.StartWork(now, estimator.Work{PromptTokens: 4000}, nil)
+	sent := b.StartWork(now, estimator.Work{PromptTokens: 4000}, nil, Tokens{})
 	assert.Assert(t, b.ExpectedFirst(now, w) > idle+80*time.Millisecond)
 	later := b.ExpectedFirst(now+100*time.Millisecond, w)
 	assert.Assert(t, later > idle && later < idle+60*time.Millisecond)
-	sent.MarkRead()
+	sent.MarkRead(now)
 	assert.Equal(t, b.ExpectedFirst(now, w), idle)
 	b.fleet.RecordLoad(now, "y", 20)
 	b.RecordWaiting(now, 4)
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -180,6 +180,7 @@
 	b.otherRequests = max(0, int(s.GetRunning())+int(s.GetWaiting())-b.inflight)
 	b.otherRequestsAt = now
 	b.RecordWaiting(now, int(s.GetWaiting()))
+	b.recordMemory(now, int(s.GetUsed()), int(s.GetCache()))
 	return true
 }
 
