relayer, locator: entries share the speeds of servers through their relays

An entry learned the speed of a server from its own requests only, and one of hundreds sends a server few. Every 300 ms an entry now reports, for the servers it had events of, the mean of what it observed relative to the pool and the server's own figure if that has changed by 30%. The relay keeps one mean for each listed server and sends it to entries when it has changed by 15% (own figure: 30%), at most every 250 ms and at least every 10 s while there are reports. Relays forward the reports of their own entries, one for a server and batch, and none that they got. The state is rebuilt after a restart of a relay; without a relay an entry uses what it observes itself.

An estimate goes back to the shared speed instead of the pool's mean, in 3 s if that is newer. Only raw observations are reported, so that a shared speed does not come back as a new one. A report about a server also says that its pool states its own figures. Figures out of range and servers that are not listed are ignored. Ruled out: the mean in every batch as with saturations (600 servers every 120 ms are beyond the 28 KB/s of a process).

The traffic of a large fleet was not measured.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -20,6 +20,11 @@
 	// speedExpiry the one with which it goes back to the pool's mean without observations.
 	speedConstant = time.Second
 	speedExpiry   = 20 * time.Second
+	// ownExpiry is the one with which observations stop counting against newer ones of others.
+	ownExpiry = 3 * time.Second
+	// minPoolCount is the number of observations of a pool from which a speed relative to its mean
+	// is worth telling others.
+	minPoolCount = 20
 	// speedAssumed is the number of observations at the pool's mean that a server starts with.
 	speedAssumed = 3
 	// speedWeight is the most that one observation weighs, and speedSurprise how far from the
@@ -82,8 +87,14 @@
 // constant, and so is the cost of an observation. It is not safe for concurrent use.
 type Estimator struct {
 	pool *Pool
-	// speed is how long work takes at the server relative to the pool's mean.
-	speed average
+	// speed is how long work takes at the server relative to the pool's mean, and shared what others
+	// have observed of that.
+	speed  average
+	shared average
+	// unsharedSum is the sum of the logarithms of what was observed of the speed since it was taken
+	// by TakeUnshared, and unsharedCount their number.
+	unsharedSum   float64
+	unsharedCount int
 	// pace is the server's own figure and usualPace its mean, both relative to 100.
 	pace      average
 	usualPace average
@@ -113,13 +124,48 @@
 	w, q = w.plausible(), e.resolved(q.plausible())
 	momentary := e.momentary(now)
 	usual := float64(took) / math.Exp(momentary)
-	known := e.speed.decayed(now, speedExpiry)
+	known := e.speedAt(now)
 	e.pool.observe(now, w, q, usual, known)
 	read, step := e.pool.scaleOf(w.Model).parts(w, q)
-	surprise := math.Log(usual) - math.Log(read+step) - known
+	observed := math.Log(usual) - math.Log(read+step)
+	if e.pool.all.seen.count >= minPoolCount {
+		e.unsharedSum += within(observed, maxSpeed)
+		e.unsharedCount++
+	}
 	weight := e.speed.weight(now, speedConstant, speedAssumed, speedWeight)
 	e.speed.value = known
-	e.speed.add(now, within(known+within(surprise, speedSurprise), maxSpeed), weight)
+	e.speed.add(now, within(known+within(observed-known, speedSurprise), maxSpeed), weight)
+}
+
+// RecordShared records how long work takes at the server relative to its pool, in percent, as others
+// have observed it. It ignores a figure that cannot be right.
+func (e *Estimator) RecordShared(now time.Duration, percent int) {
+	if percent <= 0 || percent > maxPace {
+		return
+	}
+	e.shared.value = within(math.Log(float64(percent)/100), maxSpeed)
+	e.shared.updatedAt = now
+}
+
+// TakeUnshared returns the mean of what was observed of the server's speed since the last call, in
+// percent, and the number of observations.
+func (e *Estimator) TakeUnshared() (percent, count int) {
+	if e.unsharedCount == 0 {
+		return 0, 0
+	}
+	percent, count = int(math.Round(100*math.Exp(e.unsharedSum/float64(e.unsharedCount)))), e.unsharedCount
+	e.unsharedSum, e.unsharedCount = 0, 0
+	return percent, count
+}
+
+// speedAt returns the speed of the server at an instant, as a logarithm. Without observations it
+// goes back to what others have observed, and that to the pool's mean.
+func (e *Estimator) speedAt(now time.Duration) float64 {
+	shared, constant := e.shared.decayed(now, speedExpiry), speedExpiry
+	if e.shared.updatedAt > e.speed.updatedAt {
+		constant = ownExpiry
+	}
+	return shared + (e.speed.value-shared)*math.Exp(-float64(max(0, now-e.speed.updatedAt))/float64(constant))
 }
 
 // RecordGap records a gap between two events with the number of requests at the server. It ignores
@@ -169,7 +215,7 @@
 
 // Factor returns how long work takes at the server now, relative to the pool's mean.
 func (e *Estimator) Factor(now time.Duration) float64 {
-	return math.Exp(e.speed.decayed(now, speedExpiry) + e.momentary(now))
+	return math.Exp(e.speedAt(now) + e.momentary(now))
 }
 
 // slotWait returns how long a request waits for a slot, in nanoseconds: the requests before it end
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -256,3 +256,39 @@
 		e.First(start+time.Millisecond, Work{Model: "m", PromptTokens: 100}, Queue{Running: 3})
 	}
 }
+
+// TestSharedSpeed guards against what others have observed that doesn't count without observations of
+// one's own, counts against newer ones, or counts for ever.
+func TestSharedSpeed(t *testing.T) {
+	e := New()
+	e.RecordShared(start, 250)
+	assert.Assert(t, e.Factor(start) > 2.4 && e.Factor(start) < 2.6)
+	assert.Assert(t, e.Factor(start+time.Minute) < 1.2)
+	for _, percent := range []int{0, -1, math.MaxInt, math.MinInt} {
+		e.RecordShared(start, percent)
+	}
+	assert.Assert(t, e.Factor(start) > 2.4)
+	fx := newFixture(1, 1, 1)
+	fx.run(5*time.Second, nil)
+	own := fx.servers[0].estimator
+	own.RecordShared(fx.now, 300)
+	assert.Assert(t, own.Factor(fx.now) < 1.2, "%.2f", own.Factor(fx.now))
+	assert.Assert(t, own.Factor(fx.now+6*time.Second) > 1.5, "%.2f", own.Factor(fx.now+6*time.Second))
+}
+
+// TestUnshared guards against observations that are told twice, or that others are told before the
+// pool's mean is known.
+func TestUnshared(t *testing.T) {
+	fx := newFixture(1, 1, 2)
+	fx.run(200*time.Millisecond, nil)
+	_, count := fx.servers[1].estimator.TakeUnshared()
+	assert.Equal(t, count, 0)
+	fx.run(5*time.Second, nil)
+	slow, count := fx.servers[1].estimator.TakeUnshared()
+	assert.Assert(t, count > 50)
+	fast, _ := fx.servers[0].estimator.TakeUnshared()
+	ratio := float64(slow) / float64(fast)
+	assert.Assert(t, ratio > 1.6 && ratio < 2.4, "%d %d", fast, slow)
+	_, count = fx.servers[1].estimator.TakeUnshared()
+	assert.Equal(t, count, 0)
+}
--- a/locator/estimate.go
+++ b/locator/estimate.go
@@ -160,6 +160,7 @@
 	first := !b.Estimated()
 	b.RecordWaiting(now, load.Waiting)
 	b.RecordPace(now, load.Pace)
+	l.speeds.add(b)
 	if first && b.Estimated() {
 		l.log.Info().Str("pool", b.Server().Pool).Str("server", id).Int("pace", load.Pace).Msg("pool: expected times decide from now on")
 	}
@@ -231,6 +232,7 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		work.RecordFirst(now)
+		l.speeds.add(b)
 	case b.TakeGap(now):
 		l.mu.Lock()
 		defer l.mu.Unlock()
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -52,6 +52,8 @@
 	// demands are the models and adapters that requests wait for, by name.
 	demands    map[string]*demand
 	unreported unreported
+	// speeds are the servers whose speeds are to be reported.
+	speeds unreportedSpeeds
 	// rows are the latest rows of the list, by server, without what they list. removedRows
 	// names the servers among them that were removed, the earliest first.
 	rows        map[string]*wire.ListedServer
--- a/locator/report.go
+++ b/locator/report.go
@@ -58,6 +58,7 @@
 	r.Crashes = l.quarantine.TakeUnsent(full)
 	l.reportLimits(full, r)
 	r.Arrivals, r.Felt = l.unreported.arrivals, l.unreported.saturations
+	r.Speeds = l.takeSpeeds(now)
 	if l.unreported.demandsChanged {
 		r.Waiting = true
 		for name, d := range l.demands {
@@ -147,6 +148,7 @@
 		l.fleet.MarkLeaving(departure.GetServer(), departure.GetBorn())
 	}
 	l.receiveLimits(now, batch.GetLimits())
+	l.receiveSpeeds(now, batch.GetSpeeds())
 	l.quarantine.Merge(batch.GetCrashes())
 	l.wakeQuarantined()
 	for _, estimate := range batch.GetOutlooks() {
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -89,6 +89,7 @@
 	fs.addEstimates(now, lp, batch)
 	fs.addCrashes(now, lp, batch)
 	fs.addLimits(lp, batch)
+	fs.addSpeeds(now, lp, batch)
 	if lp.levelsDue {
 		batch.Levels, lp.levelsDue = fs.ledger.Levels(now), false
 	}
@@ -183,6 +184,7 @@
 	batch.Arrivals, lp.arrivals = lp.arrivals, map[string]float64{}
 	batch.Spent = lp.nextTokenUsage(fs.localUsage, batch.GetNumber())
 	batch.Felt, lp.saturations = lp.saturations, nil
+	batch.Speeds = lp.takeSpeeds()
 	if reads, _ := fs.ReadsServerList(now); reads {
 		for c := range fs.servers.since(lp.sentVersions.servers) {
 			batch.Items = append(batch.Items, c.value)
--- a/relayer/fleetstate.go
+++ b/relayer/fleetstate.go
@@ -81,6 +81,9 @@
 	// limits holds the limits that servers have named, and pacing is who gives out the permits.
 	limits *versionedMap[string, pacedLimit]
 	pacing pacing
+	// speedMeans are the means of the speeds of servers, and speeds what entries are sent of them.
+	speedMeans map[string]*speedMean
+	speeds     *versionedMap[string, *wire.ServerSpeed]
 	// usage and demands are sums over the entries linked to this relay, loadRequests the
 	// loads that this relay decided on.
 	usage        *versionedMap[serverModel, uint32]
@@ -128,6 +131,8 @@
 		quarantiner:       quarantiner.New(0),
 		limits:            newVersionedMap[string, pacedLimit](),
 		pacing:            newPacing(),
+		speedMeans:        map[string]*speedMean{},
+		speeds:            newVersionedMap[string, *wire.ServerSpeed](),
 		usage:             newVersionedMap[serverModel, uint32](),
 		demands:           newVersionedMap[string, allocator.Demand](),
 		loadRequests:      newVersionedMap[serverModel, loadRequest](),
--- a/relayer/fuzz_test.go
+++ b/relayer/fuzz_test.go
@@ -25,6 +25,7 @@
 	oddSpent  = map[string]float64{"": math.NaN(), "w": math.Inf(-1), "unknown": 1e300}
 	oddCrash  = []*wire.Crash{{}, {Server: "x", Age: math.MaxUint32, Suspects: []*wire.Suspect{{}, {Depth: math.MaxUint32}}}}
 	oddParted = []*wire.Departure{{}, {Server: "x", Born: math.MaxInt64}}
+	oddSpeeds = []*wire.ServerSpeed{{}, {Server: "x", Speed: math.MaxUint32, Count: math.MaxUint32, Pace: math.MaxUint32}, {Server: "e", Count: 1}, {Server: "e", Speed: 1, Count: 1}, {Server: "e", Pace: 10001}}
 	oddFelt   = []*wire.Saturation{{}, {Server: "x", Strain: float32(math.NaN())}, {Server: "x", Strain: float32(math.Inf(-1))}}
 	oddUses   = []*wire.EngineUsage{{}, {Server: "x", Model: "odd", Inflight: math.MaxUint32}}
 )
@@ -90,7 +91,7 @@
 func FuzzReport(f *testing.F) {
 	f.Add(Entry, marshal(f, &wire.Report{
 		Number: math.MaxUint64, Heard: math.MaxUint64, Uses: oddUses, Needs: oddRequests, Waiting: true, Ready: true, Last: true,
-		Arrivals: oddSpent, Spent: oddSpent, Felt: oddFelt, Parted: oddParted, Crashes: oddCrash,
+		Arrivals: oddSpent, Spent: oddSpent, Felt: oddFelt, Speeds: oddSpeeds, Parted: oddParted, Crashes: oddCrash,
 	}))
 	f.Add(Sidecar, marshal(f, &wire.Report{Condition: oddStatus, Traffic: &wire.EngineLoad{Server: "x", Running: math.MaxUint32, Waiting: 1}}))
 	f.Add(Relay, marshal(f, &wire.Report{Heard: math.MaxUint64, Ready: true}))
@@ -126,7 +127,7 @@
 		Number: math.MaxUint64, Heard: math.MaxUint64, Links: math.MaxUint32, Conditions: []*wire.EngineStatus{{}, oddStatus},
 		Traffic: []*wire.EngineLoad{{}, {Server: "x", Running: math.MaxUint32, Waiting: 1}}, Lost: []string{"", "x", "x"},
 		Uses: oddUses, Needs: oddRequests, Wants: oddRequests, Outlooks: []*wire.ReadyEstimate{{}, {Model: "odd", Left: math.MaxUint32}},
-		Arrivals: oddSpent, Spent: oddSpent, Levels: oddSpent, Felt: oddFelt, Parted: oddParted, Crashes: oddCrash,
+		Arrivals: oddSpent, Spent: oddSpent, Levels: oddSpent, Felt: oddFelt, Speeds: oddSpeeds, Parted: oddParted, Crashes: oddCrash,
 		Entries: math.MaxUint32, Absent: math.MaxUint32, Young: math.MaxUint32, Ready: math.MaxUint32, Names: []string{"", "odd", "odd"},
 		Items: []*wire.ListedServer{{}, {Id: "x", Slots: math.MaxUint32, Born: math.MinInt64}, {Id: "gone", Gone: true}},
 		Age:   math.MaxUint32,
--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -45,6 +45,8 @@
 	tokensUsed   map[string]float64
 	saturations  []*wire.Saturation
 	estimatesDue map[string]bool
+	// speeds are the reports of speeds to be sent to another relay with the next batch.
+	speeds map[string]*wire.ServerSpeed
 	// sentTotals are the totals up to which token usage was sent to another relay, and
 	// unconfirmedTotals those of the batches that it has not confirmed.
 	sentTotals        map[string]float64
@@ -62,7 +64,7 @@
 // stateVersions are versions of the maps of a FleetState and, for entries, its
 // entriesVersion.
 type stateVersions struct {
-	statuses, engineLoads, lostSidecars, departures, estimates, servers, members, usage, demands, loadRequests, crashes, limits, entries uint64
+	statuses, engineLoads, lostSidecars, departures, estimates, servers, members, usage, demands, loadRequests, crashes, limits, speeds, entries uint64
 }
 
 // Join links a process and returns the ID of the link. An earlier link of the same process
@@ -196,6 +198,8 @@
 	}
 	fs.recordArrivals(now, report.GetArrivals())
 	fs.recordSaturations(now, report.GetFelt())
+	fs.recordSpeeds(now, report.GetSpeeds())
+	fs.forwardSpeeds(report.GetSpeeds())
 	for _, other := range fs.processes {
 		if other.link.GetRole() == Relay {
 			addArrivals(other.arrivals, report.GetArrivals())
--- a/relayer/remotefeed.go
+++ b/relayer/remotefeed.go
@@ -152,6 +152,7 @@
 	}
 	fs.recordArrivals(now, batch.GetArrivals())
 	fs.recordSaturations(now, batch.GetFelt())
+	fs.recordSpeeds(now, batch.GetSpeeds())
 }
 
 // applyDecisions applies the load requests and ready estimates of another relay. It ignores
--- a/relayer/serverlist.go
+++ b/relayer/serverlist.go
@@ -31,6 +31,7 @@
 	if server.GetGone() {
 		fs.allocator.RemoveServer(fs.decidedAt, server.GetId())
 		fs.limits.remove(server.GetId())
+		fs.dropSpeed(server.GetId())
 		delete(fs.pacing.schedules, server.GetId())
 	} else {
 		fs.allocator.UpdateServer(tracker.ServerFromList(server))
--- a/tracker/estimate.go
+++ b/tracker/estimate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oleanderstall/estimator"
+	"oleanderstall/wire"
 )
 
 // poolEstimates is what the estimates of the servers of a pool have in common.
@@ -24,6 +25,10 @@
 	// not read yet, and readUntil the instant at which it is expected to have read them.
 	unreadTokens int
 	readUntil    time.Duration
+	// pace is the server's own latest figure, as of paceAt, and sharedPace what was last told others.
+	pace       int
+	paceAt     time.Duration
+	sharedPace int
 	// waiting is the number of requests that wait at the server, as of waitingAt.
 	waiting   int
 	waitingAt time.Duration
@@ -82,9 +87,52 @@
 		return
 	}
 	b.estimates.estimator.RecordPace(now, percent)
+	b.estimates.pace, b.estimates.paceAt = percent, now
 	b.estimates.pool.stated = true
 }
 
+// paceChange is the factor by which the server's own figure has changed when others are told of it.
+const paceChange = 1.3
+
+// maxSpeedCount is the most observations that a report of a speed stands for.
+const maxSpeedCount = 1000
+
+// TakeSpeed returns what was observed of the server's speed since the last call, or nil if there is
+// nothing that others should be told.
+func (b *Backend) TakeSpeed() *wire.ServerSpeed {
+	e := &b.estimates
+	percent, count := e.estimator.TakeUnshared()
+	speed := &wire.ServerSpeed{Server: b.server.ID, Speed: uint32(percent), Count: uint32(min(count, maxSpeedCount))}
+	if e.pace > 0 && (e.sharedPace == 0 || float64(max(e.pace, e.sharedPace)) >= paceChange*float64(min(e.pace, e.sharedPace))) {
+		speed.Pace, e.sharedPace = uint32(e.pace), e.pace
+	}
+	if speed.GetCount() == 0 && speed.GetPace() == 0 {
+		return nil
+	}
+	return speed
+}
+
+// maxSharedSpeed is the highest plausible speed or figure that others tell, in percent.
+const maxSharedSpeed = 10000
+
+// maxSharedPaceLead is the age of the server's own figure from which one that others have received
+// replaces it. Theirs has come through a relay.
+const maxSharedPaceLead = 300 * time.Millisecond
+
+// RecordSharedSpeed records what other processes have observed of the server's speed. They tell of
+// servers only whose pools have stated their own figures.
+func (b *Backend) RecordSharedSpeed(now time.Duration, speed *wire.ServerSpeed) {
+	e := &b.estimates
+	if percent := speed.GetSpeed(); speed.GetCount() > 0 && percent > 0 && percent <= maxSharedSpeed {
+		e.estimator.RecordShared(now, int(percent))
+		e.pool.stated = true
+	}
+	if pace := int(min(speed.GetPace(), maxSharedSpeed+1)); pace > 0 && pace <= maxSharedSpeed && (e.paceAt == 0 || now-e.paceAt > maxSharedPaceLead) {
+		e.estimator.RecordPace(now, pace)
+		e.pool.stated = true
+	}
+}
+
 // RecordWaiting records the number of requests that wait at the server without having begun.
 func (b *Backend) RecordWaiting(now time.Duration, waiting int) {
 	b.estimates.waiting, b.estimates.waitingAt = max(0, waiting), now
