soaker: the store loses the row of a holder written just before

Change: one sidecar starts late in such a run. Once another process orders its engine, the store is set back to before, and the sidecar starts. Orders of two holders to one engine must be a lease apart, unless one of them was continued after a stop within the lease. The lease is 2 s in such a run, and there are more models than fit, so that engines are ordered all the time.

--- a/soaker/fault_test.go
+++ b/soaker/fault_test.go
@@ -123,6 +123,9 @@
 		time.Sleep(duration)
 		if sig == syscall.SIGSTOP {
 			m.signal(syscall.SIGCONT)
+			m.mu.Lock()
+			m.continuedAt = append(m.continuedAt, time.Now())
+			m.mu.Unlock()
 			m.recordFault(true, false)
 			return
 		}
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -21,7 +21,10 @@
 const (
 	gracePeriod   = 3 * time.Second
 	leaseDuration = time.Second
-	startTimeout  = 15 * time.Second
+	// storeLeaseDuration is the lease in a run with trouble of the store. A sidecar that starts then
+	// sends its first order later than leaseDuration even if it does not wait.
+	storeLeaseDuration = 2 * time.Second
+	startTimeout       = 15 * time.Second
 	// maxMemory bounds the peak resident memory of a process, in bytes.
 	maxMemory = 256 << 20
 )
@@ -32,6 +35,7 @@
 	role          string
 	engineAddress string
 	dir           string
+	lease         time.Duration
 	storeLink     *link
 	command       *exec.Cmd
 	done          chan struct{}
@@ -43,13 +47,15 @@
 	// it shuts down after SIGTERM.
 	serving  bool
 	draining bool
+	// continuedAt are the times at which the process was continued after a stop.
+	continuedAt []time.Time
 }
 
 // settings returns the contents of the process's settings file.
 func (m *member) settings() []byte {
 	settings := map[string]any{
 		"role": m.role, "name": m.name, "centre": imitator.SiteCentre, "peer": "127.0.0.1:0", "admin": "127.0.0.1:0",
-		"hosted": map[string]any{"store": m.storeLink.address, "grace": gracePeriod.String(), "lease": leaseDuration.String()},
+		"hosted": map[string]any{"store": m.storeLink.address, "grace": gracePeriod.String(), "lease": m.lease.String()},
 	}
 	if m.role == "entry" {
 		settings["hosted"].(map[string]any)["ready"] = "127.0.0.1:0"
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -123,6 +123,10 @@
 		Engines: *sidecarCount, Services: 2, Models: 2 * *sidecarCount, ModelsPerEngine: 2, LoadTime: 60 * time.Millisecond, EventInterval: 8 * time.Millisecond,
 		EventsPerStream: eventsPerStream, ServiceTime: 10 * time.Millisecond, Rate: 1e7, Burst: 1e7, Proxy: s.addServerLink, RestartTime: crashTime,
 	}
+	if mode.storeTrouble {
+		// More models than fit keep all engines ordered.
+		s.options.Models += *sidecarCount
+	}
 	var err error
 	if s.faultLog, err = os.Create(filepath.Join(dir, "faults.log")); err != nil {
 		return nil, err
@@ -143,9 +147,16 @@
 		s.sidecars = append(s.sidecars, &member{name: fmt.Sprintf("sidecar-%d", i), role: "sidecar", engineAddress: address, dir: dir})
 	}
 	for _, m := range s.members() {
+		m.lease = leaseDuration
+		if mode.storeTrouble {
+			m.lease = storeLeaseDuration
+		}
 		if m.storeLink, err = newLink(s.site.StoreAddress); err != nil {
 			return nil, err
 		}
+		if m == s.lateSidecar() {
+			continue
+		}
 		if err = m.start(binary); err != nil {
 			return nil, err
 		}
@@ -164,6 +175,14 @@
 	return k.address, nil
 }
 
+// lateSidecar returns the sidecar that is started by loseHolder only, or nil.
+func (s *soakRun) lateSidecar() *member {
+	if !s.mode.storeTrouble {
+		return nil
+	}
+	return s.sidecars[len(s.sidecars)-1]
+}
+
 func (s *soakRun) members() []*member {
 	return append(append([]*member{}, s.entries...), s.sidecars...)
 }
@@ -200,6 +219,7 @@
 		faults.Go(s.nameLimits)
 	}
 	if s.mode.storeTrouble {
+		s.loseHolder()
 		s.disturbStore(&faults)
 	} else {
 		s.injectFaults(&faults)
@@ -214,6 +234,9 @@
 	clients.Wait()
 	s.checkGuarantees()
 	s.checkLimits()
+	if s.mode.storeTrouble {
+		s.checkTurns()
+	}
 	s.checkProcesses()
 	if s.mode.streamEnds {
 		s.checkOutcomes()
@@ -334,8 +357,9 @@
 func TestSoakServerLimits(t *testing.T) { soak(t, soakMode{serverLimits: true}) }
 
 // TestSoakStore is TestSoak with a store that is silent, or comes back from a copy. It guards against
-// a configuration that is not in force in time or comes back older, and against fencing numbers that
-// are given out twice.
+// a configuration that is not in force in time or comes back older, against fencing numbers that
+// are given out twice, and against a holder of an engine that orders within the lease of one whose row
+// the store has lost.
 func TestSoakStore(t *testing.T) { soak(t, soakMode{storeTrouble: true}) }
 
 // soak runs all seeds in a mode.
--- a/soaker/store_test.go
+++ b/soaker/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +30,68 @@
 	checkGap    = 100 * time.Millisecond
 )
 
+// Times of the loss of a holder's row.
+const (
+	// adoptionTime bounds the time until an engine without a sidecar is ordered by another process.
+	adoptionTime = 15 * time.Second
+	// adoptedTime is how long that process orders the engine before the store loses its row.
+	adoptedTime = time.Second
+)
+
+// loseHolder waits until a process orders the engine of lateSidecar, sets the store back to before that
+// process became the holder, and starts the sidecar. No other fault follows for two leases.
+func (s *soakRun) loseHolder() {
+	late := s.lateSidecar()
+	engine := s.site.Engines[len(s.site.Engines)-1]
+	copied := time.Now()
+	for end := s.clock() + adoptionTime; len(engine.Orders()) == 0; time.Sleep(checkGap) {
+		if s.clock() > end {
+			s.results.addViolation("the engine without a sidecar was not ordered within %v", adoptionTime)
+			break
+		}
+	}
+	time.Sleep(adoptedTime)
+	s.logFault("store: a copy of %v before, %s is new to it", time.Since(copied), late.name)
+	s.site.Rows.Restore(copied)
+	err := s.site.Rewrite()
+	if err == nil {
+		err = late.start(s.binary)
+		time.Sleep(2 * storeLeaseDuration)
+	}
+	if err != nil {
+		s.results.addViolation("%v", err)
+	}
+}
+
+// checkTurns checks that the orders of two processes to one engine are a lease apart, unless the first
+// process had been stopped and continued since: what it was about to send is sent then.
+func (s *soakRun) checkTurns() {
+	for i, engine := range s.site.Engines {
+		orders := engine.Orders()
+		for j := 1; j < len(orders); j++ {
+			before, order := orders[j-1], orders[j]
+			gap := order.At.Sub(before.At)
+			if order.Holder == before.Holder || gap >= storeLeaseDuration || s.continuedWithin(before.Holder, before.At) || s.continuedWithin(order.Holder, order.At) {
+				continue
+			}
+			s.results.addViolation("engine %d was ordered by %s %v after %s", i, order.Holder, gap, before.Holder)
+		}
+	}
+}
+
+// continuedWithin reports whether the named process was continued in the lease before an instant.
+func (s *soakRun) continuedWithin(name string, at time.Time) bool {
+	for _, m := range s.members() {
+		if m.name != name {
+			continue
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return slices.ContainsFunc(m.continuedAt, func(t time.Time) bool { return !t.After(at) && at.Sub(t) < storeLeaseDuration })
+	}
+	return false
+}
+
 // changedKey returns the key of the workspace that change i of the configuration adds. The next
 // change withdraws it.
 func changedKey(i int) string { return fmt.Sprint("key-of-change-", i) }
