orderer: log an adapter that waits for room

Cause: an adapter that did not fit waited without a trace; an operator saw only requests that were refused in the end.

Ruled out: a line for each poll, which would be up to sixty a second for one adapter that waits.

--- a/orderer/adapters.go
+++ b/orderer/adapters.go
@@ -16,6 +16,8 @@
 	// minAdapterResidence is how long an adapter stays in memory after its load, so that the
 	// requests that waited for it can arrive.
 	minAdapterResidence = 150 * time.Millisecond
+	// waitLogInterval is the shortest time between two log lines about adapters that wait.
+	waitLogInterval = time.Second
 )
 
 // orderAdapters orders the adapter loads that requests wait for, and the unloads of adapters that
@@ -25,6 +27,9 @@
 	o.mu.Lock()
 	plan := o.planAdapters(now)
 	ready := o.canOrder() && !o.report.Busy
+	if ready {
+		o.logWaiting(now, plan.waiting)
+	}
 	pending := len(plan.loads) > 0 || len(plan.unloads) > 0 || plan.model.Op != placer.None || len(o.report.Loading) > 0
 	o.mu.Unlock()
 	if !ready {
@@ -82,6 +87,22 @@
 	unloads []string
 	// model is the unload of a model for an adapter that does not fit otherwise.
 	model placer.Step
+	// waiting is the first adapter that does not fit, or empty.
+	waiting placer.Item
+}
+
+// logWaiting logs that an adapter waits for room, once for each in a row. The caller holds the lock.
+func (o *Orderer) logWaiting(now time.Duration, waiting placer.Item) {
+	if waiting.Name == o.waitingAdapter || waiting.Name != "" && now-o.waitLoggedAt < waitLogInterval {
+		return
+	}
+	o.waitingAdapter = waiting.Name
+	if waiting.Name == "" {
+		return
+	}
+	o.waitLoggedAt = now
+	o.log.Info().Str("server", o.serverID).Str("adapter", waiting.Name).Uint64("bytes", waiting.Bytes).
+		Uint64("free", o.ledger.Free()).Int("slots", o.ledger.FreeSlots()).Msg("adapter: waits for room")
 }
 
 // planAdapters returns the adapters to load now and the idle adapters to unload first, least recently
@@ -106,6 +127,12 @@
 		case plan.model.Op == placer.None && free+freed < r.Bytes:
 			if models, ok := placer.EvictionFor(now, free, o.loadedModels(now), o.loadRequests(), r); ok {
 				plan.model = placer.Step{Op: placer.Unload, Model: models[0].Model, Requested: r.Model}
+				continue
+			}
+			fallthrough
+		default:
+			if plan.waiting.Name == "" {
+				plan.waiting = o.item(r.Model)
 			}
 		}
 	}
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -105,8 +105,11 @@
 	// announcedAt, or empty.
 	announcedUnload string
 	announcedAt     time.Duration
-	status          *wire.EngineStatus
-	statusAt        time.Duration
+	// waitingAdapter is the adapter last logged as waiting for room, at waitLoggedAt, or empty.
+	waitingAdapter string
+	waitLoggedAt   time.Duration
+	status         *wire.EngineStatus
+	statusAt       time.Duration
 	// reportedStatus is the status last reported to the relay, at statusReportedAt.
 	// loadReportedAt is the time of the last report of the load alone.
 	reportedStatus   *wire.EngineStatus
