imitator: servers with speeds, four figures of load, and memory

The stand-ins stated no load, worked equally fast and were never out of memory, so that no test of the whole system could show that a fourth figure has an effect. A backend server may now have a speed, state RUNNING,WAITING,SLOTS,PACE in X-Server-Load, be slowed for a while, read prompts one after the other, and preempt the newest of the least urgent requests when its memory is full; its report has the tokens in use. Without these options it behaves as before.

Ruled out: a test of memory through the whole system, since which engine gets a model is not fixed there, and the wait is too short for a busy machine.

--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -46,6 +46,8 @@
 	EventInterval   time.Duration
 	// ServiceTime is the time that a plain service takes for a call.
 	ServiceTime time.Duration
+	// Machine is how fast the server works and what its memory holds.
+	Machine MachineOptions
 }
 
 // Backend is a stand-in of a backend server on the hosting platform, either a model
@@ -53,6 +55,7 @@
 type Backend struct {
 	faultInjector
 	limitNamer
+	machine
 	options   BackendOptions
 	rows      *RowStore
 	startedMS int64
@@ -90,6 +93,7 @@
 // NewBackend returns a server that writes its row to the given store after Start.
 func NewBackend(options BackendOptions, store *RowStore) *Backend {
 	b := &Backend{
+		machine:   machine{options: options.Machine},
 		options:   options,
 		rows:      store,
 		startedMS: time.Now().UnixMilli(),
@@ -330,10 +334,11 @@
 	if b.draining {
 		state = "draining"
 	}
+	usedTokens, allTokens := b.memory()
 	return map[string]any{
 		"models": models, "state": state, "born": b.startedMS, "busy": b.loading != "",
 		"at_hand": map[string]any{"in_memory": []string{}, "on_disk": disk},
-		"active":  b.active, "queued": 0, "kv_used": 0, "kv_total": 100000,
+		"active":  b.active, "queued": 0, "kv_used": usedTokens, "kv_total": allTokens,
 	}
 }
 
@@ -481,6 +486,7 @@
 	}
 	defer b.endRun()
 	w.Header().Set("X-Response-Seal", "seal-"+id)
+	b.statesLoad(w)
 	if b.unframed() {
 		unframed, err := newUnframedWriter(w)
 		if err != nil {
@@ -493,7 +499,7 @@
 		b.streamEvents(w, r, id)
 		return
 	}
-	time.Sleep(b.options.ServiceTime)
+	time.Sleep(b.stretch(b.options.ServiceTime))
 	b.crashIfFatal(r, string(body))
 	text := r.Method + " " + r.RequestURI + " " + string(body)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -526,6 +532,13 @@
 	return 0
 }
 
+// statesLoad states the load in the head of an answer, if the server does so.
+func (b *Backend) statesLoad(w http.ResponseWriter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.setLoad(w.Header(), b.active, b.options.Slots)
+}
+
 func (b *Backend) endRun() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -541,11 +554,16 @@
 		lastEvent = 0
 	}
 	control := http.NewResponseController(w)
+	run := b.machine.start(r)
+	defer b.machine.end(run)
 	for i := lastEvent + 1; i <= b.options.EventsPerStream; i++ {
 		if r.Context().Err() != nil {
 			return
 		}
-		time.Sleep(b.options.EventInterval)
+		time.Sleep(b.stretch(b.options.EventInterval))
+		if !b.advance(run) {
+			panic(http.ErrAbortHandler)
+		}
 		if i == lastEvent+1 {
 			_ = control.Flush()
 			b.crashIfFatal(r, "")
--- a/imitator/site.go
+++ b/imitator/site.go
@@ -47,6 +47,18 @@
 	// Proxy, if set, starts a proxy in front of a backend server's address and
 	// returns the address under which the server is listed instead.
 	Proxy func(address string) (string, error)
+	// EngineMachines and ServiceMachines are the machines of the first backend servers. The others
+	// have the zero value.
+	EngineMachines  []MachineOptions
+	ServiceMachines []MachineOptions
+}
+
+// machineAt returns the options of a machine, or the zero value beyond the list.
+func machineAt(machines []MachineOptions, i int) MachineOptions {
+	if i < len(machines) {
+		return machines[i]
+	}
+	return MachineOptions{}
 }
 
 // Site is a stand-in of a hosting platform with its backend servers, on loopback.
@@ -84,6 +96,7 @@
 		backend := NewBackend(BackendOptions{
 			ID: fmt.Sprintf("engine-%d", i), Pool: SiteModels, Centre: SiteCentre, Slots: 32, Models: models,
 			MemoryMB: float64(options.ModelsPerEngine) * siteModelMB, AdapterSlots: 2, EventsPerStream: options.EventsPerStream, EventInterval: options.EventInterval,
+			Machine: machineAt(options.EngineMachines, i),
 		}, s.Rows)
 		address, err := s.startBackend(backend)
 		if err != nil {
@@ -107,6 +120,7 @@
 func (s *Site) AddService() error {
 	backend := NewBackend(BackendOptions{
 		ID: fmt.Sprintf("service-%d", len(s.Services)), Pool: SiteOrders, Centre: SiteCentre, Slots: 6, ServiceTime: s.options.ServiceTime,
+		Machine: machineAt(s.options.ServiceMachines, len(s.Services)),
 	}, s.Rows)
 	if _, err := s.startBackend(backend); err != nil {
 		return err
