--- a/locator/estimate.go
+++ b/locator/estimate.go
@@ -176,15 +176,17 @@
 }
 
 // recordWaiting records the number of waiting requests and the memory in use that a relay has sent,
-// and wakes the requests that may be queued for the memory. The caller holds the lock.
+// and wakes the requests that may be queued for the memory if there is more of it. The caller holds
+// the lock.
 func (l *Locator) recordWaiting(now time.Duration, load *wire.EngineLoad) {
 	b := l.fleet.Get(load.GetServer())
 	if b == nil {
 		return
 	}
 	b.RecordWaiting(now, int(load.GetWaiting()))
+	before, _ := b.MemoryLeft(now)
 	b.RecordFull(now, load.GetFull())
-	if b.Estimated() {
+	if left, _ := b.MemoryLeft(now); b.Estimated() && left > before {
 		l.wakeQueued(load.GetServer())
 	}
 }
@@ -198,7 +200,7 @@
 	}
 	e := cost.Expected
 	return line.Float64("first_ms", inMillis(e.First)).Float64("slowed_ms", inMillis(e.Slowed)).Float64("link_ms", inMillis(e.Link)).
-		Float64("late_ms", inMillis(e.Late)).Float64("failures", cost.FailureRate).Float64("speed", b.ExpectedSpeed(now)).
+		Float64("late_ms", inMillis(e.Late)).Float64("failures", cost.FailureRate).Float64("speed", math.Round(100*b.ExpectedSpeed(now))/100).
 		Int("unread", s.workAt(now, b).PromptTokens)
 }
 
--- a/locator/estimate_test.go
+++ b/locator/estimate_test.go
@@ -355,3 +355,20 @@
 		assert.Check(t, float64(mean) < 0.9*float64(meanByCount) && late <= lateByCount)
 	}
 }
+
+// BenchmarkExpectedChoice measures the choice of an engine by expected times, among engines that all
+// hold the model.
+func BenchmarkExpectedChoice(b *testing.B) {
+	for _, engines := range []int{20, 100, 600} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			fx := newEstimateFixture(engines)
+			for i := range engines {
+				fx.feed(i, dispatcher.Load{Running: i % 10, Slots: 32, Pace: 90 + i%30})
+			}
+			r := fx.request("m", 1, 2)
+			for b.Loop() {
+				fx.pick(r)
+			}
+		})
+	}
+}
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -54,6 +54,8 @@
 	unreported unreported
 	// speeds are the servers whose speeds are to be reported.
 	speeds unreportedSpeeds
+	// memoryCounts are the counts of requests that did not fit into memory, by pool.
+	memoryCounts map[string]memoryCounts
 	// rows are the latest rows of the list, by server, without what they list. removedRows
 	// names the servers among them that were removed, the earliest first.
 	rows        map[string]*wire.ListedServer
@@ -107,7 +109,9 @@
 		probing:     map[string]bool{},
 		lastBatchAt: clock(),
 		notifier:    newNotifier(),
-		reportNow:   make(chan struct{}, 1),
+
+		memoryCounts: map[string]memoryCounts{},
+		reportNow:    make(chan struct{}, 1),
 
 		crashSuspected: make(chan struct{}, 1),
 	}
@@ -257,6 +261,7 @@
 		l.dequeue(r)
 		return l.waitForServer(now, s)
 	case !l.admits(now, best, r):
+		l.countMemoryWait(now, best, r)
 		l.enqueue(r)
 		return step{wait: l.newWaiter(now, queueEnd(r), r)}, nil
 	case l.needsPermit(now, best, s):
@@ -399,6 +404,7 @@
 	line := l.log.Info().Str("request", r.ID).Str("server", s.ID).Str("model", requestedName(r)).Int("inflight", b.Inflight()).
 		Int("load", b.ReportedLoad()).Int64("waited", (now-r.Started).Milliseconds()).Str("parts", dispatcher.FormatParts(r.Prompt)).Float64("limit", limit.Rate).Uint64("permit", number)
 	l.logExpected(line, now, b, found).Msg("send")
+	l.countMemoryOverfull(now, b, r)
 	work := l.startWork(now, b, found)
 	lastEventAt := time.Duration(0)
 	l.fleet.StartRequest(now, s.ID, names...)
--- a/locator/memory_test.go
+++ b/locator/memory_test.go
@@ -111,6 +111,12 @@
 	next, err := fx.locator.tryReserve(fx.now, newSearch(r))
 	assert.NilError(t, err)
 	fx.locator.enqueue(r)
+	fx.locator.Receive(fx.now, &wire.Batch{Traffic: []*wire.EngineLoad{{Server: engineName(0), Full: 96}}}, false)
+	select {
+	case <-next.wait.changed:
+		t.Fatal("a fuller memory wakes a request")
+	default:
+	}
 	fx.locator.Receive(fx.now, &wire.Batch{Traffic: []*wire.EngineLoad{{Server: engineName(0), Full: 20}}}, false)
 	select {
 	case <-next.wait.changed:
@@ -119,3 +125,25 @@
 	}
 	assert.Assert(t, fx.try(t, r) != nil)
 }
+
+// TestPoolSpeeds guards against metrics that are not there for a pool whose times are estimated, are
+// there for another one, or count a request that waits for memory each time that it is tried.
+func TestPoolSpeeds(t *testing.T) {
+	fx := newEstimateFixture(2)
+	fx.feed(0, dispatcher.Load{Slots: 32})
+	assert.Equal(t, len(fx.locator.PoolSpeeds()), 0)
+	fx.feed(0, dispatcher.Load{Slots: 32, Pace: 300})
+	fx.reportMemory(0, 9500, 10000)
+	fx.reportMemory(1, 9500, 10000)
+	r := fx.request("m", 1, 2, 3)
+	for range 3 {
+		assert.Assert(t, fx.try(t, r) == nil)
+	}
+	speeds := fx.locator.PoolSpeeds()
+	assert.Equal(t, len(speeds), 1)
+	p := speeds[0]
+	assert.Assert(t, p.Pool == "p" && p.Slowest > 2 && p.Fastest == 1 && p.MemoryWaits == 1 && p.MemoryOverfull == 0, "%+v", p)
+	fx.now += 150 * time.Millisecond
+	assert.Assert(t, fx.try(t, r) != nil)
+	assert.Equal(t, fx.locator.PoolSpeeds()[0].MemoryOverfull, uint64(1))
+}
