--- a/locator/fuzz_test.go
+++ b/locator/fuzz_test.go
@@ -20,13 +20,14 @@
 func FuzzReceive(f *testing.F) {
 	odd, err := proto.Marshal(&wire.Batch{
 		Conditions: []*wire.EngineStatus{{}, {Server: "x", Born: 1, Models: []string{"z", "", "m"}, Running: math.MaxUint32, Waiting: 1, Tasks: []*wire.PendingLoad{{Left: math.MaxUint32}}}},
-		Traffic:    []*wire.EngineLoad{{}, {Server: "x", Running: math.MaxUint32, Waiting: 1}},
+		Traffic:    []*wire.EngineLoad{{}, {Server: "x", Running: math.MaxUint32, Waiting: 1, Full: math.MaxUint32}, {Server: "e", Running: math.MaxUint32, Waiting: math.MaxUint32, Full: math.MaxUint32}},
 		Lost:       []string{"", "x", "x"},
 		Outlooks:   []*wire.ReadyEstimate{{}, {Model: "m", Left: math.MaxUint32}},
 		Parted:     []*wire.Departure{{}, {Server: "x", Born: math.MaxInt64}},
 		Items:      []*wire.ListedServer{{}, {Id: "x", Row: math.MaxUint64, Pool: "p", Address: "x", Models: []string{"z", "m"}, Slots: math.MaxUint32, Born: 1}, {Id: "x", Gone: true}},
 		Crashes:    []*wire.Crash{{}, {Server: "x", Age: math.MaxUint32, Suspects: []*wire.Suspect{{Print: 1}}}},
 		Age:        math.MaxUint32,
+		Speeds:     []*wire.ServerSpeed{{}, {Server: "x", Speed: math.MaxUint32, Count: math.MaxUint32, Pace: math.MaxUint32}, {Server: "e", Speed: 1, Count: 1, Pace: 10000}},
 	})
 	assert.NilError(f, err)
 	f.Add(odd, true)
