soaker: engines crash around the ends of answers without framing

Cause: the soak paused entries and crashed engines independently of each other, and engines stayed down for a second.

Change: TestSoakStreamEnds adds to each step a crash of an engine whose answers end with their connection, while an entry stands still, and for every second seed servers start again after 20 ms. Answers of plain services without framing may end with a crash too; only an end without a crash stays excluded, which nobody can tell from a whole answer.

--- a/soaker/answerfault_test.go
+++ b/soaker/answerfault_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"oleanderstall/imitator"
@@ -87,7 +88,7 @@
 	f.Break = imitator.BreakInside + imitator.Break(p.random.IntN(3))
 	f.BreakAfter = p.random.IntN(eventsPerStream + 1)
 	f.Ending = imitator.Ending(p.random.IntN(3))
-	if f.Ending == imitator.EndCrashed && p.crashesLeft == 0 || !streams && f.Framing == imitator.Unframed {
+	if f.Ending == imitator.EndCrashed && p.crashesLeft == 0 || f.Ending == imitator.EndClosed && !streams && f.Framing == imitator.Unframed {
 		f.Ending = imitator.EndReset
 	}
 }
@@ -183,6 +184,15 @@
 	}
 }
 
+// Times of a crash beside an entry that stands still.
+const (
+	// maxAnswersBefore bounds the time between the first answer that ends with its connection and
+	// the moment at which the entry stops.
+	maxAnswersBefore = 300 * time.Millisecond
+	// crashDelay is the time from there to the crash, some events of a stream.
+	crashDelay = 30 * time.Millisecond
+)
+
 // drawAnswerFault draws a fault of the backend servers' answers, a crash of one of them, or an
 // odd row, and returns a function that injects it and ends it again. It returns nil if the drawn
 // server already has a fault.
@@ -216,6 +226,47 @@
 	}
 }
 
+// slackAfterRestart bounds the time from the start of a server after its crash until an entry that
+// stood still goes on.
+const slackAfterRestart = time.Second
+
+// unframedCrashFunc returns a function that crashes an engine whose answers end with their connection
+// while an entry stands still, and lets the entry go on once the engine listens again. It returns nil
+// if the drawn entry, or all engines, have a fault already.
+func (s *soakRun) unframedCrashFunc() func() {
+	m := s.entries[s.random.IntN(len(s.entries))]
+	before, slack := s.drawTime(maxAnswersBefore), s.drawTime(slackAfterRestart)
+	b := s.drawUnplanned()
+	if b == nil {
+		return nil
+	}
+	pause := s.processFaultFunc(m, crashDelay+s.options.RestartTime+slack, syscall.SIGSTOP)
+	if pause == nil {
+		s.setPlanned(b, false)
+		return nil
+	}
+	return func() {
+		s.logFault("%s: answers that end with their connection, crash while %s stands still", b.ID(), m.name)
+		b.PlanAnswers(func(*http.Request) imitator.AnswerFault { return imitator.AnswerFault{Framing: imitator.Unframed} })
+		time.Sleep(before)
+		time.AfterFunc(crashDelay, b.Crash)
+		pause()
+		b.PlanAnswers(nil)
+		s.setPlanned(b, false)
+	}
+}
+
+// drawUnplanned draws an engine whose answers have no faults and marks it as one whose answers have.
+// It returns nil if there is none.
+func (s *soakRun) drawUnplanned() *imitator.Backend {
+	for _, i := range s.random.Perm(len(s.site.Engines)) {
+		if b := s.site.Engines[i]; s.setPlanned(b, true) {
+			return b
+		}
+	}
+	return nil
+}
+
 // setPlanned records whether the answers of a server have faults, and reports whether that is a
 // change.
 func (s *soakRun) setPlanned(b *imitator.Backend, planned bool) bool {
--- a/soaker/fault_test.go
+++ b/soaker/fault_test.go
@@ -38,7 +38,8 @@
 // streamFaultsPerStep is the number of faults that drawStreamFaults draws.
 const streamFaultsPerStep = 3
 
-// drawStreamFaults draws faults as drawAnswerFault does, in a run with such faults.
+// drawStreamFaults draws faults as drawAnswerFault does, in a run with such faults, and for each step
+// a crash beside an entry that stands still: few of them meet an answer.
 func (s *soakRun) drawStreamFaults() []func() {
 	if !s.mode.streamEnds {
 		return nil
@@ -49,6 +50,9 @@
 			faults = append(faults, f)
 		}
 	}
+	if f := s.unframedCrashFunc(); f != nil {
+		faults = append(faults, f)
+	}
 	return faults
 }
 
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -49,10 +49,12 @@
 	wireCallerCount = 16
 	maxAttempts     = 2
 	restartDelay    = 300 * time.Millisecond
-	// crashTime is the time from the crash of an engine to its next start, and
-	// maxLateFatalRuns the number of requests with fatalPart that may reach engines after
-	// the recovery.
+	// crashTime is the time from the crash of an engine to its next start. With faults of answers
+	// it is shortCrashTime for every second seed: less than an entry waits before it asks whether
+	// the process that answered still runs. maxLateFatalRuns is the number of requests with
+	// fatalPart that may reach engines after the recovery.
 	crashTime        = time.Second
+	shortCrashTime   = 20 * time.Millisecond
 	maxLateFatalRuns = 3
 )
 
@@ -123,6 +125,9 @@
 		Engines: *sidecarCount, Services: 2, Models: 2 * *sidecarCount, ModelsPerEngine: 2, LoadTime: 60 * time.Millisecond, EventInterval: 8 * time.Millisecond,
 		EventsPerStream: eventsPerStream, ServiceTime: 10 * time.Millisecond, Rate: 1e7, Burst: 1e7, Proxy: s.addServerLink, RestartTime: crashTime,
 	}
+	if mode.streamEnds && seed%2 == 0 {
+		s.options.RestartTime = shortCrashTime
+	}
 	var err error
 	if s.faultLog, err = os.Create(filepath.Join(dir, "faults.log")); err != nil {
 		return nil, err
