allocator, placer: load-based scaling

Cause: on the deployments with hard load the busiest model stayed on one to three engines at 25 to 45 requests each while most engines had five. Ruled out: the choice among the engines that serve a model (their loads differed little) and prompts read twice (8% of those read). Change: where the settings or a server call for it, loads are ordered by the requests that they serve, copies are requested at a quarter of the slots or 4 requests a second and compete for the weight store, a model in use may be drained for a copy of one four times as busy, and the weight store's capacity is learned from loads that have not ended.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -33,6 +33,9 @@
 	scaleUps map[string]*scaleUp
 	// fetchQueue tracks the loads from the weight store.
 	fetchQueue *placer.FetchQueue
+	// loadScaledPools are the pools with load-based scaling, and allLoadScaled is set if all have it.
+	loadScaledPools map[string]bool
+	allLoadScaled   bool
 	// firstReportAt is the instant of the first status from a sidecar, or 0 if there was
 	// none.
 	firstReportAt time.Duration
@@ -49,6 +52,8 @@
 		demands:    map[string]*pendingDemand{},
 		scaleUps:   map[string]*scaleUp{},
 		fetchQueue: placer.NewFetchQueue(),
+
+		loadScaledPools: map[string]bool{},
 	}
 }
 
--- a/allocator/candidates.go
+++ b/allocator/candidates.go
@@ -62,6 +62,9 @@
 	c.LoadTime, c.Fetch = inventory.LoadTime(m)
 	if c.Fetch {
 		c.LoadTime = a.fetchQueue.LoadTime(c.LoadTime)
+		if a.loadScaled(m.GetPool()) && a.nearCrowdedModel(inventory) {
+			c.LoadTime += nearbyDetour
+		}
 	}
 	a.setQueueTime(now, &c, b, m.GetName())
 	for _, r := range status.GetResidents() {
--- a/allocator/decide.go
+++ b/allocator/decide.go
@@ -31,6 +31,7 @@
 func (a *Allocator) Decide(now time.Duration, owned func(model string) bool) Decision {
 	var d Decision
 	a.fleet.RefreshStatuses(now)
+	a.rankDemands(now)
 	for _, p := range a.demands {
 		if !owned(p.name) {
 			p.server, p.queued = "", false
@@ -54,7 +55,7 @@
 		Model:  p.name,
 		Server: p.server,
 		Count:  p.Count,
-		Worth:  p.Value,
+		Worth:  p.rank,
 		Goal:   timer.ToSignedMillis(p.TargetTime - now),
 		Age:    timer.ToMillis(now - p.FirstArrival),
 	}
--- a/allocator/demand.go
+++ b/allocator/demand.go
@@ -49,6 +49,8 @@
 type pendingDemand struct {
 	Demand
 	name string
+	// rank is the value by which the model is loaded before or after others.
+	rank float64
 	// server is the assigned engine, or empty. requestedAt is the instant of the
 	// assignment and readyAt the instant at which the model is expected to serve there.
 	server      string
@@ -137,17 +139,8 @@
 // mayFetch reports whether the model may be loaded from the weight store now. If not, the
 // demand is queued, and readyAt is set to when the model is expected to serve.
 func (a *Allocator) mayFetch(now time.Duration, p *pendingDemand, m *wire.Model) bool {
-	spare, availableSince := a.fetchQueue.SpareCapacity(now)
-	ahead := 0
-	for _, o := range a.demands {
-		switch {
-		case o == p:
-		case o.queued && loadsBefore(o, p):
-			ahead++
-		case o.fetches && o.server != "" && now-o.requestedAt < announceTimeout && !a.fetchQueue.Fetching(o.server):
-			spare--
-		}
-	}
+	spare, availableSince := a.spareForDemand(now, p, m.GetPool())
+	ahead := a.fetchesAhead(p, m.GetPool())
 	delay := time.Duration(router.Score(a.name, router.Hash(m.GetName())) % uint64(maxFetchDelay))
 	if ahead < spare && now >= availableSince+delay {
 		return true
@@ -157,10 +150,25 @@
 	return false
 }
 
+// spareForDemand returns the number of further loads from the weight store that would run at full
+// speed, without the one for a demand, and the instant since which there is capacity for one.
+func (a *Allocator) spareForDemand(now time.Duration, p *pendingDemand, pool string) (int, time.Duration) {
+	if a.loadScaled(pool) {
+		return a.spareFetches(now)
+	}
+	spare, availableSince := a.fetchQueue.SpareCapacity(now)
+	for _, o := range a.demands {
+		if o != p && !o.queued && o.fetches && o.server != "" && now-o.requestedAt < announceTimeout && !a.fetchQueue.Fetching(o.server) {
+			spare--
+		}
+	}
+	return spare, availableSince
+}
+
 // loadsBefore reports whether x is loaded before y: by value, then by name.
 func loadsBefore(x, y *pendingDemand) bool {
-	if x.Value != y.Value {
-		return x.Value > y.Value
+	if x.rank != y.rank {
+		return x.rank > y.rank
 	}
 	return x.name < y.name
 }
--- a/allocator/scaleup.go
+++ b/allocator/scaleup.go
@@ -14,12 +14,6 @@
 	// saturationLimit is the saturation of an engine from which its models need more
 	// copies.
 	saturationLimit = 0.6
-	// slotUseLimit is the used share of an engine's slots from which its models need more
-	// copies.
-	slotUseLimit = 0.5
-	// requestRatePerCopy is the rate of requests for a model that one engine should
-	// serve, in requests a second.
-	requestRatePerCopy = 6.0
 	// scaleUpPeriod is the least time between two searches for an engine for another copy.
 	scaleUpPeriod = 100 * time.Millisecond
 	// scaleUpLifetime is how long a scale-up lasts after it was last renewed.
@@ -33,6 +27,24 @@
 	scaleUpValue = 0.5
 )
 
+// scaleLimits are the limits from which a model needs more copies.
+type scaleLimits struct {
+	// slotUse is the used share of the slots of each engine that serves it.
+	slotUse float64
+	// ratePerCopy is the rate of requests that one engine should serve, in requests a second.
+	ratePerCopy float64
+}
+
+// limitsOf returns the limits for the models of a pool. With load-based scaling they are lower:
+// engines read prompts between the events of running answers, so that the gaps between events
+// exceed their limit well before the slots are used up.
+func (a *Allocator) limitsOf(pool string) scaleLimits {
+	if a.loadScaled(pool) {
+		return scaleLimits{slotUse: 0.25, ratePerCopy: 4}
+	}
+	return scaleLimits{slotUse: 0.5, ratePerCopy: 6}
+}
+
 // scaleUp is the state of adding copies of a model that already serves. It ends at
 // expiresAt unless it is renewed.
 type scaleUp struct {
@@ -41,11 +53,19 @@
 	searchedAt time.Duration
 	// requested holds the requests to engines that do not serve the model yet, by server ID.
 	requested map[string]copyRequest
+	// missing is the number of further copies that the model should have, and value what
+	// another one is worth, in waiting requests that are on time.
+	missing int
+	value   float64
+	// queued is set while another copy waits for capacity of the weight store.
+	queued bool
 }
 
 // copyRequest is a request to an engine for another copy.
 type copyRequest struct {
 	at time.Duration
+	// fetches is set if the engine loads the copy from the weight store.
+	fetches bool
 	// relief is the rate of requests that the copy would take over, in requests a second.
 	relief float64
 }
@@ -55,14 +75,15 @@
 // least one more.
 func (a *Allocator) copyCounts(now time.Duration, model string) (current, desired int) {
 	spare := false
+	limits := a.limitsOf(a.config.View().Model(model).GetPool())
 	for b := range a.serving(now, model) {
 		if b.Unloading(now, model) {
 			continue
 		}
 		current++
-		spare = spare || b.Saturation(now) < saturationLimit && float64(b.ReportedLoad()) < slotUseLimit*float64(b.Server().Slots)
+		spare = spare || b.Saturation(now) < saturationLimit && float64(b.ReportedLoad()) < limits.slotUse*float64(b.Server().Slots)
 	}
-	desired = int(math.Ceil(a.arrivals.Rate(now, model) / requestRatePerCopy))
+	desired = int(math.Ceil(a.arrivals.Rate(now, model) / limits.ratePerCopy))
 	if !spare {
 		desired = max(desired, current+1)
 	}
@@ -81,12 +102,14 @@
 		s = &scaleUp{requested: map[string]copyRequest{}}
 		a.scaleUps[model] = s
 	}
-	s.expiresAt = now + scaleUpLifetime
+	s.expiresAt, s.missing, s.value = now+scaleUpLifetime, desired-current, scaleUpValue
+	if pool := a.config.View().Model(model).GetPool(); a.loadScaled(pool) {
+		s.value = a.copyValue(now, model, current)
+	}
 }
 
 // requestCopy asks the engine on which another copy would serve first, unless one was
-// asked less than announceTimeout ago or will have it soon. Only one copy at a time is
-// fetched from the weight store; meanwhile others may be loaded from a nearer tier.
+// asked less than announceTimeout ago or will have it soon.
 func (a *Allocator) requestCopy(now time.Duration, model string, s *scaleUp) {
 	if now < s.searchedAt+scaleUpPeriod {
 		return
@@ -100,9 +123,10 @@
 	for b := range a.serving(now, model) {
 		holders = append(holders, b.Server().ID)
 	}
-	candidates, planned := splitPlanned(a.candidates(now, model, m, holders))
+	candidates, planned := splitPlanned(a.copyCandidates(now, m, holders))
 	relief := a.arrivals.Rate(now, model) / float64(len(holders)+1)
 	candidates = slices.DeleteFunc(candidates, func(c placer.Candidate) bool { return !a.hasRoom(now, c, m.GetBytes(), relief) })
+	s.queued = false
 	if slices.ContainsFunc(planned, func(c placer.Candidate) bool { return c.QueueTime <= moveThreshold }) {
 		return
 	}
@@ -110,14 +134,11 @@
 	if chosen < 0 || a.fetchesTooEarly(now, m.GetPool(), candidates[chosen]) {
 		return
 	}
-	if spare, _ := a.fetchQueue.SpareCapacity(now); candidates[chosen].Fetch && spare <= 0 {
-		return
-	}
-	if len(planned) > 0 && (candidates[chosen].Fetch || cost > moveThreshold) {
+	if !a.mayRequestCopy(now, s, m, len(planned), candidates[chosen].Fetch, cost) {
 		return
 	}
 	id := candidates[chosen].ID
-	s.requested[id] = copyRequest{at: now, relief: relief}
+	s.requested[id] = copyRequest{at: now, fetches: candidates[chosen].Fetch, relief: relief}
 	a.log.Info().Str("model", model).Str("server", id).Int("sites", len(candidates)).
 		Int64("left", cost.Milliseconds()).Int64("load", candidates[chosen].LoadTime.Milliseconds()).Msg("want: another copy")
 }
@@ -185,7 +206,7 @@
 		a.dropFinished(now, model, s)
 		a.requestCopy(now, model, s)
 		for id, r := range s.requested {
-			requests = append(requests, &wire.LoadRequest{Server: id, Model: model, Count: scaleUpCount, Worth: scaleUpValue, Goal: math.MaxInt32, Rate: r.relief})
+			requests = append(requests, &wire.LoadRequest{Server: id, Model: model, Count: scaleUpCount, Worth: s.value, Goal: math.MaxInt32, Rate: r.relief, Drain: a.loadScaled(a.config.View().Model(model).GetPool())})
 		}
 	}
 	return requests
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -104,6 +104,8 @@
 	TokenSlack float64 `json:"slack"`
 	// Retries bounds the retries of all entries together.
 	Retries RetryLimits `json:"retries"`
+	// Contracts names the parts of the platform's rules that are in force.
+	Contracts []string `json:"contracts"`
 }
 
 // RetryLimits bounds the retries of requests to a pool.
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -360,6 +360,12 @@
 			return true
 		}
 	}
+	if step.Op == placer.Drain {
+		o.drain(now, step)
+		o.mu.Unlock()
+		o.updateStatus(now)
+		return true
+	}
 	if step.Op == placer.None {
 		step = forAdapter
 	}
@@ -428,6 +434,16 @@
 	return now-o.announcedAt >= unloadNoticeTime
 }
 
+// drain announces the unload of a model in use, so that no further requests are sent for it. A
+// model that is being drained stays the one until it is idle. The caller holds the lock.
+func (o *Orderer) drain(now time.Duration, step placer.Step) {
+	if o.announcedUnload != "" && o.report.Has(o.announcedUnload) {
+		return
+	}
+	o.announcedUnload, o.announcedAt = step.Model, now
+	o.log.Info().Str("server", o.serverID).Str("model", step.Model).Str("for", step.Requested).Msg("drain: no further requests for the model")
+}
+
 // newOrder returns an order based on the engine's last report and the orders since, and records it in
 // the ledger. It returns the error of the ledger if the order must not be sent. The caller holds the
 // lock.
@@ -509,6 +525,7 @@
 			request.TargetTime = min(request.TargetTime, a.receivedAt+time.Duration(r.GetGoal())*time.Millisecond)
 			request.FirstArrival = min(request.FirstArrival, a.receivedAt-min(timer.FromMillis(r.GetAge()), placer.MaxWait))
 			request.Relief = min(request.Relief, r.GetRate())
+			request.Drain = request.Drain || r.GetDrain()
 		}
 	}
 	list := make([]placer.LoadRequest, 0, len(merged))
--- a/placer/fetchqueue.go
+++ b/placer/fetchqueue.go
@@ -6,6 +6,9 @@
 const (
 	// initialCapacity is the number of concurrent loads at full speed assumed at first.
 	initialCapacity = 4.0
+	// cautiousCapacity replaces initialCapacity in a queue that learns early. Too high a capacity
+	// delays all loads, too low a one only those that wait, until the first has ended.
+	cautiousCapacity = 2.0
 	// minCapacity is the lowest capacity assumed.
 	minCapacity = 1.0
 	// fullSpeedRatio is the longest duration of a load that counts as full speed,
@@ -32,6 +35,8 @@
 	updatedAt time.Duration
 	// availableSince is the instant since which there is capacity for another load.
 	availableSince time.Duration
+	// early is set if the capacity is learned from loads that have not ended.
+	early bool
 }
 
 // fetch is a load from the weight store, with its duration at full speed.
@@ -49,6 +54,15 @@
 	return &FetchQueue{capacity: initialCapacity, fetches: map[string]*fetch{}}
 }
 
+// LearnEarly makes the queue start with a lower capacity, unless it has learned one, and learn also
+// from loads that have not ended.
+func (q *FetchQueue) LearnEarly() {
+	if !q.early && q.capacity == initialCapacity {
+		q.capacity = cautiousCapacity
+	}
+	q.early = true
+}
+
 // RecordFetch records a report that an engine loads a model from the weight store, which
 // takes nominal at full speed.
 func (q *FetchQueue) RecordFetch(now time.Duration, engine, model string, nominal time.Duration) {
@@ -114,6 +128,9 @@
 		f.concurrencySum += elapsed * float64(len(q.fetches))
 	}
 	q.updatedAt = now
+	if q.early {
+		q.limitCapacity(now)
+	}
 	for engine, f := range q.fetches {
 		if now-f.reportedAt > reportTimeout {
 			q.remove(now, engine)
@@ -121,6 +138,21 @@
 	}
 }
 
+// limitCapacity lowers the capacity to what the loads that take longer than at full speed have
+// had so far, so that no others are added while they run.
+func (q *FetchQueue) limitCapacity(now time.Duration) {
+	for _, f := range q.fetches {
+		elapsed := now - f.startedAt
+		if f.nominal <= 0 || float64(elapsed) <= fullSpeedRatio*float64(f.nominal) {
+			continue
+		}
+		slowdown, concurrency := float64(elapsed)/float64(f.nominal), f.concurrencySum/elapsed.Seconds()
+		if concurrency > 1 {
+			q.capacity = max(minCapacity, min(q.capacity, concurrency/slowdown))
+		}
+	}
+}
+
 // spareCapacity returns the number of further loads that would run at full speed.
 func (q *FetchQueue) spareCapacity() int { return int(q.capacity+0.5) - len(q.fetches) }
 
--- a/placer/fetchqueue_test.go
+++ b/placer/fetchqueue_test.go
@@ -97,3 +97,42 @@
 	assert.Equal(t, q.WaitTime(now, nominal, 0), 4*time.Second+nominal)
 	assert.Equal(t, q.WaitTime(now, nominal, 4), 4*time.Second+2*nominal)
 }
+
+// TestFetchQueueLearnsEarly guards against loads that are added for the whole time that the first
+// ones take although those are already late. It starts with few loads and still learns that the
+// weight store allows more.
+func TestFetchQueueLearnsEarly(t *testing.T) {
+	const nominal = 8 * time.Second
+	q := NewFetchQueue()
+	q.LearnEarly()
+	now := time.Hour
+	spare, _ := q.SpareCapacity(now)
+	assert.Equal(t, spare, 2)
+	for i := range 4 {
+		q.RecordFetch(now, fmt.Sprint(i), "m", nominal)
+	}
+	q.capacity = 4
+	for range 120 {
+		now += 100 * time.Millisecond
+		for i := range 4 {
+			q.RecordFetch(now, fmt.Sprint(i), "m", nominal)
+		}
+	}
+	spare, _ = q.SpareCapacity(now)
+	assert.Assert(t, spare <= -1, "%d further loads while four are late", spare)
+
+	q = NewFetchQueue()
+	q.LearnEarly()
+	for _, engine := range []string{"a", "b"} {
+		q.RecordFetch(now, engine, "m", nominal)
+	}
+	for range 80 {
+		now += 100 * time.Millisecond
+		for _, engine := range []string{"a", "b"} {
+			q.RecordFetch(now, engine, "m", nominal)
+		}
+	}
+	q.RecordIdle(now, "a")
+	spare, _ = q.SpareCapacity(now)
+	assert.Assert(t, spare >= 1, "%d", spare)
+}
--- a/placer/nextstep.go
+++ b/placer/nextstep.go
@@ -8,14 +8,16 @@
 
 //go:generate stringer -type=Op -linecomment
 
-// Op is an order to an engine.
+// Op is what is done next with an engine: an order to it or, for Drain, that no further
+// requests are sent to it for a model.
 type Op int
 
-// Orders to an engine. The comments are the written names.
+// Steps. The comments are the written names.
 const (
 	None   Op = iota // none
 	Load             // load
 	Unload           // unload
+	Drain            // drain
 )
 
 // Limits of the decisions about one engine.
@@ -74,6 +76,8 @@
 	// Relief is the rate of requests that another copy would take over from those that
 	// serve, in requests a second, or 0 if requests wait.
 	Relief float64
+	// Drain is set if a model in use may be drained for another copy.
+	Drain bool
 }
 
 // Step is the next order to an engine. Model is the model to load or unload, and Requested
@@ -99,9 +103,40 @@
 			return Step{Op: Unload, Model: victims[0].Model, Requested: r.Model}
 		}
 	}
+	return drainStep(now, free, loaded, requests)
+}
+
+// minDrainGain is how many times as many requests another copy has to serve as the model that
+// is drained for it, whose requests have to go elsewhere meanwhile.
+const minDrainGain = 4.0
+
+// drainStep returns the step that drains a model in use so that another copy of a much busier
+// one can be loaded in its place. Without it, a steady flow of requests for rarely used models
+// would keep the engine from ever having an idle one.
+func drainStep(now time.Duration, free uint64, loaded []LoadedModel, requests []LoadRequest) Step {
+	for _, r := range rankRequests(now, requests) {
+		if !r.Drain || r.Relief == 0 || containsModel(loaded, r.Model) {
+			continue
+		}
+		victim := -1
+		for i, m := range loaded {
+			enough := free+m.Bytes >= r.Bytes && m.RatePerCopy()*minDrainGain <= r.Relief
+			if enough && now-m.LoadedAt >= minResidence && (victim < 0 || lessBusy(m, loaded[victim])) {
+				victim = i
+			}
+		}
+		if victim >= 0 {
+			return Step{Op: Drain, Model: loaded[victim].Model, Requested: r.Model}
+		}
+	}
 	return Step{}
 }
 
+// lessBusy reports whether x costs less to drain than y.
+func lessBusy(x, y LoadedModel) bool {
+	return cmp.Or(cmp.Compare(x.RatePerCopy(), y.RatePerCopy()), cmp.Compare(x.Inflight, y.Inflight), cmp.Compare(x.Model, y.Model)) < 0
+}
+
 func containsModel(loaded []LoadedModel, model string) bool {
 	return slices.ContainsFunc(loaded, func(m LoadedModel) bool { return m.Model == model })
 }
--- a/placer/nextstep_test.go
+++ b/placer/nextstep_test.go
@@ -33,6 +33,45 @@
 	return r
 }
 
+// drainingCopy returns the request for another copy for which a model in use may be drained.
+func drainingCopy(model string, relief float64) LoadRequest {
+	r := anotherCopy(model, relief)
+	r.Drain = true
+	return r
+}
+
+// TestDrain guards against an engine that never has an idle model: a steady flow of requests for
+// rarely used models kept another copy of a busy one out for ten seconds.
+func TestDrain(t *testing.T) {
+	inUse := func(model string, rate float64, inflight int) LoadedModel {
+		m := loadedModel(model, 60, rate)
+		m.Inflight = inflight
+		return m
+	}
+	fresh := inUse("fresh", 0, 1)
+	fresh.LoadedAt = now - minResidence/2
+	for _, c := range []struct {
+		name    string
+		loaded  []LoadedModel
+		request LoadRequest
+		step    Step
+	}{
+		{"the model with the lowest rate is drained", []LoadedModel{inUse("a", 1, 1), inUse("b", 0.1, 4)}, drainingCopy("m", 8), Step{Drain, "b", "m"}},
+		{"an idle model is unloaded instead", []LoadedModel{inUse("a", 0.1, 1), loadedModel("b", 60, 0.5)}, drainingCopy("m", 8), Step{Unload, "b", "m"}},
+		{"a model that serves nearly as many stays", []LoadedModel{inUse("a", 3, 1)}, drainingCopy("m", 8), Step{}},
+		{"a model just loaded stays", []LoadedModel{fresh}, drainingCopy("m", 8), Step{}},
+		{"nothing is drained unless the request says so", []LoadedModel{inUse("a", 0.1, 1)}, anotherCopy("m", 8), Step{}},
+		{"nothing is drained for requests that wait", []LoadedModel{inUse("a", 0.1, 1)}, loadRequest("m", 60, 1, time.Second), Step{}},
+		{"a model too small to make room stays", []LoadedModel{inUse("a", 0.1, 1)}, func() LoadRequest {
+			r := drainingCopy("m", 8)
+			r.Bytes = 90
+			return r
+		}(), Step{}},
+	} {
+		assert.Equal(t, NextStep(now, 0, c.loaded, []LoadRequest{c.request}), c.step, c.name)
+	}
+}
+
 // TestNextStep checks the next order to an engine.
 func TestNextStep(t *testing.T) {
 	busy := loadedModel("busy", 60, 0)
--- a/placer/op_string.go
+++ b/placer/op_string.go
@@ -11,11 +11,12 @@
 	_ = x[None-0]
 	_ = x[Load-1]
 	_ = x[Unload-2]
+	_ = x[Drain-3]
 }
 
-const _Op_name = "noneloadunload"
+const _Op_name = "noneloadunloaddrain"
 
-var _Op_index = [...]uint8{0, 4, 8, 14}
+var _Op_index = [...]uint8{0, 4, 8, 14, 19}
 
 func (i Op) String() string {
 	idx := int(i) - 0
--- a/relayer/assignment.go
+++ b/relayer/assignment.go
@@ -23,6 +23,8 @@
 	// relief is the rate of requests that another copy would take over, in requests a second,
 	// or 0 if requests wait.
 	relief float64
+	// drain is set if a model in use may be drained for another copy.
+	drain bool
 }
 
 // decodeLoadRequest decodes a load request received at now. It returns false if its count
@@ -34,6 +36,7 @@
 		targetTime:   now + time.Duration(message.GetGoal())*time.Millisecond,
 		firstArrival: now - min(timer.FromMillis(message.GetAge()), placer.MaxWait),
 		relief:       message.GetRate(),
+		drain:        message.GetDrain(),
 	}
 	return request, request.count > 0 || request.value > 0
 }
@@ -49,6 +52,7 @@
 		Goal:   timer.ToSignedMillis(r.targetTime - now),
 		Age:    timer.ToMillis(now - r.firstArrival),
 		Rate:   r.relief,
+		Drain:  r.drain,
 	}
 }
 
@@ -60,12 +64,13 @@
 		targetTime:   min(r.targetTime, other.targetTime),
 		firstArrival: min(r.firstArrival, other.firstArrival),
 		relief:       min(r.relief, other.relief),
+		drain:        r.drain || other.drain,
 	}
 }
 
 // same reports whether two load requests are the same apart from times.
 func (r loadRequest) same(other loadRequest) bool {
-	return r.count == other.count && r.value == other.value && r.relief == other.relief
+	return r.count == other.count && r.value == other.value && r.relief == other.relief && r.drain == other.drain
 }
 
 // modelUsage is the usage of a model or an adapter at an engine.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -61,6 +61,14 @@
 	}
 }
 
+// ScaleByLoad turns on load-based scaling for the models of all pools. It is on for a pool without
+// that once a server of it has stated how long work takes there.
+func (r *Relayer) ScaleByLoad() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.allocator.ScaleByLoad("")
+}
+
 // Done returns a channel that is closed when Run has returned.
 func (r *Relayer) Done() <-chan struct{} { return r.done }
 
--- a/relayer/speed.go
+++ b/relayer/speed.go
@@ -58,6 +58,9 @@
 		if !ok || listed.GetGone() || !plausibleSpeed(s) {
 			continue
 		}
+		if s.GetPace() > 0 {
+			fs.allocator.ScaleByLoad(listed.GetPool())
+		}
 		m := fs.speedMeans[s.GetServer()]
 		if m == nil {
 			m = &speedMean{}
