cold: servers that are cold get requests by permits only

Cause: a server that has just started is slow for some seconds and crashes if all entries send to it as to a warm one. The row field cold_left_ms and the service fields cold_start_s and cold_per_s say so; nothing read them.

Ruled out: a share of the cold rate for each entry (with 390 entries less than one request in 20 s, and idle entries hold most of it); a message of the relay beside the row (may come after it); taking all servers for cold at the start of an entry (a permit for each request for 3 s after each restart).

Change: the end of the cold phase travels in the row (ListedServer.cold_left) and the pacers of the data centres in the batches, so that an entry knows both when it first sees a server. The permits of server limits enforce the lower of both limits. A start not seen before, a crash record and a refused connection make a server cold before its row does. Urgent requests prefer warm servers.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -104,6 +104,9 @@
 	TokenSlack float64 `json:"slack"`
 	// Retries bounds the retries of all entries together.
 	Retries RetryLimits `json:"retries"`
+	// ColdOver is how many times its rate a cold server may be sent within any second, or 0 for
+	// the default.
+	ColdOver float64 `json:"cold_over"`
 }
 
 // RetryLimits bounds the retries of requests to a pool.
@@ -364,6 +367,7 @@
 	f.checkAddress("hosted.ready", h.ReadinessAddress, false)
 	f.checkNumber("hosted.memory", h.MaxMemoryMB)
 	f.checkNumber("hosted.slack", h.TokenSlack)
+	f.checkNumber("hosted.cold_over", h.ColdOver)
 	f.checkNumber("hosted.retries.ratio", h.Retries.Ratio)
 	f.checkNumber("hosted.retries.slack", h.Retries.Burst)
 	f.checkAtLeast("hosted.lease", time.Duration(h.EngineLease), minEngineLease)
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -152,6 +152,9 @@
 	// Limit is the number of requests a second that the backend server takes from all
 	// processes together, or 0 if it names no limit.
 	Limit float64
+	// Refused is set if the host has refused the connection, so that no process listens at the
+	// address of the backend server.
+	Refused bool
 	// Unlimited is set if the answer certainly comes from the backend server, which names no
 	// limit in it.
 	Unlimited bool
--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -53,6 +53,7 @@
 type Backend struct {
 	faultInjector
 	limitNamer
+	coldPhase
 	options   BackendOptions
 	rows      *RowStore
 	startedMS int64
@@ -232,6 +233,7 @@
 	defer b.mu.Unlock()
 	b.down = false
 	b.startedMS = time.Now().UnixMilli()
+	b.restartCold()
 }
 
 // Drain makes the server report the state "draining". It still takes requests.
@@ -349,6 +351,9 @@
 	row["sequence"] = b.rowWrites
 	row["service"], row["address"], row["zone"] = b.options.Pool, address, b.options.Centre
 	row["slots"] = b.options.Slots
+	if left, ok := b.coldLeft(); ok {
+		row["cold_left_ms"] = left.Milliseconds()
+	}
 	b.mu.Unlock()
 	// The values are plain data, whose encoding can't fail.
 	_, _ = b.rows.Put("servers", b.options.ID, row)
@@ -364,6 +369,9 @@
 
 func (b *Backend) handleHealth(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("X-Instance-Id", b.options.ID)
+	if left, ok := b.coldLeft(); ok {
+		w.Header().Set("X-Cold-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	}
 }
 
 // backendOrder is the body of an order to an engine.
@@ -474,7 +482,11 @@
 	}
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
-	if status := b.startRun(r, id); status != 0 {
+	status := b.startRun(r, id)
+	if status != http.StatusMisdirectedRequest {
+		b.countCold(time.Now())
+	}
+	if status != 0 {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(status)
 		return
--- a/imitator/site.go
+++ b/imitator/site.go
@@ -44,6 +44,10 @@
 	Burst float64
 	// RestartTime is the time from a crash of a backend server to its next start.
 	RestartTime time.Duration
+	// ColdTime is the time for which a backend server is cold after its start, and ColdRate the
+	// requests a second that it takes meanwhile. Both are 0 if servers are never cold.
+	ColdTime time.Duration
+	ColdRate float64
 	// Proxy, if set, starts a proxy in front of a backend server's address and
 	// returns the address under which the server is listed instead.
 	Proxy func(address string) (string, error)
@@ -121,6 +125,7 @@
 // startBackend makes a backend server listen and write its row. It returns the address
 // in the row.
 func (s *Site) startBackend(backend *Backend) (string, error) {
+	backend.setCold(s.options.ColdTime, s.options.ColdRate)
 	address, err := s.listenRestartable(backend)
 	if err == nil && s.options.Proxy != nil {
 		address, err = s.options.Proxy(address)
@@ -201,6 +206,11 @@
 			"rate_per_s": s.options.Rate, "burst": s.options.Burst,
 		}},
 	}
+	if s.options.ColdRate > 0 {
+		for _, service := range config["services"].([]map[string]any) {
+			service["cold_start_s"], service["cold_per_s"] = s.options.ColdTime.Seconds(), s.options.ColdRate
+		}
+	}
 	s.config = config
 	_, err := s.Rows.Put("op", "config", config)
 	return s.version, err
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -70,6 +70,10 @@
 	// limits are the limits that servers have named, and paced the servers with one, by ID.
 	limits *pacer.Limits
 	paced  map[string]*pacedServer
+	// pacers are the pacers of the data centres that have one, by data centre, and coldTiming is
+	// how permits for cold servers may be used.
+	pacers     map[string]string
+	coldTiming pacer.ColdTiming
 	// attempts are the attempts in flight, by server.
 	attempts map[string]map[*attempt]struct{}
 	// probing holds the servers whose hosts are being probed.
@@ -99,6 +103,8 @@
 		rows:        map[string]*wire.ListedServer{},
 		limits:      pacer.NewLimits(),
 		paced:       map[string]*pacedServer{},
+		pacers:      map[string]string{},
+		coldTiming:  pacer.NewColdTiming(0),
 		attempts:    map[string]map[*attempt]struct{}{},
 		quarantine:  quarantine,
 		suspected:   map[quarantiner.Process]*suspectedCrash{},
@@ -140,10 +146,15 @@
 		l.forgetLimits(func(server string) bool { return server != id })
 		return
 	}
+	now, s := l.clock(), tracker.ServerFromList(listed)
+	seenStart := l.seenStart(now, s, known)
 	if l.firstListedAt == 0 {
-		l.firstListedAt = l.clock()
+		l.firstListedAt = now
+	}
+	l.fleet.UpdateServer(s)
+	if known.GetRow() != listed.GetRow() {
+		l.updateCold(now, s, seenStart)
 	}
-	l.fleet.UpdateServer(tracker.ServerFromList(listed))
 	l.notifyServer(l.fleet.Get(id))
 }
 
@@ -256,7 +267,7 @@
 		l.enqueue(r)
 		return step{wait: l.newWaiter(now, queueEnd(r), r)}, nil
 	case l.needsPermit(now, best, s):
-		return step{query: l.newPermitQuery(now, best, patience)}, nil
+		return step{query: l.newPermitQuery(now, best, s, patience)}, nil
 	}
 	return step{reservation: l.reserve(now, best, s)}, nil
 }
@@ -321,13 +332,13 @@
 // for which the request has a permit goes first. The caller holds the lock.
 func (l *Locator) pick(now time.Duration, s *search, patience time.Duration) *tracker.Backend {
 	r := s.request
-	var best *tracker.Backend
-	bestCost := 0.0
+	var best, bestCold *tracker.Backend
+	bestCost, bestColdCost := 0.0, 0.0
 	for _, b := range l.candidates(r) {
 		if !l.isOpen(now, b, s) || !l.takesWithin(now, b, s, patience) {
 			continue
 		}
-		if s.permit.usable(now, b.Server().ID) {
+		if s.permit.usable(now, b.Server()) {
 			return b
 		}
 		cost := router.Cost{
@@ -337,10 +348,20 @@
 			FailureRate:   max(b.FailureRate(now), b.StallScore(now)),
 			Saturation:    b.Saturation(now),
 		}
-		if value := cost.Value(); best == nil || value < bestCost || value == bestCost && prefers(r, b, best) {
+		value := cost.Value()
+		if l.coldRate(now, b) > 0 {
+			if bestCold == nil || value < bestColdCost || value == bestColdCost && prefers(r, b, bestCold) {
+				bestCold, bestColdCost = b, value
+			}
+			continue
+		}
+		if best == nil || value < bestCost || value == bestCost && prefers(r, b, best) {
 			best, bestCost = b, value
 		}
 	}
+	if best == nil || bestCold != nil && bestColdCost < bestCost && suitsCold(now, r) {
+		return bestCold
+	}
 	return best
 }
 
@@ -391,9 +412,9 @@
 // counts the request as in flight there. The caller holds the lock.
 func (l *Locator) reserve(now time.Duration, b *tracker.Backend, found *search) *dispatcher.Reservation {
 	s, r := b.Server(), found.request
-	limit := l.limitOf(b)
+	limit := l.limitOf(now, b)
 	number := limit.Number
-	if found.permit.usable(now, s.ID) {
+	if found.permit.usable(now, s) {
 		number, found.permit = found.permit.number, nil
 	}
 	names := modelNames(r)
@@ -480,6 +501,9 @@
 	if feedback.Limit > 0 || feedback.Unlimited {
 		l.recordLimit(s, number, feedback.Limit)
 	}
+	if feedback.Refused {
+		l.markNotListening(now, s)
+	}
 	b := l.fleet.Get(s.ID)
 	if b == nil || feedback.BackOff <= 0 {
 		return
--- a/locator/report.go
+++ b/locator/report.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"oleanderstall/quarantiner"
 	"oleanderstall/wire"
 )
 
@@ -130,6 +131,7 @@
 			l.fleet.MarkSidecarLost(now, b.Server().ID)
 		}
 	}
+	l.receivePacers(batch.GetPacers())
 	for _, listed := range batch.GetItems() {
 		l.updateServer(listed)
 	}
@@ -146,7 +148,9 @@
 		l.fleet.MarkLeaving(departure.GetServer(), departure.GetBorn())
 	}
 	l.receiveLimits(now, batch.GetLimits())
-	l.quarantine.Merge(batch.GetCrashes())
+	for _, crash := range l.quarantine.Merge(batch.GetCrashes()) {
+		l.coolCrashed(now, quarantiner.Process{Server: crash.GetServer(), Started: crash.GetBorn()})
+	}
 	l.wakeQuarantined()
 	for _, estimate := range batch.GetOutlooks() {
 		l.updateEstimate(now, estimate)
--- a/locator/serverlimit.go
+++ b/locator/serverlimit.go
@@ -49,13 +49,14 @@
 // permit allows one request to a server from one instant until another.
 type permit struct {
 	server      string
+	started     int64
 	number      uint64
 	from, until time.Duration
 }
 
-// usable reports whether the permit may be used now for a server.
-func (p *permit) usable(now time.Duration, server string) bool {
-	return p != nil && p.server == server && now >= p.from && now < p.until
+// usable reports whether the permit may be used now for a process of a server.
+func (p *permit) usable(now time.Duration, s tracker.Server) bool {
+	return p != nil && p.server == s.ID && p.started == s.Started && now >= p.from && now < p.until
 }
 
 // pending returns the time until the permit may be used, or 0 if it may be or may no more.
@@ -72,10 +73,38 @@
 	pacer    string
 	patience time.Duration
 	timeout  time.Duration
+	// coldLeft and coldRate are the time for which the server is still cold and the rate that it
+	// takes meanwhile, or 0.
+	coldLeft time.Duration
+	coldRate float64
+	// started is the start of the server's process, in Unix milliseconds.
+	started int64
 }
 
-// limitOf returns what is known of the limit of a server. The caller holds the lock.
-func (l *Locator) limitOf(b *tracker.Backend) pacer.Limit {
+// lifetime returns how long after its first instant the permit may be used.
+func (l *Locator) lifetime(q *permitQuery) time.Duration {
+	if q.coldRate > 0 {
+		return l.coldTiming.Lifetime()
+	}
+	return pacer.PermitLifetime
+}
+
+// message returns the request as it is sent.
+func (q *permitQuery) message() *wire.PermitRequest {
+	return &wire.PermitRequest{Limit: q.limit.Message(), Wait: timer.ToMillis(q.patience), ColdLeft: timer.ToMillis(q.coldLeft), ColdRate: q.coldRate}
+}
+
+// limitOf returns what is known of the limit of a server, which is the lower of the one that it
+// has named and that of its cold phase. The caller holds the lock.
+func (l *Locator) limitOf(now time.Duration, b *tracker.Backend) pacer.Limit {
+	known := l.namedLimitOf(b)
+	known.Rate = pacer.Lower(known.Rate, l.coldRate(now, b))
+	return known
+}
+
+// namedLimitOf returns what is known of the limit that a server has named. The caller holds the
+// lock.
+func (l *Locator) namedLimitOf(b *tracker.Backend) pacer.Limit {
 	s := b.Server()
 	return l.limits.Get(s.ID, s.Started)
 }
@@ -94,23 +123,27 @@
 // concerned: it has named none, the request has a permit, or the pacer may give one. The caller
 // holds the lock.
 func (l *Locator) takesWithin(now time.Duration, b *tracker.Backend, s *search, patience time.Duration) bool {
-	id := b.Server().ID
-	if l.limitOf(b).Rate == 0 || s.permit.usable(now, id) {
+	if l.limitOf(now, b).Rate == 0 || s.permit.usable(now, b.Server()) {
 		return true
 	}
-	p := l.pacedServerOf(now, id)
+	p, patience := l.pacerOf(now, b), l.patienceFor(now, b, s, patience)
 	return p.pacer != "" && p.nextPermit <= now+patience && s.permit.pending(now) == 0
 }
 
 // needsPermit reports whether a request has to get a permit for a server first. The caller holds
 // the lock.
 func (l *Locator) needsPermit(now time.Duration, b *tracker.Backend, s *search) bool {
-	return l.limitOf(b).Rate > 0 && !s.permit.usable(now, b.Server().ID)
+	return l.limitOf(now, b).Rate > 0 && !s.permit.usable(now, b.Server())
 }
 
 // newPermitQuery returns the request for a permit for a server. The caller holds the lock.
-func (l *Locator) newPermitQuery(now time.Duration, b *tracker.Backend, patience time.Duration) *permitQuery {
-	q := &permitQuery{limit: l.limitOf(b), pacer: l.pacedServerOf(now, b.Server().ID).pacer, patience: patience, timeout: permitTimeout}
+func (l *Locator) newPermitQuery(now time.Duration, b *tracker.Backend, s *search, patience time.Duration) *permitQuery {
+	patience = l.patienceFor(now, b, s, patience)
+	q := &permitQuery{limit: l.namedLimitOf(b), pacer: l.pacerOf(now, b).pacer, patience: patience, timeout: permitTimeout}
+	q.coldRate, q.started = l.coldRate(now, b), b.Server().Started
+	if q.coldRate > 0 {
+		q.coldLeft = b.ColdLeft(now)
+	}
 	if patience > 0 {
 		q.timeout = onlyPermitTimeout
 	}
@@ -130,7 +163,7 @@
 	started := l.clock()
 	callCtx, cancel := context.WithTimeout(ctx, q.timeout)
 	defer cancel()
-	answer, err := l.permits.RequestPermit(callCtx, q.pacer, &wire.PermitRequest{Limit: q.limit.Message(), Wait: timer.ToMillis(q.patience)})
+	answer, err := l.permits.RequestPermit(callCtx, q.pacer, q.message())
 	if ctx.Err() != nil {
 		return
 	}
@@ -144,7 +177,7 @@
 func (l *Locator) recordPermit(started time.Duration, s *search, q *permitQuery, answer *wire.Permit, err error) {
 	now, id := l.clock(), q.limit.Server
 	p := l.pacedServerOf(now, id)
-	entry := l.log.Info().Str("request", s.request.ID).Str("server", id).Str("pacer", q.pacer).Float64("limit", q.limit.Rate)
+	entry := l.log.Info().Str("request", s.request.ID).Str("server", id).Str("pacer", q.pacer).Float64("limit", q.limit.Rate).Float64("cold", q.coldRate)
 	if err != nil {
 		p.nextPermit = now + permitRetryInterval
 		entry.Err(err).Msg("permit: no answer")
@@ -157,7 +190,7 @@
 	entry.Bool("given", answer.GetGiven()).Uint64("number", answer.GetNumber()).Int64("wait", wait.Milliseconds()).
 		Int64("took", (now - started).Milliseconds()).Msg("permit: answered")
 	if answer.GetGiven() {
-		s.permit = &permit{server: id, number: answer.GetNumber(), from: now + wait, until: started + wait + pacer.PermitLifetime}
+		s.permit = &permit{server: id, started: q.started, number: answer.GetNumber(), from: now + wait, until: started + wait + l.lifetime(q)}
 		return
 	}
 	p.nextPermit = now + wait
@@ -249,12 +282,12 @@
 // closedByLimit returns until when a server that has named a limit gets no request of a search.
 // The instant is 0 if its pacer is not found. The caller holds the lock.
 func (l *Locator) closedByLimit(now time.Duration, b *tracker.Backend, s *search) closure {
-	p := l.pacedServerOf(now, b.Server().ID)
+	p := l.pacerOf(now, b)
 	switch {
 	case s.permit.pending(now) > 0:
-		return closure{until: s.permit.from}
+		return closure{until: l.coldEnd(now, b, s.permit.from)}
 	case p.pacer != "":
-		return closure{until: max(now+minRetryInterval, p.nextPermit), beyondLimit: true}
+		return closure{until: l.coldEnd(now, b, max(now+minRetryInterval, p.nextPermit)), beyondLimit: true}
 	case now < p.unknownSince+pacerSearchTime:
 		return closure{until: p.unknownSince + pacerSearchTime}
 	}
--- a/locator/serverlimit_test.go
+++ b/locator/serverlimit_test.go
@@ -187,7 +187,7 @@
 		limited := func() bool {
 			fx.locator.mu.Lock()
 			defer fx.locator.mu.Unlock()
-			return fx.locator.limitOf(fx.locator.fleet.Get("a")).Rate > 0
+			return fx.locator.limitOf(fx.clock(), fx.locator.fleet.Get("a")).Rate > 0
 		}
 		answer(early, 0)
 		assert.Assert(t, limited())
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -155,9 +155,10 @@
 
 // Schedule gives out the permits for one server. It is not safe for concurrent use.
 type Schedule struct {
-	// next is the earliest instant of the next permit, rate the rate of the permits, and number
-	// that of the latest.
+	// next is the earliest instant of the next permit, and last that of the latest one, which may
+	// be ahead. rate is the rate of the permits, and number that of the latest.
 	next   time.Duration
+	last   time.Duration
 	rate   float64
 	number uint64
 }
@@ -171,26 +172,46 @@
 // interval returns the time between two permits at a rate in requests a second.
 func interval(rate float64) time.Duration { return time.Duration(float64(time.Second) / rate) }
 
-// SetLimit applies what the server has said last.
+// SetLimit applies what the server has said last. Permits that were given out in advance count: a
+// higher rate takes effect after them.
 func (s *Schedule) SetLimit(now time.Duration, l Limit) {
 	s.number = max(s.number, l.Number)
 	if l.Rate > 0 && l.Rate != s.rate {
 		s.rate = l.Rate
-		s.next = min(s.next, now+interval(s.rate))
+		s.next = min(s.next, max(now, s.last)+interval(s.rate))
 	}
 }
 
+// takeoverTime is the time for which permits for an earlier process of a server may still be used:
+// until the row of the later one is known everywhere.
+const takeoverTime = 500 * time.Millisecond
+
+// Successor returns the schedule for a later process of the server. Permits for the earlier one that
+// were given out in advance may still be used for a short time.
+func (s *Schedule) Successor(now time.Duration, l Limit) *Schedule {
+	next := NewSchedule(now, l)
+	next.number = max(next.number, s.number)
+	next.next = max(next.next, min(s.last, now+takeoverTime)+interval(l.Rate))
+	return next
+}
+
 // Wait returns the time until the next permit.
 func (s *Schedule) Wait(now time.Duration) time.Duration { return max(0, s.next-now) }
 
 // Reserve gives out the next permit if it may be used within patience. Otherwise it returns false,
 // and the wait is the time until the next permit.
 func (s *Schedule) Reserve(now, patience time.Duration) (Permit, bool) {
+	return s.ReserveSaved(now, patience, savedTime)
+}
+
+// ReserveSaved does what Reserve does, with another time for which unused permits are saved up.
+func (s *Schedule) ReserveSaved(now, patience, saved time.Duration) (Permit, bool) {
 	at := max(now, s.next)
 	if at-now > patience {
 		return Permit{Wait: at - now}, false
 	}
-	s.next = max(s.next, now-savedTime) + interval(s.rate)
+	s.next = max(s.next, now-saved) + interval(s.rate)
 	s.number++
+	s.last = at
 	return Permit{Number: s.number, Wait: at - now}, true
 }
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -49,6 +49,7 @@
 	if lp == nil {
 		return nil
 	}
+	fs.latest = max(fs.latest, now)
 	lp.urgent, lp.lastBatchAt = false, now
 	lp.batchNumber++
 	batch := &wire.Batch{
@@ -83,9 +84,10 @@
 	}
 	fs.addLoads(lp, batch, false)
 	for c := range fs.servers.since(lp.sentVersions.servers) {
-		batch.Items = append(batch.Items, c.value)
+		batch.Items = append(batch.Items, fs.listedAsOf(now, c.value))
 	}
 	lp.sentVersions.servers = fs.servers.version
+	fs.addPacers(lp, batch)
 	fs.addEstimates(now, lp, batch)
 	fs.addCrashes(now, lp, batch)
 	fs.addLimits(lp, batch)
@@ -183,7 +185,7 @@
 	batch.Felt, lp.saturations = lp.saturations, nil
 	if reads, _ := fs.ReadsServerList(now); reads {
 		for c := range fs.servers.since(lp.sentVersions.servers) {
-			batch.Items = append(batch.Items, c.value)
+			batch.Items = append(batch.Items, fs.listedAsOf(now, c.value))
 		}
 		lp.sentVersions.servers = fs.servers.version
 	}
--- a/relayer/fleetstate.go
+++ b/relayer/fleetstate.go
@@ -15,6 +15,7 @@
 	"oleanderstall/allocator"
 	"oleanderstall/configurer"
 	"oleanderstall/limiter"
+	"oleanderstall/pacer"
 	"oleanderstall/quarantiner"
 	"oleanderstall/wire"
 )
@@ -81,6 +82,13 @@
 	// limits holds the limits that servers have named, and pacing is who gives out the permits.
 	limits *versionedMap[string, pacedLimit]
 	pacing pacing
+	// cold holds the cold phases of servers, and coldTiming is how permits for them may be used.
+	cold       map[string]coldPhase
+	coldTiming pacer.ColdTiming
+	// coldPermits counts the permits given out for cold servers.
+	coldPermits uint64
+	// latest is the latest instant that this relay was told.
+	latest time.Duration
 	// usage and demands are sums over the entries linked to this relay, loadRequests the
 	// loads that this relay decided on.
 	usage        *versionedMap[serverModel, uint32]
@@ -128,6 +136,8 @@
 		quarantiner:       quarantiner.New(0),
 		limits:            newVersionedMap[string, pacedLimit](),
 		pacing:            newPacing(),
+		cold:              map[string]coldPhase{},
+		coldTiming:        pacer.NewColdTiming(0),
 		usage:             newVersionedMap[serverModel, uint32](),
 		demands:           newVersionedMap[string, allocator.Demand](),
 		loadRequests:      newVersionedMap[serverModel, loadRequest](),
--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -62,12 +62,13 @@
 // stateVersions are versions of the maps of a FleetState and, for entries, its
 // entriesVersion.
 type stateVersions struct {
-	statuses, engineLoads, lostSidecars, departures, estimates, servers, members, usage, demands, loadRequests, crashes, limits, entries uint64
+	statuses, engineLoads, lostSidecars, departures, estimates, servers, members, usage, demands, loadRequests, crashes, limits, entries, pacers uint64
 }
 
 // Join links a process and returns the ID of the link. An earlier link of the same process
 // in the same role ends.
 func (fs *FleetState) Join(now time.Duration, link *wire.Link) uint64 {
+	fs.latest = max(fs.latest, now)
 	for id, lp := range fs.processes {
 		if lp.link.GetName() == link.GetName() && lp.link.GetRole() == link.GetRole() {
 			fs.Leave(now, id)
@@ -143,6 +144,7 @@
 	if lp == nil {
 		return false
 	}
+	fs.latest = max(fs.latest, now)
 	lp.lastReportAt, lp.reportNumber = now, report.GetNumber()
 	lp.confirmBatches(fs.localUsage, report.GetHeard(), report.GetReady())
 	if status := report.GetCondition(); status != nil {
@@ -361,6 +363,7 @@
 // reportTimeout, reserves tokens for sources of usage that do not report, and finds out which
 // process paces which servers.
 func (fs *FleetState) Tick(now time.Duration) {
+	fs.latest = max(fs.latest, now)
 	for id, lp := range maps.Clone(fs.processes) {
 		if now-lp.lastReportAt > reportTimeout {
 			fs.Leave(now, id)
--- a/relayer/pacing.go
+++ b/relayer/pacing.go
@@ -5,6 +5,7 @@
 
 	"oleanderstall/pacer"
 	"oleanderstall/router"
+	"oleanderstall/wire"
 )
 
 const (
@@ -39,6 +40,10 @@
 	updatedAt time.Duration
 	// schedules holds the permits for the servers that this relay paces.
 	schedules map[string]*schedule
+	// pacers are the pacers of the data centres that have one, sorted, and pacersVersion changes
+	// with them.
+	pacers        []*wire.Pacer
+	pacersVersion uint64
 }
 
 // schedule gives out the permits for the process of a server that started at an instant, in Unix
@@ -56,10 +61,13 @@
 func (p *pacing) schedule(now time.Duration, l pacer.Limit, share float64) *schedule {
 	l.Rate *= share
 	s := p.schedules[l.Server]
-	if s == nil || s.started != l.Started {
+	switch {
+	case s == nil:
 		s = &schedule{Schedule: pacer.NewSchedule(now, l), started: l.Started}
-		p.schedules[l.Server] = s
+	case s.started != l.Started:
+		s = &schedule{Schedule: s.Successor(now, l), started: l.Started}
 	}
+	p.schedules[l.Server] = s
 	s.SetLimit(now, l)
 	return s
 }
@@ -81,6 +89,7 @@
 	}
 	fs.pacing.updatedAt = now
 	fs.updateHeard(now)
+	fs.updatePacers()
 	for id, known := range fs.limits.all() {
 		if name := fs.pacerOf(id); known.Rate > 0 && name != known.pacer {
 			known.pacer = name
@@ -155,6 +164,11 @@
 // pacerOf returns the name of the process that paces a server, or an empty one if none is known.
 func (fs *FleetState) pacerOf(id string) string {
 	centre := fs.pacingCentre(id)
+	return fs.relayOf(centre)
+}
+
+// relayOf returns the name of the relay of a data centre, or an empty one if none is known.
+func (fs *FleetState) relayOf(centre string) string {
 	if centre == fs.centre {
 		return fs.pacing.relayInUse
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -9,6 +9,7 @@
 
 	"oleanderstall/configurer"
 	"oleanderstall/limiter"
+	"oleanderstall/pacer"
 	"oleanderstall/peer"
 	"oleanderstall/refuser"
 	"oleanderstall/timer"
@@ -248,6 +249,7 @@
 func (r *Relayer) UpdateServers(completeAsOf time.Duration, servers []*wire.ListedServer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.state.latest = max(r.state.latest, r.clock())
 	r.state.UpdateServers(completeAsOf, servers)
 	r.Wake()
 }
@@ -285,6 +287,20 @@
 	return r.state.Permit(r.clock(), request)
 }
 
+// SetColdTiming sets how permits for cold servers may be used.
+func (r *Relayer) SetColdTiming(t pacer.ColdTiming) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.coldTiming = t
+}
+
+// ColdPermits returns the number of permits that this relay has given out for cold servers.
+func (r *Relayer) ColdPermits() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.coldPermits
+}
+
 // Orphans returns the engines without a reporting sidecar in the data centres that this
 // relay serves, by address, or nil if this relay is not in use.
 func (r *Relayer) Orphans() map[string]*wire.ListedServer {
--- a/relayer/remotefeed.go
+++ b/relayer/remotefeed.go
@@ -96,6 +96,7 @@
 		return
 	}
 	rf.receivedAt = now
+	fs.latest = max(fs.latest, now)
 	fs.SetEra(batch.GetEra())
 	fs.applyConfigVersion(now, address, batch)
 	for _, status := range batch.GetConditions() {
--- a/relayer/serverlimit.go
+++ b/relayer/serverlimit.go
@@ -38,7 +38,7 @@
 	if found && !l.Supersedes(known.Limit) {
 		return
 	}
-	if known.Rate == 0 {
+	if known.Rate == 0 && fs.coldRate(l.Server) == 0 {
 		delete(fs.pacing.schedules, l.Server)
 	}
 	fs.limits.set(l.Server, pacedLimit{Limit: l, pacer: fs.pacerOf(l.Server)})
@@ -77,19 +77,27 @@
 // Permit answers a request for a permit. An error is a *refuser.Refusal: this process does not pace
 // the server.
 func (fs *FleetState) Permit(now time.Duration, request *wire.PermitRequest) (*wire.Permit, error) {
-	fs.mergeLimits([]*wire.ServerLimit{request.GetLimit()})
+	fs.latest = max(fs.latest, now)
 	id := request.GetLimit().GetServer()
+	if isLimit(request.GetLimit()) {
+		fs.mergeLimits([]*wire.ServerLimit{request.GetLimit()})
+	}
+	fs.receiveCold(now, request)
 	known, ok := fs.limits.get(id)
-	if !ok || fs.pacingCentre(id) != fs.centre {
+	limit, cold := fs.limitOf(id)
+	if !ok && !cold || fs.pacingCentre(id) != fs.centre {
 		return nil, refuser.New(refuser.Conflict, "this process does not pace the server")
 	}
-	if known.Rate == 0 {
+	if !ok {
+		known.Limit = pacer.Limit{Server: id, Started: limit.Started}
+	}
+	if limit.Rate == 0 {
 		return &wire.Permit{Limit: known.Message()}, nil
 	}
 	share := fs.pacingShare(now)
 	if share == 0 {
 		return &wire.Permit{Wait: timer.ToMillis(votingDelay), Limit: known.Message()}, nil
 	}
-	permit, given := fs.pacing.schedule(now, known.Limit, share).Reserve(now, timer.FromMillis(request.GetWait()))
+	permit, given := fs.reserve(now, limit, share, cold, timer.FromMillis(request.GetWait()))
 	return &wire.Permit{Given: given, Number: permit.Number, Wait: timer.ToMillis(permit.Wait), Limit: known.Message()}, nil
 }
--- a/relayer/serverlist.go
+++ b/relayer/serverlist.go
@@ -32,6 +32,7 @@
 		fs.allocator.RemoveServer(fs.decidedAt, server.GetId())
 		fs.limits.remove(server.GetId())
 		delete(fs.pacing.schedules, server.GetId())
+		delete(fs.cold, server.GetId())
 	} else {
 		fs.allocator.UpdateServer(tracker.ServerFromList(server))
 	}
@@ -42,7 +43,10 @@
 		// The sidecar's status is more accurate about the models of its engine.
 		normalized.Models = known.GetModels()
 	}
-	if proto.Equal(normalized, known) {
+	if known != nil {
+		normalized.ColdLeft = known.ColdLeft
+	}
+	if coldChanged := fs.updateCold(server, known); !coldChanged && proto.Equal(normalized, known) {
 		return
 	}
 	if server.GetGone() && server.GetBorn() == 0 {
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -15,6 +15,7 @@
 	"oleanderstall/follower"
 	"oleanderstall/lister"
 	"oleanderstall/meter"
+	"oleanderstall/pacer"
 	"oleanderstall/peer"
 	"oleanderstall/platform"
 	"oleanderstall/recorder"
@@ -108,6 +109,8 @@
 	h.store = platform.NewStore(s.Hosted.StoreAddress, h.recordStoreCall, h.storeEraChanged)
 	h.settings.Store(s)
 	h.relayer = relayer.New(&wire.Link{Name: s.Name, Centre: s.Centre, Started: h.started}, h.clock, h.config, l)
+	h.relayer.SetColdTiming(pacer.NewColdTiming(s.Hosted.ColdOver))
+	h.meter.RegisterColdPermits(h.relayer.ColdPermits)
 	h.configs = follower.New(follower.Options{Table: platform.ConfigTable, LongPollTimeout: configLongPollTimeout, MinInterval: configMinInterval}, h.clock, h.store, h.applyConfigRows, l)
 	h.fleet = follower.New(follower.Options{Table: storer.FleetTable, LongPollTimeout: fleetLongPollTimeout, MinInterval: fleetMinInterval, KeepLost: true}, h.clock, h.store, h.applyMemberRows, l)
 	h.lister = lister.New(platform.ServerTable, platform.DecodeServer, h.clock, h.store, h.updateServers, l)
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -12,6 +12,7 @@
 	"oleanderstall/checker"
 	"oleanderstall/dispatcher"
 	"oleanderstall/locator"
+	"oleanderstall/pacer"
 	"oleanderstall/peer"
 	"oleanderstall/platform"
 	"oleanderstall/refuser"
@@ -63,6 +64,8 @@
 	quarantine := dispatcher.NewQuarantine(e.clock, e.recorder, l)
 	e.meter.RegisterQuarantines(quarantine.List)
 	e.locator = locator.New(s.Centre, e.clock, e.config, quarantine, e, l)
+	e.locator.SetColdTiming(pacer.NewColdTiming(s.Hosted.ColdOver))
+	e.meter.RegisterColdServers(e.locator.ColdServers)
 	e.charger = charger.New(options, e.clock, e.config, l)
 	backends := platform.NewBackends(e.clock)
 	e.core = dispatcher.NewCore(e.clock, e.charger, e.locator, backends, alwaysGranted{}, router.NewRetryBudget(retries), e.recorder, e.meter, l)
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -65,6 +65,8 @@
 	streamEnds bool
 	// serverLimits makes backend servers name limits.
 	serverLimits bool
+	// coldServers makes backend servers cold.
+	coldServers bool
 	// storeTrouble makes the store silent, unreachable and set back, and replaces most other faults.
 	storeTrouble bool
 }
@@ -123,6 +125,9 @@
 		Engines: *sidecarCount, Services: 2, Models: 2 * *sidecarCount, ModelsPerEngine: 2, LoadTime: 60 * time.Millisecond, EventInterval: 8 * time.Millisecond,
 		EventsPerStream: eventsPerStream, ServiceTime: 10 * time.Millisecond, Rate: 1e7, Burst: 1e7, Proxy: s.addServerLink, RestartTime: crashTime,
 	}
+	if mode.coldServers {
+		s.options.ColdTime, s.options.ColdRate = coldTime, coldRate
+	}
 	var err error
 	if s.faultLog, err = os.Create(filepath.Join(dir, "faults.log")); err != nil {
 		return nil, err
@@ -199,6 +204,9 @@
 	if s.mode.serverLimits {
 		faults.Go(s.nameLimits)
 	}
+	if s.mode.coldServers {
+		faults.Go(s.turnCold)
+	}
 	if s.mode.storeTrouble {
 		s.disturbStore(&faults)
 	} else {
@@ -214,6 +222,7 @@
 	clients.Wait()
 	s.checkGuarantees()
 	s.checkLimits()
+	s.checkCold()
 	s.checkProcesses()
 	if s.mode.streamEnds {
 		s.checkOutcomes()
@@ -333,6 +342,10 @@
 // that get more than that while processes are killed, pause and lose the store.
 func TestSoakServerLimits(t *testing.T) { soak(t, soakMode{serverLimits: true}) }
 
+// TestSoakCold is TestSoak with backend servers that become cold. It guards against servers that get
+// more than they tolerate then, while processes are killed, pause and lose the store.
+func TestSoakCold(t *testing.T) { soak(t, soakMode{coldServers: true}) }
+
 // TestSoakStore is TestSoak with a store that is silent, or comes back from a copy. It guards against
 // a configuration that is not in force in time or comes back older, and against fencing numbers that
 // are given out twice.
--- a/tracker/backend.go
+++ b/tracker/backend.go
@@ -51,6 +51,10 @@
 	probedAt time.Duration
 	// backOffUntil is the end of the back-off that the server has asked for.
 	backOffUntil time.Duration
+	// coldUntil is the end of the cold phase, or 0.
+	coldUntil time.Duration
+	// crashed is set if the listed process is known to have crashed.
+	crashed bool
 	// serving is set if the server takes new work according to the list, and none that
 	// started later is listed at its address, apart from mismatched ones.
 	serving bool
--- a/tracker/listed.go
+++ b/tracker/listed.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"oleanderstall/storer"
+	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
 
@@ -30,22 +31,24 @@
 // ServerFromList returns the server that a row of the platform's list describes.
 func ServerFromList(listed *wire.ListedServer) Server {
 	return Server{
-		ID:        listed.GetId(),
-		Pool:      listed.GetPool(),
-		Address:   listed.GetAddress(),
-		Centre:    listed.GetCentre(),
-		Slots:     int(listed.GetSlots()),
-		Leaving:   listed.GetLeaving(),
-		Started:   listed.GetBorn(),
-		RowWrites: listed.GetWrites(),
-		Inventory: Inventory{Models: sortedNames(listed.GetModels())},
+		ID:         listed.GetId(),
+		Pool:       listed.GetPool(),
+		Address:    listed.GetAddress(),
+		Centre:     listed.GetCentre(),
+		Slots:      int(listed.GetSlots()),
+		Leaving:    listed.GetLeaving(),
+		Started:    listed.GetBorn(),
+		RowWrites:  listed.GetWrites(),
+		ColdStated: listed.ColdLeft != nil,
+		ColdLeft:   min(timer.FromMillis(listed.GetColdLeft()), MaxColdTime),
+		Inventory:  Inventory{Models: sortedNames(listed.GetModels())},
 	}
 }
 
 // ListedServer returns the row of the platform's list that describes the server, with the
 // version of the row.
 func (s Server) ListedServer(version uint64) *wire.ListedServer {
-	return &wire.ListedServer{
+	listed := &wire.ListedServer{
 		Id:      s.ID,
 		Row:     version,
 		Pool:    s.Pool,
@@ -57,6 +60,10 @@
 		Models:  s.Models,
 		Writes:  s.RowWrites,
 	}
+	if s.ColdStated {
+		listed.ColdLeft = proto.Uint32(timer.ToMillis(s.ColdLeft))
+	}
+	return listed
 }
 
 // RowOutdated reports whether a row of the list says nothing that is newer than the known one,
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -31,6 +31,9 @@
 	// RowWrites is the number of times that the process has written its row in the list, or 0 if
 	// that is not known.
 	RowWrites uint64
+	// ColdStated is set if the row says for how long the server is still cold, which is ColdLeft.
+	ColdStated bool
+	ColdLeft   time.Duration
 	Inventory
 }
 
@@ -116,7 +119,7 @@
 		f.backends[s.ID] = b
 	}
 	if b.server.Started != s.Started {
-		b.stalledAt, b.backOffUntil = 0, 0
+		b.stalledAt, b.backOffUntil, b.coldUntil, b.crashed = 0, 0, 0, false
 	}
 	before := b.ModelNames()
 	b.server, b.mismatched = s, false
