evacuation: an evacuated data centre gets no new requests and no loads

Cause: the operator writes the row op/evacuate/ZONE to empty a data centre. The processes followed the table, but knew no row in it besides the configuration.

Ruled out: a version for each data centre (a process that was away for long would bring back one that was removed); a state in the rows of the servers (one that starts later would not know); sending there on until copies are loaded elsewhere (the bound would hang on two timers).

Change: package evacuator keeps the set with the version of the table as of which it is complete; an older set never replaces a newer one. Entries read it from the table, relays send it to every process in the batch. A row that the store has lost by coming back from a copy counts for 10 s more. tracker.Fleet leaves evacuated servers out, so that attempts, resumes, waiting requests, loads and copies follow. Models in use whose copies are all there are loaded elsewhere before requests wait for them. If all servers of a pool are evacuated, requests are refused at once.

Run: go test -race of evacuator, locator, allocator, tracker, follower, platform, relayer, passed; runner -race -run Evacuat, passed. The native API does not know evacuations yet.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -36,6 +36,8 @@
 	// firstReportAt is the instant of the first status from a sidecar, or 0 if there was
 	// none.
 	firstReportAt time.Duration
+	// moveSearchedAt is the instant of the latest search for models whose copies are all evacuated.
+	moveSearchedAt time.Duration
 }
 
 // New returns an allocator for the process with that name.
--- a/allocator/decide.go
+++ b/allocator/decide.go
@@ -44,6 +44,7 @@
 			d.Estimates = append(d.Estimates, ReadyEstimate{Model: p.name, Ready: p.readyAt})
 		}
 	}
+	a.requestMoves(now, owned)
 	d.Loads = a.appendScaleUps(now, d.Loads)
 	return d
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -206,6 +207,19 @@
 	return r, ok
 }
 
+// RowsWithPrefix returns the rows whose keys begin with a prefix, in no order, and the version of the
+// table as of which they are complete.
+func (f *Follower) RowsWithPrefix(prefix string) (rows []storer.Row, version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for key, r := range f.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, r)
+		}
+	}
+	return rows, f.version
+}
+
 // Synced returns a channel that is closed once the copy has been complete.
 func (f *Follower) Synced() <-chan struct{} { return f.firstSync }
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -301,3 +301,21 @@
 		})
 	}
 }
+
+// TestRowsWithPrefix checks that the rows under a prefix are returned with the version as of which they
+// are complete, without those that were removed.
+func TestRowsWithPrefix(t *testing.T) {
+	f := New(Options{Table: "t"}, func() time.Duration { return time.Hour }, nil, func(time.Duration, []storer.Row) {}, faker.DiscardLogger())
+	row := func(key string, version uint64, deleted bool) storer.Row {
+		return storer.Row{Key: key, Version: version, Deleted: deleted}
+	}
+	f.applyChanges(0, storer.Changes{Version: 3, Rows: []storer.Row{row("t/a", 1, false), row("t/p/x", 2, false), row("t/p/y", 3, false)}}, true)
+	rows, version := f.RowsWithPrefix("t/p/")
+	assert.Equal(t, len(rows), 2)
+	assert.Equal(t, version, uint64(3))
+	f.applyChanges(0, storer.Changes{Version: 9, Rows: []storer.Row{row("t/p/x", 9, true)}}, false)
+	rows, version = f.RowsWithPrefix("t/p/")
+	assert.Equal(t, len(rows), 1)
+	assert.Equal(t, rows[0].Key, "t/p/y")
+	assert.Equal(t, version, uint64(9))
+}
--- a/imitator/site.go
+++ b/imitator/site.go
@@ -48,6 +48,8 @@
 	// requests a second that it takes meanwhile. Both are 0 if servers are never cold.
 	ColdTime time.Duration
 	ColdRate float64
+	// Centres are the data centres among which the backend servers are spread, or SiteCentre alone.
+	Centres []string
 	// Proxy, if set, starts a proxy in front of a backend server's address and
 	// returns the address under which the server is listed instead.
 	Proxy func(address string) (string, error)
@@ -86,7 +88,7 @@
 	}
 	for i := range options.Engines {
 		backend := NewBackend(BackendOptions{
-			ID: fmt.Sprintf("engine-%d", i), Pool: SiteModels, Centre: SiteCentre, Slots: 32, Models: models,
+			ID: fmt.Sprintf("engine-%d", i), Pool: SiteModels, Centre: s.centre(i), Slots: 32, Models: models,
 			MemoryMB: float64(options.ModelsPerEngine) * siteModelMB, AdapterSlots: 2, EventsPerStream: options.EventsPerStream, EventInterval: options.EventInterval,
 		}, s.Rows)
 		address, err := s.startBackend(backend)
@@ -110,7 +112,7 @@
 // list is read.
 func (s *Site) AddService() error {
 	backend := NewBackend(BackendOptions{
-		ID: fmt.Sprintf("service-%d", len(s.Services)), Pool: SiteOrders, Centre: SiteCentre, Slots: 6, ServiceTime: s.options.ServiceTime,
+		ID: fmt.Sprintf("service-%d", len(s.Services)), Pool: SiteOrders, Centre: s.centre(len(s.Services)), Slots: 6, ServiceTime: s.options.ServiceTime,
 	}, s.Rows)
 	if _, err := s.startBackend(backend); err != nil {
 		return err
@@ -119,6 +121,23 @@
 	return nil
 }
 
+// centre returns the data centre of the backend server of a kind with a number.
+func (s *Site) centre(i int) string {
+	if len(s.options.Centres) == 0 {
+		return SiteCentre
+	}
+	return s.options.Centres[i%len(s.options.Centres)]
+}
+
+// Evacuate writes the operator's row that evacuates a data centre.
+func (s *Site) Evacuate(centre string) error {
+	_, err := s.Rows.Put("op", "evacuate/"+centre, map[string]any{})
+	return err
+}
+
+// EndEvacuation removes the row that evacuates a data centre.
+func (s *Site) EndEvacuation(centre string) { s.Rows.Remove("op", "evacuate/"+centre) }
+
 // SiteModel returns the name of model i.
 func SiteModel(i int) string { return fmt.Sprintf("model%d", i) }
 
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -276,6 +276,9 @@
 // if none can in time. The caller holds the lock.
 func (l *Locator) waitForServer(now time.Duration, s *search) (step, error) {
 	r := s.request
+	if err := l.checkNotEvacuated(r); err != nil {
+		return step{}, err
+	}
 	c := l.closed(now, s)
 	if r.Model == "" {
 		return step{wait: l.newWaiter(now, c.until, r)}, l.checkServiceInTime(now, r, c, s.history)
--- a/relayer/assignment.go
+++ b/relayer/assignment.go
@@ -128,9 +128,12 @@
 }
 
 // loadRequestsFor returns the load requests of this and the other relays for an engine, by
-// model.
+// model. An engine in an evacuated data centre gets none.
 func (fs *FleetState) loadRequestsFor(server string) map[string]loadRequest {
 	out := map[string]loadRequest{}
+	if fs.evacuatedServer(server) {
+		return out
+	}
 	add := func(key serverModel, r loadRequest) {
 		if key.server != server {
 			return
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -224,8 +224,10 @@
 	}
 }
 
-// addCommon adds what every process gets: departures and the list of processes.
+// addCommon adds what every process gets: departures, evacuated data centres and the list of
+// processes.
 func (fs *FleetState) addCommon(lp *linkedProcess, batch *wire.Batch) {
+	fs.addEvacuated(lp, batch)
 	for c := range fs.departures.since(lp.sentVersions.departures) {
 		if !c.removed {
 			batch.Parted = append(batch.Parted, &wire.Departure{Server: c.key, Born: c.value})
--- a/relayer/fleetstate.go
+++ b/relayer/fleetstate.go
@@ -14,6 +14,7 @@
 
 	"oleanderstall/allocator"
 	"oleanderstall/configurer"
+	"oleanderstall/evacuator"
 	"oleanderstall/limiter"
 	"oleanderstall/pacer"
 	"oleanderstall/quarantiner"
@@ -87,6 +88,9 @@
 	coldTiming pacer.ColdTiming
 	// coldPermits counts the permits given out for cold servers.
 	coldPermits uint64
+	// evacuator holds the evacuated data centres, and evacuationsRevision counts their changes.
+	evacuator           *evacuator.Evacuator
+	evacuationsRevision uint64
 	// latest is the latest instant that this relay was told.
 	latest time.Duration
 	// usage and demands are sums over the entries linked to this relay, loadRequests the
@@ -138,6 +142,7 @@
 		pacing:            newPacing(),
 		cold:              map[string]coldPhase{},
 		coldTiming:        pacer.NewColdTiming(0),
+		evacuator:         evacuator.New(),
 		usage:             newVersionedMap[serverModel, uint32](),
 		demands:           newVersionedMap[string, allocator.Demand](),
 		loadRequests:      newVersionedMap[serverModel, loadRequest](),
--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -62,7 +62,7 @@
 // stateVersions are versions of the maps of a FleetState and, for entries, its
 // entriesVersion.
 type stateVersions struct {
-	statuses, engineLoads, lostSidecars, departures, estimates, servers, members, usage, demands, loadRequests, crashes, limits, entries, pacers uint64
+	statuses, engineLoads, lostSidecars, departures, estimates, servers, members, usage, demands, loadRequests, crashes, limits, entries, pacers, evacuations uint64
 }
 
 // Join links a process and returns the ID of the link. An earlier link of the same process
@@ -375,6 +375,7 @@
 		}
 	}
 	fs.expireCrashes(now)
+	fs.tickEvacuated(now)
 	fs.updatePacing(now)
 	fs.localUsage.rotate(now)
 	for source, used := range fs.ledger.Tick(now) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -301,6 +301,15 @@
 	return r.state.coldPermits
 }
 
+// UpdateEvacuated replaces the evacuated data centres by a set that is complete as of a version of the
+// store's table, unless a newer one is known.
+func (r *Relayer) UpdateEvacuated(version uint64, centres []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.UpdateEvacuated(r.clock(), version, centres)
+	r.Wake()
+}
+
 // Orphans returns the engines without a reporting sidecar in the data centres that this
 // relay serves, by address, or nil if this relay is not in use.
 func (r *Relayer) Orphans() map[string]*wire.ListedServer {
--- a/relayer/remotefeed.go
+++ b/relayer/remotefeed.go
@@ -99,6 +99,7 @@
 	fs.latest = max(fs.latest, now)
 	fs.SetEra(batch.GetEra())
 	fs.applyConfigVersion(now, address, batch)
+	fs.UpdateEvacuated(now, batch.GetEvacuations().GetVersion(), batch.GetEvacuations().GetCentres())
 	for _, status := range batch.GetConditions() {
 		rf.servers[status.GetServer()] = true
 		fs.recordStatus(now, status, false)
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -88,8 +88,11 @@
 	// onConfigChange is called after a new configuration has come into force, and
 	// onServersChange with changes of the list of backend servers that this process has
 	// read from the store.
-	onConfigChange  func()
-	onServersChange func(completeAsOf time.Duration, servers []*wire.ListedServer)
+	onConfigChange func()
+	// onEvacuationsChange is called with the evacuated data centres after they have changed.
+	onEvacuationsChange func(centres []string)
+	onServersChange     func(completeAsOf time.Duration, servers []*wire.ListedServer)
+	evacuations         *evacuations
 }
 
 // newHostedProcess builds the common parts. The list of backend servers is not followed
@@ -105,11 +108,14 @@
 		tasks:      newTaskGroup(),
 		membership: subscriber.NewMembership(),
 		eraChanged: make(chan struct{}, 1),
+
+		evacuations: newEvacuations(), onEvacuationsChange: func([]string) {},
 	}
 	h.store = platform.NewStore(s.Hosted.StoreAddress, h.recordStoreCall, h.storeEraChanged)
 	h.settings.Store(s)
 	h.relayer = relayer.New(&wire.Link{Name: s.Name, Centre: s.Centre, Started: h.started}, h.clock, h.config, l)
 	h.relayer.SetColdTiming(pacer.NewColdTiming(s.Hosted.ColdOver))
+	h.meter.RegisterEvacuated(h.evacuations.count)
 	h.meter.RegisterColdPermits(h.relayer.ColdPermits)
 	h.configs = follower.New(follower.Options{Table: platform.ConfigTable, LongPollTimeout: configLongPollTimeout, MinInterval: configMinInterval}, h.clock, h.store, h.applyConfigRows, l)
 	h.fleet = follower.New(follower.Options{Table: storer.FleetTable, LongPollTimeout: fleetLongPollTimeout, MinInterval: fleetMinInterval, KeepLost: true}, h.clock, h.store, h.applyMemberRows, l)
@@ -236,6 +242,7 @@
 		h.relayer.UpdateMembers(batch.GetMembers())
 	}
 	h.store.SetEra(batch.GetEra())
+	h.receiveEvacuations(batch.GetEvacuations())
 	if batch.GetConfig() == h.config.View().Version() {
 		h.configFreshAsOf.Store(int64(h.clock() - timer.FromMillis(batch.GetFresh())))
 	}
@@ -276,6 +283,7 @@
 // applyConfigRows brings a new configuration from the store into force. One that cannot
 // be decoded leaves the previous configuration in force.
 func (h *hostedProcess) applyConfigRows(_ time.Duration, rows []storer.Row) {
+	h.applyEvacuationRows(rows)
 	for _, r := range rows {
 		if r.Key != platform.ConfigKey || r.Deleted {
 			continue
--- a/runner/linker.go
+++ b/runner/linker.go
@@ -85,6 +85,7 @@
 // update passes the relay in use to the relayer, exchanges with it the latest era of the store, and
 // suspends or resumes the reading of each table of the store.
 func (l *linker) update(now time.Duration) {
+	l.tickEvacuations(now)
 	l.relayer.SetRelayInUse(l.subscriber.Relay())
 	l.store.SetEra(l.relayer.SetEra(l.store.Era()))
 	lastBatch, _ := l.subscriber.LastBatch()
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -67,6 +67,8 @@
 	serverLimits bool
 	// coldServers makes backend servers cold.
 	coldServers bool
+	// evacuations makes the operator evacuate data centres.
+	evacuations bool
 	// storeTrouble makes the store silent, unreachable and set back, and replaces most other faults.
 	storeTrouble bool
 }
@@ -98,6 +100,8 @@
 	// limitPeriods are the limits that servers have named, which limitRandom draws.
 	limitPeriods []limitPeriod
 	limitRandom  *rand.Rand
+	// evacuations are those of the run.
+	evacuations []evacuation
 	// configChanges is the number of changes of the configuration, keyChecks that of requests that
 	// check which keys an entry serves.
 	configChanges int
@@ -125,6 +129,9 @@
 		Engines: *sidecarCount, Services: 2, Models: 2 * *sidecarCount, ModelsPerEngine: 2, LoadTime: 60 * time.Millisecond, EventInterval: 8 * time.Millisecond,
 		EventsPerStream: eventsPerStream, ServiceTime: 10 * time.Millisecond, Rate: 1e7, Burst: 1e7, Proxy: s.addServerLink, RestartTime: crashTime,
 	}
+	if mode.evacuations {
+		s.options.Centres = soakCentres
+	}
 	if mode.coldServers {
 		s.options.ColdTime, s.options.ColdRate = coldTime, coldRate
 	}
@@ -204,6 +211,9 @@
 	if s.mode.serverLimits {
 		faults.Go(s.nameLimits)
 	}
+	if s.mode.evacuations {
+		faults.Go(s.evacuate)
+	}
 	if s.mode.coldServers {
 		faults.Go(s.turnCold)
 	}
@@ -223,6 +233,7 @@
 	s.checkGuarantees()
 	s.checkLimits()
 	s.checkCold()
+	s.checkEvacuations()
 	s.checkProcesses()
 	if s.mode.streamEnds {
 		s.checkOutcomes()
@@ -346,6 +357,10 @@
 // more than they tolerate then, while processes are killed, pause and lose the store.
 func TestSoakCold(t *testing.T) { soak(t, soakMode{coldServers: true}) }
 
+// TestSoakEvacuation is TestSoak with data centres that are evacuated. It guards against requests that
+// reach one then, while processes are killed, pause and lose the store.
+func TestSoakEvacuation(t *testing.T) { soak(t, soakMode{evacuations: true}) }
+
 // TestSoakStore is TestSoak with a store that is silent, or comes back from a copy. It guards against
 // a configuration that is not in force in time or comes back older, and against fencing numbers that
 // are given out twice.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -96,6 +96,8 @@
 	// leavingStarts maps the IDs of the servers that have said that they are leaving to
 	// the starts of their processes, in Unix milliseconds.
 	leavingStarts map[string]int64
+	// evacuated are the data centres whose servers get no new work.
+	evacuated map[string]bool
 }
 
 // New returns an empty fleet.
@@ -263,10 +265,10 @@
 }
 
 // acceptsWork reports whether a server takes new work: the list says so, its address
-// answers as listed, and it is not leaving.
+// answers as listed, it is not leaving, and its data centre is not evacuated.
 func (f *Fleet) acceptsWork(b *Backend) bool {
 	f.rebuildPools()
-	return b.serving && !b.mismatched && !f.isLeaving(b)
+	return b.serving && !b.mismatched && !b.Evacuated() && !f.isLeaving(b)
 }
 
 // rebuildPools groups the servers that take new work according to the list by pool, if the
