homes: requests stay in the regions that their route and workspace allow

Cause: allowed_regions of a route and of a workspace say where a request may run and where its body may be sent. Nothing read them.

Ruled out: a list that cannot be read counting as none (the body would leave the regions that were meant; it allows no region instead); a pool for each region (the services span regions).

Change: the configuration carries the lists, the settings the regions of the data centres (hosted.zones). The admitter intersects both lists; the locator leaves servers outside out in every search, so in each attempt, retry and resume, and refuses at once if no server in the homes takes requests. The demand for a model names the data centres in which the waiting requests may run; loads for them go there. Settings may have objects with arbitrary names.

How the platform renders {{zones|json}} inside {{#zones}} is assumed, not tried.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -83,6 +83,7 @@
 		Content:         req.Content,
 	}
 	admitted.Model, admitted.Adapter = splitModel(req.Model)
+	admitted.Homes = dispatcher.NewHomes(route.GetRegions(), view.Workspace(admitted.Workspace).GetRegions())
 	if workspace := view.Workspace(admitted.Workspace); workspace != nil {
 		admitted.Cost = tokenCost(workspace, req)
 		if workspace.Priority != nil {
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -148,3 +149,32 @@
 	assert.Assert(t, errors.As(err, &refusal), "%v", err)
 	assert.Equal(t, refusal.Kind(), refuser.StaleConfiguration)
 }
+
+// TestHomes guards against a request that may run in a region which its route or its workspace leaves
+// out.
+func TestHomes(t *testing.T) {
+	v := view(&wire.Change{
+		Version:    1,
+		Workspaces: []*wire.Workspace{{Name: "w", Regions: []string{"eu", "us"}}, {Name: "free"}},
+		Keys:       []*wire.Key{configurer.OpaqueKey("key", "w"), configurer.OpaqueKey("free key", "free")},
+		Routes: []*wire.Route{
+			{Name: "home", Host: "h", Prefix: "/a/", Pool: "p", Regions: []string{"us", "asia"}},
+			{Name: "any", Host: "h", Prefix: "/b/", Pool: "p"},
+			{Name: "open", Host: "h", Prefix: "/c/", Pool: "p", Open: true, Regions: []string{"asia"}},
+		},
+	})
+	for _, c := range []struct {
+		path, key string
+		allowed   string
+	}{{"/a/1", "key", "us"}, {"/a/1", "free key", "us asia"}, {"/b/1", "key", "eu us"}, {"/b/1", "free key", "eu us asia"}, {"/c/1", "", "asia"}} {
+		r, err := Admit(started, v, newRequest(c.path, c.key))
+		assert.NilError(t, err)
+		var allowed []string
+		for _, region := range []string{"eu", "us", "asia"} {
+			if r.Homes.Allow(region) {
+				allowed = append(allowed, region)
+			}
+		}
+		assert.Equal(t, strings.Join(allowed, " "), c.allowed, c.path+c.key)
+	}
+}
--- a/allocator/demand.go
+++ b/allocator/demand.go
@@ -43,6 +43,8 @@
 	FirstArrival time.Duration
 	// Avoid names the engines that have the model but that the requests cannot use.
 	Avoid []string
+	// Centres are the data centres in which the requests may run, or none if all are.
+	Centres []string
 }
 
 // pendingDemand is the demand for a model, with the engine that is assigned to load it.
@@ -85,11 +87,12 @@
 	if m == nil {
 		return
 	}
-	if p.queued && now-p.searchedAt < searchPeriod || !slices.Contains(p.Avoid, p.server) && a.expectsLoad(now, p, m) {
+	if p.queued && now-p.searchedAt < searchPeriod || !slices.Contains(p.Avoid, p.server) && a.usable(p.Demand, p.server) && a.expectsLoad(now, p, m) {
 		return
 	}
 	p.searchedAt, p.queued = now, false
 	candidates := a.candidates(now, p.name, m, p.Avoid)
+	candidates = slices.DeleteFunc(candidates, func(c placer.Candidate) bool { return !a.usable(p.Demand, c.ID) })
 	chosen, cost := placer.ChooseEngine(candidates, m.GetBytes())
 	if chosen < 0 || a.fetchesTooEarly(now, m.GetPool(), candidates[chosen]) {
 		p.server = ""
--- a/allocator/evacuation_test.go
+++ b/allocator/evacuation_test.go
@@ -88,3 +88,8 @@
 	a.SetEvacuated(nil)
 	assert.Equal(t, len(loads(a, now)), 1)
 }
+
+// emptyEngine returns the status of an engine that has no model in memory, and all on its disk.
+func emptyEngine(id string) *wire.EngineStatus {
+	return &wire.EngineStatus{Server: id, Born: 1, Free: 100, Number: 3, Disk: []string{"used", "unused"}}
+}
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -107,6 +107,8 @@
 	// ColdOver is how many times its rate a cold server may be sent within any second, or 0 for
 	// the default.
 	ColdOver float64 `json:"cold_over"`
+	// Zones are the regions of the data centres, by data centre.
+	Zones map[string]string `json:"zones"`
 }
 
 // RetryLimits bounds the retries of requests to a pool.
--- a/checker/filechecker.go
+++ b/checker/filechecker.go
@@ -91,6 +91,10 @@
 // checkObject checks the members of an object and removes those that are unknown or given
 // twice. It returns what is wrong with the object itself, or "".
 func (f *fileChecker) checkObject(o *hujson.Object, field string, t reflect.Type) string {
+	if t.Kind() == reflect.Map {
+		f.checkMap(o, field, t.Elem())
+		return ""
+	}
 	if t.Kind() != reflect.Struct {
 		return "must not be an object"
 	}
@@ -118,6 +122,14 @@
 	return ""
 }
 
+// checkMap checks the types of the values of an object with arbitrary names.
+func (f *fileChecker) checkMap(o *hujson.Object, field string, t reflect.Type) {
+	for i := range o.Members {
+		m := &o.Members[i]
+		f.checkTypes(&m.Value, field+"."+m.Name.Value.(hujson.Literal).String(), t)
+	}
+}
+
 // checkArray checks the types of an array's elements. It returns what is wrong with the
 // array itself, or "".
 func (f *fileChecker) checkArray(a *hujson.Array, field string, t reflect.Type) string {
@@ -152,7 +164,7 @@
 	switch {
 	case t == durationType:
 		return hujson.String("0s")
-	case t.Kind() == reflect.Struct:
+	case t.Kind() == reflect.Struct, t.Kind() == reflect.Map:
 		return &hujson.Object{}
 	case t.Kind() == reflect.Slice:
 		return &hujson.Array{}
@@ -167,7 +179,7 @@
 	switch {
 	case t == durationType:
 		return "a duration such as \"6s\""
-	case t.Kind() == reflect.Struct:
+	case t.Kind() == reflect.Struct, t.Kind() == reflect.Map:
 		return "an object"
 	case t.Kind() == reflect.Slice:
 		return "a list"
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -75,6 +75,8 @@
 	MaxOutputTokens int
 	// Priority is the scheduling priority; 0 is served first.
 	Priority int
+	// Homes are the regions in which the request may run and to which its content may be sent.
+	Homes Homes
 	// MaxAttempts is the number of backend servers that may run the request, or 0 for no
 	// limit.
 	MaxAttempts int
--- a/imitator/site.go
+++ b/imitator/site.go
@@ -48,6 +48,8 @@
 	// requests a second that it takes meanwhile. Both are 0 if servers are never cold.
 	ColdTime time.Duration
 	ColdRate float64
+	// Regions are the regions in which the requests of a route may run, by the name of the route.
+	Regions map[string][]string
 	// Centres are the data centres among which the backend servers are spread, or SiteCentre alone.
 	Centres []string
 	// Proxy, if set, starts a proxy in front of a backend server's address and
@@ -243,10 +245,14 @@
 
 // route returns a route of the configuration to the backend servers of a pool.
 func (s *Site) route(name, prefix, kind, pool string, resumable bool) map[string]any {
-	return map[string]any{
+	route := map[string]any{
 		"name": name, "host": SiteHost, "prefix": prefix, "type": kind, "service": pool, "resumable": resumable,
 		"timeout_ms": 5000, "latency_goal_ms": 400, "gap_aim_ms": 250, "max_attempts": 2, "priority": 1,
 	}
+	if regions := s.options.Regions[name]; len(regions) > 0 {
+		route["allowed_regions"] = regions
+	}
+	return route
 }
 
 // siteDeadline is the deadline that callers send with a request, in milliseconds.
--- a/locator/demand.go
+++ b/locator/demand.go
@@ -38,6 +38,9 @@
 	retriesUntil time.Duration
 	// avoid names the engines that hold the model but that a request could not use.
 	avoid []string
+	// centres are the data centres in which the requests that waited last may run, or nil if one of
+	// them may run in all.
+	centres []string
 }
 
 // ended reports whether no request waits and none is expected to be retried.
@@ -124,8 +127,9 @@
 
 // loadRequest returns the message that reports the demand to a relay. While no request
 // waits, its target time is 1<<30 ms ahead.
-func (d *demand) loadRequest(now time.Duration) *wire.LoadRequest {
-	request := &wire.LoadRequest{Model: d.name, Count: uint32(len(d.waiting)), Goal: 1 << 30, Avoid: d.avoid}
+func (d *demand) loadRequest(now time.Duration, regions map[string]string) *wire.LoadRequest {
+	d.updateCentres(regions)
+	request := &wire.LoadRequest{Model: d.name, Count: uint32(len(d.waiting)), Goal: 1 << 30, Avoid: d.avoid, Centres: d.centres}
 	if now < d.retriesUntil {
 		request.Worth += retryValue
 	}
--- a/locator/demand_test.go
+++ b/locator/demand_test.go
@@ -15,7 +15,7 @@
 	for _, days := range []time.Duration{1, 30, 49} {
 		r := &dispatcher.Request{Started: time.Hour, TargetTime: time.Hour + days*24*time.Hour}
 		d := &demand{name: "m", waiting: map[*dispatcher.Request]struct{}{r: {}}}
-		goal := d.loadRequest(time.Hour).GetGoal()
+		goal := d.loadRequest(time.Hour, nil).GetGoal()
 		assert.Assert(t, goal > 0, "%d after %d days", goal, days)
 	}
 }
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -4,6 +4,7 @@
 package locator
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -72,7 +73,9 @@
 	paced  map[string]*pacedServer
 	// pacers are the pacers of the data centres that have one, by data centre, and coldTiming is
 	// how permits for cold servers may be used.
-	pacers     map[string]string
+	pacers map[string]string
+	// regions are the regions of the data centres, by data centre.
+	regions    map[string]string
 	coldTiming pacer.ColdTiming
 	// attempts are the attempts in flight, by server.
 	attempts map[string]map[*attempt]struct{}
@@ -276,7 +279,7 @@
 // if none can in time. The caller holds the lock.
 func (l *Locator) waitForServer(now time.Duration, s *search) (step, error) {
 	r := s.request
-	if err := l.checkNotEvacuated(r); err != nil {
+	if err := cmp.Or(l.checkNotEvacuated(r), l.checkHomes(r)); err != nil {
 		return step{}, err
 	}
 	c := l.closed(now, s)
@@ -385,13 +388,13 @@
 	return router.Score(x.Server().ID, key) > router.Score(y.Server().ID, key)
 }
 
-// candidates returns the servers that may run r: those of its pool for a plain service,
-// else those that may hold its model or adapter. The caller holds the lock.
+// candidates returns the servers in the homes of r that may run it: those of its pool for a plain
+// service, else those that may hold its model or adapter. The caller holds the lock.
 func (l *Locator) candidates(r *dispatcher.Request) []*tracker.Backend {
 	if r.Model == "" {
-		return l.fleet.Pool(r.Pool)
+		return l.withinHomes(r, l.fleet.Pool(r.Pool))
 	}
-	return l.fleet.Holders(requestedName(r))
+	return l.withinHomes(r, l.fleet.Holders(requestedName(r)))
 }
 
 // canRun reports whether a server can run r now. Engines that have stalled get nothing.
--- a/locator/report.go
+++ b/locator/report.go
@@ -66,7 +66,7 @@
 				delete(l.demands, name)
 				continue
 			}
-			r.Needs = append(r.Needs, d.loadRequest(now))
+			r.Needs = append(r.Needs, d.loadRequest(now, l.regions))
 		}
 		slices.SortFunc(r.Needs, func(a, b *wire.LoadRequest) int { return cmp.Compare(a.GetModel(), b.GetModel()) })
 	}
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -221,6 +221,8 @@
 		Goal:  timer.ToSignedMillis(demand.TargetTime - now),
 		Age:   timer.ToMillis(now - demand.FirstArrival),
 		Avoid: demand.Avoid,
+
+		Centres: demand.Centres,
 	}
 }
 
--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -241,6 +241,7 @@
 		TargetTime:   now + time.Duration(r.GetGoal())*time.Millisecond,
 		FirstArrival: now - min(timer.FromMillis(r.GetAge()), placer.MaxWait),
 		Avoid:        r.GetAvoid(),
+		Centres:      r.GetCentres(),
 	}
 }
 
@@ -291,7 +292,7 @@
 
 // sameDemand reports whether two demands are the same apart from their times.
 func sameDemand(a, b allocator.Demand) bool {
-	return a.Count == b.Count && a.Value == b.Value && slices.Equal(a.Avoid, b.Avoid)
+	return a.Count == b.Count && a.Value == b.Value && slices.Equal(a.Avoid, b.Avoid) && slices.Equal(a.Centres, b.Centres)
 }
 
 // mergeDemands adds a demand to a total, which is ignored if the demand is the first one.
@@ -305,9 +306,20 @@
 		TargetTime:   min(total.TargetTime, demand.TargetTime),
 		FirstArrival: min(total.FirstArrival, demand.FirstArrival),
 		Avoid:        append(total.Avoid[:len(total.Avoid):len(total.Avoid)], demand.Avoid...),
+		Centres:      mergeCentres(total.Centres, demand.Centres),
 	}
 }
 
+// mergeCentres returns the data centres of two demands, or none if one of them may be served in all.
+func mergeCentres(a, b []string) []string {
+	if len(a) == 0 || len(b) == 0 {
+		return nil
+	}
+	merged := slices.Concat(a, b)
+	slices.Sort(merged)
+	return slices.Compact(merged)
+}
+
 // forwardTokenUsage forwards the tokens used by a source, which is an entry or another data
 // centre, to all linked entries except the source. Those used by an entry are also sent to
 // the other relays.
--- a/runner/hosted_test.go
+++ b/runner/hosted_test.go
@@ -25,6 +25,8 @@
 	site     *imitator.Site
 	entries  []*HostedEntry
 	sidecars []*HostedSidecar
+	// zones are the regions of the data centres, by data centre.
+	zones map[string]string
 	// mu guards lastID, the ID of the latest request.
 	mu     sync.Mutex
 	lastID int
@@ -45,7 +47,7 @@
 	site, err := imitator.NewSite(options)
 	assert.NilError(t, err)
 	t.Cleanup(site.Stop)
-	f := &hostedFleet{t: t, site: site}
+	f := &hostedFleet{t: t, site: site, zones: map[string]string{"x": "region-x", "y": "region-y"}}
 	for i := range site.EngineAddresses {
 		f.startSidecar(i)
 	}
@@ -69,7 +71,7 @@
 		Role: role, Name: name, Centre: imitator.SiteCentre, PeerAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0",
 		Hosted: &checker.Hosted{
 			StoreAddress: f.site.StoreAddress, ReadinessAddress: "127.0.0.1:0", GracePeriod: checker.Duration(3 * time.Second), EngineLease: checker.Duration(time.Second),
-			Retries: checker.RetryLimits{Ratio: 0.2, Burst: 20},
+			Retries: checker.RetryLimits{Ratio: 0.2, Burst: 20}, Zones: f.zones,
 		},
 	}
 }
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -66,6 +66,7 @@
 	e.locator = locator.New(s.Centre, e.clock, e.config, quarantine, e, l)
 	e.locator.SetColdTiming(pacer.NewColdTiming(s.Hosted.ColdOver))
 	e.meter.RegisterColdServers(e.locator.ColdServers)
+	e.locator.SetRegions(s.Hosted.Zones)
 	e.onEvacuationsChange = e.locator.SetEvacuated
 	e.meter.RegisterEvacuatedRequests(e.locator.InflightAtEvacuated)
 	e.charger = charger.New(options, e.clock, e.config, l)
