--- a/allocator/scaleup.go
+++ b/allocator/scaleup.go
@@ -61,6 +61,11 @@
 	queued bool
 }
 
+// newScaleUp returns a scale-up that asks for one copy of the least value.
+func newScaleUp() *scaleUp {
+	return &scaleUp{requested: map[string]copyRequest{}, missing: 1, value: scaleUpValue}
+}
+
 // copyRequest is a request to an engine for another copy.
 type copyRequest struct {
 	at time.Duration
@@ -99,7 +104,7 @@
 	}
 	s := a.scaleUps[model]
 	if s == nil {
-		s = &scaleUp{requested: map[string]copyRequest{}}
+		s = newScaleUp()
 		a.scaleUps[model] = s
 	}
 	s.expiresAt, s.missing, s.value = now+scaleUpLifetime, desired-current, scaleUpValue
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -106,6 +106,11 @@
 	Retries RetryLimits `json:"retries"`
 	// Contracts names the parts of the platform's rules that are in force.
 	Contracts []string `json:"contracts"`
+	// ColdOver is how many times its rate a cold server may be sent within any second, or 0 for
+	// the default.
+	ColdOver float64 `json:"cold_over"`
+	// Zones are the regions of the data centres, by data centre.
+	Zones map[string]string `json:"zones"`
 }
 
 // RetryLimits bounds the retries of requests to a pool.
@@ -366,6 +371,7 @@
 	f.checkAddress("hosted.ready", h.ReadinessAddress, false)
 	f.checkNumber("hosted.memory", h.MaxMemoryMB)
 	f.checkNumber("hosted.slack", h.TokenSlack)
+	f.checkNumber("hosted.cold_over", h.ColdOver)
 	f.checkNumber("hosted.retries.ratio", h.Retries.Ratio)
 	f.checkNumber("hosted.retries.slack", h.Retries.Burst)
 	f.checkAtLeast("hosted.lease", time.Duration(h.EngineLease), minEngineLease)
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -78,6 +78,8 @@
 	OutputHint int
 	// Priority is the scheduling priority; 0 is served first.
 	Priority int
+	// Homes are the regions in which the request may run and to which its content may be sent.
+	Homes Homes
 	// MaxAttempts is the number of backend servers that may run the request, or 0 for no
 	// limit.
 	MaxAttempts int
@@ -163,6 +165,9 @@
 	// Limit is the number of requests a second that the backend server takes from all
 	// processes together, or 0 if it names no limit.
 	Limit float64
+	// Refused is set if the host has refused the connection, so that no process listens at the
+	// address of the backend server.
+	Refused bool
 	// Unlimited is set if the answer certainly comes from the backend server, which names no
 	// limit in it.
 	Unlimited bool
--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -56,6 +56,7 @@
 	faultInjector
 	limitNamer
 	machine
+	coldPhase
 	options   BackendOptions
 	rows      *RowStore
 	startedMS int64
@@ -236,6 +237,7 @@
 	defer b.mu.Unlock()
 	b.down = false
 	b.startedMS = time.Now().UnixMilli()
+	b.restartCold()
 }
 
 // Drain makes the server report the state "draining". It still takes requests.
@@ -354,6 +356,9 @@
 	row["sequence"] = b.rowWrites
 	row["service"], row["address"], row["zone"] = b.options.Pool, address, b.options.Centre
 	row["slots"] = b.options.Slots
+	if left, ok := b.coldLeft(); ok {
+		row["cold_left_ms"] = left.Milliseconds()
+	}
 	b.mu.Unlock()
 	// The values are plain data, whose encoding can't fail.
 	_, _ = b.rows.Put("servers", b.options.ID, row)
@@ -369,6 +374,9 @@
 
 func (b *Backend) handleHealth(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("X-Instance-Id", b.options.ID)
+	if left, ok := b.coldLeft(); ok {
+		w.Header().Set("X-Cold-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	}
 }
 
 // backendOrder is the body of an order to an engine.
@@ -479,7 +487,11 @@
 	}
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
-	if status := b.startRun(r, id); status != 0 {
+	status := b.startRun(r, id)
+	if status != http.StatusMisdirectedRequest {
+		b.countCold(time.Now())
+	}
+	if status != 0 {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(status)
 		return
--- a/imitator/site.go
+++ b/imitator/site.go
@@ -44,6 +44,14 @@
 	Burst float64
 	// RestartTime is the time from a crash of a backend server to its next start.
 	RestartTime time.Duration
+	// ColdTime is the time for which a backend server is cold after its start, and ColdRate the
+	// requests a second that it takes meanwhile. Both are 0 if servers are never cold.
+	ColdTime time.Duration
+	ColdRate float64
+	// Regions are the regions in which the requests of a route may run, by the name of the route.
+	Regions map[string][]string
+	// Centres are the data centres among which the backend servers are spread, or SiteCentre alone.
+	Centres []string
 	// Proxy, if set, starts a proxy in front of a backend server's address and
 	// returns the address under which the server is listed instead.
 	Proxy func(address string) (string, error)
@@ -94,7 +102,7 @@
 	}
 	for i := range options.Engines {
 		backend := NewBackend(BackendOptions{
-			ID: fmt.Sprintf("engine-%d", i), Pool: SiteModels, Centre: SiteCentre, Slots: 32, Models: models,
+			ID: fmt.Sprintf("engine-%d", i), Pool: SiteModels, Centre: s.centre(i), Slots: 32, Models: models,
 			MemoryMB: float64(options.ModelsPerEngine) * siteModelMB, AdapterSlots: 2, EventsPerStream: options.EventsPerStream, EventInterval: options.EventInterval,
 			Machine: machineAt(options.EngineMachines, i),
 		}, s.Rows)
@@ -119,7 +127,7 @@
 // list is read.
 func (s *Site) AddService() error {
 	backend := NewBackend(BackendOptions{
-		ID: fmt.Sprintf("service-%d", len(s.Services)), Pool: SiteOrders, Centre: SiteCentre, Slots: 6, ServiceTime: s.options.ServiceTime,
+		ID: fmt.Sprintf("service-%d", len(s.Services)), Pool: SiteOrders, Centre: s.centre(len(s.Services)), Slots: 6, ServiceTime: s.options.ServiceTime,
 		Machine: machineAt(s.options.ServiceMachines, len(s.Services)),
 	}, s.Rows)
 	if _, err := s.startBackend(backend); err != nil {
@@ -129,12 +137,30 @@
 	return nil
 }
 
+// centre returns the data centre of the backend server of a kind with a number.
+func (s *Site) centre(i int) string {
+	if len(s.options.Centres) == 0 {
+		return SiteCentre
+	}
+	return s.options.Centres[i%len(s.options.Centres)]
+}
+
+// Evacuate writes the operator's row that evacuates a data centre.
+func (s *Site) Evacuate(centre string) error {
+	_, err := s.Rows.Put("op", "evacuate/"+centre, map[string]any{})
+	return err
+}
+
+// EndEvacuation removes the row that evacuates a data centre.
+func (s *Site) EndEvacuation(centre string) { s.Rows.Remove("op", "evacuate/"+centre) }
+
 // SiteModel returns the name of model i.
 func SiteModel(i int) string { return fmt.Sprintf("model%d", i) }
 
 // startBackend makes a backend server listen and write its row. It returns the address
 // in the row.
 func (s *Site) startBackend(backend *Backend) (string, error) {
+	backend.setCold(s.options.ColdTime, s.options.ColdRate)
 	address, err := s.listenRestartable(backend)
 	if err == nil && s.options.Proxy != nil {
 		address, err = s.options.Proxy(address)
@@ -215,6 +241,11 @@
 			"rate_per_s": s.options.Rate, "burst": s.options.Burst,
 		}},
 	}
+	if s.options.ColdRate > 0 {
+		for _, service := range config["services"].([]map[string]any) {
+			service["cold_start_s"], service["cold_per_s"] = s.options.ColdTime.Seconds(), s.options.ColdRate
+		}
+	}
 	s.config = config
 	_, err := s.Rows.Put("op", "config", config)
 	return s.version, err
@@ -228,10 +259,14 @@
 
 // route returns a route of the configuration to the backend servers of a pool.
 func (s *Site) route(name, prefix, kind, pool string, resumable bool) map[string]any {
-	return map[string]any{
+	route := map[string]any{
 		"name": name, "host": SiteHost, "prefix": prefix, "type": kind, "service": pool, "resumable": resumable,
 		"timeout_ms": 5000, "latency_goal_ms": 400, "gap_aim_ms": 250, "max_attempts": 2, "priority": 1,
 	}
+	if regions := s.options.Regions[name]; len(regions) > 0 {
+		route["allowed_regions"] = regions
+	}
+	return route
 }
 
 // siteDeadline is the deadline that callers send with a request, in milliseconds.
--- a/locator/report.go
+++ b/locator/report.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"oleanderstall/quarantiner"
 	"oleanderstall/wire"
 )
 
@@ -66,7 +67,7 @@
 				delete(l.demands, name)
 				continue
 			}
-			r.Needs = append(r.Needs, d.loadRequest(now))
+			r.Needs = append(r.Needs, d.loadRequest(now, l.regions))
 		}
 		slices.SortFunc(r.Needs, func(a, b *wire.LoadRequest) int { return cmp.Compare(a.GetModel(), b.GetModel()) })
 	}
@@ -131,6 +132,7 @@
 			l.fleet.MarkSidecarLost(now, b.Server().ID)
 		}
 	}
+	l.receivePacers(batch.GetPacers())
 	for _, listed := range batch.GetItems() {
 		l.updateServer(listed)
 	}
@@ -149,7 +151,9 @@
 	}
 	l.receiveLimits(now, batch.GetLimits())
 	l.receiveSpeeds(now, batch.GetSpeeds())
-	l.quarantine.Merge(batch.GetCrashes())
+	for _, crash := range l.quarantine.Merge(batch.GetCrashes()) {
+		l.coolCrashed(now, quarantiner.Process{Server: crash.GetServer(), Started: crash.GetBorn()})
+	}
 	l.wakeQuarantined()
 	for _, estimate := range batch.GetOutlooks() {
 		l.updateEstimate(now, estimate)
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -49,6 +49,7 @@
 	if lp == nil {
 		return nil
 	}
+	fs.latest = max(fs.latest, now)
 	lp.urgent, lp.lastBatchAt = false, now
 	lp.batchNumber++
 	batch := &wire.Batch{
@@ -83,9 +84,10 @@
 	}
 	fs.addLoads(lp, batch, false)
 	for c := range fs.servers.since(lp.sentVersions.servers) {
-		batch.Items = append(batch.Items, c.value)
+		batch.Items = append(batch.Items, fs.listedAsOf(now, c.value))
 	}
 	lp.sentVersions.servers = fs.servers.version
+	fs.addPacers(lp, batch)
 	fs.addEstimates(now, lp, batch)
 	fs.addCrashes(now, lp, batch)
 	fs.addLimits(lp, batch)
@@ -187,7 +189,7 @@
 	batch.Speeds = lp.takeSpeeds()
 	if reads, _ := fs.ReadsServerList(now); reads {
 		for c := range fs.servers.since(lp.sentVersions.servers) {
-			batch.Items = append(batch.Items, c.value)
+			batch.Items = append(batch.Items, fs.listedAsOf(now, c.value))
 		}
 		lp.sentVersions.servers = fs.servers.version
 	}
@@ -223,11 +225,15 @@
 		Goal:  timer.ToSignedMillis(demand.TargetTime - now),
 		Age:   timer.ToMillis(now - demand.FirstArrival),
 		Avoid: demand.Avoid,
+
+		Centres: demand.Centres,
 	}
 }
 
-// addCommon adds what every process gets: departures and the list of processes.
+// addCommon adds what every process gets: departures, evacuated data centres and the list of
+// processes.
 func (fs *FleetState) addCommon(lp *linkedProcess, batch *wire.Batch) {
+	fs.addEvacuated(lp, batch)
 	for c := range fs.departures.since(lp.sentVersions.departures) {
 		if !c.removed {
 			batch.Parted = append(batch.Parted, &wire.Departure{Server: c.key, Born: c.value})
--- a/relayer/fleetstate.go
+++ b/relayer/fleetstate.go
@@ -14,7 +14,9 @@
 
 	"oleanderstall/allocator"
 	"oleanderstall/configurer"
+	"oleanderstall/evacuator"
 	"oleanderstall/limiter"
+	"oleanderstall/pacer"
 	"oleanderstall/quarantiner"
 	"oleanderstall/wire"
 )
@@ -84,6 +86,16 @@
 	// speedMeans are the means of the speeds of servers, and speeds what entries are sent of them.
 	speedMeans map[string]*speedMean
 	speeds     *versionedMap[string, *wire.ServerSpeed]
+	// cold holds the cold phases of servers, and coldTiming is how permits for them may be used.
+	cold       map[string]coldPhase
+	coldTiming pacer.ColdTiming
+	// coldPermits counts the permits given out for cold servers.
+	coldPermits uint64
+	// evacuator holds the evacuated data centres, and evacuationsRevision counts their changes.
+	evacuator           *evacuator.Evacuator
+	evacuationsRevision uint64
+	// latest is the latest instant that this relay was told.
+	latest time.Duration
 	// usage and demands are sums over the entries linked to this relay, loadRequests the
 	// loads that this relay decided on.
 	usage        *versionedMap[serverModel, uint32]
@@ -133,6 +145,9 @@
 		pacing:            newPacing(),
 		speedMeans:        map[string]*speedMean{},
 		speeds:            newVersionedMap[string, *wire.ServerSpeed](),
+		cold:              map[string]coldPhase{},
+		coldTiming:        pacer.NewColdTiming(0),
+		evacuator:         evacuator.New(),
 		usage:             newVersionedMap[serverModel, uint32](),
 		demands:           newVersionedMap[string, allocator.Demand](),
 		loadRequests:      newVersionedMap[serverModel, loadRequest](),
--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -64,12 +64,13 @@
 // stateVersions are versions of the maps of a FleetState and, for entries, its
 // entriesVersion.
 type stateVersions struct {
-	statuses, engineLoads, lostSidecars, departures, estimates, servers, members, usage, demands, loadRequests, crashes, limits, speeds, entries uint64
+	statuses, engineLoads, lostSidecars, departures, estimates, servers, members, usage, demands, loadRequests, crashes, limits, speeds, entries, pacers, evacuations uint64
 }
 
 // Join links a process and returns the ID of the link. An earlier link of the same process
 // in the same role ends.
 func (fs *FleetState) Join(now time.Duration, link *wire.Link) uint64 {
+	fs.latest = max(fs.latest, now)
 	for id, lp := range fs.processes {
 		if lp.link.GetName() == link.GetName() && lp.link.GetRole() == link.GetRole() {
 			fs.Leave(now, id)
@@ -145,6 +146,7 @@
 	if lp == nil {
 		return false
 	}
+	fs.latest = max(fs.latest, now)
 	lp.lastReportAt, lp.reportNumber = now, report.GetNumber()
 	lp.confirmBatches(fs.localUsage, report.GetHeard(), report.GetReady())
 	if status := report.GetCondition(); status != nil {
@@ -243,6 +245,7 @@
 		TargetTime:   now + time.Duration(r.GetGoal())*time.Millisecond,
 		FirstArrival: now - min(timer.FromMillis(r.GetAge()), placer.MaxWait),
 		Avoid:        r.GetAvoid(),
+		Centres:      r.GetCentres(),
 	}
 }
 
@@ -293,7 +296,7 @@
 
 // sameDemand reports whether two demands are the same apart from their times.
 func sameDemand(a, b allocator.Demand) bool {
-	return a.Count == b.Count && a.Value == b.Value && slices.Equal(a.Avoid, b.Avoid)
+	return a.Count == b.Count && a.Value == b.Value && slices.Equal(a.Avoid, b.Avoid) && slices.Equal(a.Centres, b.Centres)
 }
 
 // mergeDemands adds a demand to a total, which is ignored if the demand is the first one.
@@ -307,9 +310,20 @@
 		TargetTime:   min(total.TargetTime, demand.TargetTime),
 		FirstArrival: min(total.FirstArrival, demand.FirstArrival),
 		Avoid:        append(total.Avoid[:len(total.Avoid):len(total.Avoid)], demand.Avoid...),
+		Centres:      mergeCentres(total.Centres, demand.Centres),
 	}
 }
 
+// mergeCentres returns the data centres of two demands, or none if one of them may be served in all.
+func mergeCentres(a, b []string) []string {
+	if len(a) == 0 || len(b) == 0 {
+		return nil
+	}
+	merged := slices.Concat(a, b)
+	slices.Sort(merged)
+	return slices.Compact(merged)
+}
+
 // forwardTokenUsage forwards the tokens used by a source, which is an entry or another data
 // centre, to all linked entries except the source. Those used by an entry are also sent to
 // the other relays.
@@ -365,6 +379,7 @@
 // reportTimeout, reserves tokens for sources of usage that do not report, and finds out which
 // process paces which servers.
 func (fs *FleetState) Tick(now time.Duration) {
+	fs.latest = max(fs.latest, now)
 	for id, lp := range maps.Clone(fs.processes) {
 		if now-lp.lastReportAt > reportTimeout {
 			fs.Leave(now, id)
@@ -376,6 +391,7 @@
 		}
 	}
 	fs.expireCrashes(now)
+	fs.tickEvacuated(now)
 	fs.updatePacing(now)
 	fs.localUsage.rotate(now)
 	for source, used := range fs.ledger.Tick(now) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -9,6 +9,7 @@
 
 	"oleanderstall/configurer"
 	"oleanderstall/limiter"
+	"oleanderstall/pacer"
 	"oleanderstall/peer"
 	"oleanderstall/refuser"
 	"oleanderstall/timer"
@@ -256,6 +257,7 @@
 func (r *Relayer) UpdateServers(completeAsOf time.Duration, servers []*wire.ListedServer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.state.latest = max(r.state.latest, r.clock())
 	r.state.UpdateServers(completeAsOf, servers)
 	r.Wake()
 }
@@ -293,6 +295,29 @@
 	return r.state.Permit(r.clock(), request)
 }
 
+// SetColdTiming sets how permits for cold servers may be used.
+func (r *Relayer) SetColdTiming(t pacer.ColdTiming) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.coldTiming = t
+}
+
+// ColdPermits returns the number of permits that this relay has given out for cold servers.
+func (r *Relayer) ColdPermits() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.coldPermits
+}
+
+// UpdateEvacuated replaces the evacuated data centres by a set that is complete as of a version of the
+// store's table, unless a newer one is known.
+func (r *Relayer) UpdateEvacuated(version uint64, centres []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.UpdateEvacuated(r.clock(), version, centres)
+	r.Wake()
+}
+
 // Orphans returns the engines without a reporting sidecar in the data centres that this
 // relay serves, by address, or nil if this relay is not in use.
 func (r *Relayer) Orphans() map[string]*wire.ListedServer {
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -12,6 +12,7 @@
 	"oleanderstall/checker"
 	"oleanderstall/dispatcher"
 	"oleanderstall/locator"
+	"oleanderstall/pacer"
 	"oleanderstall/peer"
 	"oleanderstall/platform"
 	"oleanderstall/refuser"
@@ -64,6 +65,11 @@
 	e.meter.RegisterQuarantines(quarantine.List)
 	e.locator = locator.New(s.Centre, e.clock, e.config, quarantine, e, l)
 	e.meter.RegisterPools(e.locator.PoolSpeeds)
+	e.locator.SetColdTiming(pacer.NewColdTiming(s.Hosted.ColdOver))
+	e.meter.RegisterColdServers(e.locator.ColdServers)
+	e.locator.SetRegions(s.Hosted.Zones)
+	e.onEvacuationsChange = e.locator.SetEvacuated
+	e.meter.RegisterEvacuatedRequests(e.locator.InflightAtEvacuated)
 	e.charger = charger.New(options, e.clock, e.config, l)
 	backends := platform.NewBackends(e.clock)
 	e.core = dispatcher.NewCore(e.clock, e.charger, e.locator, backends, alwaysGranted{}, router.NewRetryBudget(retries), e.recorder, e.meter, l)
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -67,6 +67,10 @@
 	streamEnds bool
 	// serverLimits makes backend servers name limits.
 	serverLimits bool
+	// coldServers makes backend servers cold.
+	coldServers bool
+	// evacuations makes the operator evacuate data centres.
+	evacuations bool
 	// storeTrouble makes the store silent, unreachable and set back, and replaces most other faults.
 	storeTrouble bool
 }
@@ -98,6 +102,8 @@
 	// limitPeriods are the limits that servers have named, which limitRandom draws.
 	limitPeriods []limitPeriod
 	limitRandom  *rand.Rand
+	// evacuations are those of the run.
+	evacuations []evacuation
 	// configChanges is the number of changes of the configuration, keyChecks that of requests that
 	// check which keys an entry serves.
 	configChanges int
@@ -132,6 +138,12 @@
 		// More models than fit keep all engines ordered.
 		s.options.Models += *sidecarCount
 	}
+	if mode.evacuations {
+		s.options.Centres = soakCentres
+	}
+	if mode.coldServers {
+		s.options.ColdTime, s.options.ColdRate = coldTime, coldRate
+	}
 	var err error
 	if s.faultLog, err = os.Create(filepath.Join(dir, "faults.log")); err != nil {
 		return nil, err
@@ -223,6 +235,12 @@
 	if s.mode.serverLimits {
 		faults.Go(s.nameLimits)
 	}
+	if s.mode.evacuations {
+		faults.Go(s.evacuate)
+	}
+	if s.mode.coldServers {
+		faults.Go(s.turnCold)
+	}
 	if s.mode.storeTrouble {
 		s.loseHolder()
 		s.disturbStore(&faults)
@@ -242,6 +260,8 @@
 	if s.mode.storeTrouble {
 		s.checkTurns()
 	}
+	s.checkCold()
+	s.checkEvacuations()
 	s.checkProcesses()
 	if s.mode.streamEnds {
 		s.checkOutcomes()
@@ -361,6 +381,14 @@
 // that get more than that while processes are killed, pause and lose the store.
 func TestSoakServerLimits(t *testing.T) { soak(t, soakMode{serverLimits: true}) }
 
+// TestSoakCold is TestSoak with backend servers that become cold. It guards against servers that get
+// more than they tolerate then, while processes are killed, pause and lose the store.
+func TestSoakCold(t *testing.T) { soak(t, soakMode{coldServers: true}) }
+
+// TestSoakEvacuation is TestSoak with data centres that are evacuated. It guards against requests that
+// reach one then, while processes are killed, pause and lose the store.
+func TestSoakEvacuation(t *testing.T) { soak(t, soakMode{evacuations: true}) }
+
 // TestSoakStore is TestSoak with a store that is silent, or comes back from a copy. It guards against
 // a configuration that is not in force in time or comes back older, against fencing numbers that
 // are given out twice, and against a holder of an engine that orders within the lease of one whose row
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -31,6 +31,9 @@
 	// RowWrites is the number of times that the process has written its row in the list, or 0 if
 	// that is not known.
 	RowWrites uint64
+	// ColdStated is set if the row says for how long the server is still cold, which is ColdLeft.
+	ColdStated bool
+	ColdLeft   time.Duration
 	Inventory
 }
 
@@ -95,6 +98,8 @@
 	leavingStarts map[string]int64
 	// estimates are the estimates of the pools that have servers.
 	estimates map[string]*poolEstimates
+	// evacuated are the data centres whose servers get no new work.
+	evacuated map[string]bool
 }
 
 // New returns an empty fleet.
@@ -119,7 +124,7 @@
 		f.backends[s.ID] = b
 	}
 	if b.server.Started != s.Started {
-		b.stalledAt, b.backOffUntil = 0, 0
+		b.stalledAt, b.backOffUntil, b.coldUntil, b.crashed = 0, 0, 0, false
 	}
 	before := b.ModelNames()
 	f.updateEstimates(b, s)
@@ -267,10 +272,10 @@
 }
 
 // acceptsWork reports whether a server takes new work: the list says so, its address
-// answers as listed, and it is not leaving.
+// answers as listed, it is not leaving, and its data centre is not evacuated.
 func (f *Fleet) acceptsWork(b *Backend) bool {
 	f.rebuildPools()
-	return b.serving && !b.mismatched && !f.isLeaving(b)
+	return b.serving && !b.mismatched && !b.Evacuated() && !f.isLeaving(b)
 }
 
 // rebuildPools groups the servers that take new work according to the list by pool, if the
