--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -441,6 +441,7 @@
 		return
 	}
 	o.announcedUnload, o.announcedAt = step.Model, now
+	o.meter.RecordOrder(step.Op.String(), Done.String())
 	o.log.Info().Str("server", o.serverID).Str("model", step.Model).Str("for", step.Requested).Msg("drain: no further requests for the model")
 }
 
