evacuate: an intent empties a data centre on the native API

Cause: the native API had no way to empty a data centre. Its sidecars could only be marked as leaving in the platform's list, which ends them.

Ruled out: sidecars in an evacuated data centre that count as leaving everywhere (a process that finds itself marked so ends itself; TestEvacuateIntent found it); a wait for the replicas there to end before others are loaded (a long stream would keep the model away).

Change: a change of the configuration has data centres to evacuate, dropped by evacuate/NAME. The plan of the intent says what moves and what fits nowhere else, from the slots in the table and the memory that the sidecars report. Entries and holders send and load nothing there; replicas there do not count, so that one elsewhere is loaded at once; an evacuated sidecar refuses loads and unloads what is idle. status and explain centre/NAME say what is left.

The soak of the native API does not evacuate.

--- a/cmd/oleanderstall/main_test.go
+++ b/cmd/oleanderstall/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -132,14 +133,20 @@
 // settingsFile writes a settings file with the common fields and further ones, and returns
 // its path.
 func settingsFile(t testing.TB, name, platform, fields string) string {
+	t.Helper()
+	return settingsFileIn(t, "centre-1", name, platform, fields)
+}
+
+// settingsFileIn is settingsFile for a process in a given data centre.
+func settingsFileIn(t testing.TB, centre, name, platform, fields string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), name+".json")
 	text := fmt.Sprintf(`{
   // Written by a test.
-  "name": %q, "centre": "centre-1", "peer": "127.0.0.1:0", "admin": "127.0.0.1:0",
+  "name": %q, "centre": %q, "peer": "127.0.0.1:0", "admin": "127.0.0.1:0",
   "platform": %q, "secret": %q, "lease": "2s", "shards": 4,
   %s
-}`, name, platform, testSecret, fields)
+}`, name, centre, platform, testSecret, fields)
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	return path
 }
@@ -152,6 +159,8 @@
 	backends map[string]*proc
 	entries  []*proc
 	sidecars map[string]*proc
+	// centres are the data centres of sidecars that are not in centre-1.
+	centres map[string]string
 }
 
 // url returns the base URL of a stand-in.
@@ -184,7 +193,8 @@
 
 // startSidecar starts the sidecar of the backend server of that name.
 func (c *cluster) startSidecar(name, kind, pool string) {
-	path := settingsFile(c.t, name, c.url(c.platform), fmt.Sprintf(`"role": "sidecar", "sidecar": {
+	centre := cmp.Or(c.centres[name], "centre-1")
+	path := settingsFileIn(c.t, centre, name, c.url(c.platform), fmt.Sprintf(`"role": "sidecar", "sidecar": {
     "kind": %q, "backend": %q, "pool": %q, "flight": "300ms",
   },`, kind, c.url(c.backends[name]), pool))
 	c.sidecars[name] = launch(c.t, "sidecar", "--settings", path)
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -44,6 +44,8 @@
 	routes     map[string]*wire.Route
 	pools      map[string]*wire.Pool
 	limits     *wire.Limits
+	// evacuated are the evacuated data centres, by name.
+	evacuated map[string]*wire.EvacuatedCentre
 	// routesByHost holds the routes with a prefix, the longest prefix first.
 	routesByHost map[string][]*wire.Route
 	// omitted names the odd objects that are not in force, as kind/name.
@@ -159,6 +161,7 @@
 		Routes:     v.Routes(),
 		Pools:      v.Pools(),
 		Limits:     v.limits,
+		Evacuate:   sortedByKey(v.evacuated),
 	}
 }
 
@@ -173,6 +176,7 @@
 		routes:     maps.Clone(v.routes),
 		pools:      maps.Clone(v.pools),
 		limits:     v.limits,
+		evacuated:  maps.Clone(v.evacuated),
 	}
 	for _, name := range change.GetDrops() {
 		next.remove(name)
@@ -192,6 +196,9 @@
 	for _, p := range change.GetPools() {
 		next.pools[p.GetName()] = p
 	}
+	for _, e := range change.GetEvacuate() {
+		next.evacuated[e.GetName()] = e
+	}
 	if change.GetLimits() != nil {
 		next.limits = change.GetLimits()
 	}
@@ -231,6 +238,8 @@
 		delete(v.routes, name)
 	case "pool":
 		delete(v.pools, name)
+	case "evacuate":
+		delete(v.evacuated, name)
 	}
 }
 
@@ -261,6 +270,7 @@
 		keys:       map[string]*wire.Key{},
 		routes:     map[string]*wire.Route{},
 		pools:      map[string]*wire.Pool{},
+		evacuated:  map[string]*wire.EvacuatedCentre{},
 	}
 }
 
--- a/configurer/sound.go
+++ b/configurer/sound.go
@@ -27,6 +27,7 @@
 		Pools:      selectSound(change.GetPools(), "pool/", (*wire.Pool).GetName, soundPool, &omitted),
 		Drops:      change.GetDrops(),
 		Limits:     change.GetLimits(),
+		Evacuate:   selectSound(change.GetEvacuate(), "evacuate/", (*wire.EvacuatedCentre).GetName, always[*wire.EvacuatedCentre], &omitted),
 	}
 	next := v.With(sound)
 	next.omitted = slices.Concat(v.omitted, omitted)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -187,7 +187,7 @@
 		}
 		delete(d.leaveNotices, name)
 	}
-	return !listed || !instance.Leaving
+	return !listed || d.member.AcceptsWork(instance)
 }
 
 // lookUpReplicas returns the replicas of a model: the cached ones while they are fresh,
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -79,7 +79,7 @@
 	self := storer.Instance{Name: "entry", Role: "entry", Centre: "c", Address: "entry"}
 	list := []storer.Instance{self}
 	for name, f := range sidecars {
-		list = append(list, storer.Instance{Name: name, Role: "sidecar", Pool: pool, Address: name})
+		list = append(list, storer.Instance{Name: name, Role: "sidecar", Centre: "centre-" + name, Pool: pool, Address: name})
 		fx.network.Attach(name, f.handle)
 	}
 	fx.platform.SetInstances(list...)
--- a/executor/fixture_test.go
+++ b/executor/fixture_test.go
@@ -183,7 +183,7 @@
 // engine yet.
 func (f *fixture) sidecar(name string, e Engine, s Service) *Executor {
 	logger := faker.DiscardLogger()
-	self := storer.Instance{Name: name, Role: "sidecar", Address: name}
+	self := storer.Instance{Name: name, Role: "sidecar", Centre: "x", Address: name}
 	c := configurer.New()
 	sy := syncer.New(f.platform, f.platform, c)
 	f.member = member.New(self, f.clock.Now, f.network, f.platform, sy, c, logger)
--- a/executor/replicas.go
+++ b/executor/replicas.go
@@ -107,6 +107,8 @@
 		return nil, false, refuser.New(refuser.StaleConfiguration, "the model is not in the configuration here")
 	case x.draining:
 		return nil, false, refuser.New(refuser.Leaving, "the instance is leaving")
+	case x.member.Evacuated(x.member.Self()):
+		return nil, false, refuser.New(refuser.Leaving, "the data centre of the instance is evacuated")
 	case x.crashedAt != 0:
 		return nil, false, refuser.New(refuser.Busy, "the engine has crashed and does not run again yet").WithRetryAfter(time.Second)
 	case !x.statusKnown || x.clock() < x.ordersFrom:
@@ -316,10 +318,10 @@
 }
 
 // keepAlive returns how long r stays loaded while idle. It is 0 for a model that is
-// not in the configuration. The caller holds the lock.
+// not in the configuration, and in an evacuated data centre. The caller holds the lock.
 func (x *Executor) keepAlive(r *replica) time.Duration {
 	def := x.member.View().Model(r.model)
-	if def == nil {
+	if def == nil || x.member.Evacuated(x.member.Self()) {
 		return 0
 	}
 	loadTime := r.loadTime
--- a/holder/fixture_test.go
+++ b/holder/fixture_test.go
@@ -63,8 +63,8 @@
 // setEntries sets the platform's instance list to these entries and the two sidecars.
 func (f *fixture) setEntries(names ...string) {
 	list := []storer.Instance{
-		{Name: "engine-a", Role: "sidecar", Pool: storer.EnginePool, Address: "engine-a"},
-		{Name: "engine-b", Role: "sidecar", Pool: storer.EnginePool, Address: "engine-b"},
+		{Name: "engine-a", Role: "sidecar", Centre: "ca", Pool: storer.EnginePool, Address: "engine-a"},
+		{Name: "engine-b", Role: "sidecar", Centre: "cb", Pool: storer.EnginePool, Address: "engine-b"},
 	}
 	for _, name := range names {
 		list = append(list, entryInstance(name))
--- a/holder/loads.go
+++ b/holder/loads.go
@@ -157,7 +157,7 @@
 	byName := map[string]storer.Instance{}
 	var names []string
 	for _, in := range h.member.Instances("sidecar") {
-		if in.Pool == storer.EnginePool && !in.Leaving {
+		if in.Pool == storer.EnginePool && h.member.AcceptsWork(in) {
 			byName[in.Name] = in
 			names = append(names, in.Name)
 		}
--- a/holder/models.go
+++ b/holder/models.go
@@ -160,9 +160,9 @@
 	if def == nil {
 		return nil, nil, refuser.New(refuser.NotFound, "the model is not in the configuration")
 	}
-	m.slotTable.Resize(int(def.GetReplicas()))
+	m.slotTable.Resize(h.slotLimit(m, def))
 	h.checkDoubtful(q.GetModel(), m)
-	if resident := m.slotTable.InPhases(placer.Resident); len(resident) > 0 {
+	if resident := h.withoutEvacuated(m.slotTable.InPhases(placer.Resident)); len(resident) > 0 {
 		if q.GetFull() {
 			h.startLoad(m, def)
 		}
@@ -198,12 +198,11 @@
 	return refuser.New(refuser.DeadlineExceeded, fmt.Sprintf("model %s is being loaded", def.GetName())).WithRetryAfter(loadTime)
 }
 
-// replicaList returns the locations of the replicas on listed instances that are not
-// leaving.
+// replicaList returns the locations of the replicas on listed instances that accept work.
 func (h *Holder) replicaList(slots []placer.Slot) *wire.ReplicaList {
 	list := &wire.ReplicaList{}
 	for _, s := range slots {
-		if in, ok := h.member.Find(s.Instance); ok && !in.Leaving {
+		if in, ok := h.member.Find(s.Instance); ok && h.member.AcceptsWork(in) {
 			list.Spots = append(list.Spots, &wire.ReplicaLocation{Instance: s.Instance, Address: in.Address, Epoch: s.Epoch})
 		}
 	}
@@ -235,9 +234,9 @@
 	if m.loading || h.leaving {
 		return m.loading
 	}
-	slot := m.slotTable.FirstVacant(int(def.GetReplicas()))
+	slot := m.slotTable.FirstVacant(h.slotLimit(m, def))
 	if slot == nil {
-		return len(m.slotTable.InPhases(placer.Ordered)) > 0
+		return len(h.withoutEvacuated(m.slotTable.InPhases(placer.Ordered))) > 0
 	}
 	m.loading = true
 	h.tasks.Go(func() { h.loadReplica(m, def, *slot) })
--- a/member/member.go
+++ b/member/member.go
@@ -249,6 +249,15 @@
 	return storer.Instance{}, false
 }
 
+// AcceptsWork reports whether an instance may get new requests and loads: it is not leaving, and it is
+// no sidecar in an evacuated data centre.
+func (m *Member) AcceptsWork(in storer.Instance) bool { return !in.Leaving && !m.Evacuated(in) }
+
+// Evacuated reports whether an instance is a sidecar in an evacuated data centre.
+func (m *Member) Evacuated(in storer.Instance) bool {
+	return in.Role == "sidecar" && m.config.View().Evacuated(in.Centre)
+}
+
 // Unlisted reports whether the instance has been missing from the platform's list for
 // at least duration. For a name that was never listed, the time counts from the
 // first list that this process read. Before that, the result is false.
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -184,7 +184,7 @@
 		return
 	}
 	if len(change.GetKeys()) > 0 || change.GetVersion() != 0 || change.GetAuthor() != "" || change.GetToken() != "" {
-		writeError(w, refuser.New(refuser.InvalidRequest, "an intent has models, workspaces, routes and drops only"))
+		writeError(w, refuser.New(refuser.InvalidRequest, "an intent has models, workspaces, routes, data centres to evacuate and drops only"))
 		return
 	}
 	plan, err := o.createPlan(r.Context(), change)
@@ -204,6 +204,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(change.GetEvacuate()) > 0 {
+		sidecars, err := o.describeSidecars(ctx)
+		if err != nil {
+			return nil, platformUnavailable(err)
+		}
+		plan.Steps = append(plan.Steps, planner.EvacuationSteps(o.config.View(), change, sidecars)...)
+	}
 	value, err := storer.Encode(plan)
 	if err != nil {
 		return nil, err
@@ -427,6 +434,8 @@
 	// Skipped are the versions of the changes that this entry lacks because they cannot be
 	// read. What they set or withdrew has to be set or withdrawn again.
 	Skipped []uint64 `json:"skipped,omitempty"`
+	// Evacuated are the evacuated data centres.
+	Evacuated []EvacuatedCentre `json:"evacuated,omitempty"`
 }
 
 // handleStatus answers with the configuration version here, the entries that have it
@@ -438,6 +447,7 @@
 	defer cancel()
 	status.InForce, status.Pending = o.member.RolloutStatus(limited, status.Version)
 	status.Instances = append(o.member.Instances("entry"), o.member.Instances("sidecar")...)
+	status.Evacuated = o.describeEvacuated(limited)
 	writeJSON(w, http.StatusOK, status)
 }
 
@@ -461,6 +471,7 @@
 		})
 	}
 	wg.Wait()
+	records = append(records, o.explainCentre(r.Context(), subject))
 	writeJSON(w, http.StatusOK, recorder.Merge(records))
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -61,7 +61,7 @@
 	applyDefaults(change)
 	next := view.With(change)
 	if isEmpty(change) {
-		faults.add("intent", "names no model, workspace, route or drop")
+		faults.add("intent", "names no model, workspace, route, data centre to evacuate or drop")
 	}
 	for i, w := range change.GetWorkspaces() {
 		checkWorkspace(faults, fmt.Sprintf("workspaces[%d]", i), w)
@@ -72,6 +72,9 @@
 	for i, r := range change.GetRoutes() {
 		checkRoute(faults, fmt.Sprintf("routes[%d]", i), next, r)
 	}
+	for i, e := range change.GetEvacuate() {
+		checkName(faults, fmt.Sprintf("evacuate[%d].name", i), e.GetName())
+	}
 	for i, d := range change.GetDrops() {
 		checkDrop(faults, fmt.Sprintf("drops[%d]", i), view, next, d)
 	}
@@ -122,7 +125,7 @@
 
 // isEmpty reports whether c has nothing that a plan could change.
 func isEmpty(c *wire.Change) bool {
-	return len(c.GetModels())+len(c.GetWorkspaces())+len(c.GetRoutes())+len(c.GetDrops()) == 0
+	return len(c.GetModels())+len(c.GetWorkspaces())+len(c.GetRoutes())+len(c.GetEvacuate())+len(c.GetDrops()) == 0
 }
 
 // checkName adds a fault unless name has between 1 and maxName characters, all of
@@ -234,9 +237,10 @@
 		"model":     view.Model(name) != nil,
 		"workspace": view.Workspace(name) != nil,
 		"route":     view.Route(name) != nil,
+		"evacuate":  view.Evacuated(name),
 	}
 	if !ok || !exists[kind] {
-		e.add(field, "%q is not a known model/NAME, workspace/NAME or route/NAME", item)
+		e.add(field, "%q is not a known model/NAME, workspace/NAME, route/NAME or evacuate/NAME", item)
 		return
 	}
 	for _, m := range next.Models() {
@@ -270,6 +274,10 @@
 		addStep("route", "%s %s goes to pool %s", r.GetMethod(), r.GetPath(), r.GetPool())
 	}
 	for _, d := range c.GetDrops() {
+		if centre, ok := strings.CutPrefix(d, "evacuate/"); ok {
+			addStep("return", "data centre %s gets requests and loads again", centre)
+			continue
+		}
 		addStep("drop", "%s is removed; what is loaded of it is unloaded", d)
 	}
 	return list
@@ -318,6 +326,9 @@
 		for _, r := range c.GetRoutes() {
 			addChange("route", r.GetName())
 		}
+		for _, e := range c.GetEvacuate() {
+			addChange("evacuate", e.GetName())
+		}
 		for _, d := range c.GetDrops() {
 			list = append(list, fmt.Sprintf("version %d by %s: dropped %s", c.GetVersion(), c.GetAuthor(), d))
 		}
