--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -191,7 +191,7 @@
 		}
 		delete(d.leaveNotices, name)
 	}
-	return !listed || !instance.Leaving
+	return !listed || d.member.AcceptsWork(instance)
 }
 
 // lookUpReplicas returns the replicas of a model: the cached ones while they are fresh,
