runner: one budget for what callers make a process hold

Bodies, heads, answers and connections of callers were held without a bound or a time limit (bodyTimeout was used nowhere), so that a few callers could end a process. reserver now decides what each connection may hold and which one ends in favour of others, receiver reads bodies within that, and the listeners of a process share one budget that follows from its memory and descriptors. max_header_bytes, header_timeout_ms and idle_timeout_ms of the configuration are in force; they were decoded and not used. A body that stops is answered by 408, an exhausted budget by 503 with Retry-After, both only before the request runs.

Ruled out: reserving the length that a head states, which callers could use to hold the budget by heads alone; the timeouts of net/http, which know no progress and cannot follow the configuration (they stay for TLS).

Returning what a request holds at its end is done twice on HTTP/1; one of the two alone passes.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -11,8 +11,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -90,7 +88,6 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	r.Body = http.MaxBytesReader(w, r.Body, h.options.MaxBodyBytes)
 	h.api.ServeHTTP(w, r)
 }
 
@@ -117,18 +114,12 @@
 	return h.clock() + timeout, nil
 }
 
-// readBody reads the whole request body. It refuses one over the size limit.
-func readBody(r *http.Request) ([]byte, error) {
-	data, err := io.ReadAll(r.Body)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, refuser.New(refuser.TooLarge, "the body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
-	}
-	if err != nil {
-		return nil, refuser.New(refuser.InvalidRequest, "the body could not be read")
-	}
-	return data, nil
-}
+// Numbers of copies of a body that are in memory at a time: as received, parsed, encoded for
+// the engine and as a message to the sidecar; calls of plain services are not parsed.
+const (
+	completionCopies = 4
+	serviceCopies    = 2
+)
 
 // errorResponse is the response body of a refusal, in the shape of an OpenAI error.
 type errorResponse struct {
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -11,6 +11,7 @@
 
 	"oleanderstall/configurer"
 	"oleanderstall/dispatcher"
+	"oleanderstall/receiver"
 	"oleanderstall/refuser"
 	"oleanderstall/router"
 	"oleanderstall/wire"
@@ -179,7 +180,7 @@
 // serveCompletion serves chat completions and text completions.
 func (h *Handler) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	chat := r.URL.Path == "/v1/chat/completions"
-	call, request, err := h.admitCompletion(r, chat)
+	call, request, err := h.admitCompletion(w, r, chat)
 	if err != nil {
 		writeRefusal(w, err)
 		return
@@ -195,7 +196,7 @@
 }
 
 // admitCompletion authenticates and parses a model call and bounds its tokens.
-func (h *Handler) admitCompletion(r *http.Request, chat bool) (*dispatcher.Completion, *completionRequest, error) {
+func (h *Handler) admitCompletion(w http.ResponseWriter, r *http.Request, chat bool) (*dispatcher.Completion, *completionRequest, error) {
 	view := h.member.View()
 	key, err := h.authenticate(r, view)
 	if err != nil {
@@ -205,7 +206,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	body, err := readBody(r)
+	body, err := receiver.ReadBody(w, r, h.options.MaxBodyBytes, completionCopies)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/caller/route.go
+++ b/caller/route.go
@@ -8,6 +8,7 @@
 
 	"oleanderstall/configurer"
 	"oleanderstall/dispatcher"
+	"oleanderstall/receiver"
 	"oleanderstall/refuser"
 	"oleanderstall/wire"
 )
@@ -17,7 +18,7 @@
 
 // serveRoute serves calls of plain services by their configured routes.
 func (h *Handler) serveRoute(w http.ResponseWriter, r *http.Request) {
-	call, err := h.admitServiceCall(r)
+	call, err := h.admitServiceCall(w, r)
 	if err != nil {
 		writeRefusal(w, err)
 		return
@@ -28,6 +29,10 @@
 		writeRefusal(w, err)
 		return
 	}
+	if receiver.Reserve(r.Context(), int64(len(answer.GetBody()))) != nil {
+		writeRefusal(w, refuser.MayHaveRun(refuser.ConnectionLost, "there is no room for the answer"))
+		return
+	}
 	if answer.GetType() != "" {
 		w.Header().Set("Content-Type", answer.GetType())
 	}
@@ -36,7 +41,7 @@
 
 // admitServiceCall finds the route of a request and checks that the caller may use it.
 // An open route needs no key.
-func (h *Handler) admitServiceCall(r *http.Request) (*dispatcher.ServiceCall, error) {
+func (h *Handler) admitServiceCall(w http.ResponseWriter, r *http.Request) (*dispatcher.ServiceCall, error) {
 	view := h.member.View()
 	route, err := h.matchRoute(view, r)
 	if err != nil {
@@ -59,7 +64,7 @@
 	if len(idempotencyKey) > maxIdempotencyKeyBytes {
 		return nil, refuser.New(refuser.InvalidRequest, "Idempotency-Key is longer than 255 bytes")
 	}
-	body, err := readBody(r)
+	body, err := receiver.ReadBody(w, r, h.options.MaxBodyBytes, serviceCopies)
 	if err != nil {
 		return nil, err
 	}
--- a/caller/writer.go
+++ b/caller/writer.go
@@ -9,6 +9,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"oleanderstall/receiver"
+	"oleanderstall/refuser"
 	"oleanderstall/resetter"
 	"oleanderstall/wire"
 )
@@ -30,6 +32,8 @@
 	disarm  func()
 	// text collects the answer if it is not streamed.
 	text strings.Builder
+	// reserved is the length of text for which memory is reserved.
+	reserved int
 }
 
 // completion is a whole answer or one event of a stream, of a chat or text completion.
@@ -65,12 +69,38 @@
 // not streamed.
 func (o *completionWriter) writeToken(text string) error {
 	if !o.stream {
-		o.text.WriteString(text)
-		return nil
+		return o.collect(text)
 	}
 	return o.writeEvent(o.newCompletion(o.eventChoice(text, nil)))
 }
 
+// Sizes of an answer that is collected.
+const (
+	// maxTextBytes bounds its text, whatever a backend server sends.
+	maxTextBytes = 8 << 20
+	// textStep is the number of bytes that are reserved at a time.
+	textStep = 4 << 10
+	// textCopies is the number of copies of the text that are in memory in the end: as collected,
+	// encoded, and as it grows.
+	textCopies = 3
+)
+
+// collect adds the text of a token to an answer that is not streamed.
+func (o *completionWriter) collect(text string) error {
+	total := o.text.Len() + len(text)
+	if total > maxTextBytes {
+		return refuser.MayHaveRun(refuser.BackendFailed, "the answer is too long")
+	}
+	for o.reserved < total {
+		if receiver.Reserve(o.request.Context(), textCopies*textStep) != nil {
+			return refuser.MayHaveRun(refuser.ConnectionLost, "there is no room for the answer")
+		}
+		o.reserved += textStep
+	}
+	o.text.WriteString(text)
+	return nil
+}
+
 // eventChoice returns the choice of one event. The first event of a chat names the role.
 func (o *completionWriter) eventChoice(text string, reason *string) choice {
 	c := choice{Reason: reason}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -31,6 +31,7 @@
 	retries           *prometheus.CounterVec
 	orders            *prometheus.CounterVec
 	storeCalls        *prometheus.HistogramVec
+	callersEnded      *prometheus.CounterVec
 }
 
 // New returns a Meter with all metrics registered and at zero.
@@ -82,9 +83,12 @@
 			Name: "oleanderstall_store_call_seconds", Help: "Calls to the store, by kind and outcome.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 		}, []string{"call", "outcome"}),
+		callersEnded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "oleanderstall_callers_ended_total", Help: "Connections ended and requests refused because of what callers hold, by cause.",
+		}, []string{"cause"}),
 	}
 	m.registry.MustRegister(m.requests, m.tokens, m.refusedInsideRate, m.timeToFirstToken, m.coldStart, m.idleTime, m.configVersion, m.heldShards,
-		m.requestDuration, m.reservationWait, m.retries, m.orders, m.storeCalls)
+		m.requestDuration, m.reservationWait, m.retries, m.orders, m.storeCalls, m.callersEnded)
 	return m
 }
 
@@ -107,6 +111,28 @@
 // by another attempt.
 func (m *Meter) RecordRetry(kind string) { m.retries.WithLabelValues(kind).Inc() }
 
+// RecordCallerEnded counts a connection that was ended, or a request that was refused, because of
+// what callers hold.
+func (m *Meter) RecordCallerEnded(cause string) { m.callersEnded.WithLabelValues(cause).Inc() }
+
+// RegisterCallers registers the number of open connections and the bytes that they hold.
+func (m *Meter) RegisterCallers(held func() (connections int, bytes int64)) {
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "oleanderstall_callers_connections", Help: "Open connections of callers, operators and health checks.",
+		}, func() float64 {
+			connections, _ := held()
+			return float64(connections)
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "oleanderstall_callers_held_bytes", Help: "Memory reserved for callers' connections and requests.",
+		}, func() float64 {
+			_, bytes := held()
+			return float64(bytes)
+		}),
+	)
+}
+
 // RecordOrder counts an order to the engine by its operation and outcome.
 func (m *Meter) RecordOrder(op, outcome string) { m.orders.WithLabelValues(op, outcome).Inc() }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -4,12 +4,12 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -25,6 +25,7 @@
 	"oleanderstall/member"
 	"oleanderstall/peer"
 	"oleanderstall/planner"
+	"oleanderstall/receiver"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
 	"oleanderstall/storer"
@@ -37,6 +38,9 @@
 const (
 	// maxBodyBytes is the size of the largest request body.
 	maxBodyBytes = 4 << 20
+	// bodyCopies is the number of copies of a body that are in memory at a time: as received, as
+	// parsed and in the plan.
+	bodyCopies = 3
 	// maxPublishAttempts is how often a key change is tried if other changes are
 	// published first.
 	maxPublishAttempts = 8
@@ -110,7 +114,6 @@
 		writeError(w, refuser.New(refuser.Unauthorized, "the operator's token is missing or wrong"))
 		return
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 	o.router.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorNameKey{}, name)))
 }
 
@@ -173,9 +176,10 @@
 // handleIntent answers an intent with a plan. Keys are not part of an intent, and the
 // version, author and token of a change are set when it is published.
 func (o *Server) handleIntent(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
+	body, err := receiver.ReadBody(w, r, maxBodyBytes, bodyCopies)
 	if err != nil {
-		writeError(w, refuser.New(refuser.TooLarge, "the intent could not be read: "+err.Error()))
+		refusal := refuser.FromError(err)
+		writeError(w, refuser.New(refusal.Kind(), "the intent could not be read: "+refusal.Text()))
 		return
 	}
 	change := &wire.Change{}
@@ -323,7 +327,12 @@
 	var request struct {
 		Workspace string `json:"workspace"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+	body, err := receiver.ReadBody(w, r, maxBodyBytes, 1)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&request); err != nil {
 		writeError(w, refuser.New(refuser.InvalidRequest, "the body is not a JSON object with a workspace"))
 		return
 	}
--- a/refuser/kind_string.go
+++ b/refuser/kind_string.go
@@ -27,11 +27,12 @@
 	_ = x[Quarantined-16]
 	_ = x[BackendSilent-17]
 	_ = x[BackendLimited-18]
+	_ = x[BodyTimeout-19]
 }
 
-const _Kind_name = "internalinvalid_requestunauthorizednot_foundtoo_largerate_limitedbusydeadline_exceededleavingnot_residentstale_configurationplatform_unavailableconnection_lostconflictcanceledbackend_failedquarantinedbackend_silentbackend_limited"
+const _Kind_name = "internalinvalid_requestunauthorizednot_foundtoo_largerate_limitedbusydeadline_exceededleavingnot_residentstale_configurationplatform_unavailableconnection_lostconflictcanceledbackend_failedquarantinedbackend_silentbackend_limitedbody_timeout"
 
-var _Kind_index = [...]uint8{0, 8, 23, 35, 44, 53, 65, 69, 86, 93, 105, 124, 144, 159, 167, 175, 189, 200, 214, 229}
+var _Kind_index = [...]uint8{0, 8, 23, 35, 44, 53, 65, 69, 86, 93, 105, 124, 144, 159, 167, 175, 189, 200, 214, 229, 241}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -44,6 +44,8 @@
 	// BackendLimited is the kind for a backend server that has named a limit and takes no request
 	// now.
 	BackendLimited // backend_limited
+	// BodyTimeout is the kind for a request whose body did not arrive in time.
+	BodyTimeout // body_timeout
 )
 
 var httpStatuses = map[Kind]int{
@@ -66,6 +68,7 @@
 	Quarantined:         http.StatusServiceUnavailable,
 	BackendSilent:       http.StatusGatewayTimeout,
 	BackendLimited:      http.StatusServiceUnavailable,
+	BodyTimeout:         http.StatusRequestTimeout,
 }
 
 // HTTPStatus returns the HTTP status code of a refusal of kind k.
--- a/runner/admin.go
+++ b/runner/admin.go
@@ -6,11 +6,12 @@
 	"github.com/gorilla/mux"
 
 	"oleanderstall/meter"
+	"oleanderstall/reserver"
 )
 
 // startAdminServer serves metrics, health and readiness on an address. It returns nil
 // if the address is empty.
-func startAdminServer(address string, m *meter.Meter, ready func() bool) (*httpServer, error) {
+func startAdminServer(address string, m *meter.Meter, ready func() bool, guard *callerGuard) (*httpServer, error) {
 	if address == "" {
 		return nil, nil
 	}
@@ -22,5 +23,5 @@
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 	})
-	return startServer(address, routes, nil)
+	return startServer(address, routes, nil, guard, reserver.Control)
 }
--- a/runner/drainconn.go
+++ b/runner/drainconn.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"oleanderstall/reserver"
 )
 
 // drainListener is the listener of an HTTP server that is stopped without closing a connection
@@ -17,24 +19,36 @@
 	mu       sync.Mutex
 	conns    map[*drainConn]bool
 	stopping bool
+	// guard bounds what the connections hold, unless it is nil.
+	guard *listenerGuard
 }
 
-func newDrainListener(l net.Listener) *drainListener {
-	return &drainListener{Listener: l, conns: map[*drainConn]bool{}}
+func newDrainListener(l net.Listener, guard *listenerGuard) *drainListener {
+	return &drainListener{Listener: l, conns: map[*drainConn]bool{}, guard: guard}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. A connection for which there is no room is closed.
 func (l *drainListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &drainConn{Conn: conn, listener: l, idle: true}
+		if l.guard != nil && !l.guard.admit(c) {
+			continue
+		}
+		return l.add(c), nil
 	}
-	c := &drainConn{Conn: conn, listener: l, idle: true}
+}
+
+// add records an open connection.
+func (l *drainListener) add(c *drainConn) *drainConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = true
 	l.open.Add(1)
-	return c, nil
+	return c
 }
 
 // remove forgets a connection that is closed. It does nothing the second time.
@@ -106,14 +120,27 @@
 	idle     bool
 	received bool
 	ending   bool
+	// holding is what the connection holds of the budget, or nil. ended is set once the guard has
+	// ended its reads.
+	holding *reserver.Holding
+	ended   bool
 }
 
 // recordState is the ConnState of an http.Server that serves a drainListener.
 func recordState(conn net.Conn, state http.ConnState) {
+	if outer, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		if c, ok := outer.NetConn().(*drainConn); ok && c.holding != nil {
+			c.listener.guard.recordState(c, state)
+		}
+		return
+	}
 	c, ok := conn.(*drainConn)
 	if !ok {
 		return
 	}
+	if c.holding != nil {
+		c.listener.guard.recordState(c, state)
+	}
 	c.mu.Lock()
 	c.idle = state == http.StateNew || state == http.StateIdle
 	if state == http.StateIdle {
@@ -141,16 +168,53 @@
 func (c *drainConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.received = c.received || n > 0
+	inHead := c.idle
+	c.mu.Unlock()
+	if c.holding != nil && n > 0 {
+		if err := c.listener.guard.recordRead(c, p[:n], inHead); err != nil {
+			return 0, err
+		}
+	}
 	return n, err
 }
 
+// writePieceBytes is the size of the pieces in which an answer is written, so that it shows
+// whether the caller reads.
+const writePieceBytes = 64 << 10
+
+// Write implements net.Conn.
+func (c *drainConn) Write(p []byte) (int, error) {
+	if c.holding == nil {
+		return c.Conn.Write(p)
+	}
+	written := 0
+	defer c.listener.guard.recordWrite(c, false)
+	for {
+		c.listener.guard.recordWrite(c, true)
+		piece := p[written:min(len(p), written+writePieceBytes)]
+		n, err := c.Conn.Write(piece)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// endReads makes the reads of the connection fail, so that the server answers the request whose
+// body does not arrive, or closes a connection without a request.
+func (c *drainConn) endReads() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
 // SetReadDeadline implements net.Conn. It does not prolong the reads of a connection that ends.
 func (c *drainConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ending && !c.received {
+	if c.ended || c.ending && !c.received {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -159,6 +223,9 @@
 // Close implements net.Conn.
 func (c *drainConn) Close() error {
 	defer c.listener.remove(c)
+	if c.holding != nil {
+		c.listener.guard.remove(c)
+	}
 	return c.Conn.Close()
 }
 
--- a/runner/drainconn_test.go
+++ b/runner/drainconn_test.go
@@ -52,7 +52,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	slow := &slowListener{Listener: inner, arrived: make(chan struct{}), resume: make(chan struct{})}
-	s := serveListener(slow, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "a") }), nil)
+	s := serveListener(slow, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "a") }), nil, nil)
 	conn, err := net.Dial("tcp", inner.Addr().String())
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
@@ -93,7 +93,7 @@
 func TestIdleConnectionsEndAtStop(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := serveListener(inner, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), nil)
+	s := serveListener(inner, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), nil, nil)
 	var readers []*bufio.Reader
 	for _, used := range []bool{true, false} {
 		conn, err := net.Dial("tcp", inner.Addr().String())
@@ -129,7 +129,7 @@
 		_ = http.NewResponseController(w).Flush()
 		<-resume
 		_, _ = io.WriteString(w, "a")
-	}), nil)
+	}), nil, nil)
 	conn, err := net.Dial("tcp", inner.Addr().String())
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -19,6 +19,7 @@
 	"oleanderstall/peer"
 	"oleanderstall/placer"
 	"oleanderstall/refuser"
+	"oleanderstall/reserver"
 	"oleanderstall/storer"
 	"oleanderstall/wire"
 )
@@ -48,6 +49,7 @@
 		return nil, err
 	}
 	e.tasks.run(func(ctx context.Context) { p.node.Serve(ctx, e.handle) })
+	e.tasks.run(p.guard.run)
 	e.tasks.run(p.register)
 	e.tasks.run(p.member.Run)
 	e.tasks.run(e.holder.Run)
@@ -79,11 +81,11 @@
 	if err != nil {
 		return err
 	}
-	if e.callers, err = startServer(s.CallerAddress, caller.New(options, e.clock, e.dispatcher, e.member), config); err != nil {
+	if e.callers, err = startServer(s.CallerAddress, caller.New(options, e.clock, e.dispatcher, e.member), config, e.guard, reserver.Callers); err != nil {
 		return err
 	}
 	if s.OperatorAddress != "" {
-		if e.operators, err = startServer(s.OperatorAddress, e.operatorHandler(), config); err != nil {
+		if e.operators, err = startServer(s.OperatorAddress, e.operatorHandler(), config, e.guard, reserver.Callers); err != nil {
 			return err
 		}
 	}
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -59,6 +59,7 @@
 	recorder *recorder.Recorder
 	meter    *meter.Meter
 	tasks    *taskGroup
+	guard    *callerGuard
 	admin    *httpServer
 
 	// membership knows the processes of the fleet; relayer is the relay in this process.
@@ -105,6 +106,8 @@
 		membership: subscriber.NewMembership(),
 		eraChanged: make(chan struct{}, 1),
 	}
+	h.guard = newCallerGuard(s.Hosted.MaxMemoryMB*bytesPerMB, h.clock, h.meter, l)
+	h.tasks.run(h.guard.run)
 	h.store = platform.NewStore(s.Hosted.StoreAddress, h.recordStoreCall, h.storeEraChanged)
 	h.settings.Store(s)
 	h.relayer = relayer.New(&wire.Link{Name: s.Name, Centre: s.Centre, Started: h.started}, h.clock, h.config, l)
@@ -120,7 +123,7 @@
 // process runs without metrics.
 func (h *hostedProcess) startAdmin(ready func() bool) {
 	var err error
-	if h.admin, err = startAdminServer(h.settings.Load().AdminAddress, h.meter, ready); err != nil {
+	if h.admin, err = startAdminServer(h.settings.Load().AdminAddress, h.meter, ready, h.guard); err != nil {
 		h.log.Error().Err(err).Msg("start: no metrics")
 	}
 }
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -16,6 +16,7 @@
 	"oleanderstall/platform"
 	"oleanderstall/refuser"
 	"oleanderstall/relayer"
+	"oleanderstall/reserver"
 	"oleanderstall/router"
 	"oleanderstall/storer"
 	"oleanderstall/subscriber"
@@ -68,10 +69,10 @@
 	e.core = dispatcher.NewCore(e.clock, e.charger, e.locator, backends, alwaysGranted{}, router.NewRetryBudget(retries), e.recorder, e.meter, l)
 	e.frontend = platform.NewFrontend(e)
 	var err error
-	if e.callerServer, err = startServer(s.Entry.CallerAddress, e.frontend, nil); err != nil {
+	if e.callerServer, err = startServer(s.Entry.CallerAddress, e.frontend, nil, e.guard, reserver.Callers); err != nil {
 		return nil, err
 	}
-	if e.readyServer, err = startServer(s.Hosted.ReadinessAddress, platform.ReadyHandler(e.isReady), nil); err != nil {
+	if e.readyServer, err = startServer(s.Hosted.ReadinessAddress, platform.ReadyHandler(e.isReady), nil, e.guard, reserver.Control); err != nil {
 		return nil, err
 	}
 	e.startAdmin(e.isReady)
@@ -83,7 +84,11 @@
 }
 
 // applyLimits applies the limits of a new configuration.
-func (e *HostedEntry) applyLimits() { e.charger.ApplyConfiguration() }
+func (e *HostedEntry) applyLimits() {
+	e.charger.ApplyConfiguration()
+	limits := e.config.View().Limits()
+	e.guard.applyConfig(limits.GetHeader(), limits.GetWait(), limits.GetIdle())
+}
 
 // chargerTickInterval is the time between two checks by the charger of how long the other
 // entries have not reported.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -24,6 +24,7 @@
 	"oleanderstall/peer"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
+	"oleanderstall/reserver"
 	"oleanderstall/resetter"
 	"oleanderstall/storer"
 	"oleanderstall/syncer"
@@ -38,6 +39,8 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 32 << 10
+	// largestHead bounds the size of a header whatever the configuration allows.
+	largestHead = 1 << 20
 	// registerTimeout bounds one call to register or deregister at the platform;
 	// registerRetryInterval is the pause after a failed registration.
 	registerTimeout       = 2 * time.Second
@@ -72,6 +75,7 @@
 	member   *member.Member
 	recorder *recorder.Recorder
 	meter    *meter.Meter
+	guard    *callerGuard
 	ready    atomic.Bool
 	admin    *httpServer
 }
@@ -97,6 +101,7 @@
 		recorder: recorder.New(s.Name, recorderSize),
 		meter:    meter.New(),
 	}
+	p.guard = newCallerGuard(0, p.clock, p.meter, l)
 	p.syncer = syncer.New(p.platform, p.platform, p.config)
 	self := storer.Instance{
 		Name:    s.Name,
@@ -187,7 +192,7 @@
 
 // startAdmin starts the admin listener, if its address is set.
 func (p *process) startAdmin() (err error) {
-	p.admin, err = startAdminServer(p.settings.AdminAddress, p.meter, p.ready.Load)
+	p.admin, err = startAdminServer(p.settings.AdminAddress, p.meter, p.ready.Load, p.guard)
 	return err
 }
 
@@ -229,19 +234,24 @@
 // answerTime is how long requests that a stop has ended have for their answers.
 const answerTime = 200 * time.Millisecond
 
-// startServer serves handler on an address, with TLS if tlsConfig is not nil.
-func startServer(address string, handler http.Handler, tlsConfig *tls.Config) (*httpServer, error) {
+// startServer serves handler on an address, with TLS if tlsConfig is not nil. The guard bounds what
+// its connections hold.
+func startServer(address string, handler http.Handler, tlsConfig *tls.Config, guard *callerGuard, group reserver.Group) (*httpServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen")
 	}
-	return serveListener(listener, handler, tlsConfig), nil
+	return serveListener(listener, handler, tlsConfig, guard.listener(group, tlsConfig != nil)), nil
 }
 
-// serveListener serves handler on a listener, with TLS if tlsConfig is not nil.
-func serveListener(inner net.Listener, handler http.Handler, tlsConfig *tls.Config) *httpServer {
-	listener := newDrainListener(inner)
+// serveListener serves handler on a listener, with TLS if tlsConfig is not nil. Without a guard,
+// net/http bounds heads and idle times.
+func serveListener(inner net.Listener, handler http.Handler, tlsConfig *tls.Config, guard *listenerGuard) *httpServer {
+	listener := newDrainListener(inner, guard)
 	requests, endRequests := context.WithCancelCause(context.Background())
+	if guard != nil {
+		handler = guard.wrap(handler)
+	}
 	s := &httpServer{
 		server: &http.Server{
 			BaseContext:       func(net.Listener) context.Context { return requests },
@@ -249,7 +259,7 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
-			ConnContext:       resetter.WithConn,
+			ConnContext:       connContext,
 			ConnState:         recordState,
 			TLSConfig:         tlsConfig.Clone(),
 		},
@@ -258,10 +268,19 @@
 		endRequests: endRequests,
 		stopped:     make(chan struct{}),
 	}
+	if guard != nil && !guard.untimed {
+		// The guard enforces the limits in force, which may be higher than these.
+		s.server.ReadHeaderTimeout, s.server.IdleTimeout, s.server.MaxHeaderBytes = 0, 0, largestHead
+	}
 	go s.serve()
 	return s
 }
 
+// connContext is the ConnContext of the servers.
+func connContext(ctx context.Context, conn net.Conn) context.Context {
+	return withConn(resetter.WithConn(ctx, conn), conn)
+}
+
 // serve accepts connections until the server is shut down.
 func (s *httpServer) serve() {
 	defer close(s.stopped)
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -41,6 +41,7 @@
 		return nil, err
 	}
 	c.tasks.run(func(ctx context.Context) { p.node.Serve(ctx, c.executor.Handle) })
+	c.tasks.run(p.guard.run)
 	c.tasks.run(p.register)
 	c.tasks.run(p.member.Run)
 	c.tasks.run(c.executor.Run)
