peer: memory of unproven handshakes is bounded

For the port, quic-go keeps state for each connection that begins; beyond 100 a second the other side now proves its address by a Retry first. Ruled out: always a Retry, which costs each connection between processes a round trip.

--- a/overloader/hosted_test.go
+++ b/overloader/hosted_test.go
@@ -38,10 +38,23 @@
 // address of its readiness checks.
 func startHosted(t testing.TB, within limits) (entry *instance, ready string) {
 	t.Helper()
-	site, err := imitator.NewSite(imitator.SiteOptions{
+	return startSite(t, within, imitator.SiteOptions{
 		Engines: 1, Services: 2, Models: 1, ModelsPerEngine: 1, EventsPerStream: 10, ServiceTime: 5 * time.Millisecond,
 		Rate: 1e9, Burst: 1e9,
 	})
+}
+
+// startHostedSite starts a site with the options and a hosted entry.
+func startHostedSite(t testing.TB, within limits, options imitator.SiteOptions) *instance {
+	t.Helper()
+	entry, _ := startSite(t, within, options)
+	return entry
+}
+
+// startSite starts a site with the options and a hosted entry inside the limits.
+func startSite(t testing.TB, within limits, options imitator.SiteOptions) (entry *instance, ready string) {
+	t.Helper()
+	site, err := imitator.NewSite(options)
 	assert.NilError(t, err)
 	t.Cleanup(site.Stop)
 	ready = freeAddress(t)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -18,6 +18,7 @@
 
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"oleanderstall/wire"
@@ -38,6 +39,11 @@
 	// maxIncomingStreams is the maximum number of concurrent requests that a peer
 	// may open on one connection.
 	maxIncomingStreams = 1 << 16
+	// handshakeRate and handshakeBurst are how many connections per second, and at once, begin
+	// without proof that the other side has the address that its packets name. Each costs memory
+	// before the secret is checked. Beyond them the proof costs peers one round trip.
+	handshakeRate  = 100
+	handshakeBurst = 100
 )
 
 // SendError reports a call that got no reply. Sent is false only if it is
@@ -135,8 +141,9 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peers")
 	}
+	unproven := rate.NewLimiter(handshakeRate, handshakeBurst)
 	n := &Node{
-		transport: &quic.Transport{Conn: socket},
+		transport: &quic.Transport{Conn: socket, VerifySourceAddress: func(net.Addr) bool { return !unproven.Allow() }},
 		identity:  identity,
 		pool:      map[string]*pooledConn{},
 		accepted:  map[*quic.Conn]struct{}{},
