peer, service: answers of backend servers are part of the budget

A sidecar now reserves an answer as it reads it, and an entry a reply above 16 KiB before it receives it, in the account of the caller's request. Without room the request gets 502, since it has run.

Ruled out: reserving after the receipt, when the memory is in use already; a limit of the number of answers, which says nothing of their size.

--- a/caller/route.go
+++ b/caller/route.go
@@ -29,10 +29,6 @@
 		writeRefusal(w, err)
 		return
 	}
-	if receiver.Reserve(r.Context(), int64(len(answer.GetBody()))) != nil {
-		writeRefusal(w, refuser.MayHaveRun(refuser.ConnectionLost, "there is no room for the answer"))
-		return
-	}
 	if answer.GetType() != "" {
 		w.Header().Set("Content-Type", answer.GetType())
 	}
--- a/overloader/native_test.go
+++ b/overloader/native_test.go
@@ -48,9 +48,14 @@
 
 // startNative starts a fleet whose entry and sidecar have the given limits.
 func startNative(t testing.TB, within limits) *native {
+	t.Helper()
+	return startNativeAt(t, within, "http://"+launch(t, 3075, nil, "standin", "service").Listen)
+}
+
+// startNativeAt starts a fleet whose plain service has the given URL.
+func startNativeAt(t testing.TB, within limits, service string) *native {
 	t.Helper()
 	platform := launch(t, 3075, nil, "standin", "platform")
-	service := launch(t, 3075, nil, "standin", "service")
 	common := func(role, name string) map[string]any {
 		return map[string]any{
 			"role": role, "name": name, "centre": "centre-1", "peer": "127.0.0.1:0", "admin": "127.0.0.1:0",
@@ -65,7 +70,7 @@
 	}
 	n := &native{entry: launch(t, within.descriptors, env, "entry", "--settings", settingsFile(t, settings))}
 	settings = common("sidecar", "orders-a")
-	settings["sidecar"] = map[string]any{"kind": "service", "backend": "http://" + service.Listen, "pool": "orders"}
+	settings["sidecar"] = map[string]any{"kind": "service", "backend": service, "pool": "orders"}
 	n.sidecar = launch(t, within.descriptors, env, "sidecar", "--settings", settingsFile(t, settings))
 	var plan struct {
 		ID string `json:"id"`
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -9,6 +9,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"maps"
 	"net"
@@ -21,6 +22,7 @@
 	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"oleanderstall/receiver"
 	"oleanderstall/wire"
 )
 
@@ -285,6 +287,7 @@
 		return nil, &SendError{Address: address, cause: err}
 	}
 	s := newStream(qs)
+	s.ctx = ctx
 	s.releaseConn = sync.OnceFunc(func() { n.release(address, pc) })
 	s.stopContextWatch = context.AfterFunc(ctx, s.abort)
 	if err := s.SendCall(call); err != nil {
@@ -404,6 +407,9 @@
 	quicStream *quic.Stream
 	reader     *bufio.Reader
 	writer     *bufio.Writer
+	// ctx is the context of the request for which this side opened the stream, or nil. Large
+	// replies are reserved in its account.
+	ctx context.Context
 	// stopContextWatch stops watching the caller's context, whose end aborts the
 	// stream. It and releaseConn are nil on the handler's side.
 	stopContextWatch func() bool
@@ -420,8 +426,39 @@
 	return &stream{quicStream: qs, reader: bufio.NewReaderSize(qs, 512), writer: bufio.NewWriterSize(qs, 512)}
 }
 
+// unreservedBytes is the size of the largest reply that is not reserved. Streams consist of smaller
+// ones.
+const unreservedBytes = 16 << 10
+
+// replyCopies is the number of copies of a reply that are in memory: as received and as decoded.
+const replyCopies = 2
+
+// reserveReply reserves memory for the next reply in the account of the request, if it is large.
+func (s *stream) reserveReply() error {
+	if s.ctx == nil {
+		return nil
+	}
+	for n := 1; n <= binary.MaxVarintLen64; n++ {
+		prefix, err := s.reader.Peek(n)
+		if err != nil {
+			// Reading the reply fails as well, with the error that tells a proper end.
+			return nil
+		}
+		if size, length := binary.Uvarint(prefix); length > 0 {
+			if size <= unreservedBytes || size > maxMessageBytes {
+				return nil
+			}
+			return receiver.Reserve(s.ctx, replyCopies*int64(size))
+		}
+	}
+	return nil
+}
+
 // Recv implements Stream.
 func (s *stream) Recv() (*wire.Reply, error) {
+	if err := s.reserveReply(); err != nil {
+		return nil, eris.Wrap(err, "receive reply")
+	}
 	reply := &wire.Reply{}
 	if err := unmarshalOptions.UnmarshalFrom(s.reader, reply); err != nil {
 		return nil, eris.Wrap(err, "receive reply")
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -111,6 +111,32 @@
 	}
 }
 
+// ReadAnswer reads the answer of a backend server to its end, or until it is longer than maxBytes.
+// Each growth of the buffer is reserved before, and one copy of the answer in the end.
+func ReadAnswer(ctx context.Context, r io.Reader, maxBytes int64) ([]byte, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			if int64(len(body)) > maxBytes {
+				return body, nil
+			}
+			grown, err := grow(ctx, body, maxBytes+1)
+			if err != nil {
+				return nil, err
+			}
+			body = grown
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, Reserve(ctx, int64(len(body)))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // grow returns a copy of body with twice its capacity. If that is close to largest, the capacity
 // becomes largest, so that the last bytes do not need another copy.
 func grow(ctx context.Context, body []byte, largest int64) ([]byte, error) {
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -50,6 +50,8 @@
 	Callers Group = iota
 	// Control are those to the listeners of metrics, health and readiness.
 	Control
+	// Peers are the requests of other processes of the fleet.
+	Peers
 	groups
 )
 
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -12,7 +12,7 @@
 // testLimits are limits with room for 1 MB and for 8 callers' connections.
 func testLimits() Limits {
 	return Limits{
-		Bytes: 1e6, Connections: [groups]int{8, 2}, HeadBytes: 1000, HeadTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
+		Bytes: 1e6, Connections: [groups]int{8, 2, 4}, HeadBytes: 1000, HeadTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
 		BodySilence: 10 * time.Second, BodyTimeout: 20 * time.Second, BodyRate: 1000, AnswerSilence: 12 * time.Second,
 	}
 }
@@ -100,7 +100,7 @@
 	assert.Assert(t, r.bytes <= r.limits.Bytes, "seed %d", seed)
 	assert.Equal(t, r.counts, counts, "seed %d", seed)
 	assert.Equal(t, r.waiting, waiting, "seed %d", seed)
-	assert.Equal(t, r.idle[Callers].Len()+r.idle[Control].Len(), idle, "seed %d", seed)
+	assert.Equal(t, r.idle[Callers].Len()+r.idle[Control].Len()+r.idle[Peers].Len(), idle, "seed %d", seed)
 	for g, count := range counts {
 		assert.Assert(t, count <= r.limits.Connections[g], "seed %d", seed)
 	}
--- a/runner/guard.go
+++ b/runner/guard.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -16,9 +17,11 @@
 	"golang.org/x/sys/unix"
 
 	"oleanderstall/meter"
+	"oleanderstall/peer"
 	"oleanderstall/receiver"
 	"oleanderstall/reserver"
 	"oleanderstall/timer"
+	"oleanderstall/wire"
 )
 
 // Limits of what callers hold. See docs/design/caller-budget.md.
@@ -127,6 +130,7 @@
 	}
 	limits.Connections[reserver.Callers] = max(minConnections, connections)
 	limits.Connections[reserver.Control] = controlConnections
+	limits.Connections[reserver.Peers] = math.MaxInt
 	return limits
 }
 
@@ -170,7 +174,11 @@
 
 // end ends a connection that the reserver has named.
 func (g *callerGuard) end(h *reserver.Holding) {
-	c := h.Owner().(*drainConn)
+	c, ok := h.Owner().(*drainConn)
+	if !ok {
+		// The request of another process is not ended.
+		return
+	}
 	cause := g.reserver.Cause(h)
 	g.record(cause, c)
 	c.endReads()
@@ -279,30 +287,37 @@
 	g.reserver.Writing(g.clock(), c.holding, more)
 }
 
-// reserve reserves bytes for a connection. It waits for them for at most reserveWait, while it ends
-// connections that stall. It returns None, or why they were not granted.
+// reserve reserves bytes for a connection. It returns None, or why they were not granted.
 func (g *callerGuard) reserve(ctx context.Context, c *drainConn, n int64) reserver.Cause {
+	if g.tryReserve(ctx, c.holding, n) {
+		return reserver.None
+	}
+	cause := g.reserver.Cause(c.holding)
+	if cause == reserver.None {
+		cause = reserver.Budget
+		g.record(cause, c)
+	}
+	return cause
+}
+
+// tryReserve reserves bytes. It waits for them for at most reserveWait, while it ends connections
+// that stall.
+func (g *callerGuard) tryReserve(ctx context.Context, h *reserver.Holding, n int64) bool {
 	deadline := g.clock() + reserveWait
 	for {
-		outcome, victim := g.reserver.Reserve(g.clock(), c.holding, n)
+		outcome, victim := g.reserver.Reserve(g.clock(), h, n)
 		if victim != nil {
 			g.end(victim)
 		}
 		if outcome == reserver.Granted {
-			return reserver.None
+			return true
 		}
 		if outcome == reserver.Refused || g.clock() >= deadline || ctx.Err() != nil {
-			break
+			g.reserver.StopWaiting(g.clock(), h)
+			return false
 		}
 		time.Sleep(reserveInterval)
 	}
-	g.reserver.StopWaiting(g.clock(), c.holding)
-	cause := g.reserver.Cause(c.holding)
-	if cause == reserver.None {
-		cause = reserver.Budget
-		g.record(cause, c)
-	}
-	return cause
 }
 
 // account is what one request holds. It implements receiver.Account.
@@ -323,8 +338,11 @@
 
 // refusal returns the refusal of a request whose body is not complete.
 func (a *account) refusal(cause reserver.Cause) error {
-	// The server would otherwise read on before it sends the refusal.
-	a.conn.endReads()
+	if !a.guard.untimed {
+		// The server would otherwise read on before it sends the refusal. A connection with TLS may
+		// carry other requests.
+		a.conn.endReads()
+	}
 	if cause == reserver.BodyTimeout {
 		return receiver.Stopped()
 	}
@@ -431,3 +449,43 @@
 	c, _ := ctx.Value(guardConnKey{}).(*drainConn)
 	return c
 }
+
+// peerAccount is what one request of another process holds. It implements receiver.Account.
+type peerAccount struct {
+	guard   *callerGuard
+	holding *reserver.Holding
+}
+
+// Reserve implements receiver.Account.
+func (a *peerAccount) Reserve(ctx context.Context, n int64) error {
+	if a.guard.tryReserve(ctx, a.holding, n) {
+		return nil
+	}
+	a.guard.meter.RecordCallerEnded(reserver.Budget.String())
+	return receiver.NoRoom()
+}
+
+// Release implements receiver.Account.
+func (a *peerAccount) Release(n int64) { a.guard.reserver.Release(a.holding, n) }
+
+// wrapPeer returns a handler whose requests have accounts, so that the answers of a backend server
+// are part of the budget.
+func (g *callerGuard) wrapPeer(next peer.Handler) peer.Handler {
+	return func(ctx context.Context, call *wire.Call, s peer.Stream) {
+		if call.GetInvoke() == nil {
+			next(ctx, call, s)
+			return
+		}
+		holding, victim := g.reserver.Admit(g.clock(), nil, reserver.Peers, true)
+		if victim != nil {
+			g.end(victim)
+		}
+		if holding == nil {
+			_ = s.Send(receiver.NoRoom().Reply())
+			return
+		}
+		defer g.reserver.Remove(holding)
+		g.reserver.Enter(g.clock(), holding, reserver.Serving)
+		next(receiver.WithAccount(ctx, &peerAccount{guard: g, holding: holding}), call, s)
+	}
+}
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -40,7 +40,7 @@
 		p.node.Close()
 		return nil, err
 	}
-	c.tasks.run(func(ctx context.Context) { p.node.Serve(ctx, c.executor.Handle) })
+	c.tasks.run(func(ctx context.Context) { p.node.Serve(ctx, p.guard.wrapPeer(c.executor.Handle)) })
 	c.tasks.run(p.guard.run)
 	c.tasks.run(p.register)
 	c.tasks.run(p.member.Run)
--- a/service/service.go
+++ b/service/service.go
@@ -12,7 +12,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -21,6 +20,7 @@
 	"oleanderstall/assembler"
 	"oleanderstall/dialer"
 	"oleanderstall/pacer"
+	"oleanderstall/receiver"
 )
 
 // maxAnswer is the largest body of an answer, in bytes.
@@ -117,7 +117,7 @@
 	if rate, ok := pacer.ParseRate(response.Header.Get(limitHeader)); ok && r.OnLimit != nil {
 		r.OnLimit(rate)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	body, err := receiver.ReadAnswer(ctx, response.Body, maxAnswer)
 	if err != nil {
 		return nil, callError(err)
 	}
