receiver: an answer without room is not a request that never ran

The error of an answer for which the budget had no room contained the refusal of a request that has not run. refuser.FromError finds it through SendError and CallError, so that a call that had run could have been answered, and repeated, as one that had not. Answers now fail with a RoomError, which is no refusal. The budget of replies had no test of its own: TestNativeAnswers passes without it, since the sidecar's budget refuses first.

Ruled out: changing refuser.FromError, on which other callers rely.

Seen failing: TestLargeReplyIsReserved without the reservation, and with the refusal as the error.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -448,7 +448,7 @@
 			if size <= unreservedBytes || size > maxMessageBytes {
 				return nil
 			}
-			return receiver.Reserve(s.ctx, replyCopies*int64(size))
+			return receiver.ReserveAnswer(s.ctx, replyCopies*int64(size))
 		}
 	}
 	return nil
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -10,6 +10,8 @@
 	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
 
+	"oleanderstall/receiver"
+	"oleanderstall/refuser"
 	"oleanderstall/wire"
 )
 
@@ -110,3 +112,34 @@
 	s.closeSend()
 	assert.Equal(t, reply.GetGrant().GetTokens(), 512.0)
 }
+
+// replyAccount is an account with a limit.
+type replyAccount struct{ held, limit int64 }
+
+func (a *replyAccount) Reserve(_ context.Context, n int64) error {
+	if a.held+n > a.limit {
+		return receiver.NoRoom()
+	}
+	a.held += n
+	return nil
+}
+
+func (a *replyAccount) Release(n int64) { a.held -= n }
+
+// TestLargeReplyIsReserved guards against a large reply that is received without room in the account
+// of its request, and against an error that says that the call has not run.
+func TestLargeReplyIsReserved(t *testing.T) {
+	const size = 100 << 10
+	server := newNode(t, "secret", func(_ context.Context, _ *wire.Call, s Stream) {
+		_ = s.Send(&wire.Reply{Body: &wire.Reply_Text{Text: &wire.Text{Data: make([]byte, size)}}})
+	})
+	client := newNode(t, "secret", grantWanted)
+	a := &replyAccount{limit: 1 << 20}
+	_, err := Call(receiver.WithAccount(t.Context(), a), client, server.Address(), chargeCall)
+	assert.NilError(t, err)
+	assert.Assert(t, a.held >= replyCopies*size)
+	_, err = Call(receiver.WithAccount(t.Context(), &replyAccount{}), client, server.Address(), chargeCall)
+	var send *SendError
+	assert.Assert(t, eris.As(err, &send) && send.Sent)
+	assert.Assert(t, !refuser.FromError(err).NeverRan())
+}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -111,8 +111,25 @@
 	}
 }
 
+// RoomError reports an answer for which there is no room in memory. It is no refusal, since the
+// request has run.
+type RoomError struct{}
+
+// Error describes the fault.
+func (*RoomError) Error() string { return "there is no room for the answer" }
+
+// ReserveAnswer reserves n bytes for an answer in the account of a request. The error is a
+// *RoomError.
+func ReserveAnswer(ctx context.Context, n int64) error {
+	if Reserve(ctx, n) != nil {
+		return &RoomError{}
+	}
+	return nil
+}
+
 // ReadAnswer reads the answer of a backend server to its end, or until it is longer than maxBytes.
-// Each growth of the buffer is reserved before, and one copy of the answer in the end.
+// Each growth of the buffer is reserved before, and one copy of the answer in the end. If there is
+// no room, the error is a *RoomError.
 func ReadAnswer(ctx context.Context, r io.Reader, maxBytes int64) ([]byte, error) {
 	var body []byte
 	for {
@@ -122,14 +139,14 @@
 			}
 			grown, err := grow(ctx, body, maxBytes+1)
 			if err != nil {
-				return nil, err
+				return nil, &RoomError{}
 			}
 			body = grown
 		}
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if errors.Is(err, io.EOF) {
-			return body, Reserve(ctx, int64(len(body)))
+			return body, ReserveAnswer(ctx, int64(len(body)))
 		}
 		if err != nil {
 			return nil, err
