--- a/peer/peer.go
+++ b/peer/peer.go
@@ -9,6 +9,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"maps"
 	"net"
@@ -18,8 +19,10 @@
 
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"oleanderstall/receiver"
 	"oleanderstall/wire"
 )
 
@@ -38,6 +41,11 @@
 	// maxIncomingStreams is the maximum number of concurrent requests that a peer
 	// may open on one connection.
 	maxIncomingStreams = 1 << 16
+	// handshakeRate and handshakeBurst are how many connections per second, and at once, begin
+	// without proof that the other side has the address that its packets name. Each costs memory
+	// before the secret is checked. Beyond them the proof costs peers one round trip.
+	handshakeRate  = 100
+	handshakeBurst = 100
 )
 
 // SendError reports a call that got no reply. Sent is false only if it is
@@ -135,8 +143,9 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peers")
 	}
+	unproven := rate.NewLimiter(handshakeRate, handshakeBurst)
 	n := &Node{
-		transport: &quic.Transport{Conn: socket},
+		transport: &quic.Transport{Conn: socket, VerifySourceAddress: func(net.Addr) bool { return !unproven.Allow() }},
 		identity:  identity,
 		pool:      map[string]*pooledConn{},
 		accepted:  map[*quic.Conn]struct{}{},
@@ -278,6 +287,7 @@
 		return nil, &SendError{Address: address, cause: err}
 	}
 	s := newStream(qs)
+	s.ctx = ctx
 	s.releaseConn = sync.OnceFunc(func() { n.release(address, pc) })
 	s.stopContextWatch = context.AfterFunc(ctx, s.abort)
 	if err := s.SendCall(call); err != nil {
@@ -397,6 +407,9 @@
 	quicStream *quic.Stream
 	reader     *bufio.Reader
 	writer     *bufio.Writer
+	// ctx is the context of the request for which this side opened the stream, or nil. Large
+	// replies are reserved in its account.
+	ctx context.Context
 	// stopContextWatch stops watching the caller's context, whose end aborts the
 	// stream. It and releaseConn are nil on the handler's side.
 	stopContextWatch func() bool
@@ -413,8 +426,39 @@
 	return &stream{quicStream: qs, reader: bufio.NewReaderSize(qs, 512), writer: bufio.NewWriterSize(qs, 512)}
 }
 
+// unreservedBytes is the size of the largest reply that is not reserved. Streams consist of smaller
+// ones.
+const unreservedBytes = 16 << 10
+
+// replyCopies is the number of copies of a reply that are in memory: as received and as decoded.
+const replyCopies = 2
+
+// reserveReply reserves memory for the next reply in the account of the request, if it is large.
+func (s *stream) reserveReply() error {
+	if s.ctx == nil {
+		return nil
+	}
+	for n := 1; n <= binary.MaxVarintLen64; n++ {
+		prefix, err := s.reader.Peek(n)
+		if err != nil {
+			// Reading the reply fails as well, with the error that tells a proper end.
+			return nil
+		}
+		if size, length := binary.Uvarint(prefix); length > 0 {
+			if size <= unreservedBytes || size > maxMessageBytes {
+				return nil
+			}
+			return receiver.ReserveAnswer(s.ctx, replyCopies*int64(size))
+		}
+	}
+	return nil
+}
+
 // Recv implements Stream.
 func (s *stream) Recv() (*wire.Reply, error) {
+	if err := s.reserveReply(); err != nil {
+		return nil, eris.Wrap(err, "receive reply")
+	}
 	reply := &wire.Reply{}
 	if err := unmarshalOptions.UnmarshalFrom(s.reader, reply); err != nil {
 		return nil, eris.Wrap(err, "receive reply")
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -47,6 +47,8 @@
 	// Undecided is the kind for a call that was not made, because it is not known whether an earlier
 	// call with its idempotency key was.
 	Undecided // undecided
+	// BodyTimeout is the kind for a request whose body did not arrive in time.
+	BodyTimeout // body_timeout
 )
 
 var httpStatuses = map[Kind]int{
@@ -70,6 +72,7 @@
 	BackendSilent:       http.StatusGatewayTimeout,
 	BackendLimited:      http.StatusServiceUnavailable,
 	Undecided:           http.StatusGatewayTimeout,
+	BodyTimeout:         http.StatusRequestTimeout,
 }
 
 // HTTPStatus returns the HTTP status code of a refusal of kind k.
--- a/runner/sidecar.go
+++ b/runner/sidecar.go
@@ -40,7 +40,8 @@
 		p.node.Close()
 		return nil, err
 	}
-	c.tasks.run(func(ctx context.Context) { p.node.Serve(ctx, c.executor.Handle) })
+	c.tasks.run(func(ctx context.Context) { p.node.Serve(ctx, p.guard.wrapPeer(c.executor.Handle)) })
+	c.tasks.run(p.guard.run)
 	c.tasks.run(p.register)
 	c.tasks.run(p.member.Run)
 	c.tasks.run(c.executor.Run)
