--- a/estimator/average.go
+++ b/estimator/average.go
@@ -36,5 +36,5 @@
 	return a.value * math.Exp(-float64(max(0, now-a.updatedAt))/float64(constant))
 }
 
-// within limits x to a distance from 0.
-func within(x, distance float64) float64 { return max(-distance, min(x, distance)) }
+// clamp limits x to a distance from 0.
+func clamp(x, distance float64) float64 { return max(-distance, min(x, distance)) }
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -15,43 +15,46 @@
 	"time"
 )
 
+// Constants of the averages. All deviations and bounds of factors are logarithms.
 const (
-	// speedConstant is the time constant of the speed of a server relative to its pool, and
-	// speedExpiry the one with which it goes back to the pool's mean without observations.
-	speedConstant = 2 * time.Second
-	speedExpiry   = 20 * time.Second
-	// ownExpiry is the one with which observations stop counting against newer ones of others.
+	// speedTimeConstant is the time constant of the speed of a server relative to its pool. Without
+	// observations, the speed returns to the pool's mean with the time constant speedExpiry.
+	speedTimeConstant = 2 * time.Second
+	speedExpiry       = 20 * time.Second
+	// ownExpiry replaces speedExpiry if others have observed the server since this process did.
 	ownExpiry = 3 * time.Second
-	// minPoolCount is the number of observations of a pool from which a speed relative to its mean
-	// is worth telling others.
+	// minPoolCount is the number of observations of a pool from which speeds relative to its mean
+	// are reported to others.
 	minPoolCount = 20
 	// speedAssumed is the number of observations at the pool's mean that a server starts with.
 	speedAssumed = 3
-	// speedWeight is the most that one observation weighs, and speedSurprise how far from the
-	// estimate it counts as being, so that an outlier changes the speed by about a tenth.
-	speedWeight   = 0.15
-	speedSurprise = 0.7
+	// maxSpeedWeight bounds the weight of one observation, and maxSpeedDeviation its distance from
+	// the estimate, so that an outlier changes the speed by about a tenth.
+	maxSpeedWeight    = 0.15
+	maxSpeedDeviation = 0.7
 	// maxSpeed bounds the speed, at a factor of about 8.
 	maxSpeed = 2.1
-	// paceConstant is the time constant of the server's own figure, and paceExpiry the one with
-	// which its distance from its mean stops counting. A neighbour slows a machine for 600 ms.
-	paceConstant = 100 * time.Millisecond
-	paceExpiry   = 400 * time.Millisecond
-	// usualConstant is the time constant of the mean of the server's own figure, and usualExpiry
-	// the one with which that stops counting.
-	usualConstant = 3 * time.Second
-	usualExpiry   = 5 * time.Second
-	// maxPace is the highest plausible figure, in percent, and paceReach how far from 100 one
-	// counts as being, at a factor of 10.
-	maxPace   = 10000
-	paceReach = 2.303
-	// gapConstant and gapExpiry are those of the gaps between events, gapUsualConstant the time
-	// constant of their mean. gapReach bounds how far they change the estimate, since a gap also
-	// has the prompts in it that the server reads between two steps.
-	gapConstant      = 200 * time.Millisecond
-	gapUsualConstant = 10 * time.Second
-	gapReach         = 0.7
-	gapAssumed       = 2
+	// paceTimeConstant is the time constant of the server's own figure. Without a new figure, its
+	// distance from its mean decays with the time constant paceExpiry. A neighbour slows a machine
+	// for 600 ms.
+	paceTimeConstant = 100 * time.Millisecond
+	paceExpiry       = 400 * time.Millisecond
+	// usualTimeConstant is the time constant of the mean of the server's own figure. Without a new
+	// figure, the mean decays with the time constant usualExpiry.
+	usualTimeConstant = 3 * time.Second
+	usualExpiry       = 5 * time.Second
+	// maxPace is the highest plausible figure, in percent, and maxPaceDeviation bounds its distance
+	// from 100, at a factor of 10.
+	maxPace          = 10000
+	maxPaceDeviation = 2.303
+	// gapTimeConstant is the time constant of the gaps between events, and gapUsualTimeConstant that
+	// of their mean. maxGapDeviation bounds how far gaps change the estimate, since a gap includes
+	// the time in which the server reads prompts between two steps. The first gap weighs as much as
+	// 1 + gapAssumed.
+	gapTimeConstant      = 200 * time.Millisecond
+	gapUsualTimeConstant = 10 * time.Second
+	maxGapDeviation      = 0.7
+	gapAssumed           = 2
 	// maxFirst and maxGap are the longest plausible times, and maxTokens and maxRunning the
 	// largest plausible numbers.
 	maxFirst   = 10 * time.Minute
@@ -87,18 +90,19 @@
 // constant, and so is the cost of an observation. It is not safe for concurrent use.
 type Estimator struct {
 	pool *Pool
-	// speed is how long work takes at the server relative to the pool's mean, and shared what others
-	// have observed of that.
+	// speed is how long work takes at the server relative to the pool's mean, as observed by this
+	// process, and shared the same as observed by others. Both are logarithms.
 	speed  average
 	shared average
 	// unsharedSum is the sum of the logarithms of what was observed of the speed since it was taken
 	// by TakeUnshared, and unsharedCount their number.
 	unsharedSum   float64
 	unsharedCount int
-	// pace is the server's own figure and usualPace its mean, both relative to 100.
+	// pace is the server's own figure and usualPace its mean, both as logarithms relative to 100.
 	pace      average
 	usualPace average
-	// gap is how long gaps between events are relative to their shape, and usualGap the mean.
+	// gap is how long gaps between events are relative to the step time of the pool, and usualGap
+	// its mean over a longer time. Both are logarithms.
 	gap      average
 	usualGap average
 }
@@ -106,22 +110,16 @@
 // New returns an estimator without observations.
 func New() *Estimator { return &Estimator{pool: NewPool()} }
 
-// SetPool makes the estimator share the mean of a pool. One without a pool has a mean of its own.
+// SetPool makes the estimator share the mean of a pool. A new estimator has a mean of its own.
 func (e *Estimator) SetPool(p *Pool) { e.pool = p }
 
-// RecordFirst records the time to the first event of a request sent at an instant. It ignores one
-// that cannot be right.
-func (e *Estimator) RecordFirst(now time.Duration, w Work, took time.Duration) {
-	e.RecordFirstQueued(now, w, Queue{}, took)
-}
-
-// RecordFirstQueued does the work of RecordFirst for a request that was sent to a server that had
-// something to do already.
-func (e *Estimator) RecordFirstQueued(now time.Duration, w Work, q Queue, took time.Duration) {
+// RecordFirst records the time to the first event of a request, and what the server had to do when
+// the request was sent. It ignores a time that cannot be right.
+func (e *Estimator) RecordFirst(now time.Duration, w Work, q Queue, took time.Duration) {
 	if took <= 0 || took > maxFirst {
 		return
 	}
-	w, q = w.plausible(), e.resolved(q.plausible())
+	w, q = w.plausible(), e.addWaiting(q.plausible())
 	momentary := e.momentary(now)
 	usual := float64(took) / math.Exp(momentary)
 	known := e.speedAt(now)
@@ -129,12 +127,12 @@
 	read, step := e.pool.scaleOf(w.Model).parts(w, q)
 	observed := math.Log(usual) - math.Log(read+step)
 	if e.pool.all.seen.count >= minPoolCount {
-		e.unsharedSum += within(observed, maxSpeed)
+		e.unsharedSum += clamp(observed, maxSpeed)
 		e.unsharedCount++
 	}
-	weight := e.speed.weight(now, speedConstant, speedAssumed, speedWeight)
+	weight := e.speed.weight(now, speedTimeConstant, speedAssumed, maxSpeedWeight)
 	e.speed.value = known
-	e.speed.add(now, within(known+within(observed-known, speedSurprise), maxSpeed), weight)
+	e.speed.add(now, clamp(known+clamp(observed-known, maxSpeedDeviation), maxSpeed), weight)
 }
 
 // RecordShared records how long work takes at the server relative to its pool, in percent, as others
@@ -143,7 +141,7 @@
 	if percent <= 0 || percent > maxPace {
 		return
 	}
-	e.shared.value = within(math.Log(float64(percent)/100), maxSpeed)
+	e.shared.value = clamp(math.Log(float64(percent)/100), maxSpeed)
 	e.shared.updatedAt = now
 }
 
@@ -168,8 +166,8 @@
 	return shared + (e.speed.value-shared)*math.Exp(-float64(max(0, now-e.speed.updatedAt))/float64(constant))
 }
 
-// RecordGap records a gap between two events with the number of requests at the server. It ignores
-// one that cannot be right.
+// RecordGap records a gap between two events of an answer, and the number of requests at the server.
+// It ignores a gap that cannot be right.
 func (e *Estimator) RecordGap(now, gap time.Duration, running int) {
 	if gap <= 0 || gap > maxGap || running < 0 {
 		return
@@ -179,9 +177,9 @@
 	if e.gap.count == 0 {
 		e.gap.value, e.usualGap.value = observed, observed
 	}
-	observed = e.gap.value + within(observed-e.gap.value, gapReach)
-	e.usualGap.add(now, observed, e.usualGap.weight(now, gapUsualConstant, 0, poolWeight))
-	e.gap.add(now, observed, e.gap.weight(now, gapConstant, gapAssumed, speedWeight))
+	observed = e.gap.value + clamp(observed-e.gap.value, maxGapDeviation)
+	e.usualGap.add(now, observed, e.usualGap.weight(now, gapUsualTimeConstant, 0, maxPoolWeight))
+	e.gap.add(now, observed, e.gap.weight(now, gapTimeConstant, gapAssumed, maxSpeedWeight))
 }
 
 // RecordPace records the server's own figure: how long work takes there now, in percent of what is
@@ -190,15 +188,15 @@
 	if percent <= 0 || percent > maxPace {
 		return
 	}
-	observed := within(math.Log(float64(percent)/100), paceReach)
+	observed := clamp(math.Log(float64(percent)/100), maxPaceDeviation)
 	e.usualPace.value = e.usualPace.decayed(now, usualExpiry)
-	e.usualPace.add(now, observed, e.usualPace.weight(now, usualConstant, speedAssumed, speedWeight))
-	e.pace.add(now, observed, e.pace.weight(now, paceConstant, 0, 1))
+	e.usualPace.add(now, observed, e.usualPace.weight(now, usualTimeConstant, speedAssumed, maxSpeedWeight))
+	e.pace.add(now, observed, e.pace.weight(now, paceTimeConstant, 0, 1))
 }
 
 // First returns the expected time to the first event of w if it is sent now.
 func (e *Estimator) First(now time.Duration, w Work, queue Queue) time.Duration {
-	w, q := w.plausible(), e.resolved(queue.plausible())
+	w, q := w.plausible(), e.addWaiting(queue.plausible())
 	s := e.pool.scaleOf(w.Model)
 	read, step := s.parts(w, q)
 	total := read + step + slotWait(s, w, q, read+step)
@@ -218,10 +216,9 @@
 	return math.Exp(e.speedAt(now) + e.momentary(now))
 }
 
-// slotWait returns how long a request waits for a slot, in nanoseconds: the requests before it end
-// one after the other, those at the slots at the same time. Each is taken to need as long as the
-// request itself, first to its first event and then for its output, of which a plain service has
-// none.
+// slotWait returns how long a request waits for a slot, in nanoseconds. Each request before it is
+// taken to hold a slot for as long as the request itself will: the time to the first event and that
+// of the output, of which a plain service has none. All slots are in use meanwhile.
 func slotWait(s *scale, w Work, q Queue, first float64) float64 {
 	before := q.Running + q.Waiting + 1 - q.Slots
 	if q.Slots <= 0 || before <= 0 {
@@ -232,7 +229,7 @@
 
 // momentary returns what is unusual at the server at this moment, as a logarithm.
 func (e *Estimator) momentary(now time.Duration) float64 {
-	gap := within(e.gap.value-e.usualGap.value, gapReach) * math.Exp(-float64(max(0, now-e.gap.updatedAt))/float64(paceExpiry))
+	gap := clamp(e.gap.value-e.usualGap.value, maxGapDeviation) * math.Exp(-float64(max(0, now-e.gap.updatedAt))/float64(paceExpiry))
 	return e.ownFigure(now) + gap
 }
 
@@ -243,8 +240,9 @@
 	return usual + (e.pace.value-e.usualPace.value)*math.Exp(-float64(max(0, now-e.pace.updatedAt))/float64(paceExpiry))
 }
 
-// resolved returns a queue whose waiting requests are counted with the mean of prompt tokens.
-func (e *Estimator) resolved(q Queue) Queue {
+// addWaiting returns a queue whose prompt tokens include those of the waiting requests, of which
+// each is taken to have the mean number.
+func (e *Estimator) addWaiting(q Queue) Queue {
 	q.PromptTokens = min(q.PromptTokens+int(float64(q.Waiting)*e.pool.prompt.value), maxTokens)
 	return q
 }
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -121,7 +121,7 @@
 	random := rand.New(rand.NewPCG(4, 4))
 	for i := range 400 {
 		w := Work{Model: "m", PromptTokens: int(100 * math.Pow(70, random.Float64()))}
-		e.RecordFirst(start+time.Duration(i)*20*time.Millisecond, w, took(w))
+		e.RecordFirst(start+time.Duration(i)*20*time.Millisecond, w, Queue{}, took(w))
 	}
 	for _, tokens := range []int{100, 1000, 7000} {
 		w := Work{Model: "m", PromptTokens: tokens}
@@ -169,7 +169,7 @@
 	for _, factor := range []float64{1000, 0.001} {
 		for _, record := range []func(s *server, now time.Duration){
 			func(s *server, now time.Duration) {
-				s.estimator.RecordFirstQueued(now, w, q, time.Duration(float64(s.first(now, w, q))*factor))
+				s.estimator.RecordFirst(now, w, q, time.Duration(float64(s.first(now, w, q))*factor))
 			},
 			func(s *server, now time.Duration) {
 				s.estimator.RecordGap(now, time.Duration(50*factor*float64(time.Millisecond)), 8)
@@ -198,7 +198,7 @@
 		e.RecordPace(fx.now, percent)
 	}
 	for _, took := range []time.Duration{0, -1, math.MinInt64, math.MaxInt64, 11 * time.Minute} {
-		e.RecordFirst(fx.now, Work{Model: "large", PromptTokens: 100}, took)
+		e.RecordFirst(fx.now, Work{Model: "large", PromptTokens: 100}, Queue{}, took)
 		e.RecordGap(fx.now, took, 1)
 	}
 	e.RecordGap(fx.now, time.Millisecond, -1)
@@ -211,7 +211,7 @@
 		w := Work{Model: fmt.Sprint(random.IntN(300)), PromptTokens: count(), OutputTokens: count()}
 		q := Queue{PromptTokens: count(), Waiting: count(), Running: count(), Slots: count()}
 		e.RecordPace(now, count())
-		e.RecordFirstQueued(now, w, q, time.Duration(count()))
+		e.RecordFirst(now, w, q, time.Duration(count()))
 		e.RecordGap(now, time.Duration(count()), count())
 		first, factor := e.First(now, w, q), e.Factor(now)
 		assert.Assert(t, first >= 0 && first <= maxFirst && factor > 0.001 && factor < 1000, "%v %v", first, factor)
@@ -224,7 +224,7 @@
 func TestDifferentModels(t *testing.T) {
 	e := New()
 	for i := range 1000 {
-		e.RecordFirst(start+time.Duration(i)*time.Millisecond, Work{Model: fmt.Sprint(i), PromptTokens: 500}, 60*time.Millisecond)
+		e.RecordFirst(start+time.Duration(i)*time.Millisecond, Work{Model: fmt.Sprint(i), PromptTokens: 500}, Queue{}, 60*time.Millisecond)
 	}
 	assert.Equal(t, len(e.pool.models), maxModels)
 	_, latest := e.pool.models["999"]
@@ -236,10 +236,10 @@
 func TestSize(t *testing.T) {
 	assert.Assert(t, unsafe.Sizeof(Estimator{}) <= 256)
 	e, now := New(), start
-	e.RecordFirst(now, Work{Model: "m"}, time.Millisecond)
+	e.RecordFirst(now, Work{Model: "m"}, Queue{}, time.Millisecond)
 	allocations := testing.AllocsPerRun(1000, func() {
 		now += time.Millisecond
-		e.RecordFirst(now, Work{Model: "m", PromptTokens: 100}, 50*time.Millisecond)
+		e.RecordFirst(now, Work{Model: "m", PromptTokens: 100}, Queue{}, 50*time.Millisecond)
 		e.RecordGap(now, 40*time.Millisecond, 8)
 		e.RecordPace(now, 120)
 		e.First(now, Work{Model: "m", PromptTokens: 100}, Queue{Running: 3})
@@ -250,7 +250,7 @@
 // BenchmarkSlopeFirst measures one estimate, of which a decision makes one for each server.
 func BenchmarkSlopeFirst(b *testing.B) {
 	e := New()
-	e.RecordFirst(start, Work{Model: "m", PromptTokens: 100}, 50*time.Millisecond)
+	e.RecordFirst(start, Work{Model: "m", PromptTokens: 100}, Queue{}, 50*time.Millisecond)
 	e.RecordPace(start, 150)
 	for b.Loop() {
 		e.First(start+time.Millisecond, Work{Model: "m", PromptTokens: 100}, Queue{Running: 3})
@@ -262,7 +262,7 @@
 func TestFullService(t *testing.T) {
 	e := New()
 	for i := range 50 {
-		e.RecordFirst(start+time.Duration(i)*20*time.Millisecond, Work{}, 60*time.Millisecond)
+		e.RecordFirst(start+time.Duration(i)*20*time.Millisecond, Work{}, Queue{}, 60*time.Millisecond)
 	}
 	now := start + time.Second
 	free, full := e.First(now, Work{}, Queue{Running: 5, Slots: 6}), e.First(now, Work{}, Queue{Running: 6, Waiting: 12, Slots: 6})
--- a/estimator/fixture_test.go
+++ b/estimator/fixture_test.go
@@ -91,7 +91,7 @@
 	e, now := s.estimator, fx.now
 	if fx.random.Float64() < 0.2 {
 		w, q := fx.work()
-		e.RecordFirstQueued(now, w, q, time.Duration(float64(s.first(now, w, q))*fx.noise(0.15)))
+		e.RecordFirst(now, w, q, time.Duration(float64(s.first(now, w, q))*fx.noise(0.15)))
 	}
 	if fx.random.Float64() < 0.5 {
 		running := fx.random.IntN(16)
--- a/estimator/pool.go
+++ b/estimator/pool.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// The shape of the time to the first event, before it is scaled by what was observed. An engine
-// reads 30 to 40 prompt tokens in a millisecond, takes 5 ms and more for a step, and sends 7 or 8
-// tokens in an event.
+// Times assumed before anything was observed; observations scale them. An engine reads 30 to 40
+// prompt tokens in a millisecond, takes 5 ms and more for a step, and sends 7 or 8 tokens in an
+// event.
 const (
 	readPerToken   = time.Millisecond / 35
 	stepTime       = 5 * time.Millisecond
@@ -16,17 +16,18 @@
 )
 
 const (
-	// poolConstant is the time constant of a pool's mean. It is much longer than a fault of a
+	// poolTimeConstant is the time constant of a pool's mean. It is much longer than a fault of a
 	// server, so that the mean stays what is usual.
-	poolConstant = 30 * time.Second
-	// poolWeight is the most that an observation weighs in a pool's mean.
-	poolWeight = 0.1
-	// poolSurprise bounds how far, in logarithms, one observation is from the mean, after the
+	poolTimeConstant = 30 * time.Second
+	// maxPoolWeight bounds the weight of an observation in a pool's mean.
+	maxPoolWeight = 0.1
+	// maxPoolDeviation bounds how far, in logarithms, one observation is from the mean, after the
 	// first trustedCount.
-	poolSurprise = 1.4
-	trustedCount = 5
-	// contrastWeight is how fast the parts move against each other, relative to the mean.
-	contrastWeight = 2
+	maxPoolDeviation = 1.4
+	trustedCount     = 5
+	// contrastFactor is how fast the two parts of a scale move against each other, relative to how
+	// fast both move with the mean.
+	contrastFactor = 2
 	// maxScale bounds a scale of the pool, in logarithms, at a factor of about 1000.
 	maxScale = 7
 	// maxModels is the number of models of a pool that are told apart.
@@ -43,8 +44,8 @@
 	prompt average
 }
 
-// scale is how long work takes as a factor of its shape, in logarithms, for the two parts of the
-// time to the first event.
+// scale holds the factors, as logarithms, by which the two parts of the time to the first event
+// differ from the constants above: the reading of prompts and the steps.
 type scale struct {
 	read, step float64
 	seen       average
@@ -67,18 +68,18 @@
 	s := p.models[w.Model]
 	if s == nil {
 		if len(p.models) >= maxModels {
-			p.forget()
+			p.dropOldest()
 		}
 		s = &scale{read: p.all.read, step: p.all.step}
 		p.models[w.Model] = s
 	}
 	s.observe(now, w, q, usual, speed)
 	p.all.observe(now, w, q, usual, speed)
-	p.prompt.add(now, float64(w.PromptTokens), p.prompt.weight(now, poolConstant, 0, poolWeight))
+	p.prompt.add(now, float64(w.PromptTokens), p.prompt.weight(now, poolTimeConstant, 0, maxPoolWeight))
 }
 
-// forget drops the model whose latest observation is the oldest, the first by name of several.
-func (p *Pool) forget() {
+// dropOldest drops the model whose latest observation is the oldest, the first by name of several.
+func (p *Pool) dropOldest() {
 	oldest := ""
 	for name, s := range p.models {
 		o := p.models[oldest]
@@ -94,16 +95,16 @@
 // comes from the shares of the parts, and moves one of them against the other.
 func (s *scale) observe(now time.Duration, w Work, q Queue, usual, speed float64) {
 	read, step := s.parts(w, q)
-	surprise := math.Log(usual) - math.Log(read+step)
+	deviation := math.Log(usual) - math.Log(read+step)
 	if s.seen.count >= trustedCount {
-		surprise = within(surprise, poolSurprise)
+		deviation = clamp(deviation, maxPoolDeviation)
 	}
-	weight := s.seen.weight(now, poolConstant, 0, poolWeight)
+	weight := s.seen.weight(now, poolTimeConstant, 0, maxPoolWeight)
 	s.seen.add(now, 0, 0)
 	contrast := (read - step) / (read + step)
-	shift := contrastWeight * min(weight, poolWeight) * contrast * within(surprise-speed, poolSurprise)
-	s.read = within(s.read+weight*surprise+shift, maxScale)
-	s.step = within(s.step+weight*surprise-shift, maxScale)
+	shift := contrastFactor * min(weight, maxPoolWeight) * contrast * clamp(deviation-speed, maxPoolDeviation)
+	s.read = clamp(s.read+weight*deviation+shift, maxScale)
+	s.step = clamp(s.step+weight*deviation-shift, maxScale)
 }
 
 // parts returns how long the reading of the prompts and the steps to the first event take, in
--- a/locator/estimate.go
+++ b/locator/estimate.go
@@ -15,19 +15,21 @@
 )
 
 const (
-	// slowedShare is how much of the time in which a server reads a prompt counts for each request
-	// that runs there. Reading delays the events of all of them, most of which are still on time.
+	// slowedShare is the share of the time in which a server reads a prompt that is added to the cost
+	// for each request that runs there. Reading delays the events of all of them, most of which are
+	// still on time.
 	slowedShare = 0.1
-	// callShare is how much of the expected time of a call counts at a plain service. What counts
-	// besides is the time that it takes for each slot, for each call there: an entry knows the calls
-	// of others only roughly. With the whole expected time alone, calls through four entries waited
-	// 75 to 82 ms (p95) instead of 9 to 13 ms by the number of requests, and so 34 to 40 ms
-	// (TestManyEntriesShareServices).
+	// callShare is the share of the expected time that is added to the cost of a call of a plain
+	// service. For each call there, the time that a call takes for each slot is added, since an entry
+	// knows the calls of other entries only roughly. Calls through four entries waited 34 to 40 ms
+	// (p95) with this cost, 75 to 82 ms with the whole expected time alone, and 9 to 13 ms by the
+	// number of requests (TestManyEntriesShareServices).
 	callShare = 0.3
-	// maxSlowed bounds that time, so that figures that cannot be right leave the cost in range.
+	// maxSlowed bounds the delay of other requests in the cost, so that implausible figures leave the
+	// cost in range.
 	maxSlowed = 10 * time.Minute
-	// linkTime is what another data centre counts as. The time that requests to it take is
-	// already in what was observed; this avoids traffic between data centres for nothing.
+	// linkTime is added to the cost of a server in another data centre. The observed times include
+	// that of the way there; this avoids traffic between data centres that gains next to nothing.
 	linkTime = 10 * time.Millisecond
 	// lateWeight is the weight of the expected time beyond the target, in addition to the time
 	// itself.
@@ -35,8 +37,8 @@
 	// spreadShare is the range over which an expected time differs between equal servers from
 	// request to request. Entries that know the same would otherwise choose the same one.
 	spreadShare = 0.05
-	// maxUnreadTime is the reading time of prompts of one entry that a server whose times are
-	// estimated may have before it. It is a quarter of the usual longest gap between events.
+	// maxUnreadTime bounds the expected reading time of the prompts of this entry that a server has not
+	// read yet, if its times are estimated. It is a quarter of the usual longest gap between events.
 	maxUnreadTime = 60 * time.Millisecond
 	// maxPrefixes is the number of beginnings of a prompt that are compared.
 	maxPrefixes = 8
--- a/locator/poolspeed.go
+++ b/locator/poolspeed.go
@@ -13,7 +13,7 @@
 // memoryCounts counts the requests to a pool that did not fit into the memory of its servers.
 type memoryCounts struct{ waits, overfull uint64 }
 
-// countMemoryWait counts r if it begins to wait since it doesn't fit into the memory of a server.
+// countMemoryWait counts r if it begins to wait because it does not fit into the memory of a server.
 // The caller holds the lock.
 func (l *Locator) countMemoryWait(now time.Duration, b *tracker.Backend, r *dispatcher.Request) {
 	if !l.fits(now, b, r) && !slices.Contains(l.queued, r) {
--- a/relayer/speed.go
+++ b/relayer/speed.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"oleanderstall/tracker"
 	"oleanderstall/wire"
 )
 
@@ -11,27 +12,23 @@
 	// speedMemory is the time constant with which earlier observations of a server's speed stop
 	// counting in its mean.
 	speedMemory = 2 * time.Second
-	// minSpeedChange and minPaceChange are the factors by which a speed or a server's own figure
-	// has changed when it is sent to entries again, and speedRefresh the time after which it is
-	// sent in any case. minSpeedInterval is the shortest time in between. They bound the traffic:
-	// most servers are as fast as they were.
+	// minSpeedChange and minPaceChange are the factors by which a speed or a server's own figure has
+	// to change to be sent to entries again, at intervals of minSpeedInterval or more. It is sent in
+	// any case after speedRefresh. They bound the traffic, since most servers stay as fast as they
+	// are.
 	minSpeedChange   = 1.15
 	minPaceChange    = 1.3
 	speedRefresh     = 10 * time.Second
 	minSpeedInterval = 250 * time.Millisecond
-	// minSpeedPercent and maxSpeedPercent bound the plausible speeds and figures, and
-	// maxSpeedCount the number of observations that a report may stand for.
-	minSpeedPercent = 1
-	maxSpeedPercent = 10000
-	maxSpeedCount   = 1000
-	// paceTTL is how long a server's own figure is sent on. It changes many times a second, so
-	// that an older one says nothing.
+	// paceTTL is how long a server's own figure is sent on. It changes many times a second, so that
+	// older ones are of no use.
 	paceTTL = time.Second
 )
 
-// speedMean is the mean of what entries have observed of a server's speed, as a logarithm. The
-// weight is the number of observations, of which earlier ones count less.
+// speedMean is the mean of what entries have observed of a server's speed.
 type speedMean struct {
+	// value is the mean of the logarithms, and weight the number of observations as of updatedAt, of
+	// which earlier ones count less.
 	value, weight float64
 	updatedAt     time.Duration
 	// pace is the latest figure of the server itself, in percent, as of paceAt.
@@ -45,9 +42,8 @@
 
 // plausibleSpeed reports whether a report of a server's speed can be right.
 func plausibleSpeed(s *wire.ServerSpeed) bool {
-	inRange := func(percent uint32) bool { return percent >= minSpeedPercent && percent <= maxSpeedPercent }
-	return (s.GetCount() == 0 || inRange(s.GetSpeed())) && (s.GetPace() == 0 || inRange(s.GetPace())) &&
-		s.GetCount() <= maxSpeedCount && (s.GetCount() > 0 || s.GetPace() > 0)
+	return (s.GetCount() == 0 || tracker.PlausibleSpeed(s.GetSpeed())) && (s.GetPace() == 0 || tracker.PlausibleSpeed(s.GetPace())) &&
+		s.GetCount() <= tracker.MaxSpeedCount && (s.GetCount() > 0 || s.GetPace() > 0)
 }
 
 // recordSpeeds adds reports of the speeds of servers to their means. It ignores those that are not
@@ -127,8 +123,9 @@
 	fs.speeds.remove(server)
 }
 
-// addSpeeds adds the speeds of servers that have changed to an entry's batch. Those that were not
-// renewed lately are left out: an entry that has just linked would take them for new.
+// addSpeeds adds the speeds of servers that have changed to an entry's batch. Speeds, and the figures of
+// the servers themselves, are left out if they are too old, since an entry that has just linked would
+// take them for new.
 func (fs *FleetState) addSpeeds(now time.Duration, lp *linkedProcess, batch *wire.Batch) {
 	for c := range fs.speeds.since(lp.sentVersions.speeds) {
 		age := time.Duration(0)
@@ -146,8 +143,8 @@
 	lp.sentVersions.speeds = fs.speeds.version
 }
 
-// forwardSpeeds adds reports of linked entries to those that are sent to the other relays with
-// their next batches. Several of a server become one.
+// forwardSpeeds adds reports of a linked entry to those that are sent to the other relays with their
+// next batches, where several reports about one server are merged.
 func (fs *FleetState) forwardSpeeds(speeds []*wire.ServerSpeed) {
 	for _, other := range fs.processes {
 		if other.link.GetRole() != Relay {
@@ -176,7 +173,7 @@
 	}
 	if total := known.GetCount() + s.GetCount(); s.GetCount() > 0 {
 		known.Speed = (known.GetSpeed()*known.GetCount() + s.GetSpeed()*s.GetCount()) / total
-		known.Count = min(total, maxSpeedCount)
+		known.Count = min(total, tracker.MaxSpeedCount)
 	}
 }
 
--- a/tracker/cold.go
+++ b/tracker/cold.go
@@ -5,9 +5,9 @@
 // MaxColdTime bounds the cold phase that a server may state, in case its row is wrong.
 const MaxColdTime = 10 * time.Minute
 
-// SetColdUntil sets the end of the cold phase of the server's process, 0 for none. A cold server is
-// slow and crashes if it is sent more than the rate that its pool names.
-// After MarkCrashed the rows of the crashed process have no effect.
+// SetColdUntil sets the end of the cold phase of the server's process, 0 for none. A cold server is slow
+// and crashes if it is sent more than the cold rate of its pool. After MarkCrashed, SetColdUntil has no
+// effect, since rows of the crashed process may still arrive.
 func (b *Backend) SetColdUntil(until time.Duration) {
 	if !b.crashed {
 		b.coldUntil = until
@@ -15,7 +15,7 @@
 }
 
 // MarkCrashed records that the listed process of the server has crashed. What answers at its address
-// until it is listed with another start, or until an instant, counts as cold.
+// counts as cold until the given instant or until the server is listed with another start.
 func (b *Backend) MarkCrashed(until time.Duration) { b.coldUntil, b.crashed = until, true }
 
 // ColdUntil returns the end of the cold phase, or 0 if none is known.
--- a/tracker/estimate.go
+++ b/tracker/estimate.go
@@ -25,7 +25,8 @@
 	// not read yet, and readUntil the instant at which it is expected to have read them.
 	unreadTokens int
 	readUntil    time.Duration
-	// pace is the server's own latest figure, as of paceAt, and sharedPace what was last told others.
+	// pace is the server's own latest figure, as of paceAt, and sharedPace the one last reported to
+	// others.
 	pace       int
 	paceAt     time.Duration
 	sharedPace int
@@ -91,19 +92,25 @@
 	b.estimates.pool.stated = true
 }
 
-// paceChange is the factor by which the server's own figure has changed when others are told of it.
-const paceChange = 1.3
+// minPaceChange is the factor by which the server's own figure has to change to be reported again.
+const minPaceChange = 1.3
 
-// maxSpeedCount is the most observations that a report of a speed stands for.
-const maxSpeedCount = 1000
+// MaxSpeedCount is the most observations that a report of a speed stands for.
+const MaxSpeedCount = 1000
 
-// TakeSpeed returns what was observed of the server's speed since the last call, or nil if there is
-// nothing that others should be told.
+// maxSpeedPercent is the highest plausible speed or figure in a report, in percent.
+const maxSpeedPercent = 10000
+
+// PlausibleSpeed reports whether a speed or a server's own figure in a report can be right.
+func PlausibleSpeed(percent uint32) bool { return percent > 0 && percent <= maxSpeedPercent }
+
+// TakeSpeed returns a report of what was observed of the server's speed since the last call, or nil if
+// there is nothing to report.
 func (b *Backend) TakeSpeed() *wire.ServerSpeed {
 	e := &b.estimates
 	percent, count := e.estimator.TakeUnshared()
-	speed := &wire.ServerSpeed{Server: b.server.ID, Speed: uint32(percent), Count: uint32(min(count, maxSpeedCount))}
-	if e.pace > 0 && (e.sharedPace == 0 || float64(max(e.pace, e.sharedPace)) >= paceChange*float64(min(e.pace, e.sharedPace))) {
+	speed := &wire.ServerSpeed{Server: b.server.ID, Speed: uint32(percent), Count: uint32(min(count, MaxSpeedCount))}
+	if e.pace > 0 && (e.sharedPace == 0 || float64(max(e.pace, e.sharedPace)) >= minPaceChange*float64(min(e.pace, e.sharedPace))) {
 		speed.Pace, e.sharedPace = uint32(e.pace), e.pace
 	}
 	if speed.GetCount() == 0 && speed.GetPace() == 0 {
@@ -112,23 +119,20 @@
 	return speed
 }
 
-// maxSharedSpeed is the highest plausible speed or figure that others tell, in percent.
-const maxSharedSpeed = 10000
-
-// maxSharedPaceLead is the age of the server's own figure from which one that others have received
-// replaces it. Theirs has come through a relay.
-const maxSharedPaceLead = 300 * time.Millisecond
+// ownPacePrecedence is the time for which a figure that this process got from the server itself goes
+// before one that others have received: theirs has come through a relay and is older than it seems.
+const ownPacePrecedence = 300 * time.Millisecond
 
-// RecordSharedSpeed records what other processes have observed of the server's speed. They tell of
-// servers only whose pools have stated their own figures.
+// RecordSharedSpeed records what other processes have observed of the server's speed. They report only
+// servers of pools of which a server has stated its own figure.
 func (b *Backend) RecordSharedSpeed(now time.Duration, speed *wire.ServerSpeed) {
 	e := &b.estimates
-	if percent := speed.GetSpeed(); speed.GetCount() > 0 && percent > 0 && percent <= maxSharedSpeed {
-		e.estimator.RecordShared(now, int(percent))
+	if speed.GetCount() > 0 && PlausibleSpeed(speed.GetSpeed()) {
+		e.estimator.RecordShared(now, int(speed.GetSpeed()))
 		e.pool.stated = true
 	}
-	if pace := int(min(speed.GetPace(), maxSharedSpeed+1)); pace > 0 && pace <= maxSharedSpeed && (e.paceAt == 0 || now-e.paceAt > maxSharedPaceLead) {
-		e.estimator.RecordPace(now, pace)
+	if PlausibleSpeed(speed.GetPace()) && (e.paceAt == 0 || now-e.paceAt > ownPacePrecedence) {
+		e.estimator.RecordPace(now, int(speed.GetPace()))
 		e.pool.stated = true
 	}
 }
@@ -154,8 +158,8 @@
 	b.estimates.estimator.RecordGap(now, gap, int(b.EstimatedLoad(now)))
 }
 
-// minUnreadShare is the share of the prompts sent that counts as unread until their first events,
-// also after the time in which the server should have read them.
+// minUnreadShare is the least share of the tokens of sent prompts that counts as unread until their
+// first events, even if the server should have read them by now.
 const minUnreadShare = 0.25
 
 // queue returns what the server has to do already before a request for a model.
@@ -254,7 +258,7 @@
 		return
 	}
 	s.first = true
-	s.backend.estimates.estimator.RecordFirstQueued(now, s.work, s.queue, now-s.sentAt)
+	s.backend.estimates.estimator.RecordFirst(now, s.work, s.queue, now-s.sentAt)
 }
 
 // End records the end of the attempt.
--- a/tracker/estimate_test.go
+++ b/tracker/estimate_test.go
@@ -33,7 +33,7 @@
 		assert.Equal(t, b.CachedTokens(now, []PromptPrefix{{Key: i, Tokens: 10}, {Key: i + 1<<32, Tokens: 20}, {Key: 1 << 40, Tokens: 30}}), 20)
 	}
 	e := &b.estimates.prompts
-	assert.Assert(t, len(e.newer)+len(e.older) <= 2*promptGeneration)
+	assert.Assert(t, len(e.newer)+len(e.older) <= 2*promptHalfSize)
 	assert.Equal(t, b.CachedTokens(now, []PromptPrefix{{Key: 9950, Tokens: 10}}), 10)
 	assert.Equal(t, b.CachedTokens(now, []PromptPrefix{{Key: 100, Tokens: 10}}), 0)
 }
--- a/tracker/memory.go
+++ b/tracker/memory.go
@@ -26,8 +26,8 @@
 	// used is what cannot be freed and total the size, or 0 if it is not known, both according to
 	// the sidecar.
 	used, total int
-	// inFlight are the requests of this process in flight, and inFlightTokens their sum.
-	// includedTokens is the sum of those of their prompts that used has in it.
+	// inFlight are the requests of this process in flight, and inFlightTokens the sum of their
+	// tokens. includedTokens is the sum of the tokens of those prompts that used includes.
 	inFlight       map[*SentWork]struct{}
 	inFlightTokens int
 	includedTokens int
@@ -46,8 +46,8 @@
 	m.inFlightTokens += s.tokens.sum()
 }
 
-// end removes a request from those in flight, if it is one of them. Its prompt then counts until
-// the next figure, which may still have it in it.
+// end removes a request from those in flight, if it is one of them. If used includes its prompt, that
+// counts until the next figure.
 func (m *memory) end(s *SentWork) {
 	if s.ended {
 		return
@@ -60,8 +60,8 @@
 	}
 }
 
-// record records figures of the sidecar. They have the prompts in them that were read before the
-// instant to which they apply.
+// record records figures of the sidecar. They include the prompts that were read before the instant to
+// which they apply, at most figureDelay ago.
 func (m *memory) record(now time.Duration, used, total int) {
 	m.used, m.total, m.includedTokens = used, total, 0
 	for s := range m.inFlight {
@@ -72,11 +72,12 @@
 	}
 }
 
-// left returns what is free: the figures less what the requests in flight need beyond them.
+// left returns the free memory by the figures, less what the requests in flight need that the figures
+// do not include. It is negative if they need more than there is.
 func (m *memory) left() int { return m.total - m.used - (m.inFlightTokens - m.includedTokens) }
 
-// FullPercent returns the used part of a memory in percent, rounded up, or 0 if its size is not
-// known.
+// FullPercent returns the used part of a memory of size total in percent, rounded up, or 0 if the size
+// is not known.
 func FullPercent(used, total int) uint32 {
 	if total <= 0 || used <= 0 {
 		return 0
--- a/tracker/prompt.go
+++ b/tracker/prompt.go
@@ -12,8 +12,8 @@
 const (
 	// promptTTL is how long a server is assumed to keep what it has read of a prompt.
 	promptTTL = 30 * time.Second
-	// promptGeneration is the number of beginnings of prompts in one half of a table.
-	promptGeneration = 256
+	// promptHalfSize is the number of beginnings of prompts in one half of a promptTable.
+	promptHalfSize = 256
 )
 
 // promptTable holds the beginnings of prompts that were sent to a server lately, with the instants.
@@ -25,7 +25,7 @@
 // add records the beginnings of a prompt that is sent to the server.
 func (t *promptTable) add(now time.Duration, prompt []PromptPrefix) {
 	for _, p := range prompt {
-		if t.newer == nil || len(t.newer) >= promptGeneration {
+		if t.newer == nil || len(t.newer) >= promptHalfSize {
 			t.newer, t.older = map[uint64]time.Duration{}, t.newer
 		}
 		t.newer[p.Key] = now
