Names and comments of budget, ledger, claims and cold servers

Functions are named after what they return: Reserver.connectionVictim and budgetVictim (idlest, largest), Ledger.ReserveLoad and CheckUnload (Load and Unload, which load nothing), Locator.markCrashed (coolCrashed). The entries of claimer.Memory are storedClaims, since an entry is a process here. Comments that needed a second reading, or were ungrammatical, are rewritten, with their figures and reasons kept.

Three simplifications without a change of behaviour: the connection under a TLS connection is found by one function (runner, drainConnOf) instead of two pieces of code; orderer.planAdapters has no fallthrough; restorer.commit names the version of a deleted row instead of indexing an appended slice.

--- a/allocator/evacuation.go
+++ b/allocator/evacuation.go
@@ -36,8 +36,8 @@
 }
 
 // requestMoves starts or renews a scale-up of each model for which requests have arrived lately and
-// whose copies are all in evacuated data centres, if owns returns true for it. The copy is loaded
-// before, or while, the requests come that it has to serve, as far as the weight store allows.
+// whose copies are all in evacuated data centres, if owns returns true for it. A copy elsewhere is then
+// loaded before requests wait for it, as far as the weight store allows.
 func (a *Allocator) requestMoves(now time.Duration, owns func(model string) bool) {
 	if now-a.moveSearchedAt < moveSearchPeriod {
 		return
--- a/allocator/loadscaling.go
+++ b/allocator/loadscaling.go
@@ -12,20 +12,20 @@
 
 // Values of loads with load-based scaling.
 const (
-	// crowdedValue is the value that a request beyond what the copies should serve loses: it is
-	// likely to be late.
-	crowdedValue = 0.25
-	// servedTime is the time for which requests are counted that a load serves. Loads from
-	// the weight store take longer, but demand moves on within tens of seconds.
+	// excessValue is the value, in waiting requests, of serving a request beyond what the copies
+	// should serve: without another copy it is likely to be late.
+	excessValue = 0.25
+	// servedTime is the time for which the requests that a load serves are counted. Loads from the
+	// weight store take longer, but demand moves on within tens of seconds.
 	servedTime = 5 * time.Second
 	// reservedFetches is the number of concurrent loads from the weight store that are kept for
 	// loads with a value of reservedFetchValue or more. A load takes seconds and cannot be
 	// interrupted.
 	reservedFetches    = 1
 	reservedFetchValue = 2.0
-	// nearbyDetour is by how much a load from the weight store may end later on another engine
-	// than on one that is near the weights of a model that needs more copies. An engine does
-	// one load at a time.
+	// nearbyDetour is added to the time of a load from the weight store at an engine that is near the
+	// weights of a model that needs more copies. An engine does one load at a time, so another engine
+	// is preferred if the load ends there less than nearbyDetour later.
 	nearbyDetour = time.Second
 )
 
@@ -47,15 +47,16 @@
 // loadScaled reports whether load-based scaling is on for a pool.
 func (a *Allocator) loadScaled(pool string) bool { return a.allLoadScaled || a.loadScaledPools[pool] }
 
-// copyValue returns the value of another copy of a model, in waiting requests that are on time.
+// copyValue returns the value of another copy of a model in addition to current ones, in waiting
+// requests that are on time.
 func (a *Allocator) copyValue(now time.Duration, model string, current int) float64 {
 	served := a.limitsOf(a.config.View().Model(model).GetPool()).ratePerCopy * float64(current)
 	excess := max(1, a.arrivals.Rate(now, model)-served)
-	return max(scaleUpValue, coarse(crowdedValue*excess*servedTime.Seconds()))
+	return max(scaleUpValue, roundToPowerOfTwo(excessValue*excess*servedTime.Seconds()))
 }
 
-// coarse rounds a value to a power of two, so that small changes cause no messages.
-func coarse(value float64) float64 {
+// roundToPowerOfTwo rounds a value to a power of two, so that small changes cause no messages.
+func roundToPowerOfTwo(value float64) float64 {
 	if value <= 0 {
 		return 0
 	}
@@ -69,7 +70,7 @@
 	for _, p := range a.demands {
 		p.rank = p.Value
 		if a.loadScaled(a.baseModel(p.name).GetPool()) && a.Copies(now, p.name) == 0 {
-			p.rank += coarse(a.arrivals.Rate(now, p.name) * servedTime.Seconds())
+			p.rank += roundToPowerOfTwo(a.arrivals.Rate(now, p.name) * servedTime.Seconds())
 		}
 	}
 }
@@ -92,8 +93,9 @@
 	return candidates
 }
 
-// mayRequestCopy reports whether another copy may be requested from the engine that was chosen for
-// it, where it serves after cost. planned is the number of copies that other engines plan.
+// mayRequestCopy reports whether another copy may be requested from the engine that was chosen for it.
+// It would serve there after cost, and fetch is set if it is loaded from the weight store. planned is the
+// number of copies that other engines plan.
 func (a *Allocator) mayRequestCopy(now time.Duration, s *scaleUp, m *wire.Model, planned int, fetch bool, cost time.Duration) bool {
 	if a.loadScaled(m.GetPool()) {
 		if planned >= s.missing {
--- a/allocator/loadscaling_test.go
+++ b/allocator/loadscaling_test.go
@@ -183,8 +183,8 @@
 
 // TestCoarse checks that values that differ little are the same, so that they cause no messages.
 func TestCoarse(t *testing.T) {
-	assert.Equal(t, coarse(0), 0.0)
-	assert.Equal(t, coarse(5), 4.0)
-	assert.Equal(t, coarse(5.3), 4.0)
-	assert.Assert(t, !math.IsNaN(coarse(math.MaxFloat64)))
+	assert.Equal(t, roundToPowerOfTwo(0), 0.0)
+	assert.Equal(t, roundToPowerOfTwo(5), 4.0)
+	assert.Equal(t, roundToPowerOfTwo(5.3), 4.0)
+	assert.Assert(t, !math.IsNaN(roundToPowerOfTwo(math.MaxFloat64)))
 }
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -25,7 +25,8 @@
 	memoryTime = 10 * time.Minute
 	// maxClaims bounds the claims, of which each takes some 300 bytes.
 	maxClaims = 50_000
-	// maxAnswerBytes bounds the stored answers. Of the calls beyond, it is known that they ran.
+	// maxAnswerBytes bounds the stored answers. Beyond it, the earliest answers are dropped, and of
+	// their calls only that they ran is remembered.
 	maxAnswerBytes = 8 << 20
 	// MaxAnswer is the largest body of an answer that is stored with a claim, in bytes.
 	MaxAnswer = 64 << 10
@@ -33,7 +34,7 @@
 	pruneInterval = time.Second
 )
 
-// Claim is a claim as its process knows it. Record is not changed.
+// Claim is a claim as its process knows it. Record is replaced, never modified.
 type Claim struct {
 	Key    string
 	Record *wire.Claim
@@ -59,29 +60,30 @@
 	return hash.Sum(nil)
 }
 
-// entry is a claim in the memory.
-type entry struct {
+// storedClaim is a claim in the memory.
+type storedClaim struct {
 	Claim
+	// running is set until the call has ended.
 	running bool
 }
 
 // Memory holds the claims of a process. Its user guards it against concurrent use.
 type Memory struct {
-	// entries are in the order of their claims. latest has the latest one of each key.
-	entries     []*entry
-	latest      map[string]*entry
+	// claims are in the order in which they were added. latest has the latest one of each key.
+	claims      []*storedClaim
+	latest      map[string]*storedClaim
 	answerBytes int
 	prunedAt    time.Duration
 }
 
 // NewMemory returns an empty memory.
-func NewMemory() *Memory { return &Memory{latest: map[string]*entry{}} }
+func NewMemory() *Memory { return &Memory{latest: map[string]*storedClaim{}} }
 
 // Add remembers a claim, whose call runs from now on, with the version of its row.
 func (m *Memory) Add(now time.Duration, key string, record *wire.Claim, version uint64) {
 	m.prune(now)
-	e := &entry{Claim: Claim{Key: key, Record: record, Version: version, At: now}, running: true}
-	m.entries = append(m.entries, e)
+	e := &storedClaim{Claim: Claim{Key: key, Record: record, Version: version, At: now}, running: true}
+	m.claims = append(m.claims, e)
 	m.latest[key] = e
 }
 
@@ -116,8 +118,8 @@
 	e.Record = proto.CloneOf(e.Record)
 	e.Record.Done, e.Record.Answer = true, answer
 	m.answerBytes += len(answer.GetBody())
-	for i := 0; m.answerBytes > maxAnswerBytes && i < len(m.entries); i++ {
-		m.dropAnswer(m.entries[i])
+	for i := 0; m.answerBytes > maxAnswerBytes && i < len(m.claims); i++ {
+		m.dropAnswer(m.claims[i])
 	}
 }
 
@@ -135,7 +137,7 @@
 		return
 	}
 	m.dropAnswer(e)
-	m.entries = slices.DeleteFunc(m.entries, func(other *entry) bool { return other == e })
+	m.claims = slices.DeleteFunc(m.claims, func(other *storedClaim) bool { return other == e })
 	if m.latest[key] == e {
 		delete(m.latest, key)
 	}
@@ -160,7 +162,7 @@
 // the latest claims.
 func (m *Memory) Lost(era uint64) []Claim {
 	var lost []Claim
-	for _, e := range slices.Backward(m.entries) {
+	for _, e := range slices.Backward(m.claims) {
 		if storer.Era(e.Version) < era {
 			lost = append(lost, e.Claim)
 		}
@@ -170,14 +172,14 @@
 }
 
 // Len returns the number of claims that are remembered.
-func (m *Memory) Len() int { return len(m.entries) }
+func (m *Memory) Len() int { return len(m.claims) }
 
 // find returns the claim of a key with a token, or nil.
-func (m *Memory) find(key, token string) *entry {
+func (m *Memory) find(key, token string) *storedClaim {
 	if e := m.latest[key]; e != nil && e.Record.GetToken() == token {
 		return e
 	}
-	for _, e := range m.entries {
+	for _, e := range m.claims {
 		if e.Key == key && e.Record.GetToken() == token {
 			return e
 		}
@@ -188,12 +190,12 @@
 // prune forgets the claims that are too old, and the oldest ones beyond maxClaims. Those whose
 // calls run are kept.
 func (m *Memory) prune(now time.Duration) {
-	if now-m.prunedAt < pruneInterval && len(m.entries) < maxClaims+maxClaims/8 {
+	if now-m.prunedAt < pruneInterval && len(m.claims) < maxClaims+maxClaims/8 {
 		return
 	}
 	m.prunedAt = now
-	excess := len(m.entries) - maxClaims
-	m.entries = slices.DeleteFunc(m.entries, func(e *entry) bool {
+	excess := len(m.claims) - maxClaims
+	m.claims = slices.DeleteFunc(m.claims, func(e *storedClaim) bool {
 		excess--
 		if e.running || excess < 0 && now-e.At <= memoryTime {
 			return false
@@ -207,7 +209,7 @@
 }
 
 // dropAnswer forgets the answer of a claim, but not that it is done.
-func (m *Memory) dropAnswer(e *entry) {
+func (m *Memory) dropAnswer(e *storedClaim) {
 	if e.Record.GetAnswer() == nil {
 		return
 	}
--- a/holder/loads.go
+++ b/holder/loads.go
@@ -28,6 +28,7 @@
 	bids = h.withoutReplicas(m, bids)
 	ranked := placer.RankBids(bids, def.GetBytes())
 	if h.adoptReplica(ctx, m, def, slot, unrecorded) {
+		// Nothing is loaded.
 		ranked = nil
 	}
 	for _, bid := range ranked {
--- a/locator/cold.go
+++ b/locator/cold.go
@@ -14,8 +14,8 @@
 	"oleanderstall/wire"
 )
 
-// minColdTarget is the time to its target from which a request may be sent to a cold server while
-// a warm one could run it. The answers of a cold server are late, and the permit costs a round trip.
+// minColdTarget is the least time to its target that a request must have to be sent to a cold server
+// while a warm one could run it. A cold server answers late, and the permit costs a round trip.
 const minColdTarget = 1500 * time.Millisecond
 
 // SetColdTiming sets how permits for cold servers may be used.
@@ -32,9 +32,9 @@
 	return l.fleet.CountCold(l.clock())
 }
 
-// seenStart reports whether the start of a server that is listed now was seen before, in the known
-// row, or can't be told to be new because this entry has only just got the list. The caller holds
-// the lock.
+// seenStart reports whether a listed process started no later than the one in the known row. Without a
+// known row it returns true within startupGrace of the first list, since this entry cannot tell then
+// whether the process has just started. The caller holds the lock.
 func (l *Locator) seenStart(now time.Duration, s tracker.Server, known *wire.ListedServer) bool {
 	if known != nil {
 		return known.GetBorn() >= s.Started
@@ -42,8 +42,9 @@
 	return l.firstListedAt == 0 || now < l.firstListedAt+startupGrace
 }
 
-// updateCold records the cold phase of a server that has been listed. What its row says counts; the
-// row of a server that has just started may not say it yet. The caller holds the lock.
+// updateCold records the cold phase of a server that has been listed, as its row states it. A process
+// whose start was not seen and whose row does not state a phase yet is cold for the time that is
+// configured for its pool. The caller holds the lock.
 func (l *Locator) updateCold(now time.Duration, s tracker.Server, seenStart bool) {
 	source, left := "row", s.ColdLeft
 	switch {
@@ -62,10 +63,10 @@
 	}
 }
 
-// coolCrashed makes a server cold whose listed process has crashed: what answers at its address
-// from now on is a process that has just started, which may be listed later. The row of that process
-// ends this. The caller holds the lock.
-func (l *Locator) coolCrashed(now time.Duration, p quarantiner.Process) {
+// markCrashed makes a server cold whose listed process has crashed: what answers at its address from
+// now on is a process that has just started. The row of that process, which may come later, replaces
+// this. The caller holds the lock.
+func (l *Locator) markCrashed(now time.Duration, p quarantiner.Process) {
 	b := l.fleet.Get(p.Server)
 	if b == nil || b.Server().Started != p.Started || l.config.View().Pool(b.Server().Pool).GetColdRate() == 0 {
 		return
@@ -77,9 +78,9 @@
 // listingDelay is the time within which a process that has started is listed.
 const listingDelay = 2 * time.Second
 
-// markNotListening makes a server cold at whose address no process listens: one that does later has
-// just started, and may do so under the same identity. The row of that process ends this. The caller
-// holds the lock.
+// markNotListening makes a server cold at whose address no process listens: one that listens later has
+// just started, perhaps under the same ID. The row of that process replaces this. The caller holds the
+// lock.
 func (l *Locator) markNotListening(now time.Duration, s tracker.Server) {
 	b, pool := l.fleet.Get(s.ID), l.config.View().Pool(s.Pool)
 	if b == nil || b.Server().Started != s.Started || pool.GetColdRate() == 0 {
@@ -101,8 +102,8 @@
 	return pacer.ColdRate(l.config.View().Pool(b.Server().Pool).GetColdRate())
 }
 
-// coldEnd returns an instant or, if that is earlier, the end of the cold phase of a server that has
-// named no limit. The caller holds the lock.
+// coldEnd returns the earlier of until and the end of the server's cold phase, or until if the server is
+// not cold or has named a limit itself. The caller holds the lock.
 func (l *Locator) coldEnd(now time.Duration, b *tracker.Backend, until time.Duration) time.Duration {
 	if l.coldRate(now, b) > 0 && l.namedLimitOf(b).Rate == 0 {
 		return min(until, b.ColdUntil())
@@ -143,15 +144,16 @@
 	return p
 }
 
-// suitsCold reports whether a request may be sent to a cold server while a warm one could run it.
-func suitsCold(now time.Duration, r *dispatcher.Request) bool {
+// hasTimeForCold reports whether the target of a request is far enough ahead for a cold server, while a
+// warm one could run it.
+func hasTimeForCold(now time.Duration, r *dispatcher.Request) bool {
 	return r.TargetTime-now >= minColdTarget
 }
 
-// patienceFor returns how long a request that waits up to patience for a permit does so for one for
-// a given server. Permits for cold servers are reserved in advance, so that under contention those
-// requests get them that have the longest time to their targets and therefore suffer least from a
-// slow answer. Others wait for up to half of the time that they have. The caller holds the lock.
+// patienceFor returns how long a request waits for a permit for a given server, at most patience. For a
+// cold server it waits until its target, or for half of its remaining time if that is longer. Permits
+// are reserved in advance, so under contention the requests with the latest targets get them, which
+// suffer least from a slow answer. The caller holds the lock.
 func (l *Locator) patienceFor(now time.Duration, b *tracker.Backend, s *search, patience time.Duration) time.Duration {
 	if l.coldRate(now, b) == 0 {
 		return patience
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -342,10 +342,11 @@
 	}
 }
 
-// pick returns the server with the lowest cost of those that can run a request now, or once they
-// may be sent one within patience, and were not tried. Servers where it fits into the memory go
-// first. It returns nil if there is none. A server
-// for which the request has a permit goes first. The caller holds the lock.
+// pick returns the server for a request, or nil if there is none: one that was not tried and can run
+// the request now, or can be sent one within patience. A server for which the request has a permit
+// goes first, then those whose memory the request fits into, then the one with the lowest cost. A
+// cold server is chosen if there is no warm one, or if it costs less and the request has time for it.
+// The caller holds the lock.
 func (l *Locator) pick(now time.Duration, s *search, patience time.Duration) *tracker.Backend {
 	r := s.request
 	var best, bestCold *tracker.Backend
@@ -368,7 +369,7 @@
 			best, bestCost, bestFits = b, value, fits
 		}
 	}
-	if best == nil || bestCold != nil && bestColdCost < bestCost && suitsCold(now, r) {
+	if best == nil || bestCold != nil && bestColdCost < bestCost && hasTimeForCold(now, r) {
 		return bestCold
 	}
 	return best
--- a/locator/quarantine.go
+++ b/locator/quarantine.go
@@ -59,7 +59,7 @@
 // recordCrash records a crash with requests that had no answer. The caller holds the lock.
 func (l *Locator) recordCrash(p quarantiner.Process, at time.Duration, requests ...*dispatcher.Request) {
 	l.quarantine.RecordCrash(at, p, requests...)
-	l.coolCrashed(l.clock(), p)
+	l.markCrashed(l.clock(), p)
 	l.wakeQuarantined()
 	l.signalReport()
 }
--- a/locator/queue.go
+++ b/locator/queue.go
@@ -17,10 +17,10 @@
 // prompts before it.
 const queueFraction = 0.35
 
-// admits reports whether r may be sent to a server now: enough prompts there have been read, it fits
-// into the memory and no queued request for the same model that does goes first, or r has waited
-// until queueEnd, so that nothing waits without end for memory that others take. The
-// caller holds the lock.
+// admits reports whether r may be sent to a server now: enough prompts there have been read, r fits
+// into the memory, and no queued request for the same model that also fits goes first. Once r has
+// waited until queueEnd it may be sent in any case, so that it does not wait without end for memory
+// that others take. Calls of plain services may always be sent. The caller holds the lock.
 func (l *Locator) admits(now time.Duration, b *tracker.Backend, r *dispatcher.Request) bool {
 	if r.Model == "" || now >= queueEnd(r) {
 		return true
--- a/locator/report.go
+++ b/locator/report.go
@@ -152,7 +152,7 @@
 	l.receiveLimits(now, batch.GetLimits())
 	l.receiveSpeeds(now, batch.GetSpeeds())
 	for _, crash := range l.quarantine.Merge(batch.GetCrashes()) {
-		l.coolCrashed(now, quarantiner.Process{Server: crash.GetServer(), Started: crash.GetBorn()})
+		l.markCrashed(now, quarantiner.Process{Server: crash.GetServer(), Started: crash.GetBorn()})
 	}
 	l.wakeQuarantined()
 	for _, estimate := range batch.GetOutlooks() {
--- a/orderer/adapters.go
+++ b/orderer/adapters.go
@@ -21,8 +21,8 @@
 )
 
 // orderAdapters orders the adapter loads that requests wait for, and the unloads of adapters that
-// make room for them. It reports whether such orders are due or adapters are being loaded, and returns
-// the unload of a model if only that makes room.
+// make room for them. It reports whether such orders are due or adapters are being loaded. If only the
+// unload of a model makes room for an adapter, it returns that step without ordering it.
 func (o *Orderer) orderAdapters(ctx context.Context, now time.Duration) (bool, placer.Step) {
 	o.mu.Lock()
 	plan := o.planAdapters(now)
@@ -91,7 +91,7 @@
 	waiting placer.Item
 }
 
-// logWaiting logs that an adapter waits for room, once for each in a row. The caller holds the lock.
+// logWaiting logs that an adapter waits for room, unless it was the last one logged. The caller holds the lock.
 func (o *Orderer) logWaiting(now time.Duration, waiting placer.Item) {
 	if waiting.Name == o.waitingAdapter || waiting.Name != "" && now-o.waitLoggedAt < waitLogInterval {
 		return
@@ -119,21 +119,20 @@
 			freed += o.item(idle[victims]).Bytes
 			victims++
 		}
-		switch {
-		case free+freed >= r.Bytes && slots+victims >= 1:
+		if free+freed >= r.Bytes && slots+victims >= 1 {
 			plan.unloads, idle = append(plan.unloads, idle[:victims]...), idle[victims:]
 			plan.loads = append(plan.loads, r.Model)
 			free, slots = free+freed-r.Bytes, slots+victims-1
-		case plan.model.Op == placer.None && free+freed < r.Bytes:
+			continue
+		}
+		if plan.model.Op == placer.None && free+freed < r.Bytes {
 			if models, ok := placer.EvictionFor(now, free, o.loadedModels(now), o.loadRequests(), r); ok {
 				plan.model = placer.Step{Op: placer.Unload, Model: models[0].Model, Requested: r.Model}
 				continue
 			}
-			fallthrough
-		default:
-			if plan.waiting.Name == "" {
-				plan.waiting = o.item(r.Model)
-			}
+		}
+		if plan.waiting.Name == "" {
+			plan.waiting = o.item(r.Model)
 		}
 	}
 	return plan
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -96,7 +96,7 @@
 	// adapters.
 	lastUsed map[string]time.Duration
 	loadedAt map[string]time.Duration
-	// ledger accounts for all loads of the engine. No load is ordered without it.
+	// ledger accounts for the engine's memory and adapter slots. It has to permit each load.
 	ledger *placer.Ledger
 	// current is the model order that the engine is executing, accepted at currentSince.
 	current      placer.Step
@@ -339,8 +339,8 @@
 	return placer.Item{Name: name, Base: m.GetBase(), Bytes: m.GetBytes()}
 }
 
-// orderModels orders the next load or unload of a model. If models need neither, it orders the
-// unload of a model that makes room for an adapter, which is given. It reports whether a load or
+// orderModels orders the next load or unload of a model. If models need neither, it orders
+// forAdapter, the unload of a model that makes room for an adapter, if any. It reports whether a load or
 // unload is pending, so that the engine must be polled again soon. A load request that
 // has to wait until other requests end is reconsidered when a relay sends a new
 // assignment.
@@ -434,8 +434,8 @@
 	return now-o.announcedAt >= unloadNoticeTime
 }
 
-// drain announces the unload of a model in use, so that no further requests are sent for it. A
-// model that is being drained stays the one until it is idle. The caller holds the lock.
+// drain announces the unload of a model in use, so that no further requests are sent for it. It does
+// nothing while another model in memory is being drained. The caller holds the lock.
 func (o *Orderer) drain(now time.Duration, step placer.Step) {
 	if o.announcedUnload != "" && o.report.Has(o.announcedUnload) {
 		return
@@ -460,9 +460,9 @@
 	}
 	switch op {
 	case placer.Load:
-		return order, o.ledger.Load(now, o.item(order.item()))
+		return order, o.ledger.ReserveLoad(now, o.item(order.item()))
 	case placer.Unload:
-		return order, o.ledger.Unload(order.item())
+		return order, o.ledger.CheckUnload(order.item())
 	}
 	return order, nil
 }
--- a/placer/ledger.go
+++ b/placer/ledger.go
@@ -109,14 +109,15 @@
 	})
 }
 
-// Free returns the memory that is neither taken nor needed for a load that may still come.
+// Free returns the memory that is neither in use nor reserved for a load that an order without an answer
+// may still cause.
 func (l *Ledger) Free() uint64 {
 	used := saturatingSum(l.contents.Loaded, l.contents.Loading, l.possibleLoads(func(i Item) uint64 { return i.Bytes }))
 	return l.capacity.Bytes - min(used, l.capacity.Bytes)
 }
 
-// FreeSlots returns the number of adapter slots that are neither taken nor needed for a load that
-// may still come.
+// FreeSlots returns the number of adapter slots that are neither in use nor reserved for a load that an
+// order without an answer may still cause.
 func (l *Ledger) FreeSlots() int {
 	used := 0
 	for _, items := range [][]Item{l.contents.Loaded, l.contents.Loading, l.possibleLoads(func(i Item) uint64 { return uint64(i.slots()) })} {
@@ -130,8 +131,9 @@
 // Sequence returns the number of orders that the engine has accepted.
 func (l *Ledger) Sequence() uint64 { return l.contents.Sequence }
 
-// possibleLoads returns the loads that orders without an answer may cause after the next order that
-// is accepted: of the orders with one number that with the greatest cost.
+// possibleLoads returns the loads that orders without an answer may still cause after the next order.
+// The engine carries out at most one of the orders with the same number, so of these only the load with
+// the greatest cost is returned. Orders with the engine's current number are excluded by the next one.
 func (l *Ledger) possibleLoads(cost func(Item) uint64) []Item {
 	greatest := map[uint64]Item{}
 	for _, u := range l.unanswered {
@@ -149,7 +151,7 @@
 	return items
 }
 
-// saturatingSum adds up the sizes of items.
+// saturatingSum returns the sum of the sizes of items, or the largest number if that is exceeded.
 func saturatingSum(lists ...[]Item) uint64 {
 	sum := uint64(0)
 	for _, items := range lists {
@@ -160,9 +162,9 @@
 	return sum
 }
 
-// Load records that the load of an item is about to be ordered. It returns a *RoomError if the item
-// does not fit; the order must not be sent then.
-func (l *Ledger) Load(now time.Duration, item Item) error {
+// ReserveLoad reserves room for an item whose load is about to be ordered. It returns a *RoomError if
+// the item does not fit; the order must not be sent then.
+func (l *Ledger) ReserveLoad(now time.Duration, item Item) error {
 	if free, slots := l.Free(), l.FreeSlots(); item.Bytes > free || item.slots() > slots {
 		return &RoomError{Item: item, FreeBytes: free, FreeSlots: slots}
 	}
@@ -170,9 +172,9 @@
 	return nil
 }
 
-// Unload returns a *BusyBaseError if the engine loads an adapter of the model; the unload must not be
-// ordered then.
-func (l *Ledger) Unload(name string) error {
+// CheckUnload returns a *BusyBaseError if the engine loads an adapter of the model; the unload must not
+// be ordered then.
+func (l *Ledger) CheckUnload(name string) error {
 	for _, i := range l.contents.Loading {
 		if i.Base == name {
 			return &BusyBaseError{Model: name, Adapter: i.Name}
--- a/placer/ledger_test.go
+++ b/placer/ledger_test.go
@@ -107,7 +107,7 @@
 					sequence: l.Sequence(), item: rapid.SampledFrom(items).Draw(t, "item"), unload: rapid.IntRange(0, 3).Draw(t, "unload") == 0,
 					dueAt: now + time.Duration(rapid.Int64Range(0, int64(maxOrderDelay)-1).Draw(t, "delay")),
 				}
-				if o.unload && l.Unload(o.item.Name) != nil || !o.unload && l.Load(now, o.item) != nil {
+				if o.unload && l.CheckUnload(o.item.Name) != nil || !o.unload && l.ReserveLoad(now, o.item) != nil {
 					continue
 				}
 				fault := rapid.IntRange(0, 3).Draw(t, "fault")
@@ -140,18 +140,18 @@
 // and that the error names what is free.
 func TestLedgerRoom(t *testing.T) {
 	l := NewLedger()
-	assert.Assert(t, l.Load(0, Item{Name: "m", Bytes: 1}) != nil)
+	assert.Assert(t, l.ReserveLoad(0, Item{Name: "m", Bytes: 1}) != nil)
 	l.Update(0, Capacity{Bytes: 100, Slots: 1}, Contents{Server: "e", Loaded: []Item{{Name: "m", Bytes: 90}}})
 	var room *RoomError
-	assert.Assert(t, errors.As(l.Load(0, Item{Name: "m/a1", Base: "m", Bytes: 11}), &room))
+	assert.Assert(t, errors.As(l.ReserveLoad(0, Item{Name: "m/a1", Base: "m", Bytes: 11}), &room))
 	assert.Equal(t, room.FreeBytes, uint64(10))
-	assert.NilError(t, l.Load(0, Item{Name: "m/a2", Base: "m", Bytes: 4}))
+	assert.NilError(t, l.ReserveLoad(0, Item{Name: "m/a2", Base: "m", Bytes: 4}))
 	l.Accepted()
 	assert.Equal(t, l.Free(), uint64(6))
-	assert.Assert(t, errors.As(l.Load(0, Item{Name: "m/a3", Base: "m", Bytes: 4}), &room))
+	assert.Assert(t, errors.As(l.ReserveLoad(0, Item{Name: "m/a3", Base: "m", Bytes: 4}), &room))
 	assert.Equal(t, room.FreeSlots, 0)
 	var busy *BusyBaseError
-	assert.Assert(t, errors.As(l.Unload("m"), &busy))
+	assert.Assert(t, errors.As(l.CheckUnload("m"), &busy))
 	assert.Equal(t, busy.Adapter, "m/a2")
 }
 
--- a/relayer/cold.go
+++ b/relayer/cold.go
@@ -38,7 +38,7 @@
 	}
 	before := max(phase.until, fs.latest)
 	phase.until = fs.latest + s.ColdLeft
-	changed := known == nil || known.ColdLeft == nil || max(phase.until-before, before-phase.until) > coldTolerance
+	changed := known == nil || known.ColdLeft == nil || (phase.until-before).Abs() > coldTolerance
 	if !changed {
 		return false
 	}
@@ -49,8 +49,8 @@
 	return true
 }
 
-// receiveCold applies what an entry knows of the cold phase of a server for which it asks for a
-// permit: it may know the row of the server sooner, or have seen the server start.
+// receiveCold applies what an entry that asks for a permit knows of the cold phase of the server. It may
+// know the row of the server sooner, or have seen the server start.
 func (fs *FleetState) receiveCold(now time.Duration, request *wire.PermitRequest) {
 	id, started := request.GetLimit().GetServer(), request.GetLimit().GetBorn()
 	server, listed := fs.servers.get(id)
@@ -108,7 +108,7 @@
 // isLimit reports whether a message says anything about a limit that a server has named.
 func isLimit(m *wire.ServerLimit) bool { return m.GetRate() > 0 || m.GetNumber() > 0 }
 
-// listedAsOf returns a row with the time for which its server is still cold as of now.
+// listedAsOf returns a row in which the time for which the server is still cold is that as of now.
 func (fs *FleetState) listedAsOf(now time.Duration, server *wire.ListedServer) *wire.ListedServer {
 	if server.GetColdLeft() == 0 {
 		return server
@@ -121,7 +121,7 @@
 	return out
 }
 
-// updatePacers finds out who paces the servers of which data centre, and sends entries a change.
+// updatePacers finds the pacer of each data centre, and sends entries a change.
 func (fs *FleetState) updatePacers() {
 	var pacers []*wire.Pacer
 	for _, centre := range slices.Sorted(maps.Keys(fs.pacing.voters)) {
@@ -143,8 +143,8 @@
 	return slices.ContainsFunc(fs.config.View().Pools(), func(p *wire.Pool) bool { return p.GetColdRate() > 0 })
 }
 
-// addPacers adds the pacers to an entry's batch if they have changed since the latest that it got,
-// or if the servers of some pool may be cold only since then.
+// addPacers adds the pacers to an entry's batch if the entry does not have them yet and the servers of
+// some pool may be cold.
 func (fs *FleetState) addPacers(lp *linkedProcess, batch *wire.Batch) {
 	if lp.sentVersions.pacers != fs.pacing.pacersVersion && fs.hasColdPools() {
 		batch.Pacers, lp.sentVersions.pacers = fs.pacing.pacers, fs.pacing.pacersVersion
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// ScaleByLoad turns on load-based scaling for the models of all pools. It is on for a pool without
-// that once a server of it has stated how long work takes there.
+// ScaleByLoad turns on load-based scaling for all pools. Otherwise it is turned on for each pool when
+// one of its servers states how long work takes there.
 func (r *Relayer) ScaleByLoad() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -64,8 +64,8 @@
 	lineBytes = 512
 	// headFactor multiplies the bytes of a head: they are in memory as read and as parsed.
 	headFactor = 2
-	// smallHolding is the most that a request may hold to use the last part of the budget, and
-	// smallShare that part. Ordinary requests stay below it, so that large ones leave room to them.
+	// smallShare is the share of the budget that is kept for requests that hold at most
+	// smallHolding. Ordinary requests do, so that large ones leave room for them.
 	smallHolding = 64 << 10
 	smallShare   = 0.125
 )
@@ -82,8 +82,9 @@
 	searchInterval = 5 * time.Millisecond
 )
 
-// Numbers of requests that may wait for budget at a time, of those that hold more than
-// smallHolding and of all. Others are refused at once.
+// Numbers of waiting connections from which a further request is refused at once instead of waiting
+// for budget: maxLargeWaiting for a request that would hold more than smallHolding, and maxWaiting for
+// any other.
 const (
 	maxLargeWaiting = 32
 	maxWaiting      = 256
@@ -146,15 +147,15 @@
 	bytes  int64
 	// idle holds the idle connections of each group, the one without a request for longest first.
 	idle [groups]*list.List
-	// waiting is the number of connections that wait for budget, and searched when all connections
-	// were last searched.
-	waiting  int
-	searched time.Duration
+	// waiting is the number of connections that wait for budget, and searchedAt the instant at which
+	// all connections were last searched.
+	waiting    int
+	searchedAt time.Duration
 }
 
 // New returns a Reserver without connections.
 func New(limits Limits) *Reserver {
-	r := &Reserver{limits: limits, open: map[*Holding]struct{}{}, searched: -searchInterval}
+	r := &Reserver{limits: limits, open: map[*Holding]struct{}{}, searchedAt: -searchInterval}
 	for i := range r.idle {
 		r.idle[i] = list.New()
 	}
@@ -182,14 +183,13 @@
 	return len(r.open), r.bytes
 }
 
-// Admit adds a connection. It returns nil if there is no room for it. victim, if any, is a
-// connection that has to end in its favour. untimed is set if heads and idle times are bounded
-// elsewhere.
+// Admit adds a connection. h is nil if there is no room for it. victim, if not nil, is a connection
+// that has to end in its favour. untimed is set if heads and idle times are bounded elsewhere.
 func (r *Reserver) Admit(now time.Duration, owner any, group Group, untimed bool) (h, victim *Holding) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.counts[group] >= r.limits.Connections[group] {
-		if victim = r.idlest(now, group); victim == nil {
+		if victim = r.connectionVictim(now, group); victim == nil {
 			return nil, nil
 		}
 		r.end(victim, Connections)
@@ -198,7 +198,7 @@
 	}
 	if needed := r.bytes + ConnectionBytes - r.limits.Bytes; needed > 0 {
 		if victim == nil && r.maySearch(now) {
-			victim = r.largest(now, nil, ConnectionBytes, needed)
+			victim = r.budgetVictim(now, nil, ConnectionBytes, needed)
 		}
 		return nil, victim
 	}
@@ -210,9 +210,10 @@
 	return h, victim
 }
 
-// idlest returns the connection of a group that ends in favour of a new one, or nil: one without
-// a request, or else one whose request stalls, that has made no progress for longest.
-func (r *Reserver) idlest(now time.Duration, group Group) *Holding {
+// connectionVictim returns the connection of a group that ends in favour of a new one, or nil. Of the
+// connections without a request, or else of those whose requests stall, it is the one that has made no
+// progress for longest.
+func (r *Reserver) connectionVictim(now time.Duration, group Group) *Holding {
 	for e := r.idle[group].Front(); e != nil; e = e.Next() {
 		h := e.Value.(*Holding)
 		if now-h.since < idleStallTime {
@@ -234,12 +235,12 @@
 	return best
 }
 
-// maySearch reports whether all connections may be searched now.
+// maySearch reports whether all connections may be searched now, and if so, records the search.
 func (r *Reserver) maySearch(now time.Duration) bool {
-	if now-r.searched < searchInterval {
+	if now-r.searchedAt < searchInterval {
 		return false
 	}
-	r.searched = now
+	r.searchedAt = now
 	return true
 }
 
@@ -313,8 +314,8 @@
 	Refused
 )
 
-// Reserve reserves n bytes for the request on a connection. victim, if any, is a connection that
-// has to end in its favour. After Wait, StopWaiting must be called unless Reserve is called again.
+// Reserve reserves n bytes for the request on a connection. victim, if not nil, is a connection
+// that has to end in its favour. After Wait, StopWaiting must be called unless Reserve is called again.
 func (r *Reserver) Reserve(now time.Duration, h *Holding, n int64) (outcome Outcome, victim *Holding) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -333,7 +334,7 @@
 		return Granted, nil
 	}
 	if r.maySearch(now) {
-		victim = r.largest(now, h, h.bytes+n, r.bytes+n-available)
+		victim = r.budgetVictim(now, h, h.bytes+n, r.bytes+n-available)
 	}
 	if !h.waiting && r.waiting >= waitLimit {
 		return Refused, victim
@@ -342,12 +343,12 @@
 	return Wait, victim
 }
 
-// largest marks and returns the connection that ends in favour of another one that would hold total
-// bytes and needs some of them: the one for which the product of what it holds and of the time
-// without progress is the greatest. It is one that stalls or, in favour of a small request, one
-// whose body is in arrival and that holds more than twice as much. It returns nil if there is none,
-// or if those that end already hold enough.
-func (r *Reserver) largest(now time.Duration, asking *Holding, total, needed int64) *Holding {
+// budgetVictim marks and returns the connection that ends in favour of the asking one, which would
+// then hold total bytes and for which needed bytes have to be returned. Connections that stall may
+// end. In favour of a small request, so may one whose body is in arrival and that holds more than
+// twice as much. The one with the greatest product of bytes and time without progress is chosen. It
+// returns nil if there is none, or if those that are ending already hold enough.
+func (r *Reserver) budgetVictim(now time.Duration, asking *Holding, total, needed int64) *Holding {
 	var best *Holding
 	var bestRank float64
 	for h := range r.open {
@@ -359,7 +360,7 @@
 		if h == asking || !yields && !h.stalls(now) {
 			continue
 		}
-		// A millisecond more lets the size decide among those that are equally active.
+		// The added millisecond lets the size decide among connections that are equally active.
 		if rank := float64(h.bytes) * (now - h.progress + time.Millisecond).Seconds(); rank > bestRank {
 			best, bestRank = h, rank
 		}
--- a/restorer/restorer.go
+++ b/restorer/restorer.go
@@ -17,7 +17,8 @@
 	"oleanderstall/wire"
 )
 
-// Restorer holds the claims of one process. It is safe for concurrent use.
+// Restorer holds the claims of one process, writes them, and writes them again in a later era of the
+// store. It is safe for concurrent use.
 type Restorer struct {
 	// name is that of the process, by which it confirms that its claims are written, or empty if it
 	// does not confirm that.
@@ -93,8 +94,8 @@
 	return claim, row.Version, storer.Decode(row.Value, claim)
 }
 
-// Expect remembers that the call with a key, which may have any outcome, is being sent to a sidecar,
-// and reports whether that was not known. The sidecar writes its claim.
+// Expect remembers that the call with a key is being sent to a sidecar, which writes the claim. It
+// returns false if the key is remembered already.
 func (r *Restorer) Expect(key string, digest []byte) bool {
 	era := max(r.table.Era(), storer.FirstEra)
 	r.mu.Lock()
@@ -187,7 +188,12 @@
 		r.markUncertain(c)
 		return err
 	}
-	r.setVersion(c, append(versions, storer.NewVersion(era, storer.Number(c.Version)))[0])
+	// A deleted row has no version.
+	written := storer.NewVersion(era, storer.Number(c.Version))
+	if len(versions) > 0 {
+		written = versions[0]
+	}
+	r.setVersion(c, written)
 	r.mu.Lock()
 	latest, ok := r.memory.Lookup(c.Key, c.Record.GetToken())
 	r.mu.Unlock()
@@ -211,9 +217,10 @@
 	r.memory.MarkUncertain(c.Key, c.Record.GetToken())
 }
 
-// compare reads the row of a claim and writes what is known of the claim unless the row holds
-// that already, which it reports, or the answer to another call. Rows of sidecars stand above those
-// of entries, which have no token.
+// compare reads the row of a claim and writes what is known of the claim, unless the row holds that
+// already, the claim of a sidecar in place of that of an entry, or the answer to another call. It
+// reports whether the row shows that the copy of the store has the claim. Claims of entries have no
+// token.
 func (r *Restorer) compare(ctx context.Context, c claimer.Claim) (unchanged bool, err error) {
 	row, err := r.table.Get(ctx, c.Key)
 	if err != nil {
@@ -224,15 +231,20 @@
 	same := storer.Decode(row.Value, stored) == nil && stored.GetToken() == c.Record.GetToken()
 	switch {
 	case c.Released && (row.Version == 0 || !same):
+		// The row is deleted already.
 		r.setVersion(c, storer.NewVersion(r.table.Era(), storer.Number(c.Version)))
 		return false, nil
 	case row.Version != 0 && same && !c.Released && (stored.GetDone() || !c.Record.GetDone()):
+		// The row holds all that is known. That of an entry may have been written after the store
+		// came back, so it shows nothing of the copy.
 		r.setVersion(c, row.Version)
 		return c.Record.GetToken() != "", nil
 	case row.Version != 0 && c.Record.GetToken() == "" && stored.GetToken() != "":
+		// The sidecar's claim is there.
 		r.setVersion(c, row.Version)
 		return true, nil
 	case row.Version != 0 && !same && stored.GetDone() && stored.GetToken() == "":
+		// An entry has written an answer, which stands.
 		r.setVersion(c, row.Version)
 		return false, nil
 	case row.Version != 0 && !same && stored.GetDone():
@@ -281,7 +293,8 @@
 	confirmed := r.confirmed
 	r.mu.Unlock()
 	if r.name != "" && confirmed < era {
-		// Claims that are written from here on are of this era or a later one.
+		// Waits for the calls of Claim in progress, which may have written in an earlier era. Claims
+		// that are written from here on are of this era or a later one.
 		r.claiming.Lock()
 		r.claiming.Unlock()
 	}
@@ -291,8 +304,8 @@
 	return r.confirm(ctx, era)
 }
 
-// pollEra returns the latest era of the store. A process with claims reads a row, so that it hears
-// of a new era at once; another one relies on its other calls.
+// pollEra returns the latest era of the store. A process with claims reads a row, any one, since each
+// answer of the store names its era. A process without claims relies on its other calls.
 func (r *Restorer) pollEra(ctx context.Context) (uint64, error) {
 	r.mu.Lock()
 	claims := r.memory.Len()
@@ -318,8 +331,8 @@
 // claimed the key, with a margin for its way.
 const maxClaimDelay = 5 * time.Second
 
-// evidence is what is known of the copy from which the store came back: it holds all rows up to some
-// version.
+// evidence is what is known of the copy from which the store came back. The copy holds all rows up to
+// some version, so that one unchanged row shows that those with lower versions are unchanged too.
 type evidence struct {
 	// era is that of the rows that were found unchanged, or 0. Rows of sidecars with lower versions
 	// of that era are unchanged too.
@@ -340,7 +353,7 @@
 	return storer.Era(c.Version) == v.era
 }
 
-// add adds that the row of a claim was found unchanged.
+// add records that the row of a claim was found unchanged.
 func (v *evidence) add(c claimer.Claim) {
 	switch {
 	case c.Uncertain:
@@ -425,7 +438,8 @@
 	return r.gate.Settled(era)
 }
 
-// settle writes down that the claims of an era are complete, or returns how long they may not be.
+// settle writes the row which says that the claims of an era are complete, or returns how long they
+// may still be incomplete.
 func (r *Restorer) settle(ctx context.Context, era uint64, listed []string) (time.Duration, error) {
 	rows, err := r.table.List(ctx, storer.RestoredPrefix(era))
 	if err != nil {
--- a/runner/drainconn.go
+++ b/runner/drainconn.go
@@ -126,21 +126,29 @@
 	ended   bool
 }
 
+// drainConnOf returns the connection of a drainListener under a connection of an http.Server, or nil,
+// and reports whether there is TLS in between.
+func drainConnOf(conn net.Conn) (c *drainConn, withTLS bool) {
+	outer, withTLS := conn.(interface{ NetConn() net.Conn })
+	if withTLS {
+		conn = outer.NetConn()
+	}
+	c, _ = conn.(*drainConn)
+	return c, withTLS
+}
+
 // recordState is the ConnState of an http.Server that serves a drainListener.
 func recordState(conn net.Conn, state http.ConnState) {
-	if outer, ok := conn.(interface{ NetConn() net.Conn }); ok {
-		if c, ok := outer.NetConn().(*drainConn); ok && c.holding != nil {
-			c.listener.guard.recordState(c, state)
-		}
-		return
-	}
-	c, ok := conn.(*drainConn)
-	if !ok {
+	c, withTLS := drainConnOf(conn)
+	if c == nil {
 		return
 	}
 	if c.holding != nil {
 		c.listener.guard.recordState(c, state)
 	}
+	if withTLS {
+		return
+	}
 	c.mu.Lock()
 	c.idle = state == http.StateNew || state == http.StateIdle
 	if state == http.StateIdle {
--- a/runner/guard.go
+++ b/runner/guard.go
@@ -26,16 +26,17 @@
 
 // Limits of what callers hold. See docs/design/caller-budget.md.
 const (
-	// callerShare is the share of the memory of the process that callers may hold. The heap may
-	// grow to heapFraction of that memory, of which garbage and the process itself take the rest.
+	// callerShare is the share of the memory of the process that callers may hold. The heap may grow
+	// to heapFraction of the memory, and garbage may be as large as what is in use.
 	callerShare = 0.35
 	// defaultCallerBytes is what callers may hold if the memory of the process is not known.
 	defaultCallerBytes = 256 << 20
 	// minCallerBytes is what callers may hold in a process with hardly any memory. It has room for
 	// single requests.
 	minCallerBytes = 16 << 20
-	// reservedDescriptors are left to the instance, and controlConnections is the number of
-	// connections to the listeners of metrics, health and readiness.
+	// reservedDescriptors is the number of descriptors that callers' connections leave to the
+	// process, and controlConnections the number of connections to the listeners of metrics, health
+	// and readiness.
 	reservedDescriptors = 200
 	controlConnections  = 64
 	// minConnections is the least number of callers' connections, for a process that can open
@@ -58,11 +59,12 @@
 	sweepInterval = 250 * time.Millisecond
 	// guardLogInterval is the shortest time between two log lines about one cause.
 	guardLogInterval = 5 * time.Second
-	// refuseTime bounds the time to send an answer that net/http does not send.
-	refuseTime = 100 * time.Millisecond
+	// answerTimeout bounds the time to send an answer that net/http does not send.
+	answerTimeout = 100 * time.Millisecond
 )
 
-// headSlack is how much longer than allowed a head may seem: the server reads ahead.
+// headSlack is added to the limit of a head while it is read. The server reads in blocks, so that the
+// last one may also contain the beginning of the body.
 const headSlack = 4 << 10
 
 // callerGuard bounds what callers make the process hold. All listeners of a process share one.
@@ -96,7 +98,7 @@
 	if memoryBytes > 0 {
 		return max(minCallerBytes, int64(callerShare*memoryBytes))
 	}
-	// A heap limit beyond this is none.
+	// The runtime's default limit is above maxHeapLimit and stands for no limit.
 	const maxHeapLimit = 1 << 50
 	if limit := debug.SetMemoryLimit(-1); limit < maxHeapLimit {
 		return max(minCallerBytes, int64(callerShare/heapFraction*float64(limit)))
@@ -241,7 +243,7 @@
 
 // answer writes an answer directly to a connection.
 func (g *listenerGuard) answer(c *drainConn, text string) {
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refuseTime))
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(answerTimeout))
 	if _, err := io.WriteString(c.Conn, text); err == nil {
 		_ = c.CloseWrite()
 	}
@@ -418,7 +420,7 @@
 	})
 }
 
-// headLength returns the length of the head of a request, without the spaces that mean nothing.
+// headLength returns the length of the head of a request, without optional white space.
 func headLength(r *http.Request) int64 {
 	const lineEnd, separator, versionBytes = 2, 2, 10
 	n := len(r.Method) + 1 + len(r.RequestURI) + versionBytes + lineEnd + len("Host: ") + len(r.Host) + lineEnd + lineEnd
@@ -435,10 +437,7 @@
 
 // withConn adds the connection to the context of its requests.
 func withConn(ctx context.Context, conn net.Conn) context.Context {
-	if outer, ok := conn.(interface{ NetConn() net.Conn }); ok {
-		conn = outer.NetConn()
-	}
-	if c, ok := conn.(*drainConn); ok {
+	if c, _ := drainConnOf(conn); c != nil {
 		return context.WithValue(ctx, guardConnKey{}, c)
 	}
 	return ctx
--- a/runner/ownership.go
+++ b/runner/ownership.go
@@ -25,9 +25,10 @@
 	// eras are the eras of the store. A fencing number of an earlier era than the latest one that is
 	// known is not valid, since the store may have lost the row.
 	eras storeEras
-	// takeoverWait is the wait between acquiring the engine and the first order: waitAfter another
-	// holder, the rest of adoptedLeases since the store came back from an earlier copy of itself if
-	// another process may have been the holder until then, or else 0.
+	// takeoverWait is the wait between acquiring the engine and the first order. After another holder
+	// it is that of waitAfter. If the store may have lost the row of another holder by coming back from
+	// an earlier copy of itself, it is the rest of adoptedLeases since this process heard of that.
+	// Otherwise it is 0.
 	takeoverWait time.Duration
 	// fence is the fencing number, or 0 before the engine is acquired.
 	fence atomic.Uint64
@@ -69,8 +70,9 @@
 	o.takeoverWait = max(0, time.Duration(o.validFrom.Load())-o.clock())
 }
 
-// adoptedLeases is the number of leases after which no order of an adopting process whose row was
-// replaced or lost is less than a lease old: its last proof and the orders in flight end within one.
+// adoptedLeases is the number of leases to wait after the row of an adopting process was replaced or
+// lost. The process notices, and its orders in flight end, within one lease. The first order of the
+// next holder has to come a lease later.
 const adoptedLeases = 2
 
 // holderRow is the value of an engine's holder row: the process that orders the engine.
@@ -81,8 +83,8 @@
 	// Adopted is set if the process is not the engine's sidecar. Started is then the
 	// time of the adoption.
 	Adopted bool `json:"adopted,omitempty"`
-	// Waits is set while the first order of the process waits for the right of another holder to end.
-	// A process that starts again meanwhile waits as long as it would have.
+	// Waits is set while the first order of the process waits for the right of another holder to end,
+	// so that the process waits as long if it starts again meanwhile.
 	Waits bool `json:"waits,omitempty"`
 }
 
@@ -106,10 +108,9 @@
 // the holder row is still the given one. It writes nothing if the row names this process
 // already. The fencing number is the version of the row, which grows with each
 // acquisition. If another process was the holder before, or may have been in an earlier era of the
-// store, the first order waits. A row that cannot be read counts as that of another
-// process, a sidecar. An adopting
-// process does not acquire an engine from its sidecar; the error is then a *HasSidecarError. If
-// the row has another version by now, it is a *storer.ConflictError.
+// store, the first order waits. A row that cannot be read counts as that of another process, a sidecar.
+// An adopting process does not acquire an engine from its sidecar; the error is then a
+// *HasSidecarError. If the row has another version by now, it is a *storer.ConflictError.
 func (o *ownership) acquire(ctx context.Context, table storer.Table, row storer.Row, puts ...storer.Put) error {
 	current := decodeHolder(row)
 	held := row.Version > 0
