--- a/allocator/loadscaling_test.go
+++ b/allocator/loadscaling_test.go
@@ -181,8 +181,8 @@
 	assert.Assert(t, f.allocator.loadScaled("p"))
 }
 
-// TestCoarse checks that values that differ little are the same, so that they cause no messages.
-func TestCoarse(t *testing.T) {
+// TestRoundToPowerOfTwo checks that values that differ little are the same, so that they cause no messages.
+func TestRoundToPowerOfTwo(t *testing.T) {
 	assert.Equal(t, roundToPowerOfTwo(0), 0.0)
 	assert.Equal(t, roundToPowerOfTwo(5), 4.0)
 	assert.Equal(t, roundToPowerOfTwo(5.3), 4.0)
--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -498,7 +498,7 @@
 	}
 	defer b.endRun()
 	w.Header().Set("X-Response-Seal", "seal-"+id)
-	b.statesLoad(w)
+	b.writeLoad(w)
 	if b.unframed() {
 		unframed, err := newUnframedWriter(w)
 		if err != nil {
@@ -544,8 +544,8 @@
 	return 0
 }
 
-// statesLoad states the load in the head of an answer, if the server does so.
-func (b *Backend) statesLoad(w http.ResponseWriter) {
+// writeLoad writes the load to the head of an answer, if the server does so.
+func (b *Backend) writeLoad(w http.ResponseWriter) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.setLoad(w.Header(), b.active, b.options.Slots)
--- a/imitator/machine.go
+++ b/imitator/machine.go
@@ -80,7 +80,7 @@
 	return time.Duration(float64(d) * m.options.Speed * m.momentary())
 }
 
-// setLoad states the load in the head of an answer, if the server does so.
+// setLoad sets the load in the head of an answer, if the server does so.
 func (m *machine) setLoad(header http.Header, active, slots int) {
 	if m.options.Speed > 0 {
 		header.Set("X-Server-Load", fmt.Sprintf("%d,0,%d,%d", active, slots, int(100*m.momentary())))
--- a/overloader/backend_test.go
+++ b/overloader/backend_test.go
@@ -92,7 +92,8 @@
 	}
 }
 
-// TestNativeAnswers guards against the same at an entry of the native API and at a sidecar.
+// TestNativeAnswers guards against an entry of the native API, or a sidecar, that exceeds its memory
+// because backend servers send answers that are large or have no end.
 func TestNativeAnswers(t *testing.T) {
 	for _, kind := range answerLoads {
 		t.Run(kind, func(t *testing.T) {
--- a/overloader/listener_test.go
+++ b/overloader/listener_test.go
@@ -60,8 +60,9 @@
 	return target{address: address, bodyHead: "POST " + post + head, plainHead: "GET " + get + head}
 }
 
-// TestHostedListeners guards against the same at the listeners for readiness checks and metrics of
-// a hosted entry, and against a crowd there that keeps callers out.
+// TestHostedListeners guards against a hosted entry that ends, hangs or exceeds its memory or its
+// descriptors because of a crowd at its listeners for readiness checks and metrics, and against such a
+// crowd that keeps callers out.
 func TestHostedListeners(t *testing.T) {
 	entry, ready := startHosted(t, listenerLimits)
 	callers := hostedRequest(t, entry)
@@ -74,8 +75,9 @@
 	})
 }
 
-// TestNativeListeners guards against the same at the listeners for operators and metrics of an
-// entry of the native API. The crowd has an operator's token.
+// TestNativeListeners guards against an entry of the native API that ends, hangs or exceeds its memory
+// or its descriptors because of a crowd at its listeners for operators and metrics. The crowd has an
+// operator's token.
 func TestNativeListeners(t *testing.T) {
 	n := startNative(t, listenerLimits)
 	loadListeners(t, n.entry, map[string]target{
