runner: a first request that crosses a planned stop is answered

Cause: a stop sets a read deadline in the past on connections without a request. It did so also on connections that a caller had just opened, which then got the end of the connection (EOF) in place of an answer. If the first bytes of a head were read just then, the deadline stayed in force for the rest of the head. A head that is read after its connection was named is refused with 503 (Reserve refuses, then recordRead answers), and net/http resets the read deadline behind each head. drainConn.endIfIdle is the same without a guard. Change: new connections have 100 ms for the first byte of their first request; a connection with a byte gets the deadline back that the server has set. Used connections end at once, as before. The comment of TestIdleConnectionsEndAtStop no longer says "at once"; its checks are unchanged.

--- a/runner/drainconn.go
+++ b/runner/drainconn.go
@@ -120,6 +120,10 @@
 	idle     bool
 	received bool
 	ending   bool
+	// used is set once the head of a first request is complete, and readDeadline is the deadline of
+	// reads that the server has set last.
+	used         bool
+	readDeadline time.Time
 	// holding is what the connection holds of the budget, or nil. ended is set once the guard has
 	// ended its reads.
 	holding *reserver.Holding
@@ -143,6 +147,7 @@
 	}
 	c.mu.Lock()
 	c.idle = state == http.StateNew || state == http.StateIdle
+	c.used = c.used || !c.idle
 	if state == http.StateIdle {
 		c.received = false
 	}
@@ -152,25 +157,32 @@
 	}
 }
 
-// endIfIdle makes the server close the connection unless bytes of a request were read.
+// firstRequestTime is the time that the first request of a connection has for its first byte when
+// the listener stops. Callers send it as soon as they are connected, and get the end of the connection
+// in place of an answer if it crosses the stop.
+const firstRequestTime = 100 * time.Millisecond
+
+// endIfIdle makes the server close the connection unless bytes of a request were read, or are read
+// within firstRequestTime on a new connection.
 func (c *drainConn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle || c.received {
+	if !c.idle || c.received || c.ending || c.ended {
 		return
 	}
 	c.ending = true
-	// A read that has not returned bytes fails; the server then closes the connection.
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	deadline := time.Unix(1, 0)
+	if !c.used {
+		deadline = time.Now().Add(firstRequestTime)
+	}
+	// A read that has not returned bytes by then fails; the server then closes the connection.
+	_ = c.Conn.SetReadDeadline(deadline)
 }
 
 // Read implements net.Conn.
 func (c *drainConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	c.received = c.received || n > 0
-	inHead := c.idle
-	c.mu.Unlock()
+	inHead := c.recordReceived(n > 0)
 	if c.holding != nil && n > 0 {
 		if err := c.listener.guard.recordRead(c, p[:n], inHead); err != nil {
 			return 0, err
@@ -179,6 +191,19 @@
 	return n, err
 }
 
+// recordReceived records whether bytes were read, and reports whether they are those of a head. If the
+// connection was about to end, the rest of the request is read as before.
+func (c *drainConn) recordReceived(received bool) (inHead bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if received && !c.received && c.ending && !c.ended {
+		c.ending = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	}
+	c.received = c.received || received
+	return c.idle
+}
+
 // writePieceBytes is the size of the pieces in which an answer is written, so that it shows
 // whether the caller reads.
 const writePieceBytes = 64 << 10
@@ -214,6 +239,7 @@
 func (c *drainConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.readDeadline = t
 	if c.ended || c.ending && !c.received {
 		return nil
 	}
--- a/runner/drainconn_test.go
+++ b/runner/drainconn_test.go
@@ -88,8 +88,8 @@
 	assert.NilError(t, ctx.Err())
 }
 
-// TestIdleConnectionsEndAtStop checks that a stop closes connections without a request at once,
-// whether they carried one before or not.
+// TestIdleConnectionsEndAtStop checks that a stop closes connections without a request, whether they
+// carried one before or not, without waiting for the end of its grace period.
 func TestIdleConnectionsEndAtStop(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
