tracker: a cold phase is kept and can come again after a suspected crash

Cause: once a server was taken for crashed (checks of its host, a refused connection), rows with the same start had no effect any more. If its process runs after all and turns cold again, the entry sends to it without a limit. Ruled out: the relay's record (relayer/cold.go) follows rows and permits and has no such mark. Change: after a crash rows can prolong the phase but not end it, and a crash shortens none.

--- a/locator/cold.go
+++ b/locator/cold.go
@@ -89,7 +89,7 @@
 	if b.ColdLeft(now) == 0 {
 		l.log.Info().Str("server", s.ID).Int64("born", s.Started).Int64("left", left.Milliseconds()).Msg("server: cold, as its host refuses connections")
 	}
-	b.MarkCrashed(max(b.ColdUntil(), now+left))
+	b.MarkCrashed(now + left)
 }
 
 // coldRate returns the requests a second that a server takes from all processes together because
--- a/tracker/cold.go
+++ b/tracker/cold.go
@@ -7,16 +7,20 @@
 
 // SetColdUntil sets the end of the cold phase of the server's process, 0 for none. A cold server is
 // slow and crashes if it is sent more than the rate that its pool names.
-// After MarkCrashed the rows of the crashed process have no effect.
+// After MarkCrashed the rows of the crashed process can only prolong the phase: it may run after all
+// and turn cold again.
 func (b *Backend) SetColdUntil(until time.Duration) {
-	if !b.crashed {
-		b.coldUntil = until
+	if b.crashed {
+		until = max(until, b.coldUntil)
 	}
+	b.coldUntil = until
 }
 
 // MarkCrashed records that the listed process of the server has crashed. What answers at its address
 // until it is listed with another start, or until an instant, counts as cold.
-func (b *Backend) MarkCrashed(until time.Duration) { b.coldUntil, b.crashed = until, true }
+func (b *Backend) MarkCrashed(until time.Duration) {
+	b.coldUntil, b.crashed = max(b.coldUntil, until), true
+}
 
 // ColdUntil returns the end of the cold phase, or 0 if none is known.
 func (b *Backend) ColdUntil() time.Duration { return b.coldUntil }
