placer, orderer: a drain for another copy ends

Cause: a drained model that had become idle was not unloaded if more requests were expected to miss it than wait for the copy, so that it got no requests for as long as the copy was asked for (rate 1.9/s, reload 1 s). A model that requests wait for could be drained. An unload announced for an earlier step stayed announced when a drain of another model came, also with the first model idle. Ruled out: alternating drains; a model that is being drained stays the one while it is in use. Change: an idle model that a drain may take is unloaded, and goes before models in use; a model that requests wait for is not drained; a drain replaces an announcement for a model that is not in use.

--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -435,9 +435,10 @@
 }
 
 // drain announces the unload of a model in use, so that no further requests are sent for it. A
-// model that is being drained stays the one until it is idle. The caller holds the lock.
+// model that is being drained stays the one while it is in use, so that drains do not alternate. One
+// that is idle, but not unloaded, is served again. The caller holds the lock.
 func (o *Orderer) drain(now time.Duration, step placer.Step) {
-	if o.announcedUnload != "" && o.report.Has(o.announcedUnload) {
+	if o.announcedUnload == step.Model || o.inUse(now, o.announcedUnload) {
 		return
 	}
 	o.announcedUnload, o.announcedAt = step.Model, now
@@ -445,6 +446,12 @@
 	o.log.Info().Str("server", o.serverID).Str("model", step.Model).Str("for", step.Requested).Msg("drain: no further requests for the model")
 }
 
+// inUse reports whether the engine has a model and requests for it are in flight. The caller holds the
+// lock.
+func (o *Orderer) inUse(now time.Duration, model string) bool {
+	return slices.ContainsFunc(o.loadedModels(now), func(m placer.LoadedModel) bool { return m.Model == model && m.Inflight > 0 })
+}
+
 // newOrder returns an order based on the engine's last report and the orders since, and records it in
 // the ledger. It returns the error of the ledger if the order must not be sent. The caller holds the
 // lock.
--- a/placer/nextstep.go
+++ b/placer/nextstep.go
@@ -112,7 +112,9 @@
 
 // drainStep returns the step that drains a model in use so that another copy of a much busier
 // one can be loaded in its place. Without it, a steady flow of requests for rarely used models
-// would keep the engine from ever having an idle one.
+// would keep the engine from ever having an idle one. A model that is idle is unloaded, also if more
+// requests are expected to miss it than wait for the copy; its drain would never end otherwise. A model
+// that requests wait for stays, since a drain would keep them waiting.
 func drainStep(now time.Duration, free uint64, loaded []LoadedModel, requests []LoadRequest) Step {
 	for _, r := range rankRequests(now, requests) {
 		if !r.Drain || r.Relief == 0 || containsModel(loaded, r.Model) {
@@ -121,10 +123,13 @@
 		victim := -1
 		for i, m := range loaded {
 			enough := free+m.Bytes >= r.Bytes && m.RatePerCopy()*minDrainGain <= r.Relief
-			if enough && now-m.LoadedAt >= minResidence && (victim < 0 || lessBusy(m, loaded[victim])) {
+			if enough && !isRequested(requests, m.Model) && now-m.LoadedAt >= minResidence && (victim < 0 || lessBusy(m, loaded[victim])) {
 				victim = i
 			}
 		}
+		if victim >= 0 && loaded[victim].Inflight == 0 {
+			return Step{Op: Unload, Model: loaded[victim].Model, Requested: r.Model}
+		}
 		if victim >= 0 {
 			return Step{Op: Drain, Model: loaded[victim].Model, Requested: r.Model}
 		}
@@ -132,9 +137,15 @@
 	return Step{}
 }
 
-// lessBusy reports whether x costs less to drain than y.
+// isRequested reports whether requests wait for a model.
+func isRequested(requests []LoadRequest, model string) bool {
+	return slices.ContainsFunc(requests, func(r LoadRequest) bool { return r.Model == model && r.Count > 0 })
+}
+
+// lessBusy reports whether x costs less to drain than y. An idle model costs least, so that a model
+// that has been drained goes before others.
 func lessBusy(x, y LoadedModel) bool {
-	return cmp.Or(cmp.Compare(x.RatePerCopy(), y.RatePerCopy()), cmp.Compare(x.Inflight, y.Inflight), cmp.Compare(x.Model, y.Model)) < 0
+	return cmp.Or(cmp.Compare(min(x.Inflight, 1), min(y.Inflight, 1)), cmp.Compare(x.RatePerCopy(), y.RatePerCopy()), cmp.Compare(x.Inflight, y.Inflight), cmp.Compare(x.Model, y.Model)) < 0
 }
 
 func containsModel(loaded []LoadedModel, model string) bool {
@@ -174,8 +185,7 @@
 func EvictionFor(now time.Duration, free uint64, loaded []LoadedModel, requests []LoadRequest, r LoadRequest) ([]LoadedModel, bool) {
 	var idle []LoadedModel
 	for _, m := range loaded {
-		requested := slices.ContainsFunc(requests, func(o LoadRequest) bool { return o.Model == m.Model && o.Count > 0 })
-		if m.Inflight == 0 && !requested && now-m.LoadedAt >= minResidence && r.mayDisplace(m) {
+		if m.Inflight == 0 && !isRequested(requests, m.Model) && now-m.LoadedAt >= minResidence && r.mayDisplace(m) {
 			idle = append(idle, m)
 		}
 	}
