runner: a request whose connection is to be ended does not run

Cause: if the guard named a connection (idle or head timeout, eviction, budget) between the reading of a head and its handler, a request without a body ran while reads of the connection failed. net/http then cancels the request, so that it runs in vain and its caller gets no answer. Ruled out: requests with bodies, which watchedBody refuses, and heads that are read later, which recordRead refuses. Change: such a request is refused with 503 and Retry-After before it runs, and the connection closes.

--- a/runner/drainconn_race_test.go
+++ b/runner/drainconn_race_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -116,3 +117,25 @@
 	assert.NilError(t, err)
 	assert.Equal(t, res.StatusCode, http.StatusOK)
 }
+
+// TestRequestOfEndedConnection guards against a request without a body that runs and gets no answer: its
+// connection was named as one to be ended after its head was read, so that the server took the caller
+// for gone.
+func TestRequestOfEndedConnection(t *testing.T) {
+	g := newCallerGuard(0, timer.Now, meter.New(), &log.Logger{Level: log.PanicLevel})
+	listener := g.listener(reserver.Callers, false)
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	c := &drainConn{Conn: near, listener: newDrainListener(nil, listener)}
+	assert.Assert(t, listener.admit(c))
+	for _, h := range g.reserver.Expired(timer.Now() + time.Hour) {
+		g.end(h)
+	}
+	ran := false
+	handler := listener.wrap(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran = true }))
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil).WithContext(withConn(t.Context(), c)))
+	assert.Assert(t, !ran)
+	assert.Equal(t, recorder.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, recorder.Header().Get("Retry-After"), "1")
+}
--- a/runner/guard.go
+++ b/runner/guard.go
@@ -410,7 +410,14 @@
 			g.reserver.Enter(g.clock(), c.holding, reserver.Serving)
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 		case r.ContentLength == 0:
-			g.reserver.Enter(g.clock(), c.holding, reserver.Serving)
+			if !g.reserver.Enter(g.clock(), c.holding, reserver.Serving) {
+				// The reads of the connection fail, so that the server would take the caller for gone
+				// while the request runs.
+				w.Header().Set("Retry-After", "1")
+				w.Header().Set("Connection", "close")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
 		default:
 			r.Body = &watchedBody{ReadCloser: r.Body, account: a}
 		}
