--- a/tracker/cold.go
+++ b/tracker/cold.go
@@ -6,17 +6,20 @@
 const MaxColdTime = 10 * time.Minute
 
 // SetColdUntil sets the end of the cold phase of the server's process, 0 for none. A cold server is slow
-// and crashes if it is sent more than the cold rate of its pool. After MarkCrashed, SetColdUntil has no
-// effect, since rows of the crashed process may still arrive.
+// and crashes if it is sent more than the cold rate of its pool. After MarkCrashed the rows of the
+// crashed process can only prolong the phase: it may run after all and turn cold again.
 func (b *Backend) SetColdUntil(until time.Duration) {
-	if !b.crashed {
-		b.coldUntil = until
+	if b.crashed {
+		until = max(until, b.coldUntil)
 	}
+	b.coldUntil = until
 }
 
 // MarkCrashed records that the listed process of the server has crashed. What answers at its address
 // counts as cold until the given instant or until the server is listed with another start.
-func (b *Backend) MarkCrashed(until time.Duration) { b.coldUntil, b.crashed = until, true }
+func (b *Backend) MarkCrashed(until time.Duration) {
+	b.coldUntil, b.crashed = max(b.coldUntil, until), true
+}
 
 // ColdUntil returns the end of the cold phase, or 0 if none is known.
 func (b *Backend) ColdUntil() time.Duration { return b.coldUntil }
