allocator: no load is kept for models of value if the weight store runs only one

Cause: one load from the weight store is kept for loads of value. If the queue has learned that the store runs one load at full speed, that kept out all others, and models that single requests ask for were never loaded. Found by reading. Ruled out: the order among the queued loads, which aging and arrivals decide. Change: nothing is kept unless the store runs more than that at full speed. Run: TestSlowStoreStarvesNoModel (failed before), go test -race ./allocator ./placer, vet, revive.

--- a/allocator/loadscaling.go
+++ b/allocator/loadscaling.go
@@ -20,7 +20,8 @@
 	servedTime = 5 * time.Second
 	// reservedFetches is the number of concurrent loads from the weight store that are kept for
 	// loads with a value of reservedFetchValue or more. A load takes seconds and cannot be
-	// interrupted.
+	// interrupted. None is kept if the weight store runs no more than that at full speed, so
+	// that no model waits without end.
 	reservedFetches    = 1
 	reservedFetchValue = 2.0
 	// nearbyDetour is added to the time of a load from the weight store at an engine that is near the
@@ -144,7 +145,7 @@
 			ahead++
 		}
 	}
-	if p.rank < reservedFetchValue {
+	if p.rank < reservedFetchValue && a.fetchQueue.Capacity() > reservedFetches {
 		ahead += reservedFetches
 	}
 	return ahead
--- a/allocator/loadscaling_test.go
+++ b/allocator/loadscaling_test.go
@@ -155,6 +155,27 @@
 	assert.Equal(t, len(p.decide()), 1)
 }
 
+// TestSlowStoreStarvesNoModel guards against a model that is never loaded because the only load that the
+// weight store runs at full speed is kept for models of more value.
+func TestSlowStoreStarvesNoModel(t *testing.T) {
+	p := newScaledPool()
+	late := func(engine, model string) {
+		p.allocator.fetchQueue.RecordFetch(p.now, engine, model, fetchTime)
+	}
+	for range 100 {
+		late(engineID(4), "x")
+		late(engineID(5), "y")
+		p.now += 500 * time.Millisecond
+	}
+	for _, i := range []int{4, 5} {
+		p.allocator.fetchQueue.RemoveEngine(p.now, engineID(i))
+	}
+	assert.Equal(t, p.allocator.fetchQueue.Capacity(), 1)
+	p.report()
+	p.allocator.SetDemand("rare", Demand{Count: 1, Value: 0.25, TargetTime: p.now + time.Second, FirstArrival: p.now})
+	assert.Assert(t, findLoad(p.decide(), "rare") != nil)
+}
+
 // TestAdapterCopyJoinsItsModel guards against a copy of an adapter that loads its model on another
 // engine, which takes seconds, though an engine that has the model could load the adapter at once.
 func TestAdapterCopyJoinsItsModel(t *testing.T) {
--- a/placer/fetchqueue.go
+++ b/placer/fetchqueue.go
@@ -154,7 +154,10 @@
 }
 
 // spareCapacity returns the number of further loads that would run at full speed.
-func (q *FetchQueue) spareCapacity() int { return int(q.capacity+0.5) - len(q.fetches) }
+func (q *FetchQueue) spareCapacity() int { return q.Capacity() - len(q.fetches) }
+
+// Capacity returns the number of loads that run at full speed at the same time.
+func (q *FetchQueue) Capacity() int { return int(q.capacity + 0.5) }
 
 // SpareCapacity returns the number of further loads that would run at full speed, and the
 // instant since which there is capacity for one.
