review: a sidecar runs calls that were meant for another service

A machine is lost and its address goes to a machine of another service; until the list drops the lost one, the entry sends orders to the address and the sidecar there hands them to its own service (ROUTE).

--- a/review/_cases/fleet.go
+++ b/review/_cases/fleet.go
@@ -136,12 +136,13 @@
 
 // process is a process of the system.
 type process struct {
-	name    string
-	command *exec.Cmd
-	logFile *os.File
-	callers string
-	ready   string
-	done    chan struct{}
+	name      string
+	command   *exec.Cmd
+	logFile   *os.File
+	callers   string
+	ready     string
+	operators string
+	done      chan struct{}
 }
 
 // freeAddress returns an address of loopback with a port that was free.
