review: a smaller size in the manifest counts for what is already loaded

A change of the manifest gives a model that an engine holds a smaller size, as a new version has; the next model is ordered without an unload, beyond weights_mb, and the engine crashes (LIMIT).

--- a/review/_cases/adapters.go
+++ b/review/_cases/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,9 +12,10 @@
 	"oleanderstall/imitator"
 )
 
-// engineModel is a model in the configuration of an engine's service.
+// engineModel is a model in the configuration of an engine's service. Its weights take mb megabytes.
 type engineModel struct {
 	name     string
+	mb       int
 	adapters int
 }
 
@@ -29,7 +31,7 @@
 	var list []map[string]any
 	for _, m := range models {
 		list = append(list, map[string]any{
-			"name": m.name, "weights_mb": modelMB, "adapters": m.adapters, "adapter_mb": 1, "load_time_s": 0.3, "disk_s": 0.3, "warm_s": 0.3,
+			"name": m.name, "weights_mb": m.mb, "adapters": m.adapters, "adapter_mb": 1, "load_time_s": 0.3, "disk_s": 0.3, "warm_s": 0.3,
 		})
 	}
 	r := route("draft", "streaming", "models", 20*time.Second)
@@ -41,11 +43,12 @@
 	}})
 }
 
-// startEngine starts one engine with its sidecar, and an entry.
-func (f *fleet) startEngine() (*imitator.Backend, *process, *process, error) {
+// startEngine starts one engine with its sidecar, and an entry. The engine knows the models with the
+// sizes that they have in the weight store at first.
+func (f *fleet) startEngine(models ...engineModel) (*imitator.Backend, *process, *process, error) {
 	var known []imitator.BackendModel
-	for i := range 3 {
-		known = append(known, imitator.BackendModel{Name: imitator.SiteModel(i), WeightsMB: modelMB, LoadTime: 300 * time.Millisecond})
+	for _, m := range models {
+		known = append(known, imitator.BackendModel{Name: m.name, WeightsMB: float64(m.mb), LoadTime: 300 * time.Millisecond})
 	}
 	engine := imitator.NewBackend(imitator.BackendOptions{
 		ID: "engine-1", Pool: "models", Centre: zone, Slots: 32, Models: known, MemoryMB: engineMB, AdapterSlots: adapterSlots,
@@ -130,31 +133,94 @@
 	}
 }
 
-// adaptersCase withdraws two adapters that the engine holds in its only slots. Then callers ask for two
-// others.
-func adaptersCase(f *fleet, trouble bool) ([]string, error) {
-	if err := f.configureEngine(engineModel{"model0", 4}, engineModel{"model1", 4}); err != nil {
+// engineCase is a change of the configuration after an engine has loaded models and adapters, and a
+// request for another one after that.
+type engineCase struct {
+	before, after []engineModel
+	// loaded are asked for first, held while the last one is asked for.
+	loaded []string
+	held   string
+	asked  string
+	// restarts is set if the sidecar is stopped and started after the change.
+	restarts bool
+	limit    string
+}
+
+// play plays the case. It returns what an order beyond the engine's limits has broken.
+func (c *engineCase) play(f *fleet, trouble bool) ([]string, error) {
+	if err := f.configureEngine(c.before...); err != nil {
 		return nil, err
 	}
-	engine, _, entry, err := f.startEngine()
+	engine, sidecar, entry, err := f.startEngine(c.before...)
 	if err != nil {
 		return nil, err
 	}
-	for _, m := range []string{"model0", "model1", "model0/a3", "model0/a4"} {
+	for _, m := range c.loaded {
 		if err := f.draft(entry, m); err != nil {
 			return nil, err
 		}
 	}
 	if n := engine.Overcommits(); n > 0 {
-		return nil, fmt.Errorf("%d overcommits before the change", n)
+		return nil, fmt.Errorf("%d overcommits before the change: %w", n, errNotSound)
 	}
 	if trouble {
-		if err := f.configureEngine(engineModel{"model0", 2}, engineModel{"model1", 4}); err != nil {
+		if err := f.configureEngine(c.after...); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(4 * time.Second)
+	if c.restarts {
+		if err := f.restart(sidecar); err != nil {
 			return nil, err
 		}
+		time.Sleep(5 * time.Second)
 	}
-	time.Sleep(5 * time.Second)
-	return f.askBeside(engine, entry, "model1", "model1/a1", fmt.Sprintf("more adapters than the %d slots of the engine hold", adapterSlots))
+	return f.askBeside(engine, entry, c.held, c.asked, c.limit)
+}
+
+// errNotSound reports that a case cannot be judged.
+var errNotSound = errors.New("the deployment was not sound before the disruption")
+
+// adaptersCase withdraws two adapters that the engine holds in its only slots. Then a caller asks for
+// another one.
+func adaptersCase(f *fleet, trouble bool) ([]string, error) {
+	c := engineCase{
+		before: []engineModel{{"model0", modelMB, 4}, {"model1", modelMB, 4}},
+		after:  []engineModel{{"model0", modelMB, 2}, {"model1", modelMB, 4}},
+		loaded: []string{"model0", "model1", "model0/a3", "model0/a4"},
+		held:   "model1", asked: "model1/a1",
+		limit: fmt.Sprintf("more adapters than the %d slots of the engine hold", adapterSlots),
+	}
+	return c.play(f, trouble)
+}
+
+// retiredCase withdraws a model that the engine holds, and then restarts the sidecar by SIGTERM. Then a
+// caller asks for a third model.
+func retiredCase(f *fleet, trouble bool) ([]string, error) {
+	c := engineCase{
+		before: []engineModel{{"model0", modelMB, 0}, {"model1", modelMB, 0}, {"model2", modelMB, 0}},
+		after:  []engineModel{{"model1", modelMB, 0}, {"model2", modelMB, 0}},
+		loaded: []string{"model0", "model1"},
+		held:   "model1", asked: "model2", restarts: true,
+		limit: fmt.Sprintf("more than the %d MB of the engine hold", engineMB),
+	}
+	return c.play(f, trouble)
+}
+
+// smallMB is the size of a small model, and of the next version of a large one.
+const smallMB = 600
+
+// resizedCase publishes a smaller version of a model that the engine holds; the engine holds the larger
+// one until it is ordered to load the model again. Then a caller asks for a third model.
+func resizedCase(f *fleet, trouble bool) ([]string, error) {
+	c := engineCase{
+		before: []engineModel{{"model0", modelMB, 0}, {"model1", modelMB, 0}, {"model2", smallMB, 0}},
+		after:  []engineModel{{"model0", smallMB - 200, 0}, {"model1", modelMB, 0}, {"model2", smallMB, 0}},
+		loaded: []string{"model0", "model1"},
+		held:   "model1", asked: "model2",
+		limit: fmt.Sprintf("more than the %d MB of the engine hold", engineMB),
+	}
+	return c.play(f, trouble)
 }
 
 // askBeside asks for a model or an adapter that the engine does not hold, while the answer to an ordinary
@@ -181,32 +247,3 @@
 	}
 	return nil, nil
 }
-
-// retiredCase withdraws a model that the engine holds, and then restarts the sidecar by SIGTERM. Then
-// callers ask for a third model.
-func retiredCase(f *fleet, trouble bool) ([]string, error) {
-	all := []engineModel{{"model0", 0}, {"model1", 0}, {"model2", 0}}
-	if err := f.configureEngine(all...); err != nil {
-		return nil, err
-	}
-	engine, sidecar, entry, err := f.startEngine()
-	if err != nil {
-		return nil, err
-	}
-	for _, m := range []string{"model0", "model1"} {
-		if err := f.draft(entry, m); err != nil {
-			return nil, err
-		}
-	}
-	if trouble {
-		if err := f.configureEngine(all[1:]...); err != nil {
-			return nil, err
-		}
-	}
-	time.Sleep(4 * time.Second)
-	if err := f.restart(sidecar); err != nil {
-		return nil, err
-	}
-	time.Sleep(5 * time.Second)
-	return f.askBeside(engine, entry, "model1", "model2", fmt.Sprintf("more than the %d MB of the engine hold", engineMB))
-}
--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(f *fleet, trouble bool) ([]string, error){
 	"adapters": adaptersCase,
 	"retired":  retiredCase,
+	"resized":  resizedCase,
 	"reuse":    reuseCase,
 }
 
