review: a service that restarts under its ID proves the end of a cut stream

A plain service crashes in the middle of a stream without framing that its caller reads slowly, and is back after 1 s under its ID; the entry passes the part on as a complete answer (ORDER).

--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -18,9 +18,14 @@
 	"retired":  retiredCase,
 	"resized":  resizedCase,
 	"reuse":    reuseCase,
+	"unframed": unframedCase,
 }
 
 func main() {
+	if len(os.Args) == 3 && os.Args[1] == "serve-streams" {
+		fmt.Fprintln(os.Stderr, serveStreams(os.Args[2]))
+		os.Exit(exitNotRun)
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: cases CASE RECORD")
 		os.Exit(exitNotRun)
