review: a play of a route that is split between two attempts

Not a case yet: an order with an idempotency key runs a second time if the operator splits its route before the caller repeats it.

--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -19,6 +19,7 @@
 	"resized":  resizedCase,
 	"reuse":    reuseCase,
 	"method":   methodCase,
+	"split":    splitCase,
 	"unframed": unframedCase,
 }
 
--- a/review/_cases/native.go
+++ b/review/_cases/native.go
@@ -190,6 +190,15 @@
 
 	mu   sync.Mutex
 	runs []string
+	// work is how long the server works on a request.
+	work time.Duration
+}
+
+// setWork sets how long the server works on a request from now on.
+func (s *orderService) setWork(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.work = d
 }
 
 // ServeHTTP implements http.Handler.
@@ -200,8 +209,10 @@
 	}
 	s.mu.Lock()
 	s.runs = append(s.runs, r.Method+" "+r.URL.Path+" "+string(body))
+	work := s.work
 	s.mu.Unlock()
 	s.f.log("%s, a server of %s, runs %s %s %q of workspace %s", s.name, s.pool, r.Method, r.URL.Path, body, r.Header.Get("X-Workspace"))
+	time.Sleep(work)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusCreated)
 	_, _ = fmt.Fprintf(w, `{"server": %q, "item": %q}`, s.name, body)
