review: an order runs twice after its route was split

An order with an idempotency key is sent again after the operator has split its route; the claim lies under the old route's name, and the order runs a second time (TWICE).

--- a/review/_cases/fleet.go
+++ b/review/_cases/fleet.go
@@ -242,6 +242,11 @@
 // restart stops a process by SIGTERM and starts it again with its settings.
 func (f *fleet) restart(p *process) error {
 	f.signal(p, syscall.SIGTERM)
+	return f.startAgain(p)
+}
+
+// startAgain waits for the end of a process and starts it again with its settings.
+func (f *fleet) startAgain(p *process) error {
 	<-p.done
 	next := exec.Command(p.command.Path, p.command.Args[1:]...)
 	next.Env, next.Stdout, next.Stderr = p.command.Env, p.logFile, p.logFile
--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -20,6 +20,7 @@
 	"reuse":    reuseCase,
 	"method":   methodCase,
 	"split":    splitCase,
+	"drill":    drillCase,
 	"unframed": unframedCase,
 }
 
--- a/review/_cases/native.go
+++ b/review/_cases/native.go
@@ -224,3 +224,14 @@
 	defer s.mu.Unlock()
 	return append([]string(nil), s.runs...)
 }
+
+// count returns how often the server has run a request.
+func (s *orderService) count(request string) int {
+	n := 0
+	for _, run := range s.ran() {
+		if run == request {
+			n++
+		}
+	}
+	return n
+}
--- a/review/_cases/split.go
+++ b/review/_cases/split.go
@@ -6,13 +6,19 @@
 	"time"
 )
 
-// Intents of the case split: one route for all orders, and another one for some of them.
+// Intents of the case split: one route for all orders, and one for each kind of them.
 const (
 	allOrdersIntent = `{
   "workspaces": [{"name": "gent", "rate": 1000, "burst": 1000}],
   "routes": [{"name": "orders", "method": "POST", "path": "/orders/{kind}", "pool": "reservations", "workspaces": ["gent"]}]
 }`
-	printOrdersIntent = `{"routes": [{"name": "orders-for-print", "method": "POST", "path": "/orders/print", "pool": "reservations", "workspaces": ["gent"]}], "drops": ["route/orders"]}`
+	splitIntent = `{
+  "routes": [
+    {"name": "print-orders", "method": "POST", "path": "/orders/print", "pool": "reservations", "workspaces": ["gent"]},
+    {"name": "fold-orders", "method": "POST", "path": "/orders/fold", "pool": "reservations", "workspaces": ["gent"]}
+  ],
+  "drops": ["route/orders"]
+}`
 )
 
 // orderTime is how long the service works on an order. It is longer than the caller waits at first.
@@ -29,9 +35,7 @@
 		return nil, err
 	}
 	s := &orderService{f: f, name: "reservations-1", pool: "reservations"}
-	backend, err := f.listen(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.ServeHTTP(w, r)
-	}))
+	backend, err := f.listen(s)
 	if err != nil {
 		return nil, err
 	}
@@ -53,7 +57,7 @@
 	_, _, _ = n.order(entry, "/orders/print", body, key)
 	s.setWork(0)
 	if trouble {
-		if err := n.apply(entry, printOrdersIntent); err != nil {
+		if err := n.apply(entry, splitIntent); err != nil {
 			return nil, err
 		}
 	}
@@ -62,12 +66,7 @@
 			break
 		}
 	}
-	runs := 0
-	for _, run := range s.ran() {
-		if run == "POST /orders/print "+body {
-			runs++
-		}
-	}
+	runs := s.count("POST /orders/print " + body)
 	f.log("the order has run %d times", runs)
 	if runs > 1 {
 		return []string{fmt.Sprintf("TWICE: the order with the key %s ran %d times", key, runs)}, nil
