review: a sidecar orders with the fence number 0 when the store comes back

The store comes back from a copy while a sidecar orders adapters one after the other: it asks for its number anew for each and sends the order also if it has none (ONE).

--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -21,6 +21,7 @@
 	"method":   methodCase,
 	"split":    splitCase,
 	"drill":    drillCase,
+	"fence":    fenceCase,
 	"unframed": unframedCase,
 }
 
