--- a/review/_cases/reuse.go
+++ b/review/_cases/reuse.go
@@ -18,6 +18,13 @@
 	lapseTime  = 3600 * time.Millisecond
 )
 
+// reservationServers is the number of servers of the service, of which one is lost, and orderGap the time
+// between two orders.
+const (
+	reservationServers = 7
+	orderGap           = 20 * time.Millisecond
+)
+
 const reuseIntent = `{
   "workspaces": [{"name": "gent", "rate": 1000, "burst": 1000}],
   "routes": [
@@ -26,7 +33,7 @@
   ]
 }`
 
-// reuseCase ends the machine of one of two servers of a service, and gives its address to a new machine
+// reuseCase ends the machine of one of the servers of a service, and gives its address to a new machine
 // of another service, while the platform's list still names the first one. With no disruption
 // the new machine comes at another address.
 func reuseCase(f *fleet, trouble bool) ([]string, error) {
@@ -38,14 +45,19 @@
 	if err != nil {
 		return nil, err
 	}
-	var addresses [3]string
-	var sidecars [2]*process
+	var addresses [reservationServers + 1]string
+	var sidecars [reservationServers]*process
 	for i := range addresses {
 		if addresses[i], err = freeAddress(); err != nil {
 			return nil, err
 		}
 	}
-	services := []*orderService{{f: f, name: "reservations-1", pool: "reservations"}, {f: f, name: "reservations-2", pool: "reservations"}, {f: f, name: "billing-1", pool: "billing"}}
+	var services []*orderService
+	for i := range sidecars {
+		services = append(services, &orderService{f: f, name: fmt.Sprintf("reservations-%d", i+1), pool: "reservations"})
+	}
+	billing := &orderService{f: f, name: "billing-1", pool: "billing"}
+	services = append(services, billing)
 	backends := make([]string, len(services))
 	for i, s := range services {
 		if backends[i], err = f.listen(s); err != nil {
@@ -65,18 +77,18 @@
 	}
 	time.Sleep(quietTime)
 	ended := time.Now()
-	address := addresses[2]
+	address := addresses[reservationServers]
 	if trouble {
 		f.signal(sidecars[0], syscall.SIGKILL)
 		address = addresses[0]
 	}
 	time.Sleep(time.Until(ended.Add(reuseAfter)))
-	if _, err := n.startServiceSidecar("billing-1", "billing", address, backends[2]); err != nil {
+	if _, err := n.startServiceSidecar("billing-1", "billing", address, backends[reservationServers]); err != nil {
 		return nil, err
 	}
 	for i := 0; time.Since(ended) < lapseTime; i++ {
 		_, _, _ = n.order(entry, "/reserve", fmt.Sprintf("print run %d", i), "")
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(orderGap)
 	}
 	if trouble {
 		if err := n.drop("reservations-1"); err != nil {
@@ -84,7 +96,7 @@
 		}
 	}
 	var violations []string
-	for _, run := range services[2].ran() {
+	for _, run := range billing.ran() {
 		if strings.HasPrefix(run, "POST /reserve") {
 			violations = append(violations, fmt.Sprintf("ROUTE: billing-1, a server of billing, ran %q, which only reservations may run", run))
 		}
