quarantiner: logs say why a quarantine ends, and which whole request was sent

The logs could not tell whether a fatal request was sent again because its quarantine was released for another one, because its crashes were not counted, or because the repeat counted as another request. 'part: released' has a cause now (answered, expired, explained); the lines 'send' and 'refused' name the fingerprint of the whole request.

No logic is changed.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -483,7 +483,7 @@
 	c.recorder.Add(time.Now(), "request/"+request.ID, "workspace "+request.Workspace+", route "+request.Route+", model "+request.Model+": "+refusal.Error())
 	c.log.Info().Str("request", request.ID).Str("workspace", request.Workspace).Str("model", request.Model).
 		Str("adapter", request.Adapter).Str("server", p.server).Str("kind", refusal.Kind().String()).Bool("never", refusal.NeverRan()).
-		Str("parts", FormatParts(request.Prompt)).Uint64("events", p.assembly.Next()-request.FirstIndex).Uint64("config", request.ConfigVersion).Float64("tokens", request.Cost).
+		Str("parts", FormatParts(request.Prompt)).Str("whole", request.FormatDigest()).Uint64("events", p.assembly.Next()-request.FirstIndex).Uint64("config", request.ConfigVersion).Float64("tokens", request.Cost).
 		Int64("took", (c.clock()-request.Started).Milliseconds()).Int64("retry", refusal.RetryAfter().Milliseconds()).
 		Str("answer", p.answer.String()).Int("passed", p.passed).Bool("begun", p.assembly.Begun()).Str("cause", refusal.Text()).Msg("refused")
 	return refusal
--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -29,6 +29,9 @@
 	return prints
 }
 
+// FormatDigest returns the digest of r in hexadecimal, as quarantines name it.
+func (r *Request) FormatDigest() string { return strconv.FormatUint(r.Digest, 16) }
+
 // MayBeCrash reports whether an attempt ended as it does when its backend server crashes
 // before it answers: the connection was lost after the request may have arrived.
 func (result AttemptResult) MayBeCrash() bool {
@@ -165,7 +168,7 @@
 			message = "part: released"
 		}
 		q.started = q.started || !change.Ended()
-		q.log.Info().Str("pool", found.Pool()).Str("part", part).Int("crashes", found.Crashes()).
+		q.log.Info().Str("pool", found.Pool()).Str("part", part).Int("crashes", found.Crashes()).Str("cause", change.Cause().String()).
 			Int64("since", (now-found.Since()).Milliseconds()).Int64("left", (found.Until() - now).Milliseconds()).Msg(message)
 		q.recorder.Add(time.Now(), "part/"+part, fmt.Sprintf("%s after %d crashes of backend servers, the first %v ago",
 			message, found.Crashes(), (now-found.Since()).Round(time.Second/10)))
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -145,7 +145,7 @@
 			s.until = l.Time
 		}
 		s.instances[l.Instance] = true
-		for _, name := range []string{"server", "model", "adapter"} {
+		for _, name := range []string{"server", "model", "adapter", "whole"} {
 			if v := l.Get(name); v != "" {
 				s.resources[v] = true
 			}
--- a/quarantiner/decision.go
+++ b/quarantiner/decision.go
@@ -7,17 +7,37 @@
 	"time"
 )
 
+//go:generate stringer -type=EndCause -linecomment
+
+// EndCause is why a quarantine has ended.
+type EndCause int
+
+// Causes. The comment behind a constant is its written name.
+const (
+	// NotEnded is the cause of a quarantine that has started.
+	NotEnded EndCause = iota // none
+	// Answered quarantines end because a request with the fingerprint was answered.
+	Answered // answered
+	// Expired ones end because the latest crash is long ago.
+	Expired // expired
+	// Explained ones end because another fingerprint explains their crashes.
+	Explained // explained
+)
+
 // Change is the start or the end of a quarantine.
 type Change struct {
 	quarantine *Quarantine
-	ended      bool
+	cause      EndCause
 }
 
 // Quarantine returns the quarantine that has started or ended.
 func (c Change) Quarantine() *Quarantine { return c.quarantine }
 
 // Ended reports whether the quarantine has ended.
-func (c Change) Ended() bool { return c.ended }
+func (c Change) Ended() bool { return c.cause != NotEnded }
+
+// Cause returns why the quarantine has ended.
+func (c Change) Cause() EndCause { return c.cause }
 
 // TakeChanges returns the changes since the last call.
 func (q *Quarantiner) TakeChanges() []Change {
@@ -249,7 +269,23 @@
 	for key, quarantine := range previous {
 		if q.quarantines[key] == nil {
 			delete(q.trials, key)
-			q.changes = append(q.changes, Change{quarantine: quarantine, ended: true})
+			q.changes = append(q.changes, Change{quarantine: quarantine, cause: q.endCause(key)})
+		}
+	}
+}
+
+// endCause returns why the quarantine of a fingerprint has ended.
+func (q *Quarantiner) endCause(key subject) EndCause {
+	cause := Expired
+	for _, c := range q.crashes {
+		s, ok := c.suspects[key.id]
+		switch {
+		case c.pool != key.pool || !ok:
+		case s.cleared:
+			return Answered
+		default:
+			cause = Explained
 		}
 	}
+	return cause
 }
