quarantiner: a fatal request stays quarantined whatever else explains its crashes

Cause: each crash was evidence against one fingerprint only. Of two fatal requests in flight at the same engines the one with more crashes took the crashes of the other, whose quarantine was released at all entries at once; its next crash turned that around. A safety decision was made anew from a competition, so that new evidence against one acquitted another.

Change: the fingerprint of a whole request says so (wire field whole) and is quarantined for all of its crashes. Only its own repeats are refused for it, so that a request which merely was there loses little. Parts of prompts, which sound requests share, are still blamed for unexplained crashes only.

--- a/quarantiner/decision.go
+++ b/quarantiner/decision.go
@@ -106,18 +106,26 @@
 // decide returns the quarantines that follow from the records. The fingerprint that was in
 // flight at the most crashes explains these; what the remaining crashes have in common is
 // then looked for in the same way, so that a fingerprint that only accompanies the fatal one
-// is not quarantined for it.
+// is not quarantined for it. A whole request is quarantined for all of its crashes, whatever else
+// explains them: it can only be one of several causes, and none but its repeats are refused for it.
 func (q *Quarantiner) decide() map[subject]*Quarantine {
 	quarantines := map[subject]*Quarantine{}
 	unexplained := slices.Collect(maps.Values(q.crashes))
-	for {
-		worst := mostSuspect(unexplained)
-		if worst == nil {
-			return quarantines
+	found := sufficientEvidence(unexplained)
+	for _, e := range found {
+		if e.whole {
+			quarantines[e.subject] = e.quarantine()
+		}
+	}
+	for len(found) > 0 {
+		worst := slices.MaxFunc(found, compareEvidence)
+		if !worst.whole {
+			quarantines[worst.subject] = worst.quarantine()
 		}
-		quarantines[worst.subject] = worst.quarantine()
 		unexplained = slices.DeleteFunc(unexplained, worst.explains)
+		found = sufficientEvidence(unexplained)
 	}
+	return quarantines
 }
 
 // evidence is what speaks against a fingerprint: the instants of the crashes at which it was
@@ -126,6 +134,7 @@
 type evidence struct {
 	subject subject
 	depth   int
+	whole   bool
 	crashes []time.Duration
 	moments int
 	// scattered is set if there are at least minScattered crashes, spread over minSpread.
@@ -139,9 +148,8 @@
 	return e.moments >= minCrashesAnswered || !e.answered && (e.moments >= minCrashes || e.scattered)
 }
 
-// mostSuspect returns the evidence that weighs most of what suffices for a quarantine, or nil if
-// none does.
-func mostSuspect(crashes []*crash) *evidence {
+// sufficientEvidence returns the evidence in some crashes that suffices for a quarantine.
+func sufficientEvidence(crashes []*crash) []*evidence {
 	counts, instants := countSuspects(crashes)
 	found := map[subject]*evidence{}
 	for _, c := range crashes {
@@ -155,19 +163,20 @@
 			}
 			found[key].crashes = append(found[key].crashes, c.at)
 			found[key].depth = max(found[key].depth, s.depth)
+			found[key].whole = found[key].whole || s.whole
 			found[key].answered = found[key].answered || s.answered
 		}
 	}
-	var worst *evidence
+	var sufficient []*evidence
 	for _, e := range found {
 		slices.Sort(e.crashes)
 		counted := countedCrashes(e.crashes, instants[e.subject.pool])
 		e.moments, e.scattered = countMoments(counted), scattered(counted)
-		if e.sufficient() && (worst == nil || compareEvidence(e, worst) > 0) {
-			worst = e
+		if e.sufficient() {
+			sufficient = append(sufficient, e)
 		}
 	}
-	return worst
+	return sufficient
 }
 
 // countSuspects returns the number of crashes by suspect, and the instants of all crashes by
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -62,6 +62,8 @@
 	// Depth is the position of the content in the request. Of the parts of a prompt, a
 	// deeper one is shared by fewer requests.
 	Depth int
+	// Whole is set for the fingerprint of a whole request.
+	Whole bool
 }
 
 // Process is a process of a backend server.
@@ -81,6 +83,7 @@
 // suspect is a fingerprint of a request that had no answer when a server crashed.
 type suspect struct {
 	depth int
+	whole bool
 	// cleared is set once a request with the fingerprint was answered after the crash, and
 	// answered if that happened before.
 	cleared  bool
@@ -177,7 +180,7 @@
 func (q *Quarantiner) RecordCrash(at time.Duration, p Process, pool string, fingerprints []Fingerprint) {
 	c := q.crashOf(p, pool, at)
 	for _, f := range fingerprints {
-		q.addSuspect(c, f.ID, q.withAnswer(c, f.ID, suspect{depth: f.Depth}))
+		q.addSuspect(c, f.ID, q.withAnswer(c, f.ID, suspect{depth: f.Depth, whole: f.Whole}))
 	}
 	q.markChanged(p)
 }
@@ -214,7 +217,12 @@
 // reports whether the crash has changed.
 func (q *Quarantiner) addSuspect(c *crash, id uint64, s suspect) bool {
 	known, ok := c.suspects[id]
-	merged := suspect{depth: max(known.depth, s.depth), cleared: known.cleared || s.cleared, answered: known.answered || s.answered}
+	merged := suspect{
+		depth:    max(known.depth, s.depth),
+		whole:    known.whole || s.whole,
+		cleared:  known.cleared || s.cleared,
+		answered: known.answered || s.answered,
+	}
 	if ok && merged == known {
 		return false
 	}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -370,3 +370,42 @@
 func soundPrints(r *rand.Rand) []Fingerprint {
 	return prints(uint64(10+r.IntN(3)), uint64(20+r.IntN(40)), r.Uint64()|1<<63)
 }
+
+// wholePrint returns the fingerprint of a whole request behind that of its one part.
+func wholePrints(part, whole uint64) []Fingerprint {
+	return append(prints(part), Fingerprint{ID: whole, Depth: 1, Whole: true})
+}
+
+// TestFatalRequestsAtOnce guards against a request on which servers crash that is released when
+// another one explains its crashes: two fatal requests were in flight at the first three crashes, and
+// each crash of one alone, later, must leave both quarantined.
+func TestFatalRequestsAtOnce(t *testing.T) {
+	const first, second = own, own + 1
+	q := New(0)
+	quarantined := func(now time.Duration, part, whole uint64) bool {
+		return q.Check(now, "r", "p", wholePrints(part, whole)) != nil
+	}
+	for i := range 3 {
+		at := time.Hour + time.Duration(i)*time.Second
+		q.RecordCrash(at, process(i), "p", wholePrints(shared, first))
+		q.RecordCrash(at, process(i), "p", wholePrints(middle, second))
+	}
+	now := time.Hour + 3*time.Second
+	assert.Assert(t, quarantined(now, shared, first))
+	assert.Assert(t, quarantined(now, middle, second))
+	for i := range 6 {
+		now += 2 * time.Second
+		if i%2 == 0 {
+			q.RecordCrash(now, process(10+i), "p", wholePrints(shared, first))
+		} else {
+			q.RecordCrash(now, process(10+i), "p", wholePrints(middle, second))
+		}
+		assert.Assert(t, quarantined(now, shared, first), "after crash %d", i)
+		assert.Assert(t, quarantined(now, middle, second), "after crash %d", i)
+	}
+	for _, change := range q.TakeChanges() {
+		assert.Assert(t, !change.Ended(), "%x was released: %s", change.Quarantine().ID(), change.Cause())
+	}
+	q.RecordAnswer(now, "p", prints(shared, middle))
+	assert.Assert(t, q.Check(now, "r", "p", prints(shared, middle)) == nil, "other requests with the parts")
+}
