quarantiner: every crash of a whole request counts

Cause: a crash did not count if most crashes of the pool within 100 ms lacked the fingerprint, and two crashes within 100 ms counted as one, so that servers that lose power together blame nobody. For a part of a prompt that care is right, since sound requests share it; the fingerprint of a whole request is shared by its repeats only, and its third crash is the last that the rule allows.

Change: a whole request that was never answered is quarantined at three crashes that are spread over 30 ms (less has a common cause); one that was answered before, at three separate moments over a second without an answer in between, before at six.

Evidence: TestFatalRequestInOtherCrashes failed before ('three crashes, many others at the first').

--- a/quarantiner/decision.go
+++ b/quarantiner/decision.go
@@ -145,7 +145,29 @@
 
 // sufficient reports whether the evidence suffices for a quarantine.
 func (e *evidence) sufficient() bool {
-	return e.moments >= minCrashesAnswered || !e.answered && (e.moments >= minCrashes || e.scattered)
+	switch {
+	case e.moments >= minCrashesAnswered:
+		return true
+	case e.whole && e.answered:
+		return e.moments >= minCrashes && e.spread() >= minAnsweredSpread
+	case e.whole:
+		return len(e.crashes) >= minCrashes && e.spread() >= minSpread
+	}
+	return !e.answered && (e.moments >= minCrashes || e.scattered)
+}
+
+// spread returns the time from the first crash to the last.
+func (e *evidence) spread() time.Duration { return e.crashes[len(e.crashes)-1] - e.crashes[0] }
+
+// weigh counts the crashes, given the instants of all crashes of the pool, sorted. Those of a whole
+// request all count: that servers end around it for other causes does not make it sound.
+func (e *evidence) weigh(all []time.Duration) {
+	slices.Sort(e.crashes)
+	counted := e.crashes
+	if !e.whole {
+		counted = countedCrashes(e.crashes, all)
+	}
+	e.moments, e.scattered = countMoments(counted), scattered(counted)
 }
 
 // sufficientEvidence returns the evidence in some crashes that suffices for a quarantine.
@@ -169,10 +191,7 @@
 	}
 	var sufficient []*evidence
 	for _, e := range found {
-		slices.Sort(e.crashes)
-		counted := countedCrashes(e.crashes, instants[e.subject.pool])
-		e.moments, e.scattered = countMoments(counted), scattered(counted)
-		if e.sufficient() {
+		if e.weigh(instants[e.subject.pool]); e.sufficient() {
 			sufficient = append(sufficient, e)
 		}
 	}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -31,6 +31,9 @@
 	// is a third moment. Servers that a common cause ends do so within less.
 	minScattered = 5
 	minSpread    = 30 * time.Millisecond
+	// minAnsweredSpread is the time over which the crashes of a whole request that was answered
+	// before are spread, so that other processes would have answered it meanwhile if it were sound.
+	minAnsweredSpread = time.Second
 	// lifetime is how long a crash is counted, and how long after its latest crash a
 	// fingerprint stays quarantined.
 	lifetime = 5 * time.Minute
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -371,7 +371,7 @@
 	return prints(uint64(10+r.IntN(3)), uint64(20+r.IntN(40)), r.Uint64()|1<<63)
 }
 
-// wholePrint returns the fingerprint of a whole request behind that of its one part.
+// wholePrints returns the fingerprint of a whole request behind that of its one part.
 func wholePrints(part, whole uint64) []Fingerprint {
 	return append(prints(part), Fingerprint{ID: whole, Depth: 1, Whole: true})
 }
@@ -409,3 +409,36 @@
 	q.RecordAnswer(now, "p", prints(shared, middle))
 	assert.Assert(t, q.Check(now, "r", "p", prints(shared, middle)) == nil, "other requests with the parts")
 }
+
+// TestFatalRequestInOtherCrashes guards against crashes of a fatal request that do not count, because
+// servers end for other causes at the same moments, or because two of them are near each other.
+func TestFatalRequestInOtherCrashes(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		crashes []time.Duration
+		others  int
+		before  bool
+		want    bool
+	}{
+		{name: "two crashes", crashes: []time.Duration{0, time.Second}},
+		{name: "three crashes, many others at the first", crashes: []time.Duration{0, 4 * time.Second, 5 * time.Second}, others: 4, want: true},
+		{name: "three crashes, two of them within 60 ms", crashes: []time.Duration{0, 60 * time.Millisecond, 900 * time.Millisecond}, want: true},
+		{name: "three servers at one moment", crashes: []time.Duration{0, 10 * time.Millisecond, 20 * time.Millisecond}},
+		{name: "three crashes, answered before", crashes: []time.Duration{0, 600 * time.Millisecond, 1200 * time.Millisecond}, before: true, want: true},
+		{name: "three crashes within a second, answered before", crashes: []time.Duration{0, 200 * time.Millisecond, 900 * time.Millisecond}, before: true},
+		{name: "two moments, answered before", crashes: []time.Duration{0, 60 * time.Millisecond, 2 * time.Second}, before: true},
+	} {
+		q := New(0)
+		if c.before {
+			q.RecordAnswer(time.Hour-time.Second, "p", wholePrints(shared, own))
+		}
+		for i, at := range c.crashes {
+			q.RecordCrash(time.Hour+at, process(i), "p", wholePrints(shared, own))
+		}
+		for i := range c.others {
+			q.RecordCrash(time.Hour+time.Duration(i)*time.Millisecond, process(10+i), "p", wholePrints(middle, uint64(own+1+i)))
+		}
+		found := q.Check(time.Hour+6*time.Second, "r", "p", wholePrints(middle, own))
+		assert.Equal(t, found != nil, c.want, c.name)
+	}
+}
