quarantiner: whole requests are not dropped for parts of prompts

Cause: of more than 128 suspects of a crash the deepest were dropped, which are the whole requests. An engine with 32 slots and a queue of 96 has 128 requests without an answer, each with two or more suspects.

Change: parts and whole requests are bounded separately, 128 each.

Evidence: TestFatalRequestAmongManySuspects failed before ('q.Check(now, r, p, repeat) is nil').

--- a/quarantiner/bench_test.go
+++ b/quarantiner/bench_test.go
@@ -12,7 +12,8 @@
 	q := New(0)
 	for i := range maxCrashes {
 		for j := range maxSuspects {
-			q.RecordCrash(time.Hour+time.Duration(i)*time.Second/4, process(i), "p", prints(uint64(j*j*i)))
+			whole := Fingerprint{ID: uint64(j*j*i) + 1<<40, Depth: 1, Whole: true}
+			q.RecordCrash(time.Hour+time.Duration(i)*time.Second/4, process(i), "p", append(prints(uint64(j*j*i)), whole))
 		}
 	}
 	return q
--- a/quarantiner/decision.go
+++ b/quarantiner/decision.go
@@ -72,7 +72,7 @@
 // limitSuspected removes the subjects of dropped records from suspected once there are more than
 // the records that are kept can have.
 func (q *Quarantiner) limitSuspected() {
-	if len(q.suspected) <= maxCrashes*maxSuspects {
+	if len(q.suspected) <= 2*maxCrashes*maxSuspects {
 		return
 	}
 	clear(q.suspected)
--- a/quarantiner/message.go
+++ b/quarantiner/message.go
@@ -64,12 +64,23 @@
 // Limit returns the records of a message that are merged: no more than a process keeps.
 func Limit(messages []*wire.Crash) []*wire.Crash { return messages[:min(len(messages), maxCrashes)] }
 
+// tooManySuspects reports whether a message has more suspects than a record keeps.
+func tooManySuspects(message *wire.Crash) bool {
+	wholes := 0
+	for _, s := range message.GetSuspects() {
+		if s.GetWhole() {
+			wholes++
+		}
+	}
+	return max(wholes, len(message.GetSuspects())-wholes) > maxSuspects
+}
+
 // Merge adds the record of another process to the one known here. It returns the process of
 // the server, and whether the record has changed. A message without a server, or with more
 // suspects than a record has, is ignored.
 func (q *Quarantiner) Merge(now time.Duration, message *wire.Crash) (p Process, changed bool) {
 	p = processOf(message)
-	if p.Server == "" || len(message.GetSuspects()) > maxSuspects {
+	if p.Server == "" || tooManySuspects(message) {
 		return p, false
 	}
 	changed = q.crashes[p] == nil
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -47,7 +47,8 @@
 	// trialDoublings-th of it, so that few are near the earliest, however many there are.
 	trialSpread    = time.Minute
 	trialDoublings = 12
-	// maxCrashes bounds the crashes that are kept, maxSuspects the suspects of one crash.
+	// maxCrashes bounds the crashes that are kept, maxSuspects the suspects of one crash: the parts
+	// of prompts, and the whole requests, each by themselves.
 	maxCrashes  = 128
 	maxSuspects = 128
 	// maxAnswered bounds the fingerprints that are known to have been answered.
@@ -230,7 +231,7 @@
 		return false
 	}
 	c.suspects[id] = merged
-	if len(c.suspects) > maxSuspects && c.dropDeepest() == id {
+	if len(c.suspects) > maxSuspects && c.dropExcess(merged.whole) == id {
 		return false
 	}
 	if !merged.cleared {
@@ -239,11 +240,20 @@
 	return true
 }
 
-// dropDeepest drops the suspect that the fewest requests hold and returns its ID. Of the deepest
-// ones it is that with the highest ID, so that processes which merge the same records keep the
-// same suspects.
-func (c *crash) dropDeepest() uint64 {
-	deepest := slices.MaxFunc(slices.Collect(maps.Keys(c.suspects)), func(a, b uint64) int {
+// dropExcess drops a suspect if there are too many whole requests, or too many parts, and returns its
+// ID, or else 0. It is the one that the fewest requests hold and, of the deepest ones, that with the
+// highest ID, so that processes which merge the same records keep the same suspects.
+func (c *crash) dropExcess(whole bool) uint64 {
+	var ids []uint64
+	for id, s := range c.suspects {
+		if s.whole == whole {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) <= maxSuspects {
+		return 0
+	}
+	deepest := slices.MaxFunc(ids, func(a, b uint64) int {
 		return cmp.Or(cmp.Compare(c.suspects[a].depth, c.suspects[b].depth), cmp.Compare(a, b))
 	})
 	delete(c.suspects, deepest)
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -442,3 +442,26 @@
 		assert.Equal(t, found != nil, c.want, c.name)
 	}
 }
+
+// TestFatalRequestAmongManySuspects guards against a fatal request that is never quarantined because it
+// crashes servers with many other requests in flight: of more suspects than a record keeps, the whole
+// requests must not be dropped for the parts.
+func TestFatalRequestAmongManySuspects(t *testing.T) {
+	const fatalRequest, others = 1 << 40, maxSuspects / 2
+	q := New(0)
+	for i := range 3 {
+		at := time.Hour + time.Duration(i)*time.Second
+		for j := range others {
+			part, whole := uint64(own+3*(i*others+j)), uint64(own+3*(i*others+j)+1)
+			q.RecordCrash(at, process(i), "p", append(prints(shared, part), Fingerprint{ID: whole, Depth: 2, Whole: true}))
+		}
+		q.RecordCrash(at, process(i), "p", append(prints(shared, middle), Fingerprint{ID: fatalRequest, Depth: 2, Whole: true}))
+	}
+	now, repeat := time.Hour+3*time.Second, []Fingerprint{{ID: fatalRequest, Whole: true}}
+	assert.Assert(t, q.Check(now, "r", "p", repeat) != nil)
+	other := New(0)
+	for _, message := range q.All(now) {
+		other.Merge(now, message)
+	}
+	assert.Assert(t, other.Check(now, "r", "p", repeat) != nil)
+}
