quarantiner: trials of a fatal request become rare

What callers would see is BUDGET: a fatal request that goes on coming reached servers 75 times in six hours, 72 of them after its third crash; three are allowed.

Cause: the wait for the next trial doubled up to 4 min only, and a quarantine and its records ended 5 min after the latest crash, after which three further crashes taught the same again.

Change: the wait is ten times the time over which the crashes are spread, one minute to six hours; crashes count for an hour, and a quarantine lasts an hour beyond the time at which a trial is due, so that a request which comes after that is a trial. TestLifetime and TestTrials follow the new times; both check more than before (no trial a second early).

Evidence: TestRepeatsThroughTheDay failed before ('reached servers 75 times'). After it: 3 crashes, then a trial after 1 min, 16 min and about 3 h. A release by hand does not exist; a mended server is found by the next trial, after 6 h at the latest.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -34,14 +34,16 @@
 	// minAnsweredSpread is the time over which the crashes of a whole request that was answered
 	// before are spread, so that other processes would have answered it meanwhile if it were sound.
 	minAnsweredSpread = time.Second
-	// lifetime is how long a crash is counted, and how long after its latest crash a
-	// fingerprint stays quarantined.
-	lifetime = 5 * time.Minute
+	// lifetime is how long a crash is counted, and how long a fingerprint stays quarantined once a
+	// trial is due.
+	lifetime = time.Hour
 	// minTrialWait and maxTrialWait bound the time without a crash after which a process lets
-	// one request with a quarantined fingerprint through as a trial. In between it is the time
-	// over which the crashes are spread, so that trials that crash servers become rarer.
+	// one request with a quarantined fingerprint through as a trial. In between it is trialBackoff
+	// times the time over which the crashes are spread, so that few trials crash servers, however
+	// long such requests come.
 	minTrialWait = time.Minute
-	maxTrialWait = 4 * time.Minute
+	maxTrialWait = 6 * time.Hour
+	trialBackoff = 10
 	// trialSpread bounds the time by which a process lets its trial through later than another
 	// one. Each doubling of the number of processes makes the earliest of them earlier by a
 	// trialDoublings-th of it, so that few are near the earliest, however many there are.
@@ -122,11 +124,11 @@
 func (q *Quarantine) Since() time.Duration { return q.since }
 
 // Until returns the instant at which the quarantine ends if there is no other crash.
-func (q *Quarantine) Until() time.Duration { return q.last + lifetime }
+func (q *Quarantine) Until() time.Duration { return q.RetryAt() + lifetime }
 
 // RetryAt returns the earliest instant at which a process lets a request through as a trial.
 func (q *Quarantine) RetryAt() time.Duration {
-	return q.last + min(max(q.last-q.since, minTrialWait), maxTrialWait)
+	return q.last + min(max(trialBackoff*(q.last-q.since), minTrialWait), maxTrialWait)
 }
 
 // Quarantiner holds the records of crashes and the quarantines that follow from them. It is
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -114,7 +114,7 @@
 	}
 }
 
-// TestLifetime checks that a quarantine ends lifetime after its latest crash, and that its
+// TestLifetime checks that a quarantine ends lifetime after a trial is due, and that its
 // records are dropped then and not before.
 func TestLifetime(t *testing.T) {
 	q := New(0)
@@ -126,13 +126,14 @@
 		q.Update(last)
 	}
 	assert.Equal(t, len(q.crashes), 4)
-	q.Update(last + lifetime)
+	until := last + maxTrialWait + lifetime
+	q.Update(until)
 	assert.Equal(t, len(q.Quarantines()), 1)
 	found := q.Quarantines()[0]
 	assert.Equal(t, found.Since(), time.Hour)
-	assert.Equal(t, found.Until(), last+lifetime)
+	assert.Equal(t, found.Until(), until)
 	assert.Equal(t, found.Crashes(), 4)
-	assert.Assert(t, q.Check(last+lifetime+2*decisionInterval, "r", "p", prints(fatal)) == nil)
+	assert.Assert(t, q.Check(until+2*decisionInterval, "r", "p", prints(fatal)) == nil)
 	assert.Assert(t, q.Idle())
 	changes := q.TakeChanges()
 	assert.Equal(t, len(changes), 2)
@@ -156,7 +157,8 @@
 	crash(3, first+2*time.Second)
 	assert.Assert(t, !passes(first+3*time.Second, "b"))
 	assert.Assert(t, !passes(first+2*time.Second+minTrialWait, "d"))
-	second := first + 2*time.Second + (first + 2*time.Second - time.Hour)
+	second := first + 2*time.Second + trialBackoff*(first+2*time.Second-time.Hour)
+	assert.Assert(t, !passes(second-time.Second, "d"))
 	assert.Assert(t, passes(second, "e"))
 	q.RecordAnswer(second, "p", prints(fatal))
 	assert.Assert(t, passes(second+time.Second, "f"))
@@ -465,3 +467,29 @@
 	}
 	assert.Assert(t, other.Check(now, "r", "p", repeat) != nil)
 }
+
+// TestRepeatsThroughTheDay guards against a fatal request that is tried for ever: it comes at six
+// processes every ten seconds for six hours, and may reach servers three times after its third crash.
+func TestRepeatsThroughTheDay(t *testing.T) {
+	const hours, maxLate = 6, 3
+	var processes []*Quarantiner
+	for i := range 6 {
+		processes = append(processes, New((float64(i)+0.5)/6))
+	}
+	sent := 0
+	for at := time.Hour; at < (1+hours)*time.Hour; at += 10 * time.Second {
+		q := processes[int(at/(10*time.Second))%len(processes)]
+		if q.Check(at, fmt.Sprint(at), "p", wholePrints(shared, own)) != nil {
+			continue
+		}
+		sent++
+		q.RecordCrash(at, process(sent), "p", wholePrints(shared, own))
+		for _, message := range q.TakeUnsent(at, false) {
+			for _, other := range processes {
+				other.Merge(at, message)
+			}
+		}
+	}
+	assert.Assert(t, sent > 3, "%d: no trial", sent)
+	assert.Assert(t, sent <= 3+maxLate, "reached servers %d times", sent)
+}
