runner, archiver: records of crashes outlast the processes

Cause: the records were soft state of entries and relays only. What had been learned was lost with them and did not cross a cut between them.

Change: the relay of a data centre, or an entry without a relay, writes the records that it knows to a row fleet/crashes:NAME within 0.1 s of a crash, at most twice a second; native entries do so too. Every process reads the rows as it joins; relays and processes without a relay follow them. A row holds ages, to which readers add the time since the write by their time of day, so that clocks shift all records of a row alike; the instant of a crash that is known already stays. The rows are merged like the records of the relays.

The native API reads the rows at a start only, so that a cut between its entries is still counted on both sides.

--- a/cmd/oleanderstall/fatal_test.go
+++ b/cmd/oleanderstall/fatal_test.go
@@ -125,4 +125,26 @@
 	late := c.sendMessages(c.entries[2], key, 200, "shared", fatalText)
 	assert.Assert(t, strings.Contains(late.body, "quarantined"), "%d %s", late.status, late.body)
 	assert.Equal(t, late.run(), "never")
+
+	// The store keeps the records while no entry runs.
+	for _, e := range c.entries {
+		e.kill()
+	}
+	c.startEntry("entry-d")
+	c.eventually("the quarantine is in force after all entries were killed", func() bool {
+		return strings.Contains(getBody(t, "http://"+c.entries[3].ready.Admin+"/metrics"), "oleanderstall_quarantine_age_seconds{")
+	})
+}
+
+// getBody returns the body of the answer to a GET request, or an empty text if there is none.
+func getBody(t *testing.T, url string) string {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	assert.NilError(t, err)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, _ := io.ReadAll(res.Body)
+	return string(body)
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -112,6 +112,9 @@
 	return d
 }
 
+// Quarantine returns what refuses the requests that backend servers crash on.
+func (d *Dispatcher) Quarantine() *Quarantine { return d.quarantine }
+
 // Find implements Finder. A request without a model goes to an instance of its pool.
 func (d *Dispatcher) Find(ctx context.Context, r *Request, h *History) (*Reservation, error) {
 	if err := d.quarantine.Check(r); err != nil {
--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -105,12 +105,22 @@
 
 // Merge adds records of other processes and returns those that were not known here.
 func (q *Quarantine) Merge(crashes []*wire.Crash) []*wire.Crash {
+	return q.mergeBy(q.quarantiner.Merge, crashes)
+}
+
+// MergeSaved is Merge for records that were read from the store.
+func (q *Quarantine) MergeSaved(crashes []*wire.Crash) []*wire.Crash {
+	return q.mergeBy(q.quarantiner.MergeSaved, crashes)
+}
+
+// mergeBy adds records by a method of the quarantiner and returns those that were not known here.
+func (q *Quarantine) mergeBy(merge func(time.Duration, *wire.Crash) (quarantiner.Process, bool), crashes []*wire.Crash) []*wire.Crash {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock()
 	var changed []*wire.Crash
 	for _, message := range quarantiner.Limit(crashes) {
-		if _, ok := q.quarantiner.Merge(now, message); ok {
+		if _, ok := merge(now, message); ok {
 			changed = append(changed, message)
 		}
 	}
@@ -118,6 +128,13 @@
 	return changed
 }
 
+// Revision returns the number of changes of records that were made in this process.
+func (q *Quarantine) Revision() uint64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.quarantiner.Revision()
+}
+
 // All returns all records.
 func (q *Quarantine) All() []*wire.Crash {
 	q.mu.Lock()
--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -77,8 +77,8 @@
 	overcommits int
 	orders      []ReceivedOrder
 	done        chan struct{}
-	// fatalParts are the prompt parts, and the bodies of service calls, on which the server
-	// crashes. crash ends its process. fatalRuns counts the requests with one of them.
+	// fatalParts are the prompt parts, the bodies of service calls and the targets on which the
+	// server crashes. crash ends its process. fatalRuns counts the requests with one of them.
 	fatalParts map[string]bool
 	crash      func()
 	fatalRuns  int
@@ -141,8 +141,8 @@
 func (b *Backend) Stop() { close(b.done) }
 
 // CrashOn makes the server crash on each request that holds one of the given parts: an ID in
-// the X-Prefix-Hash header, which may not be the last one, or the body of a service call. A
-// stream has its head by then.
+// the X-Prefix-Hash header, which may not be the last one, the body of a service call, or a
+// request's target. A stream has its head by then.
 func (b *Backend) CrashOn(parts ...string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -163,7 +163,7 @@
 func (b *Backend) crashIfFatal(r *http.Request, body string) {
 	b.mu.Lock()
 	parts := strings.Split(r.Header.Get("X-Prefix-Hash"), ",")
-	fatal := body != "" && b.fatalParts[body]
+	fatal := body != "" && b.fatalParts[body] || b.fatalParts[r.RequestURI]
 	for _, part := range parts[:len(parts)-1] {
 		id, _, _ := strings.Cut(part, ":")
 		fatal = fatal || b.fatalParts[id]
--- a/locator/report.go
+++ b/locator/report.go
@@ -151,11 +151,23 @@
 	}
 	l.receiveLimits(now, batch.GetLimits())
 	l.receiveSpeeds(now, batch.GetSpeeds())
-	for _, crash := range l.quarantine.Merge(batch.GetCrashes()) {
-		l.markCrashed(now, quarantiner.Process{Server: crash.GetServer(), Started: crash.GetBorn()})
-	}
-	l.wakeQuarantined()
+	l.applyCrashes(now, l.quarantine.Merge(batch.GetCrashes()))
 	for _, estimate := range batch.GetOutlooks() {
 		l.updateEstimate(now, estimate)
 	}
 }
+
+// MergeSavedCrashes adds the records of crashes that were read from the store.
+func (l *Locator) MergeSavedCrashes(crashes []*wire.Crash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.applyCrashes(l.clock(), l.quarantine.MergeSaved(crashes))
+}
+
+// applyCrashes applies the records of crashes that are new here. The caller holds the lock.
+func (l *Locator) applyCrashes(now time.Duration, crashes []*wire.Crash) {
+	for _, crash := range crashes {
+		l.markCrashed(now, quarantiner.Process{Server: crash.GetServer(), Started: crash.GetBorn()})
+	}
+	l.wakeQuarantined()
+}
--- a/quarantiner/message.go
+++ b/quarantiner/message.go
@@ -99,3 +99,12 @@
 	q.stale = q.stale || changed
 	return p, changed
 }
+
+// MergeSaved is Merge for a record that was read from the store, whose age is less exact: the
+// instant of a crash that is known here stays.
+func (q *Quarantiner) MergeSaved(now time.Duration, message *wire.Crash) (p Process, changed bool) {
+	if c := q.crashes[processOf(message)]; c != nil {
+		message.Age = timer.ToMillis(now - c.at)
+	}
+	return q.Merge(now, message)
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -140,8 +140,10 @@
 	// suspected holds at least the subjects of which a crash has a suspect that is not
 	// cleared.
 	suspected map[subject]bool
-	// unsent are the processes whose records have changed here since TakeUnsent.
-	unsent map[Process]bool
+	// unsent are the processes whose records have changed here since TakeUnsent, and revision counts
+	// these changes.
+	unsent   map[Process]bool
+	revision uint64
 	// stale is set if a record has changed since the decision at decidedAt.
 	stale       bool
 	decidedAt   time.Duration
@@ -178,6 +180,10 @@
 // answer matters.
 func (q *Quarantiner) Idle() bool { return len(q.crashes) == 0 }
 
+// Revision returns the number of changes of records that were made here. It does not count what was
+// merged.
+func (q *Quarantiner) Revision() uint64 { return q.revision }
+
 // Has reports whether there is a record of the crash of a process.
 func (q *Quarantiner) Has(p Process) bool { return q.crashes[p] != nil }
 
@@ -293,6 +299,7 @@
 
 // markChanged records that the record of a process is to be sent and decided on.
 func (q *Quarantiner) markChanged(p Process) {
+	q.revision++
 	q.unsent[p] = true
 	q.stale = true
 }
--- a/relayer/fleetstate.go
+++ b/relayer/fleetstate.go
@@ -80,6 +80,8 @@
 	// crashes holds the crashed processes of servers, whose records quarantiner holds.
 	crashes     *versionedMap[quarantiner.Process, struct{}]
 	quarantiner *quarantiner.Quarantiner
+	// crashRevision counts the changes of records of crashes that linked processes reported.
+	crashRevision uint64
 	// limits holds the limits that servers have named, and pacing is who gives out the permits.
 	limits *versionedMap[string, pacedLimit]
 	pacing pacing
--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -158,7 +158,7 @@
 	if lp.link.GetRole() == Entry {
 		fs.recordEntryReport(now, lp, report)
 	}
-	fs.mergeCrashes(now, report.GetCrashes())
+	fs.mergeReportedCrashes(now, lp, report.GetCrashes())
 	fs.mergeLimits(report.GetLimits())
 	for _, d := range report.GetParted() {
 		fs.markLeaving(d.GetServer(), d.GetBorn())
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -318,6 +318,29 @@
 	r.Wake()
 }
 
+// MergeSavedCrashes adds the records of crashes that were read from the store.
+func (r *Relayer) MergeSavedCrashes(crashes []*wire.Crash) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.MergeSavedCrashes(r.clock(), crashes)
+	r.Wake()
+}
+
+// Crashes returns all records of crashes.
+func (r *Relayer) Crashes() []*wire.Crash {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Crashes(r.clock())
+}
+
+// CrashRevision returns how often records of crashes have changed that processes linked to this
+// relay reported.
+func (r *Relayer) CrashRevision() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.CrashRevision()
+}
+
 // Orphans returns the engines without a reporting sidecar in the data centres that this
 // relay serves, by address, or nil if this relay is not in use.
 func (r *Relayer) Orphans() map[string]*wire.ListedServer {
--- a/relayer/remotefeed.go
+++ b/relayer/remotefeed.go
@@ -116,7 +116,7 @@
 	for _, d := range batch.GetParted() {
 		fs.markLeaving(d.GetServer(), d.GetBorn())
 	}
-	fs.mergeCrashes(now, batch.GetCrashes())
+	_ = fs.mergeCrashes(now, batch.GetCrashes())
 	fs.mergeLimits(batch.GetLimits())
 	fs.UpdateServers(now-timer.FromMillis(batch.GetAge()), batch.GetItems())
 	fs.applyDemands(now, rf, batch)
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -58,6 +58,7 @@
 	e.tasks.run(p.member.Run)
 	e.tasks.run(e.holder.Run)
 	e.tasks.run(e.dispatcher.ShareCrashes)
+	e.tasks.run(e.keepCrashes)
 	e.tasks.run(e.claims.Run)
 	e.tasks.run(p.reportConfigVersion)
 	p.ready.Store(true)
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -95,7 +95,11 @@
 	// onEvacuationsChange is called with the evacuated data centres after they have changed.
 	onEvacuationsChange func(centres []string)
 	onServersChange     func(completeAsOf time.Duration, servers []*wire.ListedServer)
-	evacuations         *evacuations
+	// onCrashesRead is called with records of crashes that were read from the store, and
+	// crashSaver writes those of the relay in this process.
+	onCrashesRead func(crashes []*wire.Crash)
+	crashSaver    *crashSaver
+	evacuations   *evacuations
 }
 
 // newHostedProcess builds the common parts. The list of backend servers is not followed
@@ -113,6 +117,7 @@
 		eraChanged: make(chan struct{}, 1),
 
 		evacuations: newEvacuations(), onEvacuationsChange: func([]string) {},
+		onCrashesRead: func([]*wire.Crash) {},
 	}
 	h.guard = newCallerGuard(s.Hosted.MaxMemoryMB*bytesPerMB, h.clock, h.meter, l)
 	h.tasks.run(h.guard.run)
@@ -126,7 +131,8 @@
 	h.meter.RegisterEvacuated(h.evacuations.count)
 	h.meter.RegisterColdPermits(h.relayer.ColdPermits)
 	h.configs = follower.New(follower.Options{Table: platform.ConfigTable, LongPollTimeout: configLongPollTimeout, MinInterval: configMinInterval}, h.clock, h.store, h.applyConfigRows, l)
-	h.fleet = follower.New(follower.Options{Table: storer.FleetTable, LongPollTimeout: fleetLongPollTimeout, MinInterval: fleetMinInterval, KeepLost: true}, h.clock, h.store, h.applyMemberRows, l)
+	h.fleet = follower.New(follower.Options{Table: storer.FleetTable, LongPollTimeout: fleetLongPollTimeout, MinInterval: fleetMinInterval, KeepLost: true}, h.clock, h.store, h.applyFleetRows, l)
+	h.crashSaver = newCrashSaver(storer.CrashKey(s.Centre), relayCrashes{h}, h.store, h.clock, l)
 	h.lister = lister.New(platform.ServerTable, platform.DecodeServer, h.clock, h.store, h.updateServers, l)
 	h.lister.Follower().Suspend(true)
 	h.configs.Suspend(s.Role == "sidecar")
@@ -325,6 +331,12 @@
 	h.onConfigChange()
 }
 
+// applyFleetRows applies changed rows of the fleet's table.
+func (h *hostedProcess) applyFleetRows(now time.Duration, rows []storer.Row) {
+	h.applyMemberRows(now, rows)
+	applyCrashRows(rows, h.log, h.mergeCrashesRead)
+}
+
 // applyMemberRows applies changed rows of processes to the membership and to the relay. A
 // process whose row cannot be used counts as gone. Other rows of the table are skipped.
 func (h *hostedProcess) applyMemberRows(_ time.Duration, rows []storer.Row) {
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -28,10 +28,12 @@
 // HostedEntry is a running entry on a hosting platform.
 type HostedEntry struct {
 	*hostedProcess
-	locator  *locator.Locator
-	charger  *charger.Charger
-	core     *dispatcher.Core
-	frontend *platform.Frontend
+	locator *locator.Locator
+	// quarantine refuses the requests that backend servers crash on.
+	quarantine *dispatcher.Quarantine
+	charger    *charger.Charger
+	core       *dispatcher.Core
+	frontend   *platform.Frontend
 	// callerServer is for requests, and readyServer for the platform's readiness checks.
 	callerServer *httpServer
 	readyServer  *httpServer
@@ -62,9 +64,10 @@
 	e.onConfigChange, e.onServersChange = e.applyLimits, e.updateLocator
 	options := charger.Options{LimitWindow: time.Duration(s.Hosted.LimitWindow), TokenSlack: slackFraction * s.Hosted.TokenSlack}
 	retries := router.RetryLimits{Ratio: slackFraction * s.Hosted.Retries.Ratio, Burst: slackFraction * s.Hosted.Retries.Burst}
-	quarantine := dispatcher.NewQuarantine(e.clock, e.recorder, l)
-	e.meter.RegisterQuarantines(quarantine.List)
-	e.locator = locator.New(s.Centre, e.clock, e.config, quarantine, e, l)
+	e.quarantine = dispatcher.NewQuarantine(e.clock, e.recorder, l)
+	e.meter.RegisterQuarantines(e.quarantine.List)
+	e.locator = locator.New(s.Centre, e.clock, e.config, e.quarantine, e, l)
+	e.onCrashesRead = e.locator.MergeSavedCrashes
 	e.meter.RegisterPools(e.locator.PoolSpeeds)
 	e.locator.SetColdTiming(pacer.NewColdTiming(s.Hosted.ColdOver))
 	e.meter.RegisterColdServers(e.locator.ColdServers)
@@ -130,7 +133,8 @@
 	}
 	e.charger.AssumeEntries(len(e.membership.All()))
 	self := &wire.Link{Name: instance.Name, Role: relayer.Entry, Centre: instance.Centre, Started: e.started}
-	e.startLink(self, subscriber.EntryTiming, e, func() time.Duration { return time.Duration(e.serverListAge.Load()) })
+	unlinkedSaver := newCrashSaver(storer.CrashKey(instance.Name), e.quarantine, e.store, e.clock, e.log)
+	e.startLink(self, unlinkedSaver, subscriber.EntryTiming, e, func() time.Duration { return time.Duration(e.serverListAge.Load()) })
 	select {
 	case <-ctx.Done():
 		return
--- a/runner/hostedsidecar.go
+++ b/runner/hostedsidecar.go
@@ -66,7 +66,7 @@
 	instance.Pool, instance.Backend = s.Sidecar.Pool, c.engineAddress
 	c.addSelf(instance)
 	self := &wire.Link{Name: s.Name, Role: relayer.Sidecar, Centre: s.Centre, Started: c.started, Backend: c.engineAddress}
-	c.startLink(self, subscriber.SidecarTiming, c, func() time.Duration { return 0 })
+	c.startLink(self, nil, subscriber.SidecarTiming, c, func() time.Duration { return 0 })
 	if c.put, err = memberPut(instance); err != nil {
 		c.log.Error().Err(err).Msg("start: listing this sidecar failed")
 		return
--- a/runner/linker.go
+++ b/runner/linker.go
@@ -38,6 +38,8 @@
 	subscriber *subscriber.Subscriber
 	// needsServerList is set if the process needs the list of backend servers.
 	needsServerList bool
+	// unlinkedSaver writes the records of crashes of this process while it has no relay, or is nil.
+	unlinkedSaver *crashSaver
 	// searchStart is the time at which the process began to look for a relay.
 	searchStart time.Duration
 	// relayListAge returns the age of the relay's list of backend servers at its latest
@@ -50,8 +52,8 @@
 
 // startLink starts the link of a process that has joined the fleet, the relay in this
 // process, and the adoption of engines.
-func (h *hostedProcess) startLink(self *wire.Link, timing subscriber.Timing, process subscriber.Process, relayListAge func() time.Duration) *linker {
-	l := &linker{hostedProcess: h, relayListAge: relayListAge, searchStart: h.clock(), needsServerList: self.GetRole() == relayer.Entry}
+func (h *hostedProcess) startLink(self *wire.Link, unlinkedSaver *crashSaver, timing subscriber.Timing, process subscriber.Process, relayListAge func() time.Duration) *linker {
+	l := &linker{hostedProcess: h, unlinkedSaver: unlinkedSaver, relayListAge: relayListAge, searchStart: h.clock(), needsServerList: self.GetRole() == relayer.Entry}
 	l.subscriber = subscriber.New(h.subscriberHost(), self, self.GetCentre(), timing, process)
 	h.tasks.run(h.relayer.Run)
 	h.tasks.run(func(ctx context.Context) { h.relayer.ReadFeeds(ctx, h.node, h.membership) })
@@ -95,12 +97,24 @@
 	// Entries always follow the configuration, so that each applies what it has read from
 	// the store itself.
 	l.configs.Suspend(linked && !active && !l.needsServerList)
+	l.saveCrashes(now, active, linked)
 	l.configs.SetIntervals(l.configPollTimeout(now, active), configMinInterval)
 	if version, address := l.relayer.NewerConfig(); active && version > 0 {
 		l.fetchNewerConfig(version, address)
 	}
 }
 
+// saveCrashes writes the records of crashes to the store that no other process writes: those of the
+// relay in this process, or of this process if it has no relay.
+func (l *linker) saveCrashes(now time.Duration, active, linked bool) {
+	switch {
+	case active:
+		l.crashSaver.update(now, l.tasks)
+	case !linked && l.unlinkedSaver != nil:
+		l.unlinkedSaver.update(now, l.tasks)
+	}
+}
+
 // configPollTimeout returns how long the store may hold a call for changes of the configuration. One
 // relay of the fleet makes short calls and vouches for the configuration; the others rely on that
 // and make long ones.
--- a/storer/keys.go
+++ b/storer/keys.go
@@ -29,9 +29,11 @@
 	FleetTable = "fleet"
 	// SecretKey is the row with the fleet's secret.
 	SecretKey = FleetTable + "/secret"
-	// MemberPrefix and HolderPrefix begin the keys that MemberKey and HolderKey return.
+	// MemberPrefix, HolderPrefix and CrashPrefix begin the keys that MemberKey, HolderKey and
+	// CrashKey return.
 	MemberPrefix = FleetTable + "/process:"
 	HolderPrefix = FleetTable + "/engine:"
+	CrashPrefix  = FleetTable + "/crashes:"
 )
 
 // MemberKey returns the key of the row of the process with the given name.
@@ -41,6 +43,10 @@
 // engine at the given address.
 func HolderKey(address string) string { return HolderPrefix + address }
 
+// CrashKey returns the key of the row with the records of crashes that a writer knows: the relay of a
+// data centre, or a process without a relay.
+func CrashKey(writer string) string { return CrashPrefix + writer }
+
 // ChangeKey returns the key of the row of the configuration change with the given version.
 func ChangeKey(version uint64) string { return fmt.Sprintf("%s%020d", changePrefix, version) }
 
