admitter, dispatcher: the fingerprint of a whole request holds its workspace

What callers would see is BUDGET: a request of one caller crashes engines, the same path and body of another caller is served, and each such answer clears the first one, so that it is never quarantined; or the second caller is refused for the first.

Cause: the fingerprint was the hash of method, target, model, prompt and body. Engines also receive the name of the workspace (X-Tenant), and the rule speaks of the same path, caller and body.

Change: dispatcher.NewDigest adds the workspace, on both APIs. Two keys of one workspace are the same to an engine and share the fingerprint.

Evidence: TestDigestOfCaller failed before ('admit("key") is admit("first key")').

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -43,7 +43,8 @@
 	Prompt     []dispatcher.PromptPart
 	// FirstIndex is the index of the first event that the caller wants.
 	FirstIndex uint64
-	// Digest is the hash of what makes the backend server's work on the request.
+	// Digest is the hash of what makes the backend server's work on the request, but for its
+	// workspace.
 	Digest  uint64
 	Content any
 }
@@ -82,7 +83,7 @@
 		Started:         now,
 		MaxGap:          time.Duration(route.GetGap()) * time.Millisecond,
 		FirstIndex:      req.FirstIndex,
-		Digest:          req.Digest,
+		Digest:          dispatcher.NewDigest(key.GetWorkspace(), req.Digest),
 		Content:         req.Content,
 	}
 	admitted.Model, admitted.Adapter = splitModel(req.Model)
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -188,3 +188,17 @@
 		assert.Equal(t, strings.Join(allowed, " "), c.allowed, c.path+c.key)
 	}
 }
+
+// TestDigestOfCaller guards against a request on which backend servers crash that is cleared by the
+// answer to the same content of another workspace, whose name the server receives.
+func TestDigestOfCaller(t *testing.T) {
+	admit := func(key string) uint64 {
+		request := newRequest("/a/1", key)
+		request.Digest = 7
+		admitted, err := Admit(started, testView(), request)
+		assert.NilError(t, err)
+		return admitted.Digest
+	}
+	assert.Equal(t, admit("key"), admit("key"))
+	assert.Assert(t, admit("key") != admit("first key"))
+}
--- a/dispatcher/completion.go
+++ b/dispatcher/completion.go
@@ -33,7 +33,7 @@
 	// its messages, of which a text completion has one.
 	PrefixHash uint64
 	Messages   []uint64
-	// Digest is the hash of the whole request.
+	// Digest is the hash of the content of the request.
 	Digest        uint64
 	ConfigVersion uint64
 	Deadline      time.Duration
@@ -66,7 +66,7 @@
 		ConfigVersion:   c.ConfigVersion,
 		Started:         now,
 		Deadline:        c.Deadline,
-		Digest:          c.Digest,
+		Digest:          NewDigest(c.Workspace.GetName(), c.Digest),
 		Content:         content,
 	}
 	if c.PrefixHash != 0 {
--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -12,6 +13,7 @@
 	"oleanderstall/quarantiner"
 	"oleanderstall/recorder"
 	"oleanderstall/refuser"
+	"oleanderstall/router"
 	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
@@ -29,6 +31,15 @@
 	return prints
 }
 
+// NewDigest returns the digest of a request of a workspace, whose name the backend server receives,
+// given the hash of the request's content. It is 0 if that is not known.
+func NewDigest(workspace string, content uint64) uint64 {
+	if content == 0 {
+		return 0
+	}
+	return router.HashParts([]byte(workspace), binary.LittleEndian.AppendUint64(nil, content))
+}
+
 // FormatDigest returns the digest of r in hexadecimal, as quarantines name it.
 func (r *Request) FormatDigest() string { return strconv.FormatUint(r.Digest, 16) }
 
--- a/dispatcher/service.go
+++ b/dispatcher/service.go
@@ -55,7 +55,7 @@
 		ConfigVersion: c.ConfigVersion,
 		Started:       now,
 		Deadline:      c.Deadline,
-		Digest:        router.HashParts([]byte(c.Route.GetMethod()), []byte(c.Path), []byte(c.Query), c.Body),
+		Digest:        NewDigest(c.Key.GetWorkspace(), router.HashParts([]byte(c.Route.GetMethod()), []byte(c.Path), []byte(c.Query), c.Body)),
 		Content:       c,
 	}
 	if c.Route.GetIdempotent() {
