--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -43,6 +43,9 @@
 	Prompt     []dispatcher.PromptPart
 	// FirstIndex is the index of the first event that the caller wants.
 	FirstIndex uint64
+	// Resumes is the ID of the request whose answer began the stream that the caller takes up, or
+	// empty.
+	Resumes string
 	// Digest is the hash of what makes the backend server's work on the request, but for its
 	// workspace.
 	Digest  uint64
@@ -83,6 +86,7 @@
 		Started:         now,
 		MaxGap:          time.Duration(route.GetGap()) * time.Millisecond,
 		FirstIndex:      req.FirstIndex,
+		Resumes:         req.Resumes,
 		Digest:          dispatcher.NewDigest(key.GetWorkspace(), req.Digest),
 		Content:         req.Content,
 	}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -97,6 +97,9 @@
 	MaxGap time.Duration
 	// FirstIndex is the index of the first event that the caller wants.
 	FirstIndex uint64
+	// Resumes is the ID of the request whose answer began the stream that the caller takes up, or
+	// empty.
+	Resumes string
 	// Digest is the hash of what the backend server receives, or 0 if it is not known.
 	Digest uint64
 	// Content is the payload, known to the Sender only.
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -430,7 +430,7 @@
 	names := modelNames(r)
 	line := l.log.Info().Str("request", r.ID).Str("server", s.ID).Str("model", requestedName(r)).Int("inflight", b.Inflight()).
 		Int("load", b.ReportedLoad()).Int64("waited", (now-r.Started).Milliseconds()).Str("parts", dispatcher.FormatParts(r.Prompt)).
-		Str("whole", r.FormatDigest()).Float64("limit", limit.Rate).Uint64("permit", number)
+		Str("whole", r.FormatDigest()).Str("software", s.Software).Str("resumes", r.Resumes).Uint64("first", r.FirstIndex).Float64("limit", limit.Rate).Uint64("permit", number)
 	l.logExpected(line, now, b, found).Msg("send")
 	l.countMemoryOverfull(now, b, r)
 	work := l.startWork(now, b, found)
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -376,7 +376,7 @@
 // complete as of completeAsOf.
 func (h *hostedProcess) updateServers(completeAsOf time.Duration, servers []*wire.ListedServer) {
 	for _, server := range servers {
-		h.log.Info().Str("server", server.GetId()).Str("pool", server.GetPool()).Str("address", server.GetAddress()).
+		h.log.Info().Str("server", server.GetId()).Str("pool", server.GetPool()).Str("software", server.GetSoftware()).Str("address", server.GetAddress()).
 			Bool("leaving", server.GetLeaving()).Bool("gone", server.GetGone()).Strs("models", server.GetModels()).
 			Uint64("row", server.GetRow()).Msg("server: listed")
 	}
--- a/tracker/listed.go
+++ b/tracker/listed.go
@@ -38,6 +38,7 @@
 		Slots:      int(listed.GetSlots()),
 		Leaving:    listed.GetLeaving(),
 		Started:    listed.GetBorn(),
+		Software:   listed.GetSoftware(),
 		RowWrites:  listed.GetWrites(),
 		ColdStated: listed.ColdLeft != nil,
 		ColdLeft:   min(timer.FromMillis(listed.GetColdLeft()), MaxColdTime),
@@ -59,6 +60,8 @@
 		Born:    s.Started,
 		Models:  s.Models,
 		Writes:  s.RowWrites,
+
+		Software: s.Software,
 	}
 	if s.ColdStated {
 		listed.ColdLeft = proto.Uint32(timer.ToMillis(s.ColdLeft))
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -28,6 +28,9 @@
 	Leaving bool
 	// Started is the start of the server's process, in Unix milliseconds.
 	Started int64
+	// Software is the version of the server's software, or empty if it is not known. What two
+	// versions write does not fit together.
+	Software string
 	// RowWrites is the number of times that the process has written its row in the list, or 0 if
 	// that is not known.
 	RowWrites uint64
