pinner, dispatcher, locator, allocator: a stream stays at the version that began it

Cause: nothing read the version in a server's row, nor Resumes. A continuation went to the server that suited best, and a model that had to be loaded for it was loaded at the engine that suited best.

From its first event a stream may run at that version only. Entries remember the version of the streams that they began; while a pool has had several versions, relays do too, and an entry asks its relay about a stream that it does not know. A stream of which the version is not known, or has no server, is refused before it runs. Demands name the versions that some of their requests need, so that models are loaded there. The versions of late are in a row of the store, for processes that start.

--- a/allocator/demand.go
+++ b/allocator/demand.go
@@ -45,6 +45,8 @@
 	Avoid []string
 	// Centres are the data centres in which the requests may run, or none if all are.
 	Centres []string
+	// Software are the versions at which those of the requests may run that may not run at all.
+	Software []string
 }
 
 // pendingDemand is the demand for a model, with the engine that is assigned to load it.
@@ -89,12 +91,13 @@
 	if m == nil {
 		return
 	}
-	if p.queued && now-p.searchedAt < searchPeriod || !slices.Contains(p.Avoid, p.server) && a.usable(p.Demand, p.server) && a.expectsLoad(now, p, m) {
+	if p.queued && now-p.searchedAt < searchPeriod || !slices.Contains(p.Avoid, p.server) && a.usable(p.Demand, p.server) && a.hasSoftware(p.Demand, p.server) && a.expectsLoad(now, p, m) {
 		return
 	}
 	p.searchedAt, p.queued = now, false
 	candidates := a.candidates(now, p.name, m, p.Avoid)
 	candidates = slices.DeleteFunc(candidates, func(c placer.Candidate) bool { return !a.usable(p.Demand, c.ID) })
+	candidates = a.withSoftware(p.Demand, candidates)
 	chosen, cost := placer.ChooseEngine(candidates, m.GetBytes())
 	if chosen < 0 || a.fetchesTooEarly(now, m.GetPool(), candidates[chosen]) {
 		p.server = ""
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -157,6 +157,9 @@
 	if err := c.beginAnswer(p, answer); err != nil {
 		return err
 	}
+	if p.request.Kind == Resumable {
+		p.request.Software = OnlySoftware(reservation.Software)
+	}
 	if p.output.Pass(e) != nil {
 		return refuser.MayHaveRun(refuser.Canceled, "the caller has given up")
 	}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -100,6 +100,9 @@
 	// Resumes is the ID of the request whose answer began the stream that the caller takes up, or
 	// empty.
 	Resumes string
+	// Software are the versions of backend servers at which the request may run. A stream goes on
+	// at the version that began it.
+	Software Software
 	// Digest is the hash of what the backend server receives, or 0 if it is not known.
 	Digest uint64
 	// Content is the payload, known to the Sender only.
@@ -123,6 +126,8 @@
 	// Started is the start of the process that the request is meant for, in Unix milliseconds as
 	// the process states it, or 0 if it is not known.
 	Started int64
+	// Software is the version of the backend server's software, or empty if it is not known.
+	Software string
 	// HealthPath is the path of the backend server's health check, or empty for the usual one.
 	HealthPath string
 	// Priority is the priority of the request at the backend server; 0 is served first.
--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -32,6 +32,8 @@
 	ID     string
 	Pool   string
 	Centre string
+	// Software is the version of the server's software, which its row names unless it is empty.
+	Software string
 	// Slots is the number of requests that may run at once.
 	Slots int
 	// Models are the models that an engine may load, MemoryMB is its memory for
@@ -117,6 +119,9 @@
 // ID returns the ID under which the server is listed.
 func (b *Backend) ID() string { return b.options.ID }
 
+// Software returns the version of the server's software.
+func (b *Backend) Software() string { return b.options.Software }
+
 // SetFault replaces the faults of the server.
 func (b *Backend) SetFault(f Fault) { b.faultInjector.setFault(f) }
 
@@ -356,6 +361,9 @@
 	row["sequence"] = b.rowWrites
 	row["service"], row["address"], row["zone"] = b.options.Pool, address, b.options.Centre
 	row["slots"] = b.options.Slots
+	if b.options.Software != "" {
+		row["version"] = b.options.Software
+	}
 	if left, ok := b.coldLeft(); ok {
 		row["cold_left_ms"] = left.Milliseconds()
 	}
--- a/imitator/rows.go
+++ b/imitator/rows.go
@@ -338,3 +338,11 @@
 	slices.SortFunc(list, func(a, b Row) int { return int(a.Ver) - int(b.Ver) })
 	return s.newAnswer(list), false, s.changed
 }
+
+// Has reports whether there is a row.
+func (s *RowStore) Has(table, key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row, ok := s.rows[rowKey{table: table, key: key}]
+	return ok && !row.Deleted
+}
--- a/imitator/site.go
+++ b/imitator/site.go
@@ -52,6 +52,8 @@
 	Regions map[string][]string
 	// Centres are the data centres among which the backend servers are spread, or SiteCentre alone.
 	Centres []string
+	// EngineSoftware are the versions of the software of the first engines. The others name none.
+	EngineSoftware []string
 	// Proxy, if set, starts a proxy in front of a backend server's address and
 	// returns the address under which the server is listed instead.
 	Proxy func(address string) (string, error)
@@ -61,12 +63,13 @@
 	ServiceMachines []MachineOptions
 }
 
-// machineAt returns the options of a machine, or the zero value beyond the list.
-func machineAt(machines []MachineOptions, i int) MachineOptions {
-	if i < len(machines) {
-		return machines[i]
+// elementAt returns an element of a list, or the zero value beyond its end.
+func elementAt[T any](list []T, i int) T {
+	if i < len(list) {
+		return list[i]
 	}
-	return MachineOptions{}
+	var zero T
+	return zero
 }
 
 // Site is a stand-in of a hosting platform with its backend servers, on loopback.
@@ -104,7 +107,7 @@
 		backend := NewBackend(BackendOptions{
 			ID: fmt.Sprintf("engine-%d", i), Pool: SiteModels, Centre: s.centre(i), Slots: 32, Models: models,
 			MemoryMB: float64(options.ModelsPerEngine) * siteModelMB, AdapterSlots: 2, EventsPerStream: options.EventsPerStream, EventInterval: options.EventInterval,
-			Machine: machineAt(options.EngineMachines, i),
+			Machine: elementAt(options.EngineMachines, i), Software: elementAt(options.EngineSoftware, i),
 		}, s.Rows)
 		address, err := s.startBackend(backend)
 		if err != nil {
@@ -128,7 +131,7 @@
 func (s *Site) AddService() error {
 	backend := NewBackend(BackendOptions{
 		ID: fmt.Sprintf("service-%d", len(s.Services)), Pool: SiteOrders, Centre: s.centre(len(s.Services)), Slots: 6, ServiceTime: s.options.ServiceTime,
-		Machine: machineAt(s.options.ServiceMachines, len(s.Services)),
+		Machine: elementAt(s.options.ServiceMachines, len(s.Services)),
 	}, s.Rows)
 	if _, err := s.startBackend(backend); err != nil {
 		return err
--- a/locator/demand.go
+++ b/locator/demand.go
@@ -41,6 +41,9 @@
 	// centres are the data centres in which the requests that waited last may run, or nil if one of
 	// them may run in all.
 	centres []string
+	// software are the versions at which those of the waiting requests may run that may not run at
+	// all.
+	software []string
 }
 
 // ended reports whether no request waits and none is expected to be retried.
@@ -129,7 +132,8 @@
 // waits, its target time is 1<<30 ms ahead.
 func (d *demand) loadRequest(now time.Duration, regions map[string]string) *wire.LoadRequest {
 	d.updateCentres(regions)
-	request := &wire.LoadRequest{Model: d.name, Count: uint32(len(d.waiting)), Goal: 1 << 30, Avoid: d.avoid, Centres: d.centres}
+	d.updateSoftware()
+	request := &wire.LoadRequest{Model: d.name, Count: uint32(len(d.waiting)), Goal: 1 << 30, Avoid: d.avoid, Centres: d.centres, Software: d.software}
 	if now < d.retriesUntil {
 		request.Worth += retryValue
 	}
--- a/locator/homes.go
+++ b/locator/homes.go
@@ -16,12 +16,15 @@
 	l.regions = regions
 }
 
-// withinHomes returns the servers that are in the homes of a request. The caller holds the lock.
+// withinHomes returns the servers that are in the homes of a request and have a version of the
+// software at which it may run. The caller holds the lock.
 func (l *Locator) withinHomes(r *dispatcher.Request, servers []*tracker.Backend) []*tracker.Backend {
-	if !r.Homes.Restricted() {
+	if _, restricted := r.Software.Version(); !restricted && !r.Homes.Restricted() {
 		return servers
 	}
-	outside := func(b *tracker.Backend) bool { return !r.Homes.Allow(l.regions[b.Server().Centre]) }
+	outside := func(b *tracker.Backend) bool {
+		return !r.Homes.Allow(l.regions[b.Server().Centre]) || !r.Software.Allow(b.Server().Software)
+	}
 	return slices.DeleteFunc(slices.Clone(servers), outside)
 }
 
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -14,6 +14,7 @@
 	"oleanderstall/configurer"
 	"oleanderstall/dispatcher"
 	"oleanderstall/pacer"
+	"oleanderstall/pinner"
 	"oleanderstall/quarantiner"
 	"oleanderstall/refuser"
 	"oleanderstall/router"
@@ -78,6 +79,10 @@
 	// pacers are the pacers of the data centres that have one, by data centre, and coldTiming is
 	// how permits for cold servers may be used.
 	pacers map[string]string
+	// streams holds which versions of their software servers have and which streams they began.
+	streams *pinner.Pinner
+	// reportsStreams is set while the streams that are begun are reported to the relay.
+	reportsStreams bool
 	// regions are the regions of the data centres, by data centre.
 	regions    map[string]string
 	coldTiming pacer.ColdTiming
@@ -113,6 +118,7 @@
 		pacers:      map[string]string{},
 		coldTiming:  pacer.NewColdTiming(0),
 		attempts:    map[string]map[*attempt]struct{}{},
+		streams:     pinner.New(),
 		quarantine:  quarantine,
 		suspected:   map[quarantiner.Process]*suspectedCrash{},
 		probing:     map[string]bool{},
@@ -152,6 +158,7 @@
 			l.limitRemovedRows(id)
 		}
 		l.fleet.RemoveServer(id)
+		l.streams.RemoveServer(l.clock(), id)
 		l.forgetLimits(func(server string) bool { return server != id })
 		return
 	}
@@ -161,6 +168,7 @@
 		l.firstListedAt = now
 	}
 	l.fleet.UpdateServer(s)
+	l.streams.UpdateServer(now, s.ID, s.Pool, s.Software)
 	if known.GetRow() != listed.GetRow() {
 		l.updateCold(now, s, seenStart)
 	}
@@ -288,7 +296,7 @@
 // if none can in time. The caller holds the lock.
 func (l *Locator) waitForServer(now time.Duration, s *search) (step, error) {
 	r := s.request
-	if err := cmp.Or(l.checkNotEvacuated(r), l.checkHomes(r)); err != nil {
+	if err := cmp.Or(l.checkNotEvacuated(r), l.checkSoftware(r), l.checkHomes(r)); err != nil {
 		return step{}, err
 	}
 	c := l.closed(now, s)
@@ -439,12 +447,14 @@
 	l.recordUsage(b, names, 1)
 	promptRead := false
 	recordAnswer := sync.OnceFunc(func() { l.quarantine.RecordAnswer(r) })
+	recordStream := sync.OnceFunc(func() { l.recordStream(r, s) })
 	a := l.startAttempt(s, r)
 	return &dispatcher.Reservation{
 		Name:           s.ID,
 		Address:        s.Address,
 		ExpectedName:   s.ID,
 		Started:        s.Started,
+		Software:       s.Software,
 		HealthPath:     l.config.View().Pool(s.Pool).GetHealth(),
 		Priority:       min(r.Priority, lowestPriority),
 		ConfirmReceipt: !b.RecentlyActive(now),
@@ -455,6 +465,7 @@
 			a.lastEventAt.Store(int64(now))
 			b.RecordActivity(now)
 			recordAnswer()
+			recordStream()
 			l.observeEvent(now, lastEventAt, b, work)
 			lastEventAt = now
 		},
--- a/locator/report.go
+++ b/locator/report.go
@@ -58,6 +58,7 @@
 	}
 	r.Crashes = l.quarantine.TakeUnsent(full)
 	l.reportLimits(full, r)
+	l.reportStreams(now, full, r)
 	r.Arrivals, r.Felt = l.unreported.arrivals, l.unreported.saturations
 	r.Speeds = l.takeSpeeds(now)
 	if l.unreported.demandsChanged {
--- a/refuser/kind_string.go
+++ b/refuser/kind_string.go
@@ -29,11 +29,12 @@
 	_ = x[BackendLimited-18]
 	_ = x[Undecided-19]
 	_ = x[BodyTimeout-20]
+	_ = x[OtherSoftware-21]
 }
 
-const _Kind_name = "internalinvalid_requestunauthorizednot_foundtoo_largerate_limitedbusydeadline_exceededleavingnot_residentstale_configurationplatform_unavailableconnection_lostconflictcanceledbackend_failedquarantinedbackend_silentbackend_limitedundecidedbody_timeout"
+const _Kind_name = "internalinvalid_requestunauthorizednot_foundtoo_largerate_limitedbusydeadline_exceededleavingnot_residentstale_configurationplatform_unavailableconnection_lostconflictcanceledbackend_failedquarantinedbackend_silentbackend_limitedundecidedbody_timeoutother_software"
 
-var _Kind_index = [...]uint8{0, 8, 23, 35, 44, 53, 65, 69, 86, 93, 105, 124, 144, 159, 167, 175, 189, 200, 214, 229, 238, 250}
+var _Kind_index = [...]uint16{0, 8, 23, 35, 44, 53, 65, 69, 86, 93, 105, 124, 144, 159, 167, 175, 189, 200, 214, 229, 238, 250, 264}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -49,6 +49,9 @@
 	Undecided // undecided
 	// BodyTimeout is the kind for a request whose body did not arrive in time.
 	BodyTimeout // body_timeout
+	// OtherSoftware is the kind for the rest of a stream that no backend server may write: none has
+	// the version of the software that began the stream, or that is not known.
+	OtherSoftware // other_software
 )
 
 var httpStatuses = map[Kind]int{
@@ -73,6 +76,7 @@
 	BackendLimited:      http.StatusServiceUnavailable,
 	Undecided:           http.StatusGatewayTimeout,
 	BodyTimeout:         http.StatusRequestTimeout,
+	OtherSoftware:       http.StatusServiceUnavailable,
 }
 
 // HTTPStatus returns the HTTP status code of a refusal of kind k.
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -195,6 +195,7 @@
 	}
 	fs.addCrashes(now, lp, batch)
 	fs.addLimits(lp, batch)
+	fs.addOrigins(now, lp, batch)
 	fs.addEntryCounts(now, lp, batch)
 }
 
@@ -226,7 +227,8 @@
 		Age:   timer.ToMillis(now - demand.FirstArrival),
 		Avoid: demand.Avoid,
 
-		Centres: demand.Centres,
+		Centres:  demand.Centres,
+		Software: demand.Software,
 	}
 }
 
--- a/relayer/fleetstate.go
+++ b/relayer/fleetstate.go
@@ -17,6 +17,7 @@
 	"oleanderstall/evacuator"
 	"oleanderstall/limiter"
 	"oleanderstall/pacer"
+	"oleanderstall/pinner"
 	"oleanderstall/quarantiner"
 	"oleanderstall/wire"
 )
@@ -80,6 +81,12 @@
 	// crashes holds the crashed processes of servers, whose records quarantiner holds.
 	crashes     *versionedMap[quarantiner.Process, struct{}]
 	quarantiner *quarantiner.Quarantiner
+	// streams holds which versions of their software servers have and which streams they began, and
+	// origins the instants at which the streams began that linked processes have reported.
+	streams *pinner.Pinner
+	origins *versionedMap[uint64, time.Duration]
+	// originsExpiredAt is the instant of the latest search for streams that are no longer remembered.
+	originsExpiredAt time.Duration
 	// crashRevision counts the changes of records of crashes that linked processes reported.
 	crashRevision uint64
 	// limits holds the limits that servers have named, and pacing is who gives out the permits.
@@ -143,6 +150,8 @@
 		members:           newVersionedMap[string, *wire.Member](),
 		crashes:           newVersionedMap[quarantiner.Process, struct{}](),
 		quarantiner:       quarantiner.New(0),
+		streams:           pinner.New(),
+		origins:           newVersionedMap[uint64, time.Duration](),
 		limits:            newVersionedMap[string, pacedLimit](),
 		pacing:            newPacing(),
 		speedMeans:        map[string]*speedMean{},
--- a/relayer/linkedprocess.go
+++ b/relayer/linkedprocess.go
@@ -64,7 +64,7 @@
 // stateVersions are versions of the maps of a FleetState and, for entries, its
 // entriesVersion.
 type stateVersions struct {
-	statuses, engineLoads, lostSidecars, departures, estimates, servers, members, usage, demands, loadRequests, crashes, limits, speeds, entries, pacers, evacuations uint64
+	statuses, engineLoads, lostSidecars, departures, estimates, servers, members, usage, demands, loadRequests, crashes, limits, speeds, entries, pacers, evacuations, origins uint64
 }
 
 // Join links a process and returns the ID of the link. An earlier link of the same process
@@ -160,6 +160,7 @@
 	}
 	fs.mergeReportedCrashes(now, lp, report.GetCrashes())
 	fs.mergeLimits(report.GetLimits())
+	fs.recordOrigins(now, report.GetOrigins())
 	for _, d := range report.GetParted() {
 		fs.markLeaving(d.GetServer(), d.GetBorn())
 		fs.markUrgent(Entry, Relay)
@@ -246,6 +247,7 @@
 		FirstArrival: now - min(timer.FromMillis(r.GetAge()), placer.MaxWait),
 		Avoid:        r.GetAvoid(),
 		Centres:      r.GetCentres(),
+		Software:     r.GetSoftware(),
 	}
 }
 
@@ -296,7 +298,7 @@
 
 // sameDemand reports whether two demands are the same apart from their times.
 func sameDemand(a, b allocator.Demand) bool {
-	return a.Count == b.Count && a.Value == b.Value && slices.Equal(a.Avoid, b.Avoid) && slices.Equal(a.Centres, b.Centres)
+	return a.Count == b.Count && a.Value == b.Value && slices.Equal(a.Avoid, b.Avoid) && slices.Equal(a.Centres, b.Centres) && slices.Equal(a.Software, b.Software)
 }
 
 // mergeDemands adds a demand to a total, which is ignored if the demand is the first one.
@@ -311,6 +313,7 @@
 		FirstArrival: min(total.FirstArrival, demand.FirstArrival),
 		Avoid:        append(total.Avoid[:len(total.Avoid):len(total.Avoid)], demand.Avoid...),
 		Centres:      mergeCentres(total.Centres, demand.Centres),
+		Software:     mergeSoftware(total.Software, demand.Software),
 	}
 }
 
@@ -391,6 +394,7 @@
 		}
 	}
 	fs.expireCrashes(now)
+	fs.expireOrigins(now)
 	fs.tickEvacuated(now)
 	fs.updatePacing(now)
 	fs.localUsage.rotate(now)
--- a/relayer/remotefeed.go
+++ b/relayer/remotefeed.go
@@ -118,6 +118,7 @@
 	}
 	_ = fs.mergeCrashes(now, batch.GetCrashes())
 	fs.mergeLimits(batch.GetLimits())
+	fs.mergeOrigins(now, batch.GetOrigins())
 	fs.UpdateServers(now-timer.FromMillis(batch.GetAge()), batch.GetItems())
 	fs.applyDemands(now, rf, batch)
 	fs.applyDecisions(now, centre, rf, batch)
--- a/relayer/serverlist.go
+++ b/relayer/serverlist.go
@@ -30,12 +30,14 @@
 func (fs *FleetState) updateServer(server, known *wire.ListedServer) {
 	if server.GetGone() {
 		fs.allocator.RemoveServer(fs.decidedAt, server.GetId())
+		fs.streams.RemoveServer(fs.latest, server.GetId())
 		fs.limits.remove(server.GetId())
 		fs.dropSpeed(server.GetId())
 		delete(fs.pacing.schedules, server.GetId())
 		delete(fs.cold, server.GetId())
 	} else {
 		fs.allocator.UpdateServer(tracker.ServerFromList(server))
+		fs.streams.UpdateServer(fs.latest, server.GetId(), server.GetPool(), server.GetSoftware())
 	}
 	fs.decisionStale = true
 	normalized := proto.Clone(server).(*wire.ListedServer)
--- a/runner/crashes.go
+++ b/runner/crashes.go
@@ -8,64 +8,31 @@
 	"github.com/phuslu/log"
 
 	"oleanderstall/archiver"
+	"oleanderstall/dispatcher"
 	"oleanderstall/storer"
-	"oleanderstall/timer"
 	"oleanderstall/wire"
 )
 
-// crashSource is where records of crashes that are to be written to the store come from: the relay in
-// a process, or an entry without a relay.
-type crashSource interface {
-	// Revision counts the changes of records that the source is to write.
-	Revision() uint64
-	// All returns all records that are known.
-	All() []*wire.Crash
-}
-
-// crashSaver writes the records of crashes of one source to a row of the store.
-type crashSaver struct {
-	key      string
-	source   crashSource
-	table    storer.Table
-	clock    timer.Clock
-	log      *log.Logger
-	archiver *archiver.Archiver
-	written  chan error
-}
-
-func newCrashSaver(key string, source crashSource, table storer.Table, clock timer.Clock, l *log.Logger) *crashSaver {
-	return &crashSaver{key: key, source: source, table: table, clock: clock, log: l, archiver: archiver.New(), written: make(chan error, 1)}
-}
+// crashSaveInterval is the time between two checks of a native entry whether a write is due.
+const crashSaveInterval = 100 * time.Millisecond
 
-// update starts a write in the background if one is due. It is called by one task only.
-func (c *crashSaver) update(now time.Duration, tasks *taskGroup) {
-	select {
-	case err := <-c.written:
-		c.archiver.End(now, err)
-	default:
+// ownCrashes returns the records of crashes of an entry as state that is written to a row.
+func ownCrashes(name string, q *dispatcher.Quarantine) savedState {
+	return savedState{
+		key: storer.CrashKey(name), revision: q.Revision,
+		encode: func(at time.Time) ([]byte, error) { return archiver.Encode(q.All(), at) },
 	}
-	if !c.archiver.Begin(now, c.source.Revision(), c.table.Era()) {
-		return
-	}
-	crashes := c.source.All()
-	tasks.run(func(ctx context.Context) { c.written <- c.write(ctx, crashes) })
 }
 
-// write writes the row.
-func (c *crashSaver) write(ctx context.Context, crashes []*wire.Crash) error {
-	limited, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	value, err := archiver.Encode(crashes, time.Now())
-	if err == nil {
-		_, err = c.table.Commit(limited, storer.Transaction{Puts: []storer.Put{{Key: c.key, Value: value}}})
+// relayCrashes returns the records of crashes of the relay in this process as state that is written to
+// the row of a data centre.
+func (h *hostedProcess) relayCrashes(centre string) savedState {
+	return savedState{
+		key: storer.CrashKey(centre), revision: h.relayer.CrashRevision,
+		encode: func(at time.Time) ([]byte, error) { return archiver.Encode(h.relayer.Crashes(), at) },
 	}
-	c.log.Info().Str("key", c.key).Int("crashes", len(crashes)).Int("bytes", len(value)).AnErr("cause", err).Msg("crashes: written to the store")
-	return err
 }
 
-// crashSaveInterval is the time between two checks of a native entry whether a write is due.
-const crashSaveInterval = 100 * time.Millisecond
-
 // keepCrashes reads the records of crashes that earlier entries have written, and writes those of this
 // one until ctx ends.
 func (e *Entry) keepCrashes(ctx context.Context) {
@@ -76,7 +43,7 @@
 		}
 		return err
 	})
-	saver := newCrashSaver(storer.CrashKey(e.settings.Name), e.dispatcher.Quarantine(), e.platform, e.clock, e.log)
+	saver := newRowSaver(ownCrashes(e.settings.Name, e.dispatcher.Quarantine()), e.platform, e.clock, e.log)
 	ticker := time.NewTicker(crashSaveInterval)
 	defer ticker.Stop()
 	for {
@@ -110,12 +77,3 @@
 	h.relayer.MergeSavedCrashes(crashes)
 	h.onCrashesRead(crashes)
 }
-
-// relayCrashes are the records of crashes of the relay in a process.
-type relayCrashes struct{ *hostedProcess }
-
-// Revision implements crashSource.
-func (r relayCrashes) Revision() uint64 { return r.relayer.CrashRevision() }
-
-// All implements crashSource.
-func (r relayCrashes) All() []*wire.Crash { return r.relayer.Crashes() }
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -98,8 +98,12 @@
 	// onCrashesRead is called with records of crashes that were read from the store, and
 	// crashSaver writes those of the relay in this process.
 	onCrashesRead func(crashes []*wire.Crash)
-	crashSaver    *crashSaver
-	evacuations   *evacuations
+	crashSaver    *rowSaver
+	// onSoftwareRead is called with the row of the versions that servers have had, and softwareSaver
+	// writes that row.
+	onSoftwareRead func(value []byte, at time.Time) error
+	softwareSaver  *rowSaver
+	evacuations    *evacuations
 }
 
 // newHostedProcess builds the common parts. The list of backend servers is not followed
@@ -117,7 +121,8 @@
 		eraChanged: make(chan struct{}, 1),
 
 		evacuations: newEvacuations(), onEvacuationsChange: func([]string) {},
-		onCrashesRead: func([]*wire.Crash) {},
+		onCrashesRead:  func([]*wire.Crash) {},
+		onSoftwareRead: func([]byte, time.Time) error { return nil },
 	}
 	h.guard = newCallerGuard(s.Hosted.MaxMemoryMB*bytesPerMB, h.clock, h.meter, l)
 	h.tasks.run(h.guard.run)
@@ -132,7 +137,8 @@
 	h.meter.RegisterColdPermits(h.relayer.ColdPermits)
 	h.configs = follower.New(follower.Options{Table: platform.ConfigTable, LongPollTimeout: configLongPollTimeout, MinInterval: configMinInterval}, h.clock, h.store, h.applyConfigRows, l)
 	h.fleet = follower.New(follower.Options{Table: storer.FleetTable, LongPollTimeout: fleetLongPollTimeout, MinInterval: fleetMinInterval, KeepLost: true}, h.clock, h.store, h.applyFleetRows, l)
-	h.crashSaver = newCrashSaver(storer.CrashKey(s.Centre), relayCrashes{h}, h.store, h.clock, l)
+	h.crashSaver = newRowSaver(h.relayCrashes(s.Centre), h.store, h.clock, l)
+	h.softwareSaver = newRowSaver(h.softwareState(), h.store, h.clock, l)
 	h.lister = lister.New(platform.ServerTable, platform.DecodeServer, h.clock, h.store, h.updateServers, l)
 	h.lister.Follower().Suspend(true)
 	h.configs.Suspend(s.Role == "sidecar")
@@ -227,6 +233,8 @@
 			return
 		}
 		_ = s.Send(&wire.Reply{Body: &wire.Reply_Permit{Permit: permit}})
+	case *wire.Call_Origin:
+		_ = s.Send(h.answerOrigin(b.Origin))
 	default:
 		_ = s.Send(refuser.New(refuser.InvalidRequest, "this process does not answer this call").Reply())
 	}
@@ -335,6 +343,7 @@
 func (h *hostedProcess) applyFleetRows(now time.Duration, rows []storer.Row) {
 	h.applyMemberRows(now, rows)
 	applyCrashRows(rows, h.log, h.mergeCrashesRead)
+	h.applySoftwareRow(rows)
 }
 
 // applyMemberRows applies changed rows of processes to the membership and to the relay. A
--- a/runner/hostedentry.go
+++ b/runner/hostedentry.go
@@ -42,6 +42,8 @@
 	// stopping is set once the entry drains.
 	stopping atomic.Bool
 	requests requestCounter
+	// link is the link to the relay, or nil before the entry has joined the fleet.
+	link atomic.Pointer[linker]
 	// finished is set after the last request. The next report to the relay is then the
 	// final one.
 	finished atomic.Bool
@@ -67,7 +69,7 @@
 	e.quarantine = dispatcher.NewQuarantine(e.clock, e.recorder, l)
 	e.meter.RegisterQuarantines(e.quarantine.List)
 	e.locator = locator.New(s.Centre, e.clock, e.config, e.quarantine, e, l)
-	e.onCrashesRead = e.locator.MergeSavedCrashes
+	e.onCrashesRead, e.onSoftwareRead = e.locator.MergeSavedCrashes, e.locator.RestoreSoftware
 	e.meter.RegisterPools(e.locator.PoolSpeeds)
 	e.locator.SetColdTiming(pacer.NewColdTiming(s.Hosted.ColdOver))
 	e.meter.RegisterColdServers(e.locator.ColdServers)
@@ -133,8 +135,9 @@
 	}
 	e.charger.AssumeEntries(len(e.membership.All()))
 	self := &wire.Link{Name: instance.Name, Role: relayer.Entry, Centre: instance.Centre, Started: e.started}
-	unlinkedSaver := newCrashSaver(storer.CrashKey(instance.Name), e.quarantine, e.store, e.clock, e.log)
-	e.startLink(self, unlinkedSaver, subscriber.EntryTiming, e, func() time.Duration { return time.Duration(e.serverListAge.Load()) })
+	unlinkedSaver := newRowSaver(ownCrashes(instance.Name, e.quarantine), e.store, e.clock, e.log)
+	link := e.startLink(self, unlinkedSaver, subscriber.EntryTiming, e, func() time.Duration { return time.Duration(e.serverListAge.Load()) })
+	e.link.Store(link)
 	select {
 	case <-ctx.Done():
 		return
@@ -272,6 +275,9 @@
 	defer func() { e.requests.end(e.clock()) }()
 	call := received.Content.(*platform.ForwardedRequest)
 	call.Workspace = request.Workspace
+	if err := e.pinSoftware(ctx, request); err != nil {
+		return err
+	}
 	_, err = e.core.Serve(ctx, request, out)
 	return err
 }
--- a/runner/linker.go
+++ b/runner/linker.go
@@ -39,7 +39,7 @@
 	// needsServerList is set if the process needs the list of backend servers.
 	needsServerList bool
 	// unlinkedSaver writes the records of crashes of this process while it has no relay, or is nil.
-	unlinkedSaver *crashSaver
+	unlinkedSaver *rowSaver
 	// searchStart is the time at which the process began to look for a relay.
 	searchStart time.Duration
 	// relayListAge returns the age of the relay's list of backend servers at its latest
@@ -52,7 +52,7 @@
 
 // startLink starts the link of a process that has joined the fleet, the relay in this
 // process, and the adoption of engines.
-func (h *hostedProcess) startLink(self *wire.Link, unlinkedSaver *crashSaver, timing subscriber.Timing, process subscriber.Process, relayListAge func() time.Duration) *linker {
+func (h *hostedProcess) startLink(self *wire.Link, unlinkedSaver *rowSaver, timing subscriber.Timing, process subscriber.Process, relayListAge func() time.Duration) *linker {
 	l := &linker{hostedProcess: h, unlinkedSaver: unlinkedSaver, relayListAge: relayListAge, searchStart: h.clock(), needsServerList: self.GetRole() == relayer.Entry}
 	l.subscriber = subscriber.New(h.subscriberHost(), self, self.GetCentre(), timing, process)
 	h.tasks.run(h.relayer.Run)
@@ -97,16 +97,20 @@
 	// Entries always follow the configuration, so that each applies what it has read from
 	// the store itself.
 	l.configs.Suspend(linked && !active && !l.needsServerList)
-	l.saveCrashes(now, active, linked)
+	l.saveState(now, active, linked)
 	l.configs.SetIntervals(l.configPollTimeout(now, active), configMinInterval)
 	if version, address := l.relayer.NewerConfig(); active && version > 0 {
 		l.fetchNewerConfig(version, address)
 	}
 }
 
-// saveCrashes writes the records of crashes to the store that no other process writes: those of the
-// relay in this process, or of this process if it has no relay.
-func (l *linker) saveCrashes(now time.Duration, active, linked bool) {
+// saveState writes to the store what no other process writes: the records of crashes of the relay in
+// this process, or of this process if it has no relay, and the versions that servers have had, if this
+// relay reads the list of servers for the fleet.
+func (l *linker) saveState(now time.Duration, active, linked bool) {
+	if responsible, _ := l.relayer.ReadsServerList(); responsible && active {
+		l.softwareSaver.update(now, l.tasks)
+	}
 	switch {
 	case active:
 		l.crashSaver.update(now, l.tasks)
--- a/storer/keys.go
+++ b/storer/keys.go
@@ -27,6 +27,8 @@
 	// settings do not list them: one for each process, one for each engine that a process
 	// sends orders to, and the fleet's secret.
 	FleetTable = "fleet"
+	// SoftwareKey is the row with the versions of their software that backend servers have had.
+	SoftwareKey = FleetTable + "/software"
 	// SecretKey is the row with the fleet's secret.
 	SecretKey = FleetTable + "/secret"
 	// MemberPrefix, HolderPrefix and CrashPrefix begin the keys that MemberKey, HolderKey and
