--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -40,6 +40,20 @@
 	return Connection
 }
 
+// Bounds of the statuses of HTTP.
+const (
+	minStatus      = 100
+	minFinalStatus = 200
+	maxStatus      = 599
+)
+
+// IsInterim reports whether a status is that of a response before the final one.
+func IsInterim(status int) bool { return status >= minStatus && status < minFinalStatus }
+
+// IsFinal reports whether a status is that of an answer. One that is neither this nor interim is no
+// answer in HTTP, whatever stands behind it.
+func IsFinal(status int) bool { return status >= minFinalStatus && status <= maxStatus }
+
 // Head is what the head of an attempt's answer says about the answer.
 type Head struct {
 	// Status is the HTTP status, or 0 if the answer has none.
--- a/service/service.go
+++ b/service/service.go
@@ -142,9 +142,6 @@
 	}, nil
 }
 
-// minFinalStatus is the lowest HTTP status of an answer; those below announce one.
-const minFinalStatus = 200
-
 // checkHead returns an AnswerError if an answer is to another request than the one with
 // the ID, if its status does not end a call, or if its body is encoded: no encoding was asked
 // for, and the caller would not learn of it.
@@ -152,7 +149,7 @@
 	if other := response.Header.Get("X-Request-Id"); assembler.FindOwner(id, other, true, false) != assembler.Own {
 		return &AnswerError{Text: "to request " + other + " in place of " + id}
 	}
-	if response.StatusCode < minFinalStatus {
+	if !assembler.IsFinal(response.StatusCode) {
 		return &AnswerError{Text: fmt.Sprintf("status %d ends no call", response.StatusCode)}
 	}
 	if encoding := response.Header.Get("Content-Encoding"); encoding != "" && encoding != "identity" {
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -145,7 +145,7 @@
 // TestNoFinalStatus guards against an answer that an entry cannot pass on, since its status is
 // none of an answer: the entry's handler panicked, or changed the protocol.
 func TestNoFinalStatus(t *testing.T) {
-	for _, status := range []string{"000 None", "099 Odd", "101 Switching Protocols"} {
+	for _, status := range []string{"000 None", "099 Odd", "101 Switching Protocols", "600 Odd", "999 Odd"} {
 		c := repeatingService(t, func(*http.Request) string { return httpAnswer(status, "") })
 		_, err := c.Call(t.Context(), orderRequest)
 		var callErr *CallError
