engine: the body of an engine's error is bounded at 64 KiB

Reported from other systems (LOST): bytes without end, in a head or in a body, exhausted the memory of the machine that had called a faulty engine.

One fault: a native sidecar read up to 4 MiB of the body of each error of its engine, many at a time, in no account. Errors are read up to 64 KiB now; larger ones are a SizeError, which names its limit.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -26,6 +26,10 @@
 // maxAnswer is the largest body of an answer that is not a stream, in bytes.
 const maxAnswer = 4 << 20
 
+// maxErrorBytes is the largest body of an answer with a status other than 200, in bytes. Many of them
+// may arrive at a time.
+const maxErrorBytes = 64 << 10
+
 // dialTimeout limits the time for connecting to an engine on the same instance.
 const dialTimeout = time.Second
 
@@ -147,11 +151,15 @@
 // Error describes what is wrong with the stream.
 func (e *StreamError) Error() string { return "engine stream: " + e.Text }
 
-// SizeError reports an answer whose body is larger than 4 MiB.
-type SizeError struct{}
+// SizeError reports an answer whose body is larger than MaxBytes.
+type SizeError struct {
+	MaxBytes int64
+}
 
 // Error returns a text with the limit.
-func (e *SizeError) Error() string { return "engine answer is larger than 4 MiB" }
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("engine answer is larger than %d bytes", e.MaxBytes)
+}
 
 // Client is the HTTP client of one engine.
 type Client struct {
@@ -221,14 +229,18 @@
 }
 
 // readBody returns the body of an answer, or a StatusError with it if the status is
-// not 200. It returns a SizeError if the body is too large, whatever the status.
+// not 200. It returns a SizeError if the body is too large for the status.
 func readBody(response *http.Response) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	limit := int64(maxAnswer)
+	if response.StatusCode != http.StatusOK {
+		limit = maxErrorBytes
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
 		return nil, eris.Wrap(err, "read engine answer")
 	}
-	if len(data) > maxAnswer {
-		return nil, &SizeError{}
+	if int64(len(data)) > limit {
+		return nil, &SizeError{MaxBytes: limit}
 	}
 	if response.StatusCode != http.StatusOK {
 		return nil, &StatusError{Status: response.StatusCode, Body: string(data)}
