engine: TestEndlessRefusals counts the client's memory only

The test failed once in a run of the package (70,863,224 bytes allocated, 67,108,864 allowed). Traced: its server copied a string of 32 KiB for each write, until the client's end of the connection reached it, and the copies were counted. The server writes one slice now; the bound and the check are the same.

--- a/engine/endless_test.go
+++ b/engine/endless_test.go
@@ -1,11 +1,11 @@
 package engine
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,11 +18,12 @@
 // hold little.
 func TestEndlessRefusals(t *testing.T) {
 	const requests, maxGrowth = 64, 64 << 20
-	filler := strings.Repeat("x", 32<<10)
+	// A string would be copied for each write, and counted below.
+	filler := bytes.Repeat([]byte("x"), 32<<10)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusInternalServerError)
 		for {
-			if _, err := w.Write([]byte(filler)); err != nil {
+			if _, err := w.Write(filler); err != nil {
 				return
 			}
 		}
@@ -44,5 +45,6 @@
 	runtime.ReadMemStats(&after)
 	assert.NilError(t, ctx.Err())
 	grown := after.TotalAlloc - before.TotalAlloc
-	assert.Assert(t, grown < maxGrowth, "%d bytes were allocated", grown)
+	t.Logf("%d bytes were allocated", grown)
+	assert.Assert(t, grown < maxGrowth)
 }
