executor, dispatcher: the native API keeps a completion at its version

What callers would see: a completion that broke off is continued by an engine of another version of its software.

Cause: as on the hosted API, nothing knew the version of an engine.

Change: the engine's state may name a version; its sidecar sends it with each token, the entry sends that of the first token along when it asks for the rest, and a sidecar whose engine has another one refuses before it runs anything. The entry then tries another replica, without a charge on the retry budget.

--- a/dispatcher/completion.go
+++ b/dispatcher/completion.go
@@ -108,6 +108,8 @@
 	completion *Completion
 	onToken    func(string) error
 	text       strings.Builder
+	// software is the version of the software of the engine that began the text.
+	software string
 }
 
 // Begin implements Output.
@@ -244,11 +246,12 @@
 		Cost:      completion.Cost,
 		Resume:    t.text.String(),
 		Sent:      uint32(from),
+		Software:  t.software,
 	}}})
 	if err != nil {
 		return nil, sidecarRefusal(err)
 	}
-	return &completionStream{stream: s, requestID: completion.ID, received: from}, nil
+	return &completionStream{stream: s, requestID: completion.ID, received: from, transcript: t}, nil
 }
 
 // sidecarRefusal turns the failure of a call to a sidecar into a refusal. It states that
@@ -269,8 +272,10 @@
 // completionStream is the answer of a sidecar to a completion request. It refuses tokens
 // and ends of other requests.
 type completionStream struct {
-	stream    peer.Stream
-	requestID string
+	stream peer.Stream
+	// transcript keeps the version of the engine that begins the text. It may be nil.
+	transcript *transcript
+	requestID  string
 	// received counts the tokens of the answer up to now, with those of earlier attempts.
 	received uint64
 	// begun is set once a token of this attempt has arrived, and ended once its end has.
@@ -312,6 +317,9 @@
 		if piece.GetId() != s.requestID {
 			return Event{}, refuser.MayHaveRun(refuser.ConnectionLost, "a token of another request arrived")
 		}
+		if s.transcript != nil && piece.GetIndex() == 0 {
+			s.transcript.software = piece.GetSoftware()
+		}
 		s.begun = true
 		s.received = uint64(piece.GetIndex()) + 1
 		return Event{Index: uint64(piece.GetIndex()), Data: []byte(piece.GetText())}, nil
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -419,7 +419,7 @@
 		return false
 	}
 	switch refusal.Kind() {
-	case refuser.NotResident, refuser.Leaving, refuser.Busy, refuser.StaleConfiguration, refuser.ConnectionLost, refuser.BackendFailed, refuser.BackendSilent, refuser.BackendLimited:
+	case refuser.NotResident, refuser.Leaving, refuser.Busy, refuser.StaleConfiguration, refuser.ConnectionLost, refuser.BackendFailed, refuser.BackendSilent, refuser.BackendLimited, refuser.OtherSoftware:
 	default:
 		return false
 	}
@@ -438,7 +438,7 @@
 // attempt that failed. Only then does a retry add to the load of the back end.
 func mayHaveArrived(refusal *refuser.Refusal) bool {
 	switch refusal.Kind() {
-	case refuser.ConnectionLost, refuser.BackendSilent, refuser.BackendLimited:
+	case refuser.ConnectionLost, refuser.BackendSilent, refuser.BackendLimited, refuser.OtherSoftware:
 		return !refusal.NeverRan()
 	}
 	return true
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -65,6 +65,8 @@
 	// Memory and Disk list the checkpoints cached on the instance.
 	Memory []string `json:"memory"`
 	Disk   []string `json:"disk"`
+	// Software is the version of the engine's software, or empty if it names none.
+	Software string `json:"version"`
 	// Limit is the limit that the engine names, in requests a second, or 0.
 	Limit float64 `json:"-"`
 }
--- a/engine/status.go
+++ b/engine/status.go
@@ -12,6 +12,7 @@
 // statusText is the JSON text of a status.
 type statusText struct {
 	Capacity uint64               `json:"capacity"`
+	Software json.RawMessage      `json:"version"`
 	Loaded   decoder.List[Loaded] `json:"loaded"`
 	Running  int                  `json:"running"`
 	Memory   decoder.List[string] `json:"memory"`
@@ -26,7 +27,7 @@
 	if err := decoder.Unmarshal(data, &text); err != nil {
 		return Status{}, eris.Wrap(err, "decode engine state")
 	}
-	status := Status{Capacity: text.Capacity, Loaded: text.Loaded.Items(), Running: text.Running, Memory: text.Memory.Items(), Disk: text.Disk.Items()}
+	status := Status{Capacity: text.Capacity, Software: textOf(text.Software), Loaded: text.Loaded.Items(), Running: text.Running, Memory: text.Memory.Items(), Disk: text.Disk.Items()}
 	for _, element := range text.Loaded.Omitted() {
 		status.Loaded = append(status.Loaded, Loaded{Model: nameOf(element.Data()), Unreadable: true})
 	}
@@ -34,6 +35,15 @@
 	return status, nil
 }
 
+// textOf returns a text, or an empty one for any other value.
+func textOf(value json.RawMessage) string {
+	var text string
+	if json.Unmarshal(value, &text) != nil {
+		return ""
+	}
+	return text
+}
+
 // nameOf returns the name of a model or an adapter whose other fields cannot be read, or an
 // empty one.
 func nameOf(element []byte) string {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -91,8 +91,10 @@
 	// ordersFrom is the time from which orders are accepted: orders of an earlier
 	// sidecar can no longer be in transit then.
 	ordersFrom time.Duration
-	// statusKnown is set once the engine's first status has been read.
+	// statusKnown is set once the engine's first status has been read, and software is the version of
+	// the engine's software in the latest one.
 	statusKnown bool
+	software    string
 	draining    bool
 	// budget accounts for the engine's memory.
 	budget *placer.MemoryBudget
--- a/executor/fixture_test.go
+++ b/executor/fixture_test.go
@@ -73,7 +73,9 @@
 	// beforeStatusReturn is called after a status was taken and before it is returned.
 	beforeStatusReturn func()
 	// limit is the limit that the answers name, or 0.
-	limit    float64
+	limit float64
+	// software is the version that the status names.
+	software string
 	generate func(ctx context.Context, r engine.Request, onToken func(string) error) (engine.Result, error)
 }
 
@@ -88,7 +90,7 @@
 func (e *memoryEngine) status() engine.Status {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	status := engine.Status{Capacity: e.capacity, Limit: e.limit}
+	status := engine.Status{Capacity: e.capacity, Software: e.software, Limit: e.limit}
 	for _, l := range e.loaded {
 		status.Loaded = append(status.Loaded, l)
 	}
--- a/executor/run.go
+++ b/executor/run.go
@@ -254,6 +254,10 @@
 // generate sends the request to the engine and its tokens to the entry. An error of
 // the engine is returned as a refusal that leaves open whether the request ran.
 func (x *Executor) generate(ctx context.Context, req *wire.Run, stream peer.Stream, deadline time.Duration) error {
+	software := x.engineSoftware()
+	if req.GetSent() > 0 && req.GetSoftware() != software {
+		return refuser.New(refuser.OtherSoftware, "the engine has another version than the one that began the stream")
+	}
 	number, err := x.admitSend(req.GetId())
 	if err != nil {
 		return err
@@ -270,7 +274,7 @@
 		ResumeTokens: req.GetSent(),
 		OnLimit:      func(rate float64) { x.recordLimit(number, rate) },
 	}, func(text string) error {
-		piece := &wire.Piece{Id: req.GetId(), Index: index, Text: text}
+		piece := &wire.Piece{Id: req.GetId(), Index: index, Text: text, Software: software}
 		index++
 		return stream.Send(&wire.Reply{Body: &wire.Reply_Piece{Piece: piece}})
 	})
@@ -292,6 +296,13 @@
 	}}})
 }
 
+// engineSoftware returns the version of the engine's software, as of its latest status.
+func (x *Executor) engineSoftware() string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.software
+}
+
 // engineRefusal returns the refusal for a request that the engine did not answer. It says
 // that the request never ran only if no byte of it was sent, or if the engine answered that
 // it does not have the model.
--- a/executor/status.go
+++ b/executor/status.go
@@ -29,6 +29,7 @@
 		return
 	}
 	x.recordAlive()
+	x.software = status.Software
 	x.applyLimit(number, status.Limit)
 	now := x.clock()
 	if !x.statusKnown {
