soaker: callers take streams up at engines of two versions; a fatal request comes again

TestSoakVersions: engines of two versions, callers who leave or lose streams and take them up at any entry, a kill of all entries while streams run; a stream with events of both is a violation, and so are streams that could go on after the recovery and do not. TestSoakFatalRequest: TestSoakFatalPart with one request that comes again, and the kill.

--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -119,6 +119,18 @@
 // ID returns the ID under which the server is listed.
 func (b *Backend) ID() string { return b.options.ID }
 
+// SoftwareField is the field of an event that names the version of the software that wrote it.
+const SoftwareField = "x-software"
+
+// softwareLine returns the line of an event that names the version of the software, or an empty text if
+// the server names none.
+func (b *Backend) softwareLine() string {
+	if b.options.Software == "" {
+		return ""
+	}
+	return SoftwareField + ": " + b.options.Software + "\n"
+}
+
 // Software returns the version of the server's software.
 func (b *Backend) Software() string { return b.options.Software }
 
@@ -593,7 +605,7 @@
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s.%d\n\n", i, id, i)
+		_, _ = fmt.Fprintf(w, "id: %d\n%sdata: %s.%d\n\n", i, b.softwareLine(), id, i)
 		if control.Flush() != nil {
 			return
 		}
--- a/soaker/caller_test.go
+++ b/soaker/caller_test.go
@@ -108,6 +108,8 @@
 const (
 	sharedPart = "a1"
 	fatalPart  = "bad"
+	// fatalTarget is the target of a request on which engines crash.
+	fatalTarget = "/draft/fatal"
 )
 
 // promptHeader returns the header field for a prompt of sharedPart, the given parts and one
@@ -131,6 +133,10 @@
 	kind := c.random.IntN(4)
 	if c.fatalRandom.Float64() < c.soakRun.mode.fatalShare {
 		r.kind = "fatal"
+		if c.soakRun.mode.fatalRequest {
+			req, err := imitator.NewModelRequest(ctx, address, r.id, fatalTarget, imitator.SiteModel(0), "X-Prefix-Hash", sharedPart+":50,f:10")
+			return req, r, err
+		}
 		req, err := imitator.NewModelRequest(ctx, address, r.id, "/draft/x", model, c.soakRun.promptHeader(r.id, fatalPart)...)
 		return req, r, err
 	}
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -71,6 +71,11 @@
 	coldServers bool
 	// evacuations makes the operator evacuate data centres.
 	evacuations bool
+	// fatalRequest makes the requests on which engines crash repeats of one request, and versions gives
+	// engines two versions of their software and adds callers who take streams up. Both kill all entries at
+	// once.
+	fatalRequest bool
+	versions     bool
 	// storeTrouble makes the store silent, unreachable and set back, and replaces most other faults.
 	storeTrouble bool
 }
@@ -99,6 +104,8 @@
 	// faultyAnswers is the number of answers that were to have a fault.
 	faultyAnswers atomic.Int64
 	results       results
+	// takeUps are the streams that callers have taken up, guarded by the lock of results.
+	takeUps []takeUp
 	// limitPeriods are the limits that servers have named, which limitRandom draws.
 	limitPeriods []limitPeriod
 	limitRandom  *rand.Rand
@@ -141,6 +148,11 @@
 	if mode.evacuations {
 		s.options.Centres = soakCentres
 	}
+	if mode.versions {
+		for i := range *sidecarCount {
+			s.options.EngineSoftware = append(s.options.EngineSoftware, fmt.Sprint("v", 1+i%2))
+		}
+	}
 	if mode.coldServers {
 		s.options.ColdTime, s.options.ColdRate = coldTime, coldRate
 	}
@@ -155,7 +167,7 @@
 		return nil, err
 	}
 	for _, b := range s.site.Engines {
-		b.CrashOn(fatalPart)
+		b.CrashOn(fatalPart, fatalTarget)
 	}
 	for i := range *entryCount {
 		s.entries = append(s.entries, &member{name: fmt.Sprintf("entry-%d", i), role: "entry", dir: dir})
@@ -235,6 +247,15 @@
 	if s.mode.serverLimits {
 		faults.Go(s.nameLimits)
 	}
+	if s.mode.versions {
+		for i := range takerCount {
+			run := s.newTaker(fmt.Sprint("taker-", i))
+			clients.Go(func() { run(ctx) })
+		}
+	}
+	if s.mode.versions || s.mode.fatalRequest {
+		faults.Go(s.killEntries)
+	}
 	if s.mode.evacuations {
 		faults.Go(s.evacuate)
 	}
@@ -253,6 +274,7 @@
 	time.Sleep(verifyTime)
 	s.checkRecovery(recoveredAt)
 	s.checkFatalRuns(fatalRuns)
+	s.checkTakeUps(recoveredAt)
 	cancel()
 	clients.Wait()
 	s.checkGuarantees()
@@ -371,6 +393,17 @@
 // guards against entries that forget, under faults, what engines crash on.
 func TestSoakFatalPart(t *testing.T) { soak(t, soakMode{fatalShare: *fatalShare}) }
 
+// TestSoakFatalRequest is TestSoakFatalPart with one request that comes again and a kill of all entries.
+// It guards against entries that learn anew what the request does to engines.
+func TestSoakFatalRequest(t *testing.T) {
+	soak(t, soakMode{fatalShare: *fatalShare, fatalRequest: true})
+}
+
+// TestSoakVersions is TestSoak with engines of two versions of their software, callers who take streams up
+// and a kill of all entries. It guards against streams with events of both versions, and against streams
+// that could go on and don't.
+func TestSoakVersions(t *testing.T) { soak(t, soakMode{versions: true}) }
+
 // TestSoakStreamEnds is TestSoak with faulty answers of the backend servers and odd rows of
 // another writer. It guards against streams that end as complete before their last event, bytes
 // that belong to no request, false statements about what ran, and processes that stop following
@@ -422,6 +455,9 @@
 			s.run()
 			t.Logf("seed %d: %d requests, %d served, %d with the fatal part reached engines", seed, len(s.results.requests), s.servedCount(), s.fatalRuns())
 			t.Logf("seed %d: %d faulty answers; the machine did not run the test for %v, at most %v at once", seed, s.faultyAnswers.Load(), s.paused.Round(time.Millisecond), s.longestPause.Round(time.Millisecond))
+			if mode.versions {
+				t.Logf("seed %d: %d times a stream was taken up", seed, len(s.takeUps))
+			}
 			for _, text := range s.results.violations {
 				t.Error(text)
 			}
