quarantiner: repeats that crash a server together count each

Cause: the record of a crash holds each fingerprint once, however many repeats were in flight, so that a storm of repeats weighs no more than one of them.

Change: records name up to three requests of each whole-request fingerprint (Suspect.requests, hashes of their IDs). A whole request that was never answered is quarantined at two crashes that ended three of its repeats, as at three crashes.

--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -26,7 +26,7 @@
 		prints = append(prints, quarantiner.Fingerprint{ID: r.Prompt[i].ID, Depth: i})
 	}
 	if r.Digest != 0 {
-		prints = append(prints, quarantiner.Fingerprint{ID: r.Digest, Depth: len(r.Prompt), Whole: true})
+		prints = append(prints, quarantiner.Fingerprint{ID: r.Digest, Depth: len(r.Prompt), Whole: true, Request: uint32(router.Hash(r.ID))})
 	}
 	return prints
 }
--- a/quarantiner/decision.go
+++ b/quarantiner/decision.go
@@ -135,6 +135,9 @@
 	subject subject
 	depth   int
 	whole   bool
+	// lost is the number of repeats of a whole request that the crashes ended, at most minCrashes of
+	// each crash.
+	lost    int
 	crashes []time.Duration
 	moments int
 	// scattered is set if there are at least minScattered crashes, spread over minSpread.
@@ -151,7 +154,7 @@
 	case e.whole && e.answered:
 		return e.moments >= minCrashes && e.spread() >= minAnsweredSpread
 	case e.whole:
-		return len(e.crashes) >= minCrashes && e.spread() >= minSpread
+		return max(len(e.crashes), e.lost) >= minCrashes && e.spread() >= minSpread
 	}
 	return !e.answered && (e.moments >= minCrashes || e.scattered)
 }
@@ -177,13 +180,14 @@
 	for _, c := range crashes {
 		for id, s := range c.suspects {
 			key := subject{c.pool, id}
-			if s.cleared || counts[key] < minCrashes {
+			if s.cleared || counts[key] < minCrashes && (counts[key] < minCrashesTogether || !s.whole) {
 				continue
 			}
 			if found[key] == nil {
 				found[key] = &evidence{subject: key}
 			}
 			found[key].crashes = append(found[key].crashes, c.at)
+			found[key].lost += s.requests.count()
 			found[key].depth = max(found[key].depth, s.depth)
 			found[key].whole = found[key].whole || s.whole
 			found[key].answered = found[key].answered || s.answered
--- a/quarantiner/message.go
+++ b/quarantiner/message.go
@@ -55,7 +55,9 @@
 	}
 	message := &wire.Crash{Server: p.Server, Born: p.Started, Pool: c.pool, Age: timer.ToMillis(now - c.at)}
 	for id, s := range c.suspects {
-		message.Suspects = append(message.Suspects, &wire.Suspect{Print: id, Depth: uint32(s.depth), Whole: s.whole, Cleared: s.cleared, Seen: s.answered})
+		message.Suspects = append(message.Suspects, &wire.Suspect{
+			Print: id, Depth: uint32(s.depth), Whole: s.whole, Requests: s.requests[:s.requests.count()], Cleared: s.cleared, Seen: s.answered,
+		})
 	}
 	slices.SortFunc(message.Suspects, func(a, b *wire.Suspect) int { return cmp.Compare(a.GetPrint(), b.GetPrint()) })
 	return message
@@ -75,6 +77,13 @@
 	return max(wholes, len(message.GetSuspects())-wholes) > maxSuspects
 }
 
+// newRequestSet returns the first hashes of a message.
+func newRequestSet(hashes []uint32) requestSet {
+	var s requestSet
+	copy(s[:], hashes)
+	return s
+}
+
 // Merge adds the record of another process to the one known here. It returns the process of
 // the server, and whether the record has changed. A message without a server, or with more
 // suspects than a record has, is ignored.
@@ -86,7 +95,7 @@
 	changed = q.crashes[p] == nil
 	c := q.crashOf(p, message.GetPool(), now-timer.FromMillis(message.GetAge()))
 	for _, s := range message.GetSuspects() {
-		sent := suspect{depth: int(s.GetDepth()), whole: s.GetWhole(), cleared: s.GetCleared(), answered: s.GetSeen()}
+		sent := suspect{depth: int(s.GetDepth()), whole: s.GetWhole(), requests: requestSet{}.union(newRequestSet(s.GetRequests())), cleared: s.GetCleared(), answered: s.GetSeen()}
 		known := q.withAnswer(c, s.GetPrint(), sent)
 		if !q.addSuspect(c, s.GetPrint(), known) {
 			continue
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -22,6 +22,9 @@
 	// quarantined, and minCrashesAnswered that number for one which was answered before.
 	minCrashes         = 3
 	minCrashesAnswered = 6
+	// minCrashesTogether is the number of crashes from which a whole request is quarantined if they
+	// ended minCrashes of its repeats.
+	minCrashesTogether = 2
 	// momentGap is the shortest time between two separate moments. Servers that end within
 	// it may have a common cause, such as a loss of power.
 	momentGap = 100 * time.Millisecond
@@ -68,8 +71,10 @@
 	// Depth is the position of the content in the request. Of the parts of a prompt, a
 	// deeper one is shared by fewer requests.
 	Depth int
-	// Whole is set for the fingerprint of a whole request.
-	Whole bool
+	// Whole is set for the fingerprint of a whole request, and Request is then the hash of the ID of
+	// the request that holds it, by which its repeats are told apart.
+	Whole   bool
+	Request uint32
 }
 
 // Process is a process of a backend server.
@@ -90,12 +95,41 @@
 type suspect struct {
 	depth int
 	whole bool
+	// requests are those with the fingerprint of a whole request that the crash ended.
+	requests requestSet
 	// cleared is set once a request with the fingerprint was answered after the crash, and
 	// answered if that happened before.
 	cleared  bool
 	answered bool
 }
 
+// requestSet holds the hashes of the IDs of at most minCrashes requests, the lowest ones, in ascending
+// order. The rest is 0.
+type requestSet [minCrashes]uint32
+
+// union returns the lowest hashes of both sets.
+func (s requestSet) union(other requestSet) requestSet {
+	all := slices.DeleteFunc(append(s[:], other[:]...), func(hash uint32) bool { return hash == 0 })
+	slices.Sort(all)
+	all = slices.Compact(all)
+	var merged requestSet
+	for i, hash := range all[:min(len(all), len(merged))] {
+		merged[i] = hash
+	}
+	return merged
+}
+
+// count returns the number of requests.
+func (s requestSet) count() int {
+	n := 0
+	for _, hash := range s {
+		if hash != 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // crash is what is known of the crash of a server.
 type crash struct {
 	pool     string
@@ -192,7 +226,7 @@
 func (q *Quarantiner) RecordCrash(at time.Duration, p Process, pool string, fingerprints []Fingerprint) {
 	c := q.crashOf(p, pool, at)
 	for _, f := range fingerprints {
-		q.addSuspect(c, f.ID, q.withAnswer(c, f.ID, suspect{depth: f.Depth, whole: f.Whole}))
+		q.addSuspect(c, f.ID, q.withAnswer(c, f.ID, suspect{depth: f.Depth, whole: f.Whole, requests: requestSet{f.Request}}))
 	}
 	q.markChanged(p)
 }
@@ -234,6 +268,7 @@
 		whole:    known.whole || s.whole,
 		cleared:  known.cleared || s.cleared,
 		answered: known.answered || s.answered,
+		requests: known.requests.union(s.requests),
 	}
 	if ok && merged == known {
 		return false
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -493,3 +493,42 @@
 	assert.Assert(t, sent > 3, "%d: no trial", sent)
 	assert.Assert(t, sent <= 3+maxLate, "reached servers %d times", sent)
 }
+
+// TestRepeatsInFlightTogether guards against a fatal request of which many repeats wait for a model and
+// are sent at once: two crashes that ended three of them suffice, also if no process saw more than one.
+func TestRepeatsInFlightTogether(t *testing.T) {
+	repeat := func(request uint32) []Fingerprint {
+		return []Fingerprint{{ID: own, Depth: 1, Whole: true, Request: request}}
+	}
+	first, second := New(0), New(0)
+	first.RecordCrash(time.Hour, process(0), "p", repeat(11))
+	second.RecordCrash(time.Hour, process(0), "p", repeat(12))
+	merge := func(now time.Duration) {
+		for _, q := range []*Quarantiner{first, second} {
+			for _, message := range q.All(now) {
+				first.Merge(now, message)
+				second.Merge(now, message)
+			}
+		}
+	}
+	merge(time.Hour + time.Second)
+	assert.Assert(t, first.Check(time.Hour+time.Second, "r", "p", repeat(13)) == nil, "one crash")
+	second.RecordCrash(time.Hour+time.Second, process(1), "p", repeat(13))
+	merge(time.Hour + 2*time.Second)
+	for _, q := range []*Quarantiner{first, second} {
+		assert.Assert(t, q.Check(time.Hour+2*time.Second, "r", "p", repeat(14)) != nil)
+	}
+
+	alone := New(0)
+	for i := range 2 {
+		alone.RecordCrash(time.Hour+time.Duration(i)*time.Second, process(i), "p", repeat(11))
+	}
+	assert.Assert(t, alone.Check(time.Hour+2*time.Second, "r", "p", repeat(12)) == nil, "one request at two servers")
+
+	together := New(0)
+	for request := range uint32(9) {
+		together.RecordCrash(time.Hour, process(0), "p", repeat(20+request))
+	}
+	assert.Assert(t, together.Check(time.Hour+time.Second, "r", "p", repeat(12)) == nil, "one server")
+	assert.Assert(t, len(together.All(time.Hour)[0].GetSuspects()[0].GetRequests()) <= minCrashes)
+}
