--- a/locator/software.go
+++ b/locator/software.go
@@ -11,8 +11,8 @@
 	"oleanderstall/wire"
 )
 
-// recordStream records which version began the stream that is the answer to a request. While a pool
-// has one version only, nothing needs to be remembered.
+// recordStream records which version began the stream that is the answer to a request, also while the
+// pool has one version: a second one may come before the stream is taken up.
 func (l *Locator) recordStream(r *dispatcher.Request, s tracker.Server) {
 	if r.Kind != dispatcher.Resumable || r.StreamID() == "" {
 		return
