admitter: the rest of a stream goes to the pool that began it on a split route

What callers would see: the rest of a stream from another service than its beginning.

Cause: on a route with several pools a hash of the request's ID decides, and each attempt of a caller has an ID of its own.

Change: the ID of the request that began the stream decides ('Resumes'), so that no state is needed. A change of the weights meanwhile may still move it.

Evidence: TestTakeUpOnSplitRoute failed before (a take-up of pool p in pool q).

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -52,6 +52,15 @@
 	Content any
 }
 
+// streamID returns the ID of the request that began the stream that the caller asks for: its own,
+// unless it takes a stream up.
+func (r *CallerRequest) streamID() string {
+	if r.FirstIndex > 0 && r.Resumes != "" {
+		return r.Resumes
+	}
+	return r.ID
+}
+
 // Admit returns the request to be served. An error is a *refuser.Refusal.
 func Admit(now time.Duration, view *configurer.View, req *CallerRequest) (*dispatcher.Request, error) {
 	if view.Version() == 0 {
@@ -61,7 +70,7 @@
 	if route == nil {
 		return nil, refuser.New(refuser.NotFound, "no such route")
 	}
-	pool := choosePool(route, req.ID)
+	pool := choosePool(route, req.streamID())
 	if pool == "" {
 		return nil, refuser.New(refuser.StaleConfiguration, "the route cannot be used").WithRetryAfter(unconfiguredRetryAfter)
 	}
@@ -142,7 +151,7 @@
 }
 
 // choosePool returns the pool of a request. On a route with several pools, a hash of the
-// request's ID decides, in proportion to their weights.
+// ID of the request that began the stream decides, in proportion to their weights.
 func choosePool(route *wire.Route, id string) string {
 	totalWeight := uint64(0)
 	for _, s := range route.GetSplits() {
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -202,3 +203,19 @@
 	assert.Equal(t, admit("key"), admit("key"))
 	assert.Assert(t, admit("key") != admit("first key"))
 }
+
+// TestTakeUpOnSplitRoute guards against the rest of a stream that goes to another pool of a split route
+// than its beginning: the ID of each attempt is another one.
+func TestTakeUpOnSplitRoute(t *testing.T) {
+	for i := range 200 {
+		first := newRequest("/x/1", "key")
+		first.ID = fmt.Sprint("first-", i)
+		begun, err := Admit(started, testView(), first)
+		assert.NilError(t, err)
+		rest := newRequest("/x/1", "key")
+		rest.ID, rest.Resumes, rest.FirstIndex = fmt.Sprint("rest-", i), first.ID, 4
+		taken, err := Admit(started, testView(), rest)
+		assert.NilError(t, err)
+		assert.Equal(t, taken.Pool, begun.Pool)
+	}
+}
