quarantiner: repeats of a request that one crash ended in numbers are sent apart

Cause: one crash quarantines nothing, rightly, as an engine may end for its own reasons; but nothing lay between sending and refusing.

Ruled out: late records (all entries knew the crash 5 s before); a wait by an entry's place in an order, since all repeats become ready at one instant, whenever that is.

Change: a whole request that was never answered and of which a crash ended three repeats is doubtful; each repeat draws a delay of up to 2 s when a server could run it, by the formula of the trials, so that few are near the earliest however many there are. On both faces; derived from the records, no new message.

TestRepeatsReadyTogether, TestSendDelay and TestRepeatsSentApart are new; without the delay the last one fails in both packages.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -124,14 +124,30 @@
 	if err != nil {
 		return nil, err
 	}
-	// The search may have waited for a load.
-	if err := d.quarantine.Check(r); err != nil {
+	if err := d.awaitSend(ctx, r); err != nil {
 		reservation.Release(AttemptResult{Err: err})
 		return nil, err
 	}
 	return d.watchAttempt(r, reservation), nil
 }
 
+// awaitSend blocks until r may be sent, or returns its refusal. The search may have waited for a load,
+// as that of other repeats of r.
+func (d *Dispatcher) awaitSend(ctx context.Context, r *Request) error {
+	if err := d.quarantine.Check(r); err != nil {
+		return err
+	}
+	delay := d.quarantine.SendDelay(r)
+	if delay == 0 {
+		return nil
+	}
+	delay = min(delay, r.Deadline-d.clock())
+	if !timer.Wait(ctx, delay, nil) {
+		return refuser.New(refuser.Canceled, "the caller has given up")
+	}
+	return d.quarantine.Check(r)
+}
+
 // watchAttempt adds to a reservation that the quarantine learns of the first event of the
 // answer, and of a crash of the backend server.
 func (d *Dispatcher) watchAttempt(r *Request, reservation *Reservation) *Reservation {
--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -93,6 +93,23 @@
 	return refuser.New(refuser.Quarantined, text).WithRetryAfter(max(found.RetryAt()-now, trialTime))
 }
 
+// SendDelay returns how long r, which Check lets pass, waits before it is sent since servers may crash
+// on it. It is drawn anew by each call, and 0 for nearly all requests.
+func (q *Quarantine) SendDelay(r *Request) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.quarantiner.Idle() {
+		return 0
+	}
+	now := q.clock()
+	q.update(now)
+	delay := q.quarantiner.SendDelay(now, r.Pool, r.Fingerprints(), rand.Float64())
+	if delay > 0 {
+		q.log.Info().Str("request", r.ID).Str("pool", r.Pool).Str("whole", r.FormatDigest()).Int64("delay", delay.Milliseconds()).Msg("request: delayed")
+	}
+	return delay
+}
+
 // RecordAnswer records that r was answered, at least in part.
 func (q *Quarantine) RecordAnswer(r *Request) {
 	q.mu.Lock()
--- a/dispatcher/quarantine_test.go
+++ b/dispatcher/quarantine_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"oleanderstall/bubbler"
 	"oleanderstall/configurer"
 	"oleanderstall/faker"
 	"oleanderstall/holder"
@@ -157,6 +159,47 @@
 	assert.Assert(t, fx.dispatcher.quarantine.quarantiner.Idle())
 }
 
+// TestRepeatsSentApart guards against repeats of a request that are sent at the same instant after one
+// crash ended three of them: a crash on the first one must be known before the rest are sent.
+func TestRepeatsSentApart(t *testing.T) {
+	const repeats = 8
+	bubbler.Test(t, func(t *testing.T) {
+		sent := make(chan time.Time, repeats)
+		f := &scriptedSidecar{scripts: []func(*wire.Call, peer.Stream){func(call *wire.Call, s peer.Stream) {
+			sent <- time.Now()
+			time.Sleep(10 * time.Second)
+			_ = s.Send(&wire.Reply{Body: &wire.Reply_Answer{Answer: &wire.Answer{Id: call.GetInvoke().GetId(), Status: 200}}})
+		}}}
+		fx := newFixture(t, "orders", 1, map[string]*scriptedSidecar{"a": f, "b": f})
+		invoke := func(id string) {
+			_, err := fx.dispatcher.Invoke(t.Context(), newOrder(id, true))
+			assert.Check(t, err)
+		}
+		now := fx.clock.Now()
+		for i := range 3 {
+			lost := newOrder(fmt.Sprint("lost", i), true)
+			fx.dispatcher.quarantine.RecordCrash(now, quarantiner.Process{Server: "s", Started: 1}, lost.request(now))
+		}
+		start := time.Now()
+		var group sync.WaitGroup
+		for i := range repeats {
+			group.Go(func() { invoke(fmt.Sprint("repeat", i)) })
+		}
+		group.Wait()
+		first, last := <-sent, time.Time{}
+		for range repeats - 1 {
+			last = <-sent
+		}
+		assert.Assert(t, last.Sub(first) > 100*time.Millisecond, "all within %v", last.Sub(first))
+		assert.Assert(t, last.Sub(start) <= 2*time.Second, "the last after %v", last.Sub(start))
+
+		// The answers have cleared it.
+		start = time.Now()
+		invoke("answered")
+		assert.Equal(t, (<-sent).Sub(start), time.Duration(0))
+	})
+}
+
 // shareFleet is a number of entries in two data centres that share records of crashes.
 type shareFleet struct {
 	t       *testing.T
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -231,6 +231,9 @@
 	permit *permit
 	// prompt holds the beginnings of the request's prompt, or nil before they were needed.
 	prompt []tracker.PromptPrefix
+	// ready is set once a server could run the request, which is not sent before sendAt.
+	ready  bool
+	sendAt time.Duration
 }
 
 // step is what a search does next: it ends with a reservation, asks for a permit, or waits.
@@ -281,7 +284,11 @@
 	switch {
 	case best == nil:
 		l.dequeue(r)
+		s.ready = false
 		return l.waitForServer(now, s)
+	case now < l.earliestSend(now, s):
+		l.dequeue(r)
+		return step{wait: l.newWaiter(now, s.sendAt, r)}, nil
 	case !l.admits(now, best, r):
 		l.countMemoryWait(now, best, r)
 		l.enqueue(r)
--- a/locator/quarantine.go
+++ b/locator/quarantine.go
@@ -117,3 +117,13 @@
 	l.recordCrash(p, suspected.at, suspected.requests...)
 	suspected.confirmed, suspected.checking, suspected.requests = true, false, nil
 }
+
+// earliestSend returns the earliest instant at which the request of a search, which a server can run
+// now, is sent. It is decided when the request becomes ready. The caller holds the lock.
+func (l *Locator) earliestSend(now time.Duration, s *search) time.Duration {
+	if !s.ready {
+		s.ready = true
+		s.sendAt = min(now+l.quarantine.SendDelay(s.request), max(now, latestSend(s.request)))
+	}
+	return s.sendAt
+}
--- a/locator/quarantine_test.go
+++ b/locator/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,3 +130,56 @@
 		}
 	})
 }
+
+// TestRepeatsSentApart guards against repeats of a request that wait for their model and are sent at
+// the same instant when it is loaded, after one crash ended three of them.
+func TestRepeatsSentApart(t *testing.T) {
+	const repeats, digest = 8, 7
+	bubbler.Test(t, func(t *testing.T) {
+		fx := newFixture(t, 1)
+		fx.reportStatus(0, nil, "n")
+		newRepeat := func() *dispatcher.Request {
+			r := fx.newRequest("m", time.Minute)
+			r.Digest, r.InputTokens = digest, 1
+			return r
+		}
+		fx.report(fx.othersLink, &wire.Report{Crashes: []*wire.Crash{{
+			Server: engineName(10), Born: 1, Pool: "p", Suspects: []*wire.Suspect{{Print: digest, Whole: true, Requests: []uint32{1, 2, 3}}},
+		}}})
+		fx.sync()
+		var waiting []<-chan findResult
+		for range repeats {
+			waiting = append(waiting, fx.find(t.Context(), newRepeat()))
+		}
+		other := fx.find(t.Context(), fx.newRequest("m", time.Minute))
+
+		loaded := fx.clock()
+		fx.reportStatus(0, nil, "n", "m")
+		got := <-other
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.at, loaded, "another request")
+		got.reservation.Release(dispatcher.AttemptResult{Answered: true})
+
+		sent := make(chan findResult, repeats)
+		for _, results := range waiting {
+			go func() {
+				got := <-results
+				got.reservation.Release(dispatcher.AttemptResult{Answered: true})
+				sent <- got
+			}()
+		}
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			fx.reportStatus(0, nil, "n", "m")
+		}
+		var delays []time.Duration
+		for range repeats {
+			got := <-sent
+			assert.NilError(t, got.err)
+			delays = append(delays, got.at-loaded)
+		}
+		slices.Sort(delays)
+		assert.Assert(t, delays[repeats-1]-delays[0] > 100*time.Millisecond, "%v", delays)
+		assert.Assert(t, delays[repeats-1] <= 2*time.Second, "%v", delays)
+	})
+}
--- a/quarantiner/decision.go
+++ b/quarantiner/decision.go
@@ -64,6 +64,7 @@
 	if q.expire(now) {
 		q.quarantines = q.decide()
 	}
+	q.doubtful = q.findDoubtful()
 	q.stale, q.decidedAt = false, now
 	q.limitSuspected()
 	q.recordChanges(previous)
@@ -128,6 +129,23 @@
 	return quarantines
 }
 
+// findDoubtful returns the whole requests that were never answered, of which a crash ended at least
+// minCrashes repeats, and that are not quarantined: the crash may have had another cause.
+func (q *Quarantiner) findDoubtful() map[subject]bool {
+	doubtful := map[subject]bool{}
+	for _, c := range q.crashes {
+		for id, s := range c.suspects {
+			if !s.whole || s.cleared || s.answered || s.requests.count() < minCrashes {
+				continue
+			}
+			if key := (subject{c.pool, id}); q.quarantines[key] == nil {
+				doubtful[key] = true
+			}
+		}
+	}
+	return doubtful
+}
+
 // evidence is what speaks against a fingerprint: the instants of the crashes at which it was
 // in flight and of which it has not been cleared, sorted, and the number of separate moments
 // among them.
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -52,6 +52,9 @@
 	// trialDoublings-th of it, so that few are near the earliest, however many there are.
 	trialSpread    = time.Minute
 	trialDoublings = 12
+	// sendSpread bounds the delay of a doubtful request. Such requests are spread over it as trials are
+	// over trialSpread, so that a crash on the first ones is known before most are sent.
+	sendSpread = 2 * time.Second
 	// maxCrashes bounds the crashes that are kept, maxSuspects the suspects of one crash: the parts
 	// of prompts, and the whole requests, each by themselves.
 	maxCrashes  = 128
@@ -178,10 +181,13 @@
 	// these changes.
 	unsent   map[Process]bool
 	revision uint64
-	// stale is set if a record has changed since the decision at decidedAt.
+	// stale is set if a record has changed since the decision at decidedAt. It has led to quarantines,
+	// and to doubtful, the whole requests that are not quarantined though a crash ended many of their
+	// repeats.
 	stale       bool
 	decidedAt   time.Duration
 	quarantines map[subject]*Quarantine
+	doubtful    map[subject]bool
 	changes     []Change
 	// answered holds the latest instants at which requests with a fingerprint were answered,
 	// previouslyAnswered those of the time before answered was last emptied.
@@ -200,7 +206,7 @@
 // trials through is between 0, the first, and 1; it is drawn at random for each process.
 func New(place float64) *Quarantiner {
 	return &Quarantiner{
-		trialDelay:  time.Duration(max(0, 1+math.Log2(place)/trialDoublings) * float64(trialSpread)),
+		trialDelay:  delayOf(place, trialSpread),
 		crashes:     map[Process]*crash{},
 		suspected:   map[subject]bool{},
 		unsent:      map[Process]bool{},
@@ -210,6 +216,12 @@
 	}
 }
 
+// delayOf returns the delay, at most spread, of what has a place drawn at random between 0 and 1. Few
+// delays are near the shortest of them, however many are drawn.
+func delayOf(place float64, spread time.Duration) time.Duration {
+	return time.Duration(max(0, 1+math.Log2(place)/trialDoublings) * float64(spread))
+}
+
 // Idle reports whether there is no record of a crash, so that nothing is quarantined and no
 // answer matters.
 func (q *Quarantiner) Idle() bool { return len(q.crashes) == 0 }
@@ -407,3 +419,17 @@
 	q.trials[found.subject] = trial{request: request, at: now}
 	return true
 }
+
+// SendDelay returns how long a request with the given fingerprints to a pool, which Check lets pass,
+// waits before it is sent. It is 0 unless the request is doubtful, and depends then on the request's
+// place, drawn at random between 0 and 1: many repeats may be ready to be sent at the same instant,
+// when a server that can run them starts.
+func (q *Quarantiner) SendDelay(now time.Duration, pool string, fingerprints []Fingerprint, place float64) time.Duration {
+	q.Update(now)
+	for _, f := range fingerprints {
+		if q.doubtful[subject{pool, f.ID}] {
+			return delayOf(place, sendSpread)
+		}
+	}
+	return 0
+}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -497,12 +498,9 @@
 // TestRepeatsInFlightTogether guards against a fatal request of which many repeats wait for a model and
 // are sent at once: two crashes that ended three of them suffice, also if no process saw more than one.
 func TestRepeatsInFlightTogether(t *testing.T) {
-	repeat := func(request uint32) []Fingerprint {
-		return []Fingerprint{{ID: own, Depth: 1, Whole: true, Request: request}}
-	}
 	first, second := New(0), New(0)
-	first.RecordCrash(time.Hour, process(0), "p", repeat(11))
-	second.RecordCrash(time.Hour, process(0), "p", repeat(12))
+	first.RecordCrash(time.Hour, process(0), "p", repeatPrints(11))
+	second.RecordCrash(time.Hour, process(0), "p", repeatPrints(12))
 	merge := func(now time.Duration) {
 		for _, q := range []*Quarantiner{first, second} {
 			for _, message := range q.All(now) {
@@ -512,23 +510,101 @@
 		}
 	}
 	merge(time.Hour + time.Second)
-	assert.Assert(t, first.Check(time.Hour+time.Second, "r", "p", repeat(13)) == nil, "one crash")
-	second.RecordCrash(time.Hour+time.Second, process(1), "p", repeat(13))
+	assert.Assert(t, first.Check(time.Hour+time.Second, "r", "p", repeatPrints(13)) == nil, "one crash")
+	second.RecordCrash(time.Hour+time.Second, process(1), "p", repeatPrints(13))
 	merge(time.Hour + 2*time.Second)
 	for _, q := range []*Quarantiner{first, second} {
-		assert.Assert(t, q.Check(time.Hour+2*time.Second, "r", "p", repeat(14)) != nil)
+		assert.Assert(t, q.Check(time.Hour+2*time.Second, "r", "p", repeatPrints(14)) != nil)
 	}
 
 	alone := New(0)
 	for i := range 2 {
-		alone.RecordCrash(time.Hour+time.Duration(i)*time.Second, process(i), "p", repeat(11))
+		alone.RecordCrash(time.Hour+time.Duration(i)*time.Second, process(i), "p", repeatPrints(11))
 	}
-	assert.Assert(t, alone.Check(time.Hour+2*time.Second, "r", "p", repeat(12)) == nil, "one request at two servers")
+	assert.Assert(t, alone.Check(time.Hour+2*time.Second, "r", "p", repeatPrints(12)) == nil, "one request at two servers")
 
 	together := New(0)
 	for request := range uint32(9) {
-		together.RecordCrash(time.Hour, process(0), "p", repeat(20+request))
+		together.RecordCrash(time.Hour, process(0), "p", repeatPrints(20+request))
 	}
-	assert.Assert(t, together.Check(time.Hour+time.Second, "r", "p", repeat(12)) == nil, "one server")
+	assert.Assert(t, together.Check(time.Hour+time.Second, "r", "p", repeatPrints(12)) == nil, "one server")
 	assert.Assert(t, len(together.All(time.Hour)[0].GetSuspects()[0].GetRequests()) <= minCrashes)
 }
+
+// TestRepeatsReadyTogether guards against a fatal request of which one crash ended several repeats, and
+// whose others are ready at the same instant when a model is loaded: few are sent before a crash on the
+// first of them is known, however many there are.
+func TestRepeatsReadyTogether(t *testing.T) {
+	const (
+		crashKnown = 100 * time.Millisecond
+		plays      = 1000
+		maxMean    = 3
+	)
+	r := rand.New(rand.NewPCG(1, 2))
+	for _, repeats := range []int{6, 40, 300} {
+		total := 0
+		for range plays {
+			q := New(0)
+			for request := range uint32(minCrashes) {
+				q.RecordCrash(time.Hour, process(0), "p", repeatPrints(request+1))
+			}
+			var delays []time.Duration
+			for range repeats {
+				delays = append(delays, q.SendDelay(time.Hour+time.Second, "p", repeatPrints(100), r.Float64()))
+			}
+			first := slices.Min(delays)
+			for _, delay := range delays {
+				assert.Assert(t, delay <= sendSpread)
+				if delay <= first+crashKnown {
+					total++
+				}
+			}
+		}
+		assert.Assert(t, total <= maxMean*plays, "%d repeats: %d sent in %d plays", repeats, total, plays)
+	}
+}
+
+// TestSendDelay checks which requests are delayed after a crash.
+func TestSendDelay(t *testing.T) {
+	lose := func(at time.Duration, server int, requests ...uint32) func(*Quarantiner) {
+		return func(q *Quarantiner) {
+			for _, request := range requests {
+				q.RecordCrash(at, process(server), "p", repeatPrints(request))
+			}
+		}
+	}
+	answer := func(at time.Duration) func(*Quarantiner) {
+		return func(q *Quarantiner) { q.RecordAnswer(at, "p", repeatPrints(9)) }
+	}
+	for _, c := range []struct {
+		name  string
+		steps []func(*Quarantiner)
+		want  bool
+	}{
+		{name: "no crash"},
+		{name: "two repeats", steps: []func(*Quarantiner){lose(time.Hour, 0, 1, 2)}},
+		{name: "three repeats", steps: []func(*Quarantiner){lose(time.Hour, 0, 1, 2, 3)}, want: true},
+		{name: "one request three times", steps: []func(*Quarantiner){lose(time.Hour, 0, 1, 1, 1)}},
+		{name: "two servers at one instant", steps: []func(*Quarantiner){lose(time.Hour, 0, 1, 2), lose(time.Hour, 1, 3)}},
+		{name: "answered before", steps: []func(*Quarantiner){answer(time.Minute), lose(time.Hour, 0, 1, 2, 3)}},
+		{name: "answered since", steps: []func(*Quarantiner){lose(time.Hour, 0, 1, 2, 3), answer(time.Hour + time.Second)}},
+		{name: "quarantined", steps: []func(*Quarantiner){lose(time.Hour, 0, 1, 2), lose(time.Hour+time.Second, 1, 3)}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := New(0)
+			for _, step := range c.steps {
+				step(q)
+			}
+			now := time.Hour + 2*time.Second
+			delay := q.SendDelay(now, "p", repeatPrints(10), 1)
+			assert.Equal(t, delay > 0, c.want, "%v", delay)
+			assert.Equal(t, q.SendDelay(now, "other", repeatPrints(10), 1), time.Duration(0))
+			assert.Equal(t, q.SendDelay(now, "p", wholePrints(shared, own+1), 1), time.Duration(0))
+		})
+	}
+}
+
+// repeatPrints returns the fingerprints of a repeat of one request.
+func repeatPrints(request uint32) []Fingerprint {
+	return []Fingerprint{{ID: own, Depth: 1, Whole: true, Request: request}}
+}
