engine: a line of an engine's stream has 64 KiB at most

Operators would see: a sidecar of the native API that runs out of memory because its engine, in trouble, sends lines without end to all requests (reported by users of systems like ours; not seen here but in the test).

Change: 64 KiB, and an error that names the bound.

--- a/engine/events.go
+++ b/engine/events.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"strings"
 )
 
-// maxEvent is the largest line of a server-sent event, in bytes.
-const maxEvent = 1 << 20
+// maxEventBytes is the largest line of a server-sent event, in bytes. A sidecar may hold one for each
+// request that runs at its engine.
+const maxEventBytes = 64 << 10
 
 // endEvent is the data of the event that ends a stream.
 const endEvent = "[DONE]"
@@ -47,7 +50,7 @@
 func ReadEvents(r io.Reader, onToken func(text string) error) (Result, error) {
 	s := &stream{onToken: onToken}
 	scanner := bufio.NewScanner(r)
-	scanner.Buffer(make([]byte, 0, 4096), maxEvent)
+	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	for scanner.Scan() {
 		name, value, _ := strings.Cut(scanner.Text(), ":")
 		value = strings.TrimSpace(value)
@@ -63,7 +66,10 @@
 			return s.result, err
 		}
 	}
-	if err := scanner.Err(); err != nil {
+	switch err := scanner.Err(); {
+	case errors.Is(err, bufio.ErrTooLong):
+		return s.result, &StreamError{Text: fmt.Sprintf("a line larger than %d bytes", maxEventBytes)}
+	case err != nil:
 		return s.result, &StreamError{Text: err.Error()}
 	}
 	return s.result, &StreamError{Text: "ended without " + endEvent}
