runner: a refused head's caller can read the refusal

Callers saw: "write: broken pipe" in place of 431 (or 503, with no room left) when the head of a request was refused while they still sent it.

Cause: the guard answered, ended its direction and closed the connection at once. Bytes that arrive at a closed connection reset it; a client that gets the reset while it writes, as Go's, never reads the answer. net/http waits for that reason where it refuses itself; the guard, which refuses before it, did not.

Ruled out: a refusal that was not sent (the answer is written before the close, and read by callers who have sent all).

Change: what a refused caller still sends is read and discarded, until the caller closes or half a second has passed.

TestHeadLimits now expects the proper end for the largest head too. Connections beyond the limit are still closed at once (admit): to wait there would hold descriptors.

--- a/runner/drainconn.go
+++ b/runner/drainconn.go
@@ -193,12 +193,27 @@
 	inHead := c.recordReceived(n > 0)
 	if c.holding != nil && n > 0 {
 		if err := c.listener.guard.recordRead(c, p[:n], inHead); err != nil {
+			c.linger(p)
 			return 0, err
 		}
 	}
 	return n, err
 }
 
+// lingerTime bounds the time in which the rest of a refused head is read.
+const lingerTime = 500 * time.Millisecond
+
+// linger reads into a buffer and discards what a refused caller still sends, until the caller closes
+// the connection. Bytes that arrive at a closed connection reset it, and the caller may lose the answer.
+func (c *drainConn) linger(buffer []byte) {
+	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	for {
+		if _, err := c.Conn.Read(buffer); err != nil {
+			return
+		}
+	}
+}
+
 // recordReceived records whether bytes were read, and reports whether they are those of a head. If the
 // connection was about to end, the rest of the request is read as before.
 func (c *drainConn) recordReceived(received bool) (inHead bool) {
--- a/runner/guard_test.go
+++ b/runner/guard_test.go
@@ -165,9 +165,7 @@
 		res, _, reader := exchangeRaw(t, s.address, head(n))
 		assert.Assert(t, res != nil, n)
 		assert.Equal(t, res.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
-		if n < 10_000 {
-			expectEnd(t, res, reader)
-		}
+		expectEnd(t, res, reader)
 	}
 	begin := time.Now()
 	res, _, _ = exchangeRaw(t, s.address, "GET / HTTP/1.1\r\nHost: h\r\n")
@@ -179,6 +177,41 @@
 	assert.Equal(t, s.ran.Load(), int32(2))
 }
 
+// TestHeadRefusedWhileSent guards against a refusal that is lost: a caller that still sends the head
+// when it is refused must be able to send the rest and read the answer, as the connection is not reset.
+func TestHeadRefusedWhileSent(t *testing.T) {
+	limits := guardLimits()
+	s := newGuardedServer(t, limits)
+	conn, err := net.Dial("tcp", s.address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = io.WriteString(conn, guardHead+"X: "+strings.Repeat("x", 4*headSlack))
+	assert.NilError(t, err)
+	for range 10 {
+		time.Sleep(10 * time.Millisecond)
+		_, err = io.WriteString(conn, strings.Repeat("x", headSlack))
+		assert.NilError(t, err)
+	}
+	reader := bufio.NewReader(conn)
+	res, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	expectEnd(t, res, reader)
+	assert.NilError(t, conn.Close())
+
+	// A caller that goes on for ever is ended.
+	conn, err = net.Dial("tcp", s.address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	start := time.Now()
+	for err = error(nil); err == nil; {
+		_, err = io.WriteString(conn, strings.Repeat("x", headSlack))
+	}
+	assert.Assert(t, time.Since(start) < 5*time.Second, "%v", err)
+}
+
 // TestKeptConnections guards against limits that count the requests of one connection together, and
 // against room that a pipelined or kept connection does not return.
 func TestKeptConnections(t *testing.T) {
